Feature: [http] HTTP/1.1 server and client

The daemon, the stand-ins and mimosapierctl all speak HTTP/JSON, so they need one server and one client with the same rules for limits and timeouts.

The server keeps the order of answers on a connection, bounds headers, bodies, connections and open requests, closes slow and silent clients, and ends gracefully: open requests are answered, idle connections stay for a grace period because a request may be under way on them. After its last answer it reads and drops what the client still sends; closing with unread bytes resets the connection and can destroy the answer.

The client tells "not sent" from "may have been sent" and never retries by itself; a connection whose call failed or timed out is closed. Beast's tcp_stream was not used: its timeout cannot be changed while a read is outstanding, and answers are written while the next request is being read.

--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,374 @@
+// HTTP client: calls wait for a connection of their address, use it alone, and return it when it is still good.
+#include "http/client_base.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace mimosapier
+{
+
+namespace detail
+{
+
+namespace http = boost::beast::http;
+using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
+
+struct Connection
+{
+    explicit Connection(const Strand &strand)
+        : socket_(strand)
+    {
+    }
+
+    boost::asio::ip::tcp::socket socket_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    TimePoint idleSince_; // valid while it is in the pool
+    std::uint64_t use_ = 0; // rises with each call, so that a late wait result of an earlier idle period is ignored
+};
+
+enum class CallStage : std::uint8_t { Waiting, Connecting, Sent, Finished };
+
+struct Call
+{
+    Call(const Strand &strand, std::string address, http::request<http::string_body> message, TimePoint deadline,
+         HttpCallback callback)
+        : address_(std::move(address))
+        , message_(std::move(message))
+        , deadline_(deadline)
+        , callback_(std::move(callback))
+        , timer_(strand)
+    {
+    }
+
+    std::string address_;
+    http::request<http::string_body> message_;
+    TimePoint deadline_;
+    HttpCallback callback_;
+    boost::asio::steady_timer timer_;
+    CallStage stage_ = CallStage::Waiting;
+    std::shared_ptr<Connection> connection_;
+};
+
+struct Pool
+{
+    std::vector<std::shared_ptr<Connection>> idle_;
+    std::deque<std::shared_ptr<Call>> waiting_;
+    std::vector<std::shared_ptr<Call>> active_; // connecting or sent; one connection each
+};
+
+// All members belong to the strand.
+class ClientState : public std::enable_shared_from_this<ClientState>
+{
+public:
+    ClientState(boost::asio::io_context &context, HttpClientOptions options)
+        : options_(options)
+        , strand_(boost::asio::make_strand(context))
+        , sweep_(strand_)
+    {
+    }
+
+    void add(const std::shared_ptr<Call> &call);
+    void closeAll();
+
+    const HttpClientOptions options_;
+    Strand strand_;
+
+private:
+    void pump(const std::string &address);
+    void connect(const std::shared_ptr<Call> &call);
+    void exchange(const std::shared_ptr<Call> &call);
+    void receive(const std::shared_ptr<Call> &call);
+    void arm(const std::shared_ptr<Call> &call, TimePoint due);
+    void keep(const std::string &address, const std::shared_ptr<Connection> &connection);
+    void fail(const std::shared_ptr<Call> &call, HttpDelivery delivery, std::error_code error);
+    void finish(const std::shared_ptr<Call> &call, HttpResult result);
+    void sweep();
+
+    std::unordered_map<std::string, Pool> pools_;
+    boost::asio::steady_timer sweep_; // closes connections that were idle for too long
+    bool sweeping_ = false;
+    bool closed_ = false;
+};
+
+void ClientState::add(const std::shared_ptr<Call> &call)
+{
+    if (closed_) {
+        fail(call, HttpDelivery::NotSent, std::make_error_code(std::errc::operation_canceled));
+        return;
+    }
+    Pool &pool = pools_[call->address_];
+    if (pool.waiting_.size() >= options_.maxWaiting_) {
+        fail(call, HttpDelivery::NotSent, std::make_error_code(std::errc::no_buffer_space));
+        return;
+    }
+    pool.waiting_.push_back(call);
+    arm(call, call->deadline_);
+    pump(call->address_);
+}
+
+// Gives connections to waiting calls.
+void ClientState::pump(const std::string &address)
+{
+    for (;;) {
+        const auto found = pools_.find(address);
+        if (closed_ || found == pools_.end() || found->second.waiting_.empty()) {
+            return;
+        }
+        Pool &pool = found->second;
+        const bool reuse = !pool.idle_.empty();
+        if (!reuse && pool.active_.size() >= options_.maxConnections_) {
+            return;
+        }
+        const auto call = pool.waiting_.front();
+        pool.waiting_.pop_front();
+        pool.active_.push_back(call);
+        if (reuse) {
+            call->connection_ = pool.idle_.back();
+            pool.idle_.pop_back();
+            ++call->connection_->use_;
+            boost::system::error_code ignored;
+            call->connection_->socket_.cancel(ignored);
+            exchange(call);
+        } else {
+            connect(call);
+        }
+    }
+}
+
+void ClientState::arm(const std::shared_ptr<Call> &call, TimePoint due)
+{
+    call->timer_.expires_at(due);
+    call->timer_.async_wait([self = shared_from_this(), call](boost::system::error_code error) {
+        if (!error && call->stage_ != CallStage::Finished && SystemClock().now() >= call->timer_.expiry()) {
+            self->fail(call, call->stage_ == CallStage::Sent ? HttpDelivery::MaybeSent : HttpDelivery::NotSent,
+                       std::make_error_code(std::errc::timed_out));
+        }
+    });
+}
+
+void ClientState::connect(const std::shared_ptr<Call> &call)
+{
+    HttpAddress parts;
+    boost::system::error_code error;
+    boost::asio::ip::address ip;
+    if (parseAddress(call->address_, parts)) {
+        ip = boost::asio::ip::make_address(parts.ip_, error);
+    } else {
+        error = boost::asio::error::invalid_argument;
+    }
+    call->stage_ = CallStage::Connecting;
+    if (error) {
+        fail(call, HttpDelivery::NotSent, std::make_error_code(std::errc::invalid_argument));
+        return;
+    }
+    call->connection_ = std::make_shared<Connection>(strand_);
+    arm(call, std::min(call->deadline_, SystemClock().now() + options_.connectTimeout_));
+    call->connection_->socket_.async_connect(
+        {ip, parts.port_}, [self = shared_from_this(), call](boost::system::error_code failure) {
+            if (call->stage_ == CallStage::Finished) {
+                return;
+            }
+            if (failure) {
+                self->fail(call, HttpDelivery::NotSent, failure);
+                return;
+            }
+            boost::system::error_code ignored;
+            call->connection_->socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+            self->arm(call, call->deadline_);
+            self->exchange(call);
+        });
+}
+
+void ClientState::exchange(const std::shared_ptr<Call> &call)
+{
+    call->stage_ = CallStage::Sent;
+    http::async_write(call->connection_->socket_, call->message_,
+                      [self = shared_from_this(), call](boost::system::error_code error, std::size_t bytes) {
+                          if (call->stage_ == CallStage::Finished) {
+                              return;
+                          }
+                          if (error && bytes == 0) {
+                              self->fail(call, HttpDelivery::NotSent, error);
+                          } else {
+                              // The server may have answered and closed before it read the whole request.
+                              self->receive(call);
+                          }
+                      });
+}
+
+void ClientState::receive(const std::shared_ptr<Call> &call)
+{
+    Connection &connection = *call->connection_;
+    connection.parser_.emplace();
+    connection.parser_->body_limit(options_.maxBodyBytes_);
+    http::async_read(
+        connection.socket_, connection.buffer_, *connection.parser_,
+        [self = shared_from_this(), call](boost::system::error_code error, std::size_t) {
+            if (call->stage_ == CallStage::Finished) {
+                return;
+            }
+            if (error) {
+                self->fail(call, HttpDelivery::MaybeSent, error);
+                return;
+            }
+            auto message = call->connection_->parser_->release();
+            if (message.keep_alive() && call->connection_->buffer_.size() == 0) {
+                self->keep(call->address_, call->connection_);
+                call->connection_.reset();
+            }
+            self->finish(call, {HttpDelivery::Answered, message.result_int(), std::move(message.body()), {}});
+        });
+}
+
+// Puts a connection into the pool and watches it, so that one the server closes is not used again.
+void ClientState::keep(const std::string &address, const std::shared_ptr<Connection> &connection)
+{
+    connection->idleSince_ = SystemClock().now();
+    pools_[address].idle_.push_back(connection);
+    connection->socket_.async_wait(
+        boost::asio::ip::tcp::socket::wait_read,
+        [self = shared_from_this(), address, connection, use = connection->use_](boost::system::error_code) {
+            if (connection->use_ == use) {
+                std::erase(self->pools_[address].idle_, connection);
+                boost::system::error_code ignored;
+                connection->socket_.close(ignored);
+            }
+        });
+    if (!sweeping_) {
+        sweep();
+    }
+}
+
+void ClientState::sweep()
+{
+    sweeping_ = true;
+    sweep_.expires_after(options_.idleTimeout_ / 2);
+    sweep_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self || self->closed_) {
+            return;
+        }
+        const TimePoint oldest = SystemClock().now() - self->options_.idleTimeout_;
+        bool left = false;
+        for (auto &[address, pool] : self->pools_) {
+            std::erase_if(pool.idle_, [oldest](const auto &connection) {
+                if (connection->idleSince_ >= oldest) {
+                    return false;
+                }
+                boost::system::error_code ignored;
+                ++connection->use_;
+                connection->socket_.close(ignored);
+                return true;
+            });
+            left = left || !pool.idle_.empty();
+        }
+        std::erase_if(self->pools_, [](const auto &item) {
+            return item.second.idle_.empty() && item.second.waiting_.empty() && item.second.active_.empty();
+        });
+        self->sweeping_ = false;
+        if (left) {
+            self->sweep();
+        }
+    });
+}
+
+void ClientState::fail(const std::shared_ptr<Call> &call, HttpDelivery delivery, std::error_code error)
+{
+    finish(call, {delivery, 0, {}, error});
+}
+
+void ClientState::finish(const std::shared_ptr<Call> &call, HttpResult result)
+{
+    call->stage_ = CallStage::Finished;
+    call->timer_.cancel();
+    if (call->connection_) {
+        boost::system::error_code ignored;
+        call->connection_->socket_.close(ignored);
+        call->connection_.reset();
+    }
+    const auto pool = pools_.find(call->address_);
+    if (pool != pools_.end()) {
+        std::erase(pool->second.active_, call);
+        std::erase(pool->second.waiting_, call);
+    }
+    boost::asio::post(strand_,
+                      [self = shared_from_this(), address = call->address_, callback = std::move(call->callback_),
+                       result = std::move(result)]() mutable {
+                          self->pump(address);
+                          callback(std::move(result));
+                      });
+}
+
+void ClientState::closeAll()
+{
+    closed_ = true;
+    sweep_.cancel();
+    std::vector<std::shared_ptr<Call>> calls;
+    for (auto &[address, pool] : pools_) {
+        calls.insert(calls.end(), pool.waiting_.begin(), pool.waiting_.end());
+        calls.insert(calls.end(), pool.active_.begin(), pool.active_.end());
+        for (auto &connection : pool.idle_) {
+            boost::system::error_code ignored;
+            ++connection->use_;
+            connection->socket_.close(ignored);
+        }
+        pool.idle_.clear();
+    }
+    for (const auto &call : calls) {
+        fail(call, call->stage_ == CallStage::Sent ? HttpDelivery::MaybeSent : HttpDelivery::NotSent,
+             std::make_error_code(std::errc::operation_canceled));
+    }
+}
+
+} // namespace detail
+
+HttpClient::HttpClient(boost::asio::io_context &context, HttpClientOptions options)
+    : state_(std::make_shared<detail::ClientState>(context, options))
+{
+}
+
+HttpClient::~HttpClient()
+{
+    close();
+}
+
+void HttpClient::send(std::string address, HttpRequest request, Milliseconds timeout, HttpCallback callback)
+{
+    namespace http = boost::beast::http;
+    http::request<http::string_body> message(http::string_to_verb(request.method_), request.target_, 11);
+    if (message.method() == http::verb::unknown) {
+        message.method_string(request.method_);
+    }
+    message.set(http::field::host, address);
+    for (const auto &header : request.headers_) {
+        message.set(header.name_, header.value_);
+    }
+    if (!request.body_.empty() && message[http::field::content_type].empty()) {
+        message.set(http::field::content_type, "application/json");
+    }
+    message.body() = std::move(request.body_);
+    message.prepare_payload();
+    auto call = std::make_shared<detail::Call>(state_->strand_, std::move(address), std::move(message),
+                                               SystemClock().now() + timeout, std::move(callback));
+    boost::asio::post(state_->strand_, [state = state_, call] { state->add(call); });
+}
+
+void HttpClient::close()
+{
+    boost::asio::post(state_->strand_, [state = state_] { state->closeAll(); });
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/http/server_session.cpp
@@ -0,0 +1,294 @@
+// One connection of the HTTP server: reads requests, keeps answers in order, enforces the timeouts.
+#include "http/server_internal.h"
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace mimosapier::detail
+{
+
+namespace http = boost::beast::http;
+
+constexpr Milliseconds LingerLimit {2'000}; // for the client to read the last answer and close
+
+Session::Session(std::shared_ptr<ServerState> server, boost::asio::ip::tcp::socket socket)
+    : server_(std::move(server))
+    , socket_(std::move(socket))
+    , timer_(socket_.get_executor())
+{
+}
+
+Session::~Session()
+{
+    server_->remove(this);
+}
+
+void Session::start()
+{
+    boost::system::error_code ignored;
+    socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    updateReadDeadline();
+    read();
+}
+
+// Recomputes the time by which the next bytes must have arrived.
+void Session::updateReadDeadline()
+{
+    const TimePoint now = SystemClock().now();
+    if (partial_) {
+        readDeadline_ = now + server_->options_.requestTimeout_;
+    } else if (open_.empty()) {
+        readDeadline_ = now + server_->options_.idleTimeout_;
+    } else {
+        readDeadline_ = TimePoint::max();
+    }
+    watch();
+}
+
+TimePoint Session::deadline() const
+{
+    const bool idle = open_.empty() && !partial_ && !writing_ && !lingering_;
+    TimePoint earliest = std::min({writeDeadline_, hardLimit_, idle ? idleUntil_ : TimePoint::max()});
+    return std::min(earliest, readDeadline_);
+}
+
+// Arms the timer for the earliest deadline. A deadline that moved to a later time is noticed when the timer fires,
+// so that ordinary requests do not touch the timer queue.
+void Session::watch()
+{
+    const TimePoint due = deadline();
+    if (closed_ || due >= timerAt_) {
+        return;
+    }
+    timerAt_ = due;
+    timer_.expires_at(due);
+    timer_.async_wait([self = shared_from_this()](boost::system::error_code error) {
+        if (error || self->closed_) {
+            return;
+        }
+        self->timerAt_ = TimePoint::max();
+        const TimePoint now = SystemClock().now();
+        if (self->deadline() > now) {
+            self->watch();
+        } else if (now >= self->idleUntil_ && self->open_.empty() && !self->lingering_ && !self->partial_) {
+            self->noMoreRequests_ = true;
+            self->finish();
+        } else {
+            self->close();
+        }
+    });
+}
+
+void Session::read()
+{
+    if (reading_ || closed_ || noMoreRequests_ || open_.size() >= server_->options_.maxOpenPerConnection_) {
+        return;
+    }
+    if (!parser_) {
+        parser_.emplace();
+        parser_->header_limit(static_cast<std::uint32_t>(server_->options_.maxHeaderBytes_));
+        parser_->body_limit(server_->options_.maxBodyBytes_);
+        parser_->eager(true);
+        partial_ = false;
+    }
+    reading_ = true;
+    http::async_read_some(socket_, buffer_, *parser_,
+                          [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+                              self->onRead(error, bytes);
+                          });
+}
+
+void Session::onRead(boost::system::error_code error, std::size_t bytes)
+{
+    reading_ = false;
+    if (closed_ || lingering_) {
+        return;
+    }
+    if (error == http::error::body_limit) {
+        refuse(413, "body-too-large");
+    } else if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+        refuse(431, "malformed-request");
+    } else if (error && error.category() == http::make_error_code(http::error::bad_value).category()
+               && error != http::error::end_of_stream && error != http::error::partial_message) {
+        refuse(400, "malformed-request");
+    } else if (error) {
+        close(); // the client has closed the connection, so nobody reads the open answers
+    } else if (parser_->is_done()) {
+        dispatch();
+    } else {
+        if (bytes > 0 && !partial_) {
+            partial_ = true;
+            updateReadDeadline();
+        }
+        read();
+    }
+}
+
+void Session::dispatch()
+{
+    auto message = parser_->release();
+    parser_.reset();
+    partial_ = false;
+    HttpRequest request;
+    request.method_ = std::string(message.method_string());
+    request.target_ = std::string(message.target());
+    for (const auto &field : message) {
+        request.headers_.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    request.body_ = std::move(message.body());
+
+    auto exchange = std::make_shared<HttpExchange>();
+    exchange->session_ = weak_from_this();
+    exchange->keepAlive_ = message.keep_alive();
+    noMoreRequests_ = noMoreRequests_ || !exchange->keepAlive_;
+    open_.push_back(exchange);
+    updateReadDeadline();
+    server_->handler_(std::move(request), HttpResponder(exchange));
+    read();
+}
+
+// Answers a request that cannot be parsed; the position of the next request is unknown, so the connection ends.
+void Session::refuse(unsigned status, const char *reason)
+{
+    auto exchange = std::make_shared<HttpExchange>();
+    exchange->session_ = weak_from_this();
+    exchange->keepAlive_ = false;
+    exchange->answered_ = true;
+    noMoreRequests_ = true;
+    partial_ = false;
+    open_.push_back(exchange);
+    updateReadDeadline();
+    answer(exchange, {status, std::string(R"({"outcome":"not-run","error":")") + reason + "\"}", "application/json"});
+}
+
+void Session::answer(const std::shared_ptr<HttpExchange> &exchange, HttpResponse response)
+{
+    if (closed_) {
+        return;
+    }
+    exchange->gone_ = nullptr;
+    exchange->response_ = std::move(response);
+    write();
+}
+
+void Session::setGone(const std::shared_ptr<HttpExchange> &exchange, std::function<void()> gone)
+{
+    if (closed_) {
+        gone();
+    } else if (!exchange->response_) {
+        exchange->gone_ = std::move(gone);
+    }
+}
+
+// Sends the answer of the oldest open request when it is there.
+void Session::write()
+{
+    if (writing_ || closed_ || open_.empty() || !open_.front()->response_) {
+        return;
+    }
+    writing_ = true;
+    const auto exchange = open_.front();
+    auto &response = *exchange->response_;
+    using Message = http::response<http::string_body>;
+    auto message = std::make_shared<Message>(static_cast<http::status>(response.status_), 11);
+    message->set(http::field::content_type, response.contentType_);
+    message->body() = std::move(response.body_);
+    if (server_->draining_) {
+        exchange->keepAlive_ = false;
+        // Requests that the client pipelined behind this one are read and answered before the connection ends.
+        message->keep_alive(open_.size() > 1 || partial_);
+    } else {
+        message->keep_alive(exchange->keepAlive_);
+    }
+    const bool last = !message->keep_alive();
+    message->prepare_payload();
+    writeDeadline_ = SystemClock().now() + server_->options_.writeTimeout_;
+    watch();
+    http::async_write(socket_, *message,
+                      [self = shared_from_this(), message, last](boost::system::error_code error, std::size_t) {
+                          self->writing_ = false;
+                          self->writeDeadline_ = TimePoint::max();
+                          if (self->closed_) {
+                              return;
+                          }
+                          if (error) {
+                              self->close();
+                              return;
+                          }
+                          self->open_.pop_front();
+                          if (last) {
+                              self->noMoreRequests_ = true;
+                              self->finish();
+                              return;
+                          }
+                          self->updateReadDeadline();
+                          self->read();
+                          self->write();
+                      });
+}
+
+// Ends the sending side after the last answer.
+void Session::finish()
+{
+    if (closed_ || lingering_ || writing_) {
+        return;
+    }
+    lingering_ = true;
+    boost::system::error_code ignored;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    socket_.cancel(ignored);
+    readDeadline_ = SystemClock().now() + LingerLimit;
+    watch();
+    linger();
+}
+
+// Reads and drops what the client still sends. Closing with unread bytes would reset the connection, and the reset
+// can destroy the last answer on its way to the client.
+void Session::linger()
+{
+    buffer_.consume(buffer_.size());
+    constexpr std::size_t ChunkBytes = 4096;
+    socket_.async_read_some(buffer_.prepare(ChunkBytes),
+                            [self = shared_from_this()](boost::system::error_code error, std::size_t) {
+                                if (self->closed_) {
+                                    return;
+                                }
+                                if (error && error != boost::asio::error::operation_aborted) {
+                                    self->close();
+                                    return;
+                                }
+                                self->linger();
+                            });
+}
+
+void Session::stop(TimePoint idleUntil, TimePoint hardLimit)
+{
+    idleUntil_ = idleUntil;
+    hardLimit_ = hardLimit;
+    watch();
+}
+
+void Session::close()
+{
+    if (closed_) {
+        return;
+    }
+    closed_ = true;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+    std::deque<std::shared_ptr<HttpExchange>> open;
+    open.swap(open_);
+    for (const auto &exchange : open) {
+        if (exchange->gone_ && !exchange->response_) {
+            const auto gone = std::move(exchange->gone_);
+            exchange->gone_ = nullptr;
+            gone();
+        }
+    }
+}
+
+} // namespace mimosapier::detail
--- /dev/null
+++ b/tests/http/test_http.cpp
@@ -0,0 +1,221 @@
+// Guards the HTTP server and client over loopback: order of answers, limits, timeouts, graceful stop, and the
+// difference between "not sent" and "may have been sent".
+#include "http/client_base.h"
+#include "http/json_func.h"
+#include "http/server_base.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <criterion/criterion.h>
+
+#include <future>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+using namespace mimosapier;
+using boost::asio::ip::tcp;
+
+// Server with a handler, run by two threads until the end of the test.
+struct Fixture
+{
+    explicit Fixture(HttpHandler handler, HttpServerOptions options = {})
+        : work_(boost::asio::make_work_guard(context_))
+        , client_(context_, clientOptions())
+        , server_(std::make_unique<HttpServer>(context_, options, std::move(handler)))
+    {
+        cr_assert(!server_->listen("127.0.0.1:0"));
+        for (auto &thread : threads_) {
+            thread = std::thread([this] { context_.run(); });
+        }
+    }
+    Fixture(const Fixture &) = delete;
+    Fixture &operator=(const Fixture &) = delete;
+    ~Fixture()
+    {
+        client_.close();
+        server_.reset();
+        work_.reset();
+        context_.stop();
+        for (auto &thread : threads_) {
+            thread.join();
+        }
+    }
+
+    static HttpClientOptions clientOptions()
+    {
+        HttpClientOptions options;
+        options.connectTimeout_ = Milliseconds(300);
+        options.maxConnections_ = 2;
+        return options;
+    }
+
+    std::future<HttpResult> send(const std::string &address, HttpRequest request, int timeoutMs)
+    {
+        auto promise = std::make_shared<std::promise<HttpResult>>();
+        client_.send(address, std::move(request), Milliseconds(timeoutMs),
+                     [promise](HttpResult result) { promise->set_value(std::move(result)); });
+        return promise->get_future();
+    }
+
+    // Sends raw bytes and reads until the server closes.
+    std::string raw(const std::string &bytes)
+    {
+        boost::asio::io_context context;
+        tcp::socket socket(context);
+        HttpAddress address;
+        parseAddress(server_->address(), address);
+        socket.connect({boost::asio::ip::make_address(address.ip_), address.port_});
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        std::string answer;
+        boost::system::error_code error;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+        return answer;
+    }
+
+    boost::asio::io_context context_;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    HttpClient client_;
+    std::unique_ptr<HttpServer> server_;
+    std::array<std::thread, 2> threads_;
+};
+
+static void echo(const HttpRequest &request, const HttpResponder &respond)
+{
+    respond({200, request.method_ + " " + request.target_ + " " + request.body_, "text/plain"});
+}
+
+// Guards against answers of pipelined requests being swapped when a later one is ready first.
+Test(http, pipelinedAnswersKeepOrder)
+{
+    std::mutex mutex;
+    std::optional<HttpResponder> first;
+    Fixture fixture([&](const HttpRequest &request, const HttpResponder &respond) {
+        const std::scoped_lock lock(mutex);
+        if (request.target_ == "/first") {
+            first = respond;
+            return;
+        }
+        respond({200, "second", "text/plain"});
+        std::thread([early = *first] { early({200, "first", "text/plain"}); }).detach();
+        first.reset();
+    });
+    const std::string answer = fixture.raw("GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
+                                           "GET /second HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    const auto one = answer.find("first");
+    const auto two = answer.find("second");
+    cr_assert(one != std::string::npos && two != std::string::npos && one < two);
+}
+
+// Guards against unbounded bodies and headers, and against the refusal being lost by a reset.
+Test(http, oversizedRequestsAreRefused)
+{
+    HttpServerOptions options;
+    options.maxBodyBytes_ = 1000;
+    options.maxHeaderBytes_ = 1000;
+    Fixture fixture(echo, options);
+    auto result = fixture.send(fixture.server_->address(), {"POST", "/", {}, std::string(200'000, 'x')}, 2000).get();
+    cr_assert(result.delivery_ == HttpDelivery::Answered);
+    cr_assert_eq(result.status_, 413U);
+    result = fixture.send(fixture.server_->address(), {"POST", "/", {{"x", std::string(2000, 'x')}}, ""}, 2000).get();
+    cr_assert_eq(result.status_, 431U);
+    cr_assert(fixture.raw("nonsense\r\n\r\n").find("400") != std::string::npos);
+}
+
+// Guards against clients that hold a connection with half a request.
+Test(http, slowClientIsClosed)
+{
+    HttpServerOptions options;
+    options.requestTimeout_ = Milliseconds(100);
+    Fixture fixture(echo, options);
+    const TimePoint start = SystemClock().now();
+    cr_assert(fixture.raw("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab").empty());
+    cr_assert(SystemClock().now() - start < Milliseconds(1500));
+}
+
+// Guards against a call that may have run being reported as not sent, and against reuse of its connection.
+Test(http, timeoutMayHaveBeenSent)
+{
+    std::mutex mutex;
+    std::vector<HttpResponder> held;
+    Fixture fixture([&](const HttpRequest &request, const HttpResponder &respond) {
+        if (request.target_ == "/hold") {
+            const std::scoped_lock lock(mutex);
+            held.push_back(respond);
+            return;
+        }
+        echo(request, respond);
+    });
+    const std::string address = fixture.server_->address();
+    std::vector<std::future<HttpResult>> open;
+    for (int i = 0; i < 2; ++i) {
+        open.push_back(fixture.send(address, {"GET", "/hold", {}, ""}, 300));
+    }
+    const auto queued = fixture.send(address, {"GET", "/queued", {}, ""}, 50).get();
+    cr_assert(queued.delivery_ == HttpDelivery::NotSent);
+    for (auto &call : open) {
+        const HttpResult result = call.get();
+        cr_assert(result.delivery_ == HttpDelivery::MaybeSent);
+        cr_assert(result.error_ == std::errc::timed_out);
+    }
+    const auto after = fixture.send(address, {"POST", "/x", {}, "b"}, 1000).get();
+    cr_assert_eq(after.body_, "POST /x b");
+    const auto refused = fixture.send("127.0.0.1:1", {"GET", "/", {}, ""}, 1000).get();
+    cr_assert(refused.delivery_ == HttpDelivery::NotSent);
+}
+
+// Guards against a graceful stop that cuts off an open request.
+Test(http, stopFlushesAnswers)
+{
+    std::promise<HttpResponder> handed;
+    Fixture fixture([&](const HttpRequest &, const HttpResponder &respond) { handed.set_value(respond); });
+    auto call = fixture.send(fixture.server_->address(), {"GET", "/", {}, ""}, 3000);
+    auto respond = std::make_unique<HttpResponder>(handed.get_future().get());
+    std::promise<void> stopped;
+    fixture.server_->stop(Milliseconds(50), Milliseconds(5000), [&] { stopped.set_value(); });
+    std::this_thread::sleep_for(Milliseconds(200));
+    (*respond)({200, "late", "text/plain"});
+    cr_assert_eq(call.get().body_, "late");
+    cr_assert(stopped.get_future().wait_for(Milliseconds(3000)) == std::future_status::ready);
+}
+
+// Guards against requests that stay open for ever when a handler drops its responder, and against answers being
+// prepared for callers that have left.
+Test(http, droppedAndGone)
+{
+    std::promise<void> gone;
+    std::mutex mutex;
+    std::vector<HttpResponder> held;
+    Fixture fixture([&](const HttpRequest &request, const HttpResponder &respond) {
+        if (request.target_ == "/hold") {
+            respond.onGone([&] { gone.set_value(); });
+            const std::scoped_lock lock(mutex);
+            held.push_back(respond);
+        }
+    });
+    const std::string address = fixture.server_->address();
+    cr_assert_eq(fixture.send(address, {"GET", "/drop", {}, ""}, 1000).get().status_, 500U);
+    cr_assert(fixture.send(address, {"GET", "/hold", {}, ""}, 100).get().delivery_ == HttpDelivery::MaybeSent);
+    cr_assert(gone.get_future().wait_for(Milliseconds(2000)) == std::future_status::ready);
+}
+
+// Guards against wrong splitting of targets and silent acceptance of fields of the wrong type.
+Test(http, targetsAndJson)
+{
+    const HttpTarget target = splitTarget("/v1/jobs/a%2Fb?team=x%20y&wait_ms=5&flag");
+    cr_assert_eq(target.path_, "/v1/jobs/a/b");
+    cr_assert_eq(queryValue(target, "team"), "x y");
+    cr_assert_eq(queryValue(target, "wait_ms"), "5");
+    cr_assert(splitTarget("/%4").path_ == "/%4");
+    Json json;
+    cr_assert(!parseJson("{", json));
+    cr_assert(parseJson(R"({"a":1,"b":"x","c":-1})", json));
+    std::uint64_t number = 7;
+    cr_assert(readField(json, "missing", number) && number == 7);
+    cr_assert(readField(json, "a", number) && number == 1);
+    cr_assert(!readField(json, "b", number));
+    cr_assert(!readField(json, "c", number));
+}
