--- /dev/null
+++ b/scripts/lib/check_journals.py
@@ -0,0 +1,300 @@
+"""Checks the guarantees of the design page against the journals of the load, the workers and the operators.
+
+Shares no code with the daemon. Each check_*() returns a list of sentences, one for each violation.
+
+The events journal is written by the scripts:
+  {"t","event":"limit","team","limit"}           a team's limit, when the sign-off of it was answered
+  {"t","event":"key-withdrawn","team","key"}     likewise
+  {"t","event":"signed","version"}               a sign-off that was answered as in force
+  {"t","event":"version","daemon","version"}     the version a daemon (name and incarnation) said is in force
+  {"t","event":"stop-begin"|"stop-end","entry"}  a graceful stop from the signal to the exit of the process
+"""
+
+import argparse
+import sys
+from collections import defaultdict
+
+from journal import Workers, read_lines, read_requests
+
+SECOND = 1_000_000_000
+CONFIG_GRACE = 15 * SECOND  # for a bundle to be in force everywhere
+KEY_GRACE = 10 * SECOND  # for a withdrawn key to stop working
+
+
+def check_lost(requests):
+    """Accepted jobs without an outcome at the end of the drain period."""
+    return [
+        f"{key[0]}:{key[1]} was accepted and has no outcome"
+        for key, request in requests.items()
+        if "accepted" in request.outcomes()
+        and (request.final is None or request.final["error"] in ("attempts-exhausted", "no-answer"))
+    ]
+
+
+def check_duplicated(workers):
+    """Non-idempotent tasks started twice, and tasks that ran at two places at once."""
+    found = []
+    by_task = defaultdict(list)
+    for run in workers.runs:
+        by_task[(run.job, run.index)].append(run)
+    for (job, index), runs in by_task.items():
+        runs.sort(key=lambda run: run.start)
+        if len(runs) > 1 and not all(run.idempotent for run in runs):
+            found.append(f"non-idempotent {job}/{index} started {len(runs)} times")
+        for earlier, later in zip(runs, runs[1:]):
+            if earlier.end is None or earlier.end > later.start:
+                found.append(f"{job}/{index} ran on {earlier.worker} and {later.worker} at once")
+    return found
+
+
+def check_overcommitted(workers):
+    """Moments at which the declared sizes on a worker exceed its capacity."""
+    found = []
+    events = defaultdict(list)
+    for run in workers.runs:
+        size = (*run.size, 1)
+        # An end comes before a start of the same time.
+        events[run.worker].append((run.start, 1, size))
+        if run.end is not None:
+            events[run.worker].append((run.end, 0, tuple(-part for part in size)))
+    for worker, changes in events.items():
+        capacity = workers.capacity.get(worker)
+        used = [0, 0, 0, 0]
+        for time, _, size in sorted(changes):
+            used = [a + b for a, b in zip(used, size)]
+            if capacity is None or any(a > b for a, b in zip(used, capacity)):
+                found.append(f"{worker} used {used} of {capacity} at {time}")
+    return found
+
+
+def check_limits(workers, events):
+    """Starts that took a team above every limit that was in force shortly before."""
+    limits = defaultdict(list)
+    for line in events:
+        if line["event"] == "limit":
+            limits[line["team"]].append((line["t"], line["limit"]))
+    changes = defaultdict(list)
+    for run in workers.runs:
+        changes[run.team].append((run.start, 1))
+        if run.end is not None:
+            changes[run.team].append((run.end, -1))
+    found = []
+    for team, values in limits.items():
+        running = 0
+        for time, change in sorted(changes[team]):
+            running += change
+            allowed = allowed_limit(values, time)
+            if change > 0 and allowed is not None and running > allowed:
+                found.append(f"{team} had {running} tasks running at {time}, limit {allowed}")
+    return found
+
+
+def allowed_limit(values, time):
+    """Highest limit that may have been applied at a time: limits replaced less than CONFIG_GRACE ago still count."""
+    allowed = None
+    for position, (since, limit) in enumerate(values):
+        until = values[position + 1][0] if position + 1 < len(values) else None
+        if since <= time and (until is None or until + CONFIG_GRACE > time):
+            allowed = limit if allowed is None else max(allowed, limit)
+    return allowed
+
+
+def check_keys(requests, events):
+    """Work taken with a key that had been withdrawn for longer than KEY_GRACE when the request was sent."""
+    withdrawn = {(line["team"], line["key"]): line["t"] for line in events if line["event"] == "key-withdrawn"}
+    found = []
+    for key, request in requests.items():
+        for answer in request.answers:
+            if answer["event"] != "answer":
+                continue
+            outcome = answer.get("answer", {}).get("outcome")
+            send = attempt_of(request, answer)
+            since = withdrawn.get((request.team, send.get("key"))) if send else None
+            if since and send["t"] > since + KEY_GRACE and outcome in ("accepted", "done", "failed"):
+                late = (send["t"] - since) / SECOND
+                found.append(f"{key[0]}:{key[1]} was taken {late:.1f} s after its key was withdrawn")
+    return found
+
+
+def attempt_of(request, line):
+    """The send line that an answer or an error belongs to."""
+    same = [s for s in request.sends if s["attempt"] == line["attempt"] and s["t"] <= line["t"]]
+    return same[-1] if same else None
+
+
+def check_bundles(events):
+    """Versions that went back at a daemon, and signed versions that are not in force long after their sign-off."""
+    found = []
+    highest = {}
+    signed = [(line["t"], line["version"]) for line in events if line["event"] == "signed"]
+    for line in events:
+        if line["event"] != "version":
+            continue
+        daemon, version = line["daemon"], line["version"]
+        if version < highest.get(daemon, 0):
+            found.append(f"{daemon} went from version {highest[daemon]} back to {version}")
+        highest[daemon] = max(version, highest.get(daemon, 0))
+    newest = max((version for _, version in signed), default=0)
+    last_seen = {line["daemon"]: line for line in events if line["event"] == "version" and line.get("last")}
+    for daemon, line in last_seen.items():
+        if line["version"] < newest:
+            found.append(f"{daemon} ends with version {line['version']}, but {newest} was signed off")
+    if len({version for _, version in signed}) != len(signed):
+        found.append("one version was signed off twice")
+    return found
+
+
+def check_answers(requests):
+    """Answers that do not belong to the request or are not complete."""
+    found = []
+    for key, request in requests.items():
+        for line in request.answers:
+            answer = line.get("answer", {})
+            if answer.get("request_id", request.request_id) != request.request_id:
+                found.append(f"{key[0]}:{key[1]} got the answer of {answer['request_id']}")
+            results = answer.get("results", [])
+            for result in results:
+                expected = f"{request.request_id}/{result.get('index')} on "
+                if result.get("outcome") == "done" and not str(result.get("result", "")).startswith(expected):
+                    found.append(f"{key[0]}:{key[1]} got the result {result.get('result')!r}")
+            if answer.get("outcome") == "done":
+                indexes = sorted(result.get("index") for result in results)
+                if indexes != list(range(request.tasks)):
+                    found.append(f"{key[0]}:{key[1]} is done with results {indexes} for {request.tasks} tasks")
+    return found
+
+
+def check_cut_off(requests, events):
+    """Requests whose connection broke because of a graceful stop of their entry."""
+    stops = []
+    begun = {}
+    for line in events:
+        if line["event"] == "stop-begin":
+            begun[line["entry"]] = line["t"]
+        elif line["event"] == "stop-end" and line["entry"] in begun:
+            stops.append((line["entry"], begun.pop(line["entry"]), line["t"]))
+    found = []
+    for key, request in requests.items():
+        for error in request.errors:
+            if error["delivery"] != "maybe-sent" or error.get("timeout"):
+                continue
+            for entry, begin, end in stops:
+                if error["entry"] == entry and begin <= error["t"] <= end + SECOND:
+                    found.append(f"{key[0]}:{key[1]} was cut off by the stop of {entry}")
+    return found
+
+
+def check_not_run(requests, runs):
+    """Requests that were answered "not run" although a task of them ran."""
+    found = []
+    for key, request in requests.items():
+        if "not-run" in request.outcomes() and runs.get(key):
+            found.append(f"{key[0]}:{key[1]} was answered not-run but ran on {runs[key][0].worker}")
+    return found
+
+
+def check_all(requests, workers, events):
+    """All violations by name, in the order of the last line."""
+    return {
+        "lost": check_lost(requests),
+        "duplicated": check_duplicated(workers),
+        "overcommitted": check_overcommitted(workers),
+        "limit_exceeded": check_limits(workers, events),
+        "key_late": check_keys(requests, events),
+        "bundle_reverted": check_bundles(events),
+        "wrong_answer": check_answers(requests),
+        "cut_off": check_cut_off(requests, events),
+        "not_run_but_ran": check_not_run(requests, workers.by_request()),
+    }
+
+
+def counts(requests):
+    """Numbers of requests by what became of them."""
+    result = {"accepted": 0, "completed": 0, "not_run": 0, "unknown": 0}
+    for request in requests.values():
+        outcome = request.final["outcome"] if request.final else None
+        result["accepted"] += request.accepted
+        result["completed"] += outcome in ("done", "failed", "cancelled")
+        result["not_run"] += outcome == "not-run"
+        result["unknown"] += outcome == "unknown"
+    return result
+
+
+def waiting_times(requests, runs):
+    """Milliseconds from the first attempt to the first start of a task, by class: list of (sent, waited)."""
+    result = defaultdict(list)
+    for key, request in requests.items():
+        if runs.get(key):
+            started = min(run.start for run in runs[key])
+            result[request.class_].append((request.first_sent, (started - request.first_sent) / 1e6))
+    return result
+
+
+def percentile(values, part):
+    """Smallest value that at least `part` of the sorted values do not exceed."""
+    return values[min(len(values) - 1, max(0, -int(-len(values) * part // 1) - 1))]
+
+
+def table(requests, workers):
+    """Lines of the table of waiting times and counts by class."""
+    runs = workers.by_request()
+    waits = waiting_times(requests, runs)
+    rows = [
+        f"{'class':<20}{'requests':>9}{'done':>7}{'failed':>7}{'cancel':>7}{'not-run':>8}{'unknown':>8}"
+        f"{'p50 ms':>9}{'p99 ms':>9}{'p99.9 ms':>9}{'max ms':>9}"
+    ]
+    for class_ in sorted({request.class_ for request in requests.values()}):
+        outcomes = [r.final["outcome"] if r.final else None for r in requests.values() if r.class_ == class_]
+        numbers = [outcomes.count(name) for name in ("done", "failed", "cancelled", "not-run", "unknown")]
+        values = sorted(wait for _, wait in waits[class_])
+        shown = [percentile(values, part) for part in (0.5, 0.99, 0.999, 1)] if values else [float("nan")] * 4
+        rows.append(
+            f"{class_:<20}{len(outcomes):>9}{numbers[0]:>7}{numbers[1]:>7}{numbers[2]:>7}{numbers[3]:>8}{numbers[4]:>8}"
+            + "".join(f"{value:>9.1f}" for value in shown)
+        )
+    return rows
+
+
+def refusals(requests):
+    """Errors of final answers other than done, with their numbers."""
+    result = defaultdict(int)
+    for request in requests.values():
+        if request.final and request.final["outcome"] in ("not-run", "unknown", "failed"):
+            result[f"{request.final['outcome']}/{request.final['error']}"] += 1
+    return dict(sorted(result.items()))
+
+
+BASIC = ("lost", "duplicated", "overcommitted")
+
+
+def last_line(requests, violations, names):
+    """The line of figures that ends a script."""
+    numbers = counts(requests) | {name: len(violations[name]) for name in names}
+    return " ".join(f"{name}={value}" for name, value in numbers.items())
+
+
+def check_files(load, worker_files, events_file=None):
+    """Reads the journals: (requests, workers, violations)."""
+    requests = read_requests(read_lines(load))
+    workers = Workers([line for path in worker_files for line in read_lines(path)])
+    events = read_lines(events_file) if events_file else []
+    return requests, workers, check_all(requests, workers, events)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--load", required=True, help="journal of standin-load")
+    parser.add_argument("--workers", required=True, nargs="+", help="journals of standin-worker")
+    parser.add_argument("--events", help="journal of the scripts")
+    arguments = parser.parse_args()
+    requests, workers, violations = check_files(arguments.load, arguments.workers, arguments.events)
+    for name, sentences in violations.items():
+        for sentence in sentences[:10]:
+            print(f"{name}: {sentence}")
+    print("\n".join(table(requests, workers)))
+    print(last_line(requests, violations, violations.keys()))
+    return 1 if any(violations.values()) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/http/json.cpp
+++ b/src/http/json.cpp
@@ -81,7 +81,7 @@
     if (value == nullptr) {
         return valid;
     }
-    if (!value->is_number_unsigned()) {
+    if (!value->is_number_integer() || (!value->is_number_unsigned() && value->get<std::int64_t>() < 0)) {
         return false;
     }
     out = value->get<std::uint64_t>();
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -197,6 +197,16 @@
     guard_->respond(std::move(response));
 }
 
+void HttpResponder::drop() const
+{
+    if (guard_->exchange_->answered_.exchange(true)) {
+        return;
+    }
+    if (const auto session = guard_->exchange_->session_.lock()) {
+        boost::asio::post(session->executor(), [session] { session->close(); });
+    }
+}
+
 void HttpResponder::onGone(std::function<void()> gone) const
 {
     const auto session = guard_->exchange_->session_.lock();
--- a/src/http/server_base.h
+++ b/src/http/server_base.h
@@ -46,6 +46,9 @@
     explicit HttpResponder(std::shared_ptr<detail::HttpExchange> exchange);
     void operator()(HttpResponse response) const;
 
+    // Closes the connection without an answer to this request.
+    void drop() const;
+
     // Registers a function that runs once, on the server's threads, when the connection is lost before the answer.
     void onGone(std::function<void()> gone) const;
 
--- /dev/null
+++ b/src/standin/instances_main.cpp
@@ -0,0 +1,15 @@
+// standin-instances: the platform's lagging list of instances.
+#include "standin/instances_service.h"
+
+#include <memory>
+
+using namespace mimosapier::standin;
+
+int main(int argc, char **argv)
+{
+    return runProgram(argc, argv, "standin-instances",
+                      [](auto &context, const auto &settings) -> std::shared_ptr<void> {
+                          auto service = std::make_shared<InstanceService>(context, settings);
+                          return service->listen() ? service : nullptr;
+                      });
+}
--- /dev/null
+++ b/src/standin/instances_service.h
@@ -0,0 +1,44 @@
+// The platform's list of instances, with a lag.
+#pragma once
+
+#include "http/server_base.h"
+#include "standin/program_func.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace mimosapier::standin
+{
+
+// Settings: address, lag_ms (2000), instances: list as in docs/protocols.md.
+//
+// POST /v1/control {"id","state":"live|leaving|gone"}: visible in the list after lag_ms.
+class InstanceService
+{
+public:
+    InstanceService(boost::asio::io_context &context, const Json &settings);
+    bool listen();
+    [[nodiscard]] std::string address() const { return server_.address(); }
+
+private:
+    struct Change
+    {
+        TimePoint visible_;
+        std::string id_;
+        std::string state_;
+    };
+
+    void handle(const HttpRequest &request, const HttpResponder &respond);
+    [[nodiscard]] Json listing();
+
+    std::string configuredAddress_;
+    Milliseconds lag_ {2'000};
+    std::map<std::string, Json> instances_; // by id; state as the list shows it
+    std::vector<Change> pending_; // in the order they were asked for
+    HttpServer server_;
+};
+
+} // namespace mimosapier::standin
--- /dev/null
+++ b/src/standin/link.cpp
@@ -0,0 +1,302 @@
+// Forwards TCP connections with a delay.
+#include "standin/link_service.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+
+namespace mimosapier::standin
+{
+
+using boost::asio::ip::tcp;
+
+constexpr std::size_t ChunkBytes = 16 * 1024;
+constexpr std::size_t MaxInFlight = 1024 * 1024; // bytes under way in one direction; reading pauses above
+
+// One direction of a connection: chunks wait until their time has come.
+struct Direction
+{
+    Direction(tcp::socket &from, tcp::socket &to, std::uint64_t &counter, boost::asio::io_context &context)
+        : from_(from)
+        , to_(to)
+        , counter_(counter)
+        , timer_(context)
+    {
+    }
+
+    tcp::socket &from_;
+    tcp::socket &to_;
+    std::uint64_t &counter_;
+    boost::asio::steady_timer timer_;
+    std::array<char, ChunkBytes> chunk_ {};
+    std::deque<std::pair<TimePoint, std::string>> queue_; // an empty text is the end of the stream
+    std::size_t queued_ = 0; // bytes in queue_
+    bool reading_ = false;
+    bool writing_ = false;
+    bool ended_ = false; // the end of the stream has been read
+};
+
+class LinkConnection : public std::enable_shared_from_this<LinkConnection>
+{
+public:
+    LinkConnection(boost::asio::io_context &context, Link &link, tcp::socket client)
+        : link_(link)
+        , client_(std::move(client))
+        , target_(context)
+        , out_(client_, target_, link.bytesOut_, context)
+        , back_(target_, client_, link.bytesBack_, context)
+    {
+    }
+
+    void start()
+    {
+        target_.async_connect(link_.target_, [self = shared_from_this()](boost::system::error_code error) {
+            if (error || self->closed_) {
+                self->reset();
+                return;
+            }
+            boost::system::error_code ignored;
+            self->client_.set_option(tcp::no_delay(true), ignored);
+            self->target_.set_option(tcp::no_delay(true), ignored);
+            self->read(self->out_);
+            self->read(self->back_);
+        });
+    }
+
+    // Closes both sides with a reset, as a broken path does.
+    void reset()
+    {
+        closed_ = true;
+        out_.timer_.cancel();
+        back_.timer_.cancel();
+        boost::system::error_code ignored;
+        for (tcp::socket *socket : {&client_, &target_}) {
+            socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            socket->close(ignored);
+        }
+    }
+
+    void silence() { silent_ = true; }
+
+private:
+    void read(Direction &way)
+    {
+        if (way.reading_ || way.ended_ || closed_ || way.queued_ > MaxInFlight) {
+            return;
+        }
+        way.reading_ = true;
+        way.from_.async_read_some(
+            boost::asio::buffer(way.chunk_),
+            [self = shared_from_this(), &way](boost::system::error_code error, std::size_t bytes) {
+                way.reading_ = false;
+                if (self->closed_) {
+                    return;
+                }
+                if (self->silent_) {
+                    if (!error) {
+                        self->read(way); // dropped; the other side never hears of the end of this one either
+                    }
+                    return;
+                }
+                if (error && error != boost::asio::error::eof) {
+                    self->reset();
+                    return;
+                }
+                way.ended_ = bytes == 0;
+                way.counter_ += bytes;
+                way.queued_ += bytes;
+                way.queue_.emplace_back(SystemClock().now() + self->link_.delay_,
+                                        std::string(way.chunk_.data(), bytes));
+                self->write(way);
+                self->read(way);
+            });
+    }
+
+    void write(Direction &way)
+    {
+        if (way.writing_ || way.queue_.empty() || closed_) {
+            return;
+        }
+        way.writing_ = true;
+        way.timer_.expires_at(way.queue_.front().first);
+        way.timer_.async_wait([self = shared_from_this(), &way](boost::system::error_code error) {
+            if (error || self->closed_ || self->silent_) {
+                return;
+            }
+            if (way.queue_.front().second.empty()) {
+                boost::system::error_code ignored;
+                way.to_.shutdown(tcp::socket::shutdown_send, ignored);
+                return;
+            }
+            boost::asio::async_write(way.to_, boost::asio::buffer(way.queue_.front().second),
+                                     [self, &way](boost::system::error_code failure, std::size_t bytes) {
+                                         way.writing_ = false;
+                                         if (self->closed_) {
+                                             return;
+                                         }
+                                         if (failure) {
+                                             self->reset();
+                                             return;
+                                         }
+                                         way.queued_ -= bytes;
+                                         way.queue_.pop_front();
+                                         self->write(way);
+                                         self->read(way);
+                                     });
+        });
+    }
+
+    Link &link_;
+    tcp::socket client_;
+    tcp::socket target_;
+    Direction out_;
+    Direction back_;
+    bool silent_ = false;
+    bool closed_ = false;
+};
+
+LinkService::LinkService(boost::asio::io_context &context, const Json &settings)
+    : context_(context)
+    , configuredControl_(textOr(settings, "control_address", "127.0.0.1:0"))
+    , control_(context, {},
+               [this](const HttpRequest &request, const HttpResponder &respond) { handle(request, respond); })
+{
+    const auto list = settings.find("links");
+    if (list == settings.end() || !list->is_array()) {
+        return;
+    }
+    for (const auto &item : *list) {
+        auto link = std::make_unique<Link>();
+        link->name_ = textOr(item, "name", "");
+        link->listen_ = textOr(item, "listen", "");
+        link->delay_ = Milliseconds(numberOr(item, "delay_ms", 0));
+        HttpAddress target;
+        boost::system::error_code error;
+        if (parseAddress(textOr(item, "target", ""), target)) {
+            link->target_ = {boost::asio::ip::make_address(target.ip_, error), target.port_};
+        }
+        valid_ = valid_ && !error && link->target_.port() != 0;
+        links_.push_back(std::move(link));
+    }
+}
+
+bool LinkService::listen()
+{
+    for (const auto &link : links_) {
+        if (!open(*link)) {
+            std::fprintf(stderr, "standin-link: cannot listen on %s\n", link->listen_.c_str());
+            return false;
+        }
+    }
+    if (!valid_) {
+        std::fprintf(stderr, "standin-link: an address of the settings is not valid\n");
+        return false;
+    }
+    return listenOrReport(control_, configuredControl_, "standin-link");
+}
+
+bool LinkService::open(Link &link)
+{
+    HttpAddress address;
+    if (!parseAddress(link.listen_, address)) {
+        return false;
+    }
+    boost::system::error_code error;
+    const tcp::endpoint endpoint(boost::asio::ip::make_address(address.ip_, error), address.port_);
+    auto acceptor = std::make_unique<tcp::acceptor>(context_);
+    if (error || acceptor->open(endpoint.protocol(), error)
+        || acceptor->set_option(tcp::acceptor::reuse_address(true), error) || acceptor->bind(endpoint, error)
+        || acceptor->listen(boost::asio::socket_base::max_listen_connections, error)) {
+        return false;
+    }
+    link.acceptor_ = std::move(acceptor);
+    link.cut_ = false;
+    accept(link);
+    return true;
+}
+
+void LinkService::accept(Link &link)
+{
+    link.acceptor_->async_accept([this, &link](boost::system::error_code error, tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted || link.cut_) {
+            return;
+        }
+        if (!error) {
+            std::erase_if(link.connections_, [](const auto &weak) { return weak.expired(); });
+            auto connection = std::make_shared<LinkConnection>(context_, link, std::move(socket));
+            link.connections_.push_back(connection);
+            connection->start();
+        }
+        accept(link);
+    });
+}
+
+void LinkService::cut(Link &link)
+{
+    link.cut_ = true;
+    link.acceptor_.reset();
+    for (const auto &weak : link.connections_) {
+        if (const auto connection = weak.lock()) {
+            connection->reset();
+        }
+    }
+    link.connections_.clear();
+}
+
+static bool matches(const Json &names, const std::string &name)
+{
+    if (!names.is_array()) {
+        return false;
+    }
+    return std::any_of(names.begin(), names.end(), [&](const Json &item) {
+        if (!item.is_string()) {
+            return false;
+        }
+        const auto &pattern = item.get_ref<const std::string &>();
+        return pattern.ends_with('*') ? name.starts_with(pattern.substr(0, pattern.size() - 1)) : pattern == name;
+    });
+}
+
+void LinkService::handle(const HttpRequest &request, const HttpResponder &respond)
+{
+    if (splitTarget(request.target_).path_ == "/v1/stats") {
+        Json links = Json::object();
+        for (const auto &link : links_) {
+            links[link->name_]
+                = {{"out", link->bytesOut_}, {"back", link->bytesBack_}, {"connections", link->connections_.size()}};
+        }
+        respondJson(respond, {{"links", std::move(links)}});
+        return;
+    }
+    Json body;
+    if (!readBody(request, respond, body)) {
+        return;
+    }
+    const std::string action = textOr(body, "action", "");
+    const Json names = body.value("names", Json::array());
+    std::int64_t changed = 0;
+    bool worked = action == "cut" || action == "restore" || action == "silence";
+    for (const auto &link : links_) {
+        if (!matches(names, link->name_)) {
+            continue;
+        }
+        ++changed;
+        if (action == "cut" && !link->cut_) {
+            cut(*link);
+        } else if (action == "restore" && link->cut_) {
+            worked = open(*link) && worked;
+        } else if (action == "silence") {
+            for (const auto &weak : link->connections_) {
+                if (const auto connection = weak.lock()) {
+                    connection->silence();
+                }
+            }
+        }
+    }
+    respondJson(respond, {{"ok", worked}, {"links", changed}}, worked ? 200 : 400);
+}
+
+} // namespace mimosapier::standin
--- /dev/null
+++ b/src/standin/load.cpp
@@ -0,0 +1,241 @@
+// Caller load: arrivals, choice of entries, control, end.
+#include "standin/load_service.h"
+
+#include <algorithm>
+
+namespace mimosapier::standin
+{
+
+constexpr Milliseconds ReadinessPeriod {250};
+constexpr Milliseconds ReadinessTimeout {500};
+constexpr Milliseconds EndCheckPeriod {100};
+
+static HttpClientOptions clientOptions()
+{
+    HttpClientOptions options;
+    options.maxConnections_ = 512; // arrivals do not wait for answers, so the pool must not limit the load
+    options.maxWaiting_ = 100'000;
+    return options;
+}
+
+LoadService::LoadService(boost::asio::io_context &context, const Json &settings)
+    : context_(context)
+    , valid_(readPlan(settings, plan_))
+    , client_(context, clientOptions())
+    , random_(plan_.seed_)
+    , control_(context, {},
+               [this](const HttpRequest &request, const HttpResponder &respond) { control(request, respond); })
+{
+}
+
+bool LoadService::listen()
+{
+    if (!valid_) {
+        std::fprintf(stderr, "standin-load: the plan has no entries or an entry without addresses\n");
+        return false;
+    }
+    if (!plan_.journal_.empty() && !journal_.open(plan_.journal_)) {
+        return false;
+    }
+    checkReadiness();
+    std::uint64_t seed = plan_.seed_;
+    for (auto &account : plan_.accounts_) {
+        for (const auto &stream : account.streams_) {
+            seed = seed * 6364136223846793005ULL + 1442695040888963407ULL;
+            arrive(account, stream, seed);
+        }
+    }
+    later(plan_.load_, [this] { endArrivals(); });
+    return listenOrReport(control_, plan_.controlAddress_, "standin-load");
+}
+
+void LoadService::later(Milliseconds delay, std::function<void()> action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(context_, delay);
+    timer->async_wait([timer, action = std::move(action)](boost::system::error_code error) {
+        if (!error) {
+            action();
+        }
+    });
+}
+
+void LoadService::arrive(LoadAccount &account, const LoadStream &stream, std::uint64_t seed)
+{
+    if (stream.rate_ > 0) {
+        scheduleArrival(account, stream, std::make_shared<std::mt19937_64>(seed));
+    }
+}
+
+void LoadService::scheduleArrival(LoadAccount &account, const LoadStream &stream,
+                                  const std::shared_ptr<std::mt19937_64> &random)
+{
+    const double gap = std::exponential_distribution<double>(stream.rate_)(*random);
+    auto timer = std::make_shared<boost::asio::steady_timer>(context_);
+    timer->expires_after(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap)));
+    timer->async_wait([this, timer, &account, &stream, random](boost::system::error_code error) {
+        if (error || !arriving_) {
+            return;
+        }
+        scheduleArrival(account, stream, random);
+        const RequestPointer request = makeRequest(account, stream, *random);
+        open_[account.team_ + ":" + request->id_] = request;
+        ++sent_;
+        retryBudget_ = std::min(retryBudget_ + plan_.retryRatio_, 100.0);
+        submit(request, false);
+        if (std::uniform_real_distribution<double>(0, 1)(*random) < stream.cancelRatio_) {
+            const auto delay = std::uniform_int_distribution<std::int64_t>(0, 1500)(*random);
+            later(Milliseconds(delay), [this, request] { cancel(request); });
+        }
+    });
+}
+
+LoadService::RequestPointer LoadService::makeRequest(LoadAccount &account, const LoadStream &stream,
+                                                     std::mt19937_64 &random)
+{
+    auto request = std::make_shared<LoadRequest>();
+    request->account_ = &account;
+    request->stream_ = &stream;
+    request->id_ = stream.class_ + "-" + std::to_string(++lastRequest_);
+    const auto tasks = std::uniform_int_distribution<std::int64_t>(stream.minTasks_, stream.maxTasks_)(random);
+    const double drawn = std::exponential_distribution<double>(1.0 / std::max(stream.runMs_, 1.0))(random);
+    const auto run = stream.service_ ? 0 : std::clamp<std::int64_t>(std::llround(drawn), 1, 60'000);
+    const bool fails = std::uniform_real_distribution<double>(0, 1)(random) < stream.failRatio_;
+    std::string payload = "run_ms=" + std::to_string(run);
+    payload += stream.service_ ? " service" : "";
+    payload += fails ? " fail" : "";
+    const double declared = static_cast<double>(run) * stream.declaredFactor_ * declaredFactor_;
+    request->body_ = {{"request_id", request->id_},
+                      {"team", account.team_},
+                      {"class", stream.class_},
+                      {"tasks", tasks},
+                      {"size", stream.size_},
+                      {"run_ms", std::llround(declared)},
+                      {"deadline_ms", stream.deadlineMs_},
+                      {"payload", payload},
+                      {"queue", account.queue_}};
+    if (stream.deadlineMs_ == 0) {
+        request->body_.erase("deadline_ms");
+    }
+    if (stream.idempotentGiven_) {
+        request->body_["idempotent"] = stream.idempotent_;
+    }
+    return request;
+}
+
+// A ready entry, in the caller's region when there is one; `another` excludes the entry last used.
+std::size_t LoadService::chooseEntry(const LoadRequest &request, bool another)
+{
+    std::vector<std::size_t> best;
+    int bestScore = -1;
+    for (std::size_t i = 0; i < plan_.entries_.size(); ++i) {
+        const LoadEntry &entry = plan_.entries_[i];
+        const bool differs = !another || i != request.entry_;
+        const bool near = entry.region_ == request.account_->region_;
+        const int score = (differs ? 4 : 0) + (entry.ready_ ? 2 : 0) + (near ? 1 : 0);
+        if (score > bestScore) {
+            best.clear();
+            bestScore = score;
+        }
+        if (score == bestScore) {
+            best.push_back(i);
+        }
+    }
+    return best[random_() % best.size()];
+}
+
+const std::string &LoadService::addressOf(const LoadRequest &request) const
+{
+    const auto &addresses = plan_.entries_[request.entry_].addresses_;
+    const auto found = addresses.find(request.account_->region_);
+    return found != addresses.end() ? found->second : addresses.begin()->second;
+}
+
+// The part of the load balancer: entries that fail the readiness check get no new requests.
+void LoadService::checkReadiness()
+{
+    for (auto &entry : plan_.entries_) {
+        const auto own = entry.addresses_.find(entry.region_);
+        const std::string &address = own != entry.addresses_.end() ? own->second : entry.addresses_.begin()->second;
+        client_.send(address, {"GET", "/readyz", {}, ""}, ReadinessTimeout, [&entry](const HttpResult &result) {
+            entry.ready_ = result.delivery_ == HttpDelivery::Answered && result.status_ == 200;
+        });
+    }
+    later(ReadinessPeriod, [this] { checkReadiness(); });
+}
+
+void LoadService::control(const HttpRequest &request, const HttpResponder &respond)
+{
+    if (splitTarget(request.target_).path_ == "/v1/stats") {
+        std::size_t accepted = 0;
+        Json ready = Json::object();
+        for (const auto &[id, open] : open_) {
+            accepted += open->accepted_ ? 1 : 0;
+        }
+        for (const auto &entry : plan_.entries_) {
+            ready[entry.name_] = entry.ready_;
+        }
+        respondJson(respond,
+                    {{"sent", sent_},
+                     {"open", open_.size()},
+                     {"open_accepted", accepted},
+                     {"outcomes", outcomes_},
+                     {"ready", ready},
+                     {"arriving", arriving_}});
+        return;
+    }
+    Json body;
+    if (!readBody(request, respond, body)) {
+        return;
+    }
+    declaredFactor_ = realOr(body, "declared_factor", declaredFactor_);
+    for (auto &account : plan_.accounts_) {
+        if (body.contains("key") && account.team_ == textOr(body, "team", "")) {
+            account.key_ = textOr(body, "key", "");
+        }
+    }
+    const double ratio = realOr(body, "cancel_ratio", 0);
+    std::vector<RequestPointer> chosen;
+    for (const auto &[id, open] : open_) {
+        if (open->accepted_ && std::uniform_real_distribution<double>(0, 1)(random_) < ratio) {
+            chosen.push_back(open);
+        }
+    }
+    for (const auto &open : chosen) {
+        cancel(open);
+    }
+    respondJson(respond, {{"ok", true}, {"cancelled", chosen.size()}});
+}
+
+void LoadService::endArrivals()
+{
+    arriving_ = false;
+    drainEnd_ = SystemClock().now() + plan_.drain_;
+    journal_.add({{"t", wallNanoseconds()}, {"event", "drain"}});
+    checkEnd();
+}
+
+void LoadService::checkEnd()
+{
+    if (open_.empty() || SystemClock().now() >= drainEnd_) {
+        ended_ = true;
+        const auto open = open_;
+        for (const auto &[id, request] : open) {
+            // An accepted job without an outcome gets no line, so that the checker counts it as lost.
+            if (!request->accepted_) {
+                finish(request, "unknown", "no-answer");
+            }
+        }
+        journal_.add({{"t", wallNanoseconds()}, {"event", "end"}, {"open", open_.size()}});
+        context_.stop();
+        return;
+    }
+    const auto open = open_; // cancel() may end requests
+    for (const auto &[id, request] : open) {
+        if (request->stream_->service_ && request->accepted_) {
+            cancel(request);
+        }
+    }
+    later(EndCheckPeriod, [this] { checkEnd(); });
+}
+
+} // namespace mimosapier::standin
--- /dev/null
+++ b/src/standin/load_request.cpp
@@ -0,0 +1,226 @@
+// Caller load: the life of one request.
+#include "standin/load_service.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace mimosapier::standin
+{
+
+constexpr Milliseconds StatusWait {2'000}; // long poll for an outcome
+constexpr Milliseconds StatusTimeout {4'000};
+constexpr Milliseconds StatusPause {300}; // after a status query that gave no news
+constexpr Milliseconds CancelTimeout {3'000};
+constexpr Milliseconds CancelPause {500}; // before a cancellation is asked for again
+constexpr std::size_t MaxSends = 20; // also counts attempts that could not be sent
+constexpr int MaxRepeatDelayMs = 100;
+
+static bool isFinalOutcome(const std::string &outcome)
+{
+    return outcome == "done" || outcome == "failed" || outcome == "not-run" || outcome == "cancelled"
+        || outcome == "unknown";
+}
+
+// Errors that say why the status query failed, not what became of the job.
+static bool isQueryError(const std::string &error)
+{
+    constexpr std::array<std::string_view, 13> Errors {
+        "malformed-request", "unknown-team",    "unknown-job", "wrong-key",         "config-stale",
+        "overloaded",        "not-holder",      "stale-epoch", "store-unavailable", "peer-unavailable",
+        "shutting-down",     "outcome-unknown", "internal",
+    };
+    return std::find(Errors.begin(), Errors.end(), error) != Errors.end();
+}
+
+static const char *deliveryName(HttpDelivery delivery)
+{
+    return delivery == HttpDelivery::NotSent ? "not-sent" : "maybe-sent";
+}
+
+HttpRequest LoadService::httpRequest(const LoadRequest &request, const char *method, std::string target,
+                                     const Json *body)
+{
+    HttpRequest http {method, std::move(target), {}, body == nullptr ? "" : dumpJson(*body)};
+    if (!request.account_->key_.empty()) {
+        http.headers_.push_back({"Authorization", "Bearer " + request.account_->key_});
+    }
+    return http;
+}
+
+Json LoadService::line(const char *event, const LoadRequest &request) const
+{
+    return {{"t", wallNanoseconds()},
+            {"event", event},
+            {"team", request.account_->team_},
+            {"class", request.stream_->class_},
+            {"request_id", request.id_},
+            {"attempt", request.attempt_},
+            {"entry", plan_.entries_[request.entry_].name_}};
+}
+
+void LoadService::submit(const RequestPointer &request, bool another)
+{
+    request->entry_ = chooseEntry(*request, another);
+    ++request->sends_;
+    if (request->attempt_ == 1) {
+        request->firstRegion_ = plan_.entries_[request->entry_].region_;
+    }
+    request->body_["attempt"] = request->attempt_;
+    request->body_["region"] = request->firstRegion_;
+    const std::string key = request->account_->key_;
+    Json sent = line("send", *request);
+    sent["region"] = request->firstRegion_;
+    sent["key"] = key;
+    sent["tasks"] = request->body_["tasks"];
+    sent["idempotent"] = request->stream_->idempotent_;
+    sent["service"] = request->stream_->service_;
+    journal_.add(sent);
+    client_.send(addressOf(*request), httpRequest(*request, "POST", "/v1/jobs", &request->body_),
+                 request->stream_->timeout_,
+                 [this, request, entry = plan_.entries_[request->entry_].name_](const HttpResult &result) {
+                     onSubmitted(request, entry, result);
+                 });
+}
+
+void LoadService::onSubmitted(const RequestPointer &request, const std::string &entry, const HttpResult &result)
+{
+    if (ended_) {
+        return;
+    }
+    if (result.delivery_ != HttpDelivery::Answered) {
+        Json failed = line("error", *request);
+        failed["entry"] = entry;
+        failed["delivery"] = deliveryName(result.delivery_);
+        failed["timeout"] = result.error_ == std::errc::timed_out;
+        failed["error"] = result.error_.message();
+        journal_.add(failed);
+        repeat(request, result.delivery_ == HttpDelivery::MaybeSent);
+        return;
+    }
+    Json answer;
+    const bool parsed = parseJson(result.body_, answer) && answer.is_object();
+    Json received = line("answer", *request);
+    received["entry"] = entry;
+    received["status"] = result.status_;
+    if (parsed) {
+        received["answer"] = answer;
+    }
+    journal_.add(received);
+    const std::string outcome = parsed ? textOr(answer, "outcome", "") : "";
+    const std::string error = parsed ? textOr(answer, "error", "") : "internal";
+    if (outcome == "accepted") {
+        request->accepted_ = true;
+        awaitOutcome(request);
+    } else if (isFinalOutcome(outcome) && (outcome != "unknown" || !request->stream_->idempotent_)) {
+        finish(request, outcome, error);
+    } else {
+        repeat(request, true); // unknown, or an answer without an outcome
+    }
+}
+
+// Tries again at another entry. `sent` is false when the request certainly did not reach the entry.
+void LoadService::repeat(const RequestPointer &request, bool sent)
+{
+    if (request->final_) {
+        return;
+    }
+    if (sent) {
+        if (request->attempt_ >= plan_.maxAttempts_ || retryBudget_ < 1) {
+            finish(request, "unknown", "attempts-exhausted");
+            return;
+        }
+        retryBudget_ -= 1;
+        ++request->attempt_;
+    } else if (request->sends_ >= MaxSends) {
+        finish(request, request->attempt_ == 1 ? "not-run" : "unknown", "unreachable");
+        return;
+    }
+    const int delay = std::uniform_int_distribution<int>(1, MaxRepeatDelayMs)(random_);
+    later(Milliseconds(delay), [this, request] {
+        if (!ended_) {
+            submit(request, true);
+        }
+    });
+}
+
+void LoadService::awaitOutcome(const RequestPointer &request)
+{
+    if (request->final_ || ended_) {
+        return;
+    }
+    const std::string target = "/v1/jobs/" + request->id_ + "?team=" + request->account_->team_
+        + "&wait_ms=" + std::to_string(StatusWait.count());
+    client_.send(addressOf(*request), httpRequest(*request, "GET", target, nullptr), StatusTimeout,
+                 [this, request](const HttpResult &result) { onStatus(request, result); });
+}
+
+void LoadService::onStatus(const RequestPointer &request, const HttpResult &result)
+{
+    if (request->final_ || ended_) {
+        return;
+    }
+    Json answer;
+    if (result.delivery_ == HttpDelivery::Answered && parseJson(result.body_, answer) && answer.is_object()) {
+        const std::string outcome = textOr(answer, "outcome", "");
+        const std::string error = textOr(answer, "error", "none");
+        const bool ofQuery = isQueryError(error) && answer.value("results", Json::array()).empty();
+        if (isFinalOutcome(outcome) && !ofQuery) {
+            Json received = line("outcome", *request);
+            received["answer"] = answer;
+            journal_.add(received);
+            finish(request, outcome, error);
+            return;
+        }
+        if (outcome != "accepted") {
+            Json received = line("status", *request);
+            received["status"] = result.status_;
+            received["answer"] = answer;
+            journal_.add(received);
+        }
+    }
+    later(StatusPause, [this, request] {
+        request->entry_ = chooseEntry(*request, true);
+        awaitOutcome(request);
+    });
+}
+
+void LoadService::cancel(const RequestPointer &request)
+{
+    if (request->final_ || request->cancelAsked_ || ended_) {
+        return;
+    }
+    request->cancelAsked_ = true;
+    journal_.add(line("cancel", *request));
+    const Json body {{"team", request->account_->team_}, {"request_ids", Json::array({request->id_})}};
+    client_.send(addressOf(*request), httpRequest(*request, "POST", "/v1/cancel", &body), CancelTimeout,
+                 [this, request](const HttpResult &result) {
+                     if (result.delivery_ == HttpDelivery::Answered && result.status_ == 200) {
+                         journal_.add(line("cancel-answer", *request));
+                         return;
+                     }
+                     later(CancelPause, [this, request] {
+                         if (!request->final_ && !ended_) {
+                             request->entry_ = chooseEntry(*request, true);
+                             request->cancelAsked_ = false;
+                             cancel(request);
+                         }
+                     });
+                 });
+}
+
+void LoadService::finish(const RequestPointer &request, const std::string &outcome, const std::string &error)
+{
+    if (request->final_) {
+        return;
+    }
+    request->final_ = true;
+    Json last = line("final", *request);
+    last["outcome"] = outcome;
+    last["error"] = error;
+    journal_.add(last);
+    ++outcomes_[outcome];
+    open_.erase(request->account_->team_ + ":" + request->id_);
+}
+
+} // namespace mimosapier::standin
--- /dev/null
+++ b/src/standin/worker_main.cpp
@@ -0,0 +1,14 @@
+// standin-worker: backend servers that run simulated tasks.
+#include "standin/worker_service.h"
+
+#include <memory>
+
+using namespace mimosapier::standin;
+
+int main(int argc, char **argv)
+{
+    return runProgram(argc, argv, "standin-worker", [](auto &context, const auto &settings) -> std::shared_ptr<void> {
+        auto service = std::make_shared<WorkerService>(context, settings);
+        return service->listen() ? service : nullptr;
+    });
+}
