Feature: [net] Peer transport with two connections per daemon

Daemons need a transport that survives silent and lost connections without losing messages that the decision logic believes delivered while the peer is up.

Ruled out: leaving messages of a lost connection to time out (the core gets no PeerDown while the other connection is up, so it would wait for deadlines); sending recent messages again without numbers (a repeated offer could start a forgotten task twice); reporting PeerDown and PeerUp for one lost connection (the other side would not notice that its answers were lost).

--- /dev/null
+++ b/src/net/address.cpp
@@ -0,0 +1,33 @@
+// Checks and overrides of addresses.
+#include "net/address_func.h"
+
+#include "http/http_type.h"
+
+#include <arpa/inet.h>
+
+namespace mimosapier
+{
+
+bool isAddress(std::string_view text)
+{
+    HttpAddress address;
+    if (!parseAddress(text, address)) {
+        return false;
+    }
+    in6_addr binary {}; // large enough for both families
+    return inet_pton(text.front() == '[' ? AF_INET6 : AF_INET, address.ip_.c_str(), &binary) == 1;
+}
+
+std::string_view daemonName(std::string_view daemonId)
+{
+    return daemonId.substr(0, daemonId.find('#'));
+}
+
+const std::string &overriddenAddress(const std::map<std::string, std::string> &overrides, std::string_view key,
+                                     const std::string &address)
+{
+    const auto found = overrides.find(std::string(key));
+    return found == overrides.end() ? address : found->second;
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/net/connection.cpp
@@ -0,0 +1,182 @@
+// Reading, writing and closing of a peer connection.
+#include "net/connection_internal.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace mimosapier
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+PeerConnection::PeerConnection(asio::ip::tcp::socket socket, ConnectionOwner &owner, CounterBoard &board,
+                               std::size_t maxQueuedBytes, TimePoint now)
+    : socket_(std::move(socket))
+    , owner_(owner)
+    , board_(board)
+    , maxQueuedBytes_(maxQueuedBytes)
+    , session_(makeSession(*this))
+    , lastReceived_(now)
+{
+}
+
+void PeerConnection::dial(const asio::ip::tcp::endpoint &endpoint, const DaemonId &expected)
+{
+    peer_ = expected;
+    dialled_ = true;
+    socket_.async_connect(endpoint, [self = shared_from_this()](const error_code &error) {
+        if (error) {
+            self->fail(CloseCause::NotConnected);
+            return;
+        }
+        if (self->state() == SessionState::Connecting) {
+            processEvent(*self->session_, SessionEvent::Connected);
+            self->read();
+        }
+    });
+}
+
+void PeerConnection::accept()
+{
+    processEvent(*session_, SessionEvent::Accepted);
+    read();
+}
+
+void PeerConnection::admitParked()
+{
+    processEvent(*session_, SessionEvent::Admitted);
+}
+
+void PeerConnection::fail(CloseCause cause)
+{
+    if (state() == SessionState::Closed) {
+        return;
+    }
+    board_.update([cause](TransportCounters &counters) { ++counters.closed_.at(static_cast<std::size_t>(cause)); });
+    processEvent(*session_, SessionEvent::Fault);
+}
+
+void PeerConnection::sendHello()
+{
+    send(std::make_shared<const std::string>(owner_.helloFrame(*this)));
+}
+
+void PeerConnection::established()
+{
+    decoder_.setLimit(MaxFrameBytes);
+    error_code ignored;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    board_.update([](TransportCounters &counters) { ++counters.established_; });
+    owner_.onEstablished(*this);
+}
+
+void PeerConnection::closed(bool wasEstablished)
+{
+    error_code ignored;
+    socket_.close(ignored);
+    queue_.clear();
+    owner_.onClosed(*this, wasEstablished);
+}
+
+void PeerConnection::send(const SharedFrame &frame)
+{
+    if (queuedBytes_ + frame->size() > maxQueuedBytes_) {
+        // Closed from the event loop, because callers iterate over connections while they send.
+        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->fail(CloseCause::QueueFull); });
+        return;
+    }
+    queuedBytes_ += frame->size();
+    queue_.push_back(frame);
+    if (writing_.empty()) {
+        write();
+    }
+}
+
+void PeerConnection::write()
+{
+    if (queue_.empty()) {
+        return;
+    }
+    writing_.assign(queue_.begin(), queue_.end());
+    queue_.clear();
+    std::vector<asio::const_buffer> buffers;
+    buffers.reserve(writing_.size());
+    for (const SharedFrame &frame : writing_) {
+        buffers.push_back(asio::buffer(*frame));
+    }
+    asio::async_write(socket_, buffers, [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+        self->writing_.clear();
+        self->queuedBytes_ -= std::min(bytes, self->queuedBytes_);
+        self->board_.update([&](TransportCounters &counters) { counters.bytes_[self->hello_.region_].sent_ += bytes; });
+        if (error) {
+            self->fail(CloseCause::Lost);
+        } else {
+            self->write();
+        }
+    });
+}
+
+void PeerConnection::read()
+{
+    socket_.async_read_some(asio::buffer(input_), [self = shared_from_this()](const error_code &error, std::size_t n) {
+        if (error) {
+            self->fail(CloseCause::Lost);
+            return;
+        }
+        self->received_ = true;
+        self->consume({self->input_.data(), n});
+        self->board_.update([&](TransportCounters &counters) { counters.bytes_[self->hello_.region_].received_ += n; });
+        if (self->state() != SessionState::Closed) {
+            self->read();
+        }
+    });
+}
+
+void PeerConnection::consume(std::string_view bytes)
+{
+    decoder_.append(bytes);
+    std::string_view body;
+    std::error_code error;
+    while (state() != SessionState::Closed && decoder_.next(body, error)) {
+        if (state() == SessionState::Parked) {
+            fail(CloseCause::MalformedFrame); // a dialling peer sends nothing before it has received our hello
+        } else if (state() != SessionState::Established) {
+            onHello(body);
+        } else if (const CloseCause cause = owner_.onFrame(*this, body); cause != CloseCause::Count) {
+            fail(cause);
+        }
+    }
+    if (error) {
+        fail(CloseCause::OversizedFrame);
+    }
+}
+
+void PeerConnection::onHello(std::string_view body)
+{
+    Hello hello;
+    if (const std::error_code error = decodeHello(body, hello)) {
+        fail(errorKind(error) == ErrorKind::UnsupportedVersion ? CloseCause::UnsupportedVersion
+                                                               : CloseCause::MalformedFrame);
+        return;
+    }
+    if (dialled_ && hello.daemon_ != peer_) {
+        fail(CloseCause::WrongPeer);
+        return;
+    }
+    hello_ = std::move(hello);
+    peer_ = hello_.daemon_;
+    switch (owner_.admit(*this)) {
+    case Admission::Admit:
+        processEvent(*session_, SessionEvent::HelloValid);
+        break;
+    case Admission::Park:
+        processEvent(*session_, SessionEvent::HelloOutsideSet);
+        break;
+    case Admission::Refuse:
+        fail(CloseCause::WrongPeer);
+        break;
+    }
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/net/session.cpp
@@ -0,0 +1,186 @@
+// The session machine of a peer connection.
+#include "net/session_func.h"
+
+#include <boost/mpl/vector.hpp>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace mimosapier
+{
+
+namespace
+{
+
+namespace front = boost::msm::front;
+
+struct Connected
+{
+};
+struct Accepted
+{
+};
+struct HelloValid
+{
+};
+struct HelloOutsideSet
+{
+};
+struct Admitted
+{
+};
+struct Fault
+{
+};
+
+// Row order of the states in the transition table gives their number in current_state().
+struct Connecting : front::state<>
+{
+};
+struct Greeting : front::state<>
+{
+};
+struct Invited : front::state<>
+{
+};
+struct Parked : front::state<>
+{
+};
+struct Established : front::state<>
+{
+};
+struct Closed : front::state<>
+{
+};
+
+struct SendHello
+{
+    template <typename Event, typename Machine, typename Source, typename Target>
+    void operator()(const Event &, Machine &machine, Source &, Target &) const
+    {
+        machine.hooks_->sendHello();
+    }
+};
+
+struct Establish
+{
+    template <typename Event, typename Machine, typename Source, typename Target>
+    void operator()(const Event &, Machine &machine, Source &, Target &) const
+    {
+        machine.hooks_->established();
+    }
+};
+
+struct GreetAndEstablish
+{
+    template <typename Event, typename Machine, typename Source, typename Target>
+    void operator()(const Event &, Machine &machine, Source &, Target &) const
+    {
+        machine.hooks_->sendHello();
+        machine.hooks_->established();
+    }
+};
+
+template <bool WasEstablished>
+struct Close
+{
+    template <typename Event, typename Machine, typename Source, typename Target>
+    void operator()(const Event &, Machine &machine, Source &, Target &) const
+    {
+        machine.hooks_->closed(WasEstablished);
+    }
+};
+
+struct MachineDef : front::state_machine_def<MachineDef>
+{
+    using initial_state = Connecting; // NOLINT(readability-identifier-naming): name fixed by Boost.MSM
+
+    // clang-format off
+    struct transition_table : boost::mpl::vector< // NOLINT(readability-identifier-naming): name fixed by Boost.MSM
+        front::Row<Connecting, Connected, Greeting, SendHello, front::none>,
+        front::Row<Connecting, Accepted, Invited, front::none, front::none>,
+        front::Row<Connecting, Fault, Closed, Close<false>, front::none>,
+        front::Row<Greeting, HelloValid, Established, Establish, front::none>,
+        front::Row<Greeting, Fault, Closed, Close<false>, front::none>,
+        front::Row<Invited, HelloValid, Established, GreetAndEstablish, front::none>,
+        front::Row<Invited, HelloOutsideSet, Parked, front::none, front::none>,
+        front::Row<Invited, Fault, Closed, Close<false>, front::none>,
+        front::Row<Parked, Admitted, Established, GreetAndEstablish, front::none>,
+        front::Row<Parked, Fault, Closed, Close<false>, front::none>,
+        front::Row<Established, Fault, Closed, Close<true>, front::none>> {};
+    // clang-format on
+
+    template <typename Machine, typename Event>
+    void no_transition(const Event &, Machine &, int) // NOLINT(readability-identifier-naming): fixed by Boost.MSM
+    {
+    }
+
+    SessionHooks *hooks_ = nullptr;
+};
+
+using Machine = boost::msm::back::state_machine<MachineDef>;
+
+} // namespace
+
+struct Session
+{
+    Machine machine_;
+};
+
+template <>
+void Destroy<Session>::operator()(Session *state) const
+{
+    delete state;
+}
+
+Handle<Session> makeSession(SessionHooks &hooks)
+{
+    Handle<Session> session(new Session);
+    session->machine_.hooks_ = &hooks;
+    session->machine_.start();
+    return session;
+}
+
+SessionState sessionState(const Session &session)
+{
+    using Stt = Machine::stt;
+    const int id = session.machine_.current_state()[0];
+    if (id == boost::msm::back::get_state_id<Stt, Established>::value) {
+        return SessionState::Established;
+    }
+    if (id == boost::msm::back::get_state_id<Stt, Closed>::value) {
+        return SessionState::Closed;
+    }
+    if (id == boost::msm::back::get_state_id<Stt, Parked>::value) {
+        return SessionState::Parked;
+    }
+    return id == boost::msm::back::get_state_id<Stt, Connecting>::value ? SessionState::Connecting
+                                                                        : SessionState::Greeting;
+}
+
+SessionState processEvent(Session &session, SessionEvent event)
+{
+    switch (event) {
+    case SessionEvent::Connected:
+        session.machine_.process_event(Connected {});
+        break;
+    case SessionEvent::Accepted:
+        session.machine_.process_event(Accepted {});
+        break;
+    case SessionEvent::HelloValid:
+        session.machine_.process_event(HelloValid {});
+        break;
+    case SessionEvent::HelloOutsideSet:
+        session.machine_.process_event(HelloOutsideSet {});
+        break;
+    case SessionEvent::Admitted:
+        session.machine_.process_event(Admitted {});
+        break;
+    case SessionEvent::Fault:
+        session.machine_.process_event(Fault {});
+        break;
+    }
+    return sessionState(session);
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/net/transport.cpp
@@ -0,0 +1,257 @@
+// Public functions of the peer transport: start, stop, peer set and sending.
+#include "net/transport_internal.h"
+
+#include "core/message/codec_func.h"
+#include "http/http_type.h"
+#include "net/address_func.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+static constexpr std::array<std::string_view, static_cast<std::size_t>(CloseCause::Count)> CauseNames {
+    "lost",
+    "not-connected",
+    "silent",
+    "malformed-frame",
+    "oversized-frame",
+    "unsupported-version",
+    "wrong-peer",
+    "queue-full",
+    "too-many-connections",
+    "retired"};
+
+std::string_view closeCauseName(CloseCause cause)
+{
+    return CauseNames.at(static_cast<std::size_t>(cause));
+}
+
+static std::error_code endpointOf(const std::string &text, tcp::endpoint &endpoint)
+{
+    HttpAddress address;
+    if (!isAddress(text) || !parseAddress(text, address)) {
+        return ErrorKind::BadSetting;
+    }
+    endpoint = tcp::endpoint(asio::ip::make_address(address.ip_), address.port_);
+    return {};
+}
+
+PeerTransport::State::State(TransportSettings settings, EventSink sink, const Clock &clock)
+    : settings_(std::move(settings))
+    , sink_(std::move(sink))
+    , clock_(clock)
+    , checkedAt_(clock.now())
+    , random_(settings_.seed_)
+{
+}
+
+PeerTransport::PeerTransport(TransportSettings settings, EventSink sink, const Clock &clock)
+    : state_(std::make_unique<State>(std::move(settings), std::move(sink), clock))
+{
+}
+
+PeerTransport::~PeerTransport()
+{
+    state_->closeAll();
+    // Handlers of closed sockets hold the connections; run them before the state goes.
+    state_->context_.restart();
+    state_->context_.poll();
+}
+
+std::error_code PeerTransport::listen()
+{
+    tcp::endpoint endpoint;
+    if (const std::error_code error = endpointOf(state_->settings_.listenAddress_, endpoint)) {
+        return error;
+    }
+    boost::system::error_code error;
+    tcp::acceptor &acceptor = state_->acceptor_;
+    acceptor.open(endpoint.protocol(), error);
+    if (!error) {
+        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    return error;
+}
+
+std::uint16_t PeerTransport::port() const
+{
+    boost::system::error_code error;
+    return state_->acceptor_.local_endpoint(error).port();
+}
+
+void PeerTransport::run()
+{
+    if (state_->acceptor_.is_open()) {
+        state_->acceptNext();
+    }
+    state_->checkSilence();
+    const auto work = asio::make_work_guard(state_->context_);
+    state_->context_.run();
+}
+
+void PeerTransport::stop()
+{
+    post([this] {
+        state_->closeAll();
+        state_->context_.stop();
+    });
+}
+
+void PeerTransport::post(std::function<void()> task)
+{
+    asio::post(state_->context_, std::move(task));
+}
+
+TransportCounters PeerTransport::counters() const
+{
+    return state_->board_.read();
+}
+
+void PeerTransport::setPeers(const PeerSet &peers)
+{
+    State &state = *state_;
+    std::set<DaemonId> wanted;
+    for (const PeerAddress &address : peers.peers_) {
+        if (address.daemon_ != state.settings_.self_ && wanted.insert(address.daemon_).second) {
+            state.addPeer(address);
+        }
+    }
+    std::vector<DaemonId> removed;
+    for (const auto &[daemon, peer] : state.peers_) {
+        if (!wanted.contains(daemon)) {
+            removed.push_back(daemon);
+        }
+    }
+    for (const DaemonId &daemon : removed) {
+        state.removePeer(daemon);
+    }
+    for (const ConnectionPtr &connection : std::vector(state.connections_.begin(), state.connections_.end())) {
+        if (connection->state() == SessionState::Parked && wanted.contains(connection->peer())) {
+            if (state.admit(*connection) == Admission::Admit) {
+                connection->admitParked();
+            } else {
+                connection->fail(CloseCause::WrongPeer);
+            }
+        }
+    }
+}
+
+void PeerTransport::reset(const DaemonId &daemon)
+{
+    state_->resetPeer(daemon, CloseCause::QueueFull);
+}
+
+void PeerTransport::State::addPeer(const PeerAddress &address)
+{
+    const std::string &dialled
+        = overriddenAddress(settings_.addressOverrides_, daemonName(address.daemon_.value_), address.address_);
+    const auto [entry, inserted] = peers_.try_emplace(address.daemon_);
+    Peer &peer = entry->second;
+    peer.address_ = dialled;
+    if (!inserted) {
+        return;
+    }
+    renewLink(peer.link_, ++lastGeneration_);
+    if (settings_.self_ < address.daemon_) {
+        for (std::size_t i = 0; i < ConnectionsPerPeer; ++i) {
+            peer.slots_.push_back(std::make_unique<DialSlot>(context_));
+            dial(address.daemon_, peer, *peer.slots_.back());
+        }
+    }
+}
+
+void PeerTransport::State::removePeer(const DaemonId &daemon)
+{
+    resetPeer(daemon, CloseCause::Retired);
+    peers_.erase(daemon);
+}
+
+void PeerTransport::State::resetPeer(const DaemonId &daemon, CloseCause cause)
+{
+    for (const ConnectionPtr &connection : std::vector(connections_.begin(), connections_.end())) {
+        if (connection->peer() == daemon) {
+            connection->fail(cause);
+        }
+    }
+}
+
+void PeerTransport::State::dial(const DaemonId &daemon, Peer &peer, DialSlot &slot)
+{
+    tcp::endpoint endpoint;
+    slot.dialledAt_ = clock_.now();
+    if (endpointOf(peer.address_, endpoint)) {
+        board_.update([](TransportCounters &counters) {
+            ++counters.closed_.at(static_cast<std::size_t>(CloseCause::NotConnected));
+        });
+        scheduleDial(daemon, slot);
+        return;
+    }
+    slot.connection_ = createConnection(tcp::socket(context_));
+    slot.connection_->dial(endpoint, daemon);
+}
+
+void PeerTransport::State::scheduleDial(const DaemonId &daemon, DialSlot &slot)
+{
+    if (stopping_) {
+        return;
+    }
+    constexpr unsigned MaxDoublings = 10;
+    const Milliseconds longest
+        = std::min(settings_.maxBackoff_, settings_.minBackoff_ * (1U << std::min(slot.failures_, MaxDoublings)));
+    ++slot.failures_;
+    // Between half and the whole, so that daemons that lost the same peer do not dial it at the same time.
+    std::uniform_int_distribution<std::int64_t> wait(longest.count() / 2, longest.count());
+    slot.timer_.expires_after(Milliseconds(wait(random_)));
+    slot.timer_.async_wait([this, daemon, &slot](const boost::system::error_code &error) {
+        const auto peer = error ? peers_.end() : peers_.find(daemon); // on error the slot may be gone
+        if (peer != peers_.end()) {
+            dial(daemon, peer->second, slot);
+        }
+    });
+}
+
+void PeerTransport::send(const DaemonId &to, const PeerMessage &message)
+{
+    State &state = *state_;
+    const auto found = state.peers_.find(to);
+    const std::string bytes = encodeMessage(message);
+    const bool up = found != state.peers_.end() && !found->second.established_.empty();
+    if (!up || bytes.size() > MaxFrameBytes - FrameNumbersBytes) {
+        state.board_.update([](TransportCounters &counters) { ++counters.messagesDropped_; });
+        return;
+    }
+    state.board_.update([](TransportCounters &counters) { ++counters.messagesSent_; });
+    Peer &peer = found->second;
+    if (!std::holds_alternative<Heartbeat>(message)) {
+        state.sendNumbered(to, peer, bytes);
+        return;
+    }
+    const SharedFrame frame = unnumberedFrame(peer.link_, bytes);
+    for (const ConnectionPtr &connection : peer.established_) {
+        connection->send(frame);
+    }
+}
+
+void PeerTransport::State::sendNumbered(const DaemonId &daemon, Peer &peer, std::string_view bytes)
+{
+    if (peer.link_.unacknowledgedBytes_ + bytes.size() > settings_.maxQueuedBytes_) {
+        resetPeer(daemon, CloseCause::QueueFull);
+        return;
+    }
+    peer.established_.front()->send(numberedFrame(peer.link_, bytes));
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/net/transport_session.cpp
@@ -0,0 +1,211 @@
+// Reactions of the peer transport to its connections: admission, loss, silence and received frames.
+#include "net/transport_internal.h"
+
+#include "core/message/codec_func.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+ConnectionPtr PeerTransport::State::createConnection(tcp::socket socket)
+{
+    auto connection
+        = std::make_shared<PeerConnection>(std::move(socket), *this, board_, settings_.maxQueuedBytes_, clock_.now());
+    connections_.insert(connection);
+    return connection;
+}
+
+void PeerTransport::State::acceptNext()
+{
+    acceptor_.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted || stopping_) {
+            return;
+        }
+        if (error) {
+            // Out of descriptors, for example: an immediate retry would only spin.
+            acceptTimer_.expires_after(settings_.minBackoff_);
+            acceptTimer_.async_wait([this](const boost::system::error_code &aborted) {
+                if (!aborted) {
+                    acceptNext();
+                }
+            });
+            return;
+        }
+        const auto unidentified = std::count_if(connections_.begin(), connections_.end(), [](const auto &connection) {
+            return !connection->dialled() && connection->state() != SessionState::Established;
+        });
+        const ConnectionPtr connection = createConnection(std::move(socket));
+        if (static_cast<std::size_t>(unidentified) >= MaxUnidentified) {
+            connection->fail(CloseCause::TooManyConnections);
+        } else {
+            connection->accept();
+        }
+        acceptNext();
+    });
+}
+
+Admission PeerTransport::State::admit(PeerConnection &connection)
+{
+    const auto found = peers_.find(connection.peer());
+    if (connection.peer() == settings_.self_) {
+        return Admission::Refuse;
+    }
+    if (found == peers_.end()) {
+        return connection.dialled() ? Admission::Refuse : Admission::Park;
+    }
+    Peer &peer = found->second;
+    if (connection.dialled() == peer.slots_.empty()) {
+        return Admission::Refuse; // dialled by the wrong side
+    }
+    switch (greetLink(peer.link_, connection.hello().generation_)) {
+    case LinkGreeting::Current:
+        return Admission::Admit;
+    case LinkGreeting::Stale:
+        return Admission::Refuse;
+    case LinkGreeting::Renewed:
+        break;
+    }
+    // The peer has given up the link. Its other connections go, which renews the link here too.
+    const DaemonId daemon = connection.peer();
+    for (const ConnectionPtr &other : std::vector(connections_.begin(), connections_.end())) {
+        if (other->peer() == daemon && other.get() != &connection) {
+            other->fail(CloseCause::Retired);
+        }
+    }
+    if (connection.dialled()) {
+        return Admission::Refuse; // the hello that was sent named the former generation; dial again
+    }
+    renewLink(peer.link_, ++lastGeneration_);
+    greetLink(peer.link_, connection.hello().generation_);
+    return Admission::Admit;
+}
+
+std::string PeerTransport::State::helloFrame(PeerConnection &connection)
+{
+    const auto found = peers_.find(connection.peer());
+    const std::uint64_t generation = found == peers_.end() ? 0 : found->second.link_.generation_;
+    return encodeHello({PeerProtocolVersion, settings_.self_, settings_.region_, generation});
+}
+
+void PeerTransport::State::onEstablished(PeerConnection &connection)
+{
+    const DaemonId daemon = connection.peer();
+    Peer &peer = peers_.at(daemon);
+    if (peer.established_.size() >= MaxEstablishedPerPeer) {
+        const ConnectionPtr oldest = peer.established_.front();
+        asio::post(context_, [oldest] { oldest->fail(CloseCause::TooManyConnections); });
+    }
+    peer.established_.push_back(connection.shared_from_this());
+    if (peer.established_.size() == 1) {
+        sink_(PeerUp {daemon});
+    }
+}
+
+void PeerTransport::State::onClosed(PeerConnection &connection, bool wasEstablished)
+{
+    const ConnectionPtr keep = connection.shared_from_this();
+    connections_.erase(keep);
+    const DaemonId daemon = connection.peer();
+    const auto found = peers_.find(daemon);
+    if (found == peers_.end()) {
+        return;
+    }
+    Peer &peer = found->second;
+    for (const auto &slot : peer.slots_) {
+        if (slot->connection_ == keep) {
+            slot->connection_.reset();
+            if (wasEstablished && clock_.now() - slot->dialledAt_ > settings_.maxBackoff_) {
+                slot->failures_ = 0;
+            }
+            scheduleDial(daemon, *slot);
+        }
+    }
+    const auto position = std::find(peer.established_.begin(), peer.established_.end(), keep);
+    if (position == peer.established_.end()) {
+        return;
+    }
+    const bool carried = position == peer.established_.begin();
+    peer.established_.erase(position);
+    if (peer.established_.empty()) {
+        renewLink(peer.link_, ++lastGeneration_);
+        sink_(PeerDown {daemon});
+    } else if (carried) {
+        for (const SharedFrame &frame : peer.link_.unacknowledged_) {
+            peer.established_.front()->send(frame);
+        }
+        const std::size_t repeated = peer.link_.unacknowledged_.size();
+        board_.update([repeated](TransportCounters &counters) { counters.messagesRepeated_ += repeated; });
+    }
+}
+
+CloseCause PeerTransport::State::onFrame(PeerConnection &connection, std::string_view body)
+{
+    FrameNumbers numbers;
+    std::string_view bytes;
+    PeerMessage message;
+    if (decodeFrame(body, numbers, bytes) || decodeMessage(bytes, message)) {
+        return CloseCause::MalformedFrame;
+    }
+    Peer &peer = peers_.at(connection.peer());
+    switch (receiveNumbers(peer.link_, numbers)) {
+    case LinkReceipt::Deliver:
+        board_.update([](TransportCounters &counters) { ++counters.messagesReceived_; });
+        sink_(PeerReceived {connection.peer(), std::move(message)});
+        break;
+    case LinkReceipt::Repeat:
+        break;
+    case LinkReceipt::Broken:
+        return CloseCause::MalformedFrame;
+    }
+    return CloseCause::Count;
+}
+
+void PeerTransport::State::checkSilence()
+{
+    if (stopping_) {
+        return;
+    }
+    constexpr int ChecksPerLimit = 10;
+    const TimePoint now = clock_.now();
+    const Milliseconds interval = settings_.silenceLimit_ / ChecksPerLimit;
+    // After a pause of the whole process the sockets hold what arrived meanwhile; it is read before anyone is judged.
+    const bool paused = now - checkedAt_ > settings_.silenceLimit_ / 2;
+    checkedAt_ = now;
+    for (const ConnectionPtr &connection : std::vector(connections_.begin(), connections_.end())) {
+        if (connection->receivedSinceCheck() || paused) {
+            connection->setLastReceived(now);
+            connection->clearReceived();
+        } else if (now - connection->lastReceived() > settings_.silenceLimit_) {
+            connection->fail(CloseCause::Silent);
+        }
+    }
+    checkTimer_.expires_after(interval);
+    checkTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            checkSilence();
+        }
+    });
+}
+
+void PeerTransport::State::closeAll()
+{
+    stopping_ = true;
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    checkTimer_.cancel();
+    acceptTimer_.cancel();
+    for (auto &[daemon, peer] : peers_) {
+        for (const auto &slot : peer.slots_) {
+            slot->timer_.cancel();
+        }
+    }
+    for (const ConnectionPtr &connection : std::vector(connections_.begin(), connections_.end())) {
+        connection->fail(CloseCause::Retired);
+    }
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/tests/net/test_frame.cpp
@@ -0,0 +1,157 @@
+// Guards the framing, the hello, the numbering of messages and the session machine, without sockets.
+#include "core/common/error_type.h"
+#include "net/link_func.h"
+#include "net/session_func.h"
+
+#include <criterion/criterion.h>
+
+#include <random>
+#include <vector>
+
+using namespace mimosapier;
+
+static std::vector<std::string> cut(const std::string &stream, std::size_t piece)
+{
+    std::vector<std::string> bodies;
+    FrameDecoder decoder;
+    decoder.setLimit(MaxFrameBytes);
+    std::error_code error;
+    for (std::size_t i = 0; i < stream.size(); i += piece) {
+        decoder.append(std::string_view(stream).substr(i, piece));
+        std::string_view body;
+        while (decoder.next(body, error)) {
+            bodies.emplace_back(body);
+        }
+        cr_assert(!error);
+    }
+    return bodies;
+}
+
+// Guards against frames that are lost or merged when the stream arrives in pieces.
+Test(frame, anyPieceSizeGivesTheSameFrames)
+{
+    const std::string stream
+        = encodeFrame({1, 2}, "abc") + encodeFrame({0, 7}, "") + encodeFrame({3, 0}, std::string(700, 'x'));
+    for (std::size_t piece = 1; piece <= stream.size(); ++piece) {
+        const std::vector<std::string> bodies = cut(stream, piece);
+        cr_assert_eq(bodies.size(), 3U);
+        FrameNumbers numbers;
+        std::string_view message;
+        cr_assert(!decodeFrame(bodies[0], numbers, message));
+        cr_assert(numbers.sequence_ == 1 && numbers.acknowledged_ == 2 && message == "abc");
+        cr_assert(!decodeFrame(bodies[2], numbers, message));
+        cr_assert(message == std::string(700, 'x'));
+    }
+}
+
+// Guards against buffering without bound for a sender that has not identified itself.
+Test(frame, oversizedFrameIsRefusedByItsHeader)
+{
+    FrameDecoder decoder;
+    decoder.append(std::string("\x00\x00\x04\x01", 4)); // one byte more than a hello may have
+    std::string_view body;
+    std::error_code error;
+    cr_assert(!decoder.next(body, error));
+    cr_assert(errorKind(error) == ErrorKind::BodyTooLarge);
+}
+
+// Guards against hellos of other versions or without id being accepted.
+Test(frame, helloIsChecked)
+{
+    const auto check = [](const Hello &sent) {
+        Hello received;
+        return errorKind(decodeHello(std::string_view(encodeHello(sent)).substr(FrameHeaderBytes), received));
+    };
+    const Hello good {PeerProtocolVersion, DaemonId("a#1"), RegionId("hobart"), 5};
+    cr_assert(check(good) == ErrorKind::None);
+    Hello other = good;
+    other.version_ = PeerProtocolVersion + 1;
+    cr_assert(check(other) == ErrorKind::UnsupportedVersion);
+    other = good;
+    other.daemon_ = {};
+    cr_assert(check(other) == ErrorKind::MalformedFrame);
+}
+
+// Guards against crashes, and against errors of another kind, on corrupted streams.
+Test(frame, corruptedStreamsNeverCrash)
+{
+    const std::string hello = encodeHello({PeerProtocolVersion, DaemonId("a#1"), RegionId("hobart"), 5});
+    std::mt19937_64 random(2);
+    for (int round = 0; round < 20'000; ++round) {
+        std::string stream = hello + encodeFrame({1, 0}, "message");
+        for (std::size_t i = 0; i <= static_cast<std::size_t>(round % 5); ++i) {
+            stream[random() % stream.size()] = static_cast<char>(random());
+        }
+        FrameDecoder decoder;
+        decoder.append(stream);
+        std::string_view body;
+        std::error_code error;
+        while (decoder.next(body, error)) {
+            Hello received;
+            const ErrorKind kind = errorKind(decodeHello(body, received));
+            cr_assert(kind == ErrorKind::None || kind == ErrorKind::MalformedFrame
+                      || kind == ErrorKind::UnsupportedVersion);
+        }
+        cr_assert(!error || errorKind(error) == ErrorKind::BodyTooLarge);
+    }
+}
+
+// Guards against messages that are delivered twice, out of order, or kept after their acknowledgement.
+Test(link, repeatsAreDroppedAndAcknowledgedMessagesForgotten)
+{
+    PeerLink link;
+    renewLink(link, 1);
+    numberedFrame(link, "one");
+    numberedFrame(link, "two");
+    cr_assert(receiveNumbers(link, {1, 1}) == LinkReceipt::Deliver);
+    cr_assert_eq(link.unacknowledged_.size(), 1U);
+    cr_assert(receiveNumbers(link, {1, 1}) == LinkReceipt::Repeat);
+    cr_assert(receiveNumbers(link, {2, 0}) == LinkReceipt::Deliver);
+    cr_assert(receiveNumbers(link, {0, 2}) == LinkReceipt::Deliver);
+    cr_assert_eq(link.unacknowledgedBytes_, 0U);
+    cr_assert(receiveNumbers(link, {4, 2}) == LinkReceipt::Broken);
+    cr_assert(receiveNumbers(link, {3, 3}) == LinkReceipt::Broken);
+}
+
+// Guards against a link that goes on after the peer has given it up.
+Test(link, newGenerationOfThePeerIsNoticed)
+{
+    PeerLink link;
+    renewLink(link, 1);
+    cr_assert(greetLink(link, 4) == LinkGreeting::Current);
+    cr_assert(greetLink(link, 4) == LinkGreeting::Current);
+    cr_assert(greetLink(link, 3) == LinkGreeting::Stale);
+    cr_assert(greetLink(link, 5) == LinkGreeting::Renewed);
+}
+
+struct CountingHooks final : SessionHooks
+{
+    void sendHello() override { ++hellos_; }
+    void established() override { ++established_; }
+    void closed(bool wasEstablished) override { (wasEstablished ? closedAfter_ : closedBefore_) += 1; }
+    int hellos_ = 0;
+    int established_ = 0;
+    int closedAfter_ = 0;
+    int closedBefore_ = 0;
+};
+
+// Guards against a session that is established or closed twice.
+Test(session, eachEventHasItsEffectOnce)
+{
+    CountingHooks hooks;
+    const Handle<Session> dialled = makeSession(hooks);
+    cr_assert(processEvent(*dialled, SessionEvent::HelloValid) == SessionState::Connecting);
+    cr_assert(processEvent(*dialled, SessionEvent::Connected) == SessionState::Greeting);
+    cr_assert(processEvent(*dialled, SessionEvent::HelloValid) == SessionState::Established);
+    cr_assert(processEvent(*dialled, SessionEvent::HelloValid) == SessionState::Established);
+    cr_assert(processEvent(*dialled, SessionEvent::Fault) == SessionState::Closed);
+    cr_assert(processEvent(*dialled, SessionEvent::Fault) == SessionState::Closed);
+    cr_assert(hooks.hellos_ == 1 && hooks.established_ == 1 && hooks.closedAfter_ == 1);
+
+    const Handle<Session> parked = makeSession(hooks);
+    cr_assert(processEvent(*parked, SessionEvent::Accepted) == SessionState::Greeting);
+    cr_assert(processEvent(*parked, SessionEvent::HelloOutsideSet) == SessionState::Parked);
+    cr_assert_eq(hooks.hellos_, 1);
+    cr_assert(processEvent(*parked, SessionEvent::Admitted) == SessionState::Established);
+    cr_assert_eq(hooks.hellos_, 2);
+}
