--- /dev/null
+++ b/src/core/node/node.cpp
@@ -0,0 +1,221 @@
+// Entry points of the decision logic: routes events to the parts and runs their ticks.
+#include "core/node/node_internal.h"
+
+#include <iterator>
+#include <utility>
+
+namespace mimosapier
+{
+
+using namespace detail;
+
+// Loads change with every start; the directory and the heartbeats need them at this rate only.
+static constexpr Milliseconds LoadInterval {100};
+
+template <>
+void Destroy<Node>::operator()(Node *state) const
+{
+    delete state;
+}
+
+Context detail::makeContext(Node &node, TimePoint now, Actions &actions)
+{
+    return {now,
+            node.settings_.member_.self_,
+            node.settings_.member_.region_,
+            currentBundle(*node.config_),
+            directory(*node.member_),
+            actions,
+            node.random_};
+}
+
+Handle<Node> makeNode(const NodeSettings &settings)
+{
+    Handle<Node> node(new Node);
+    node->settings_ = settings;
+    node->member_ = makeMembership(settings.member_);
+    node->config_ = makeConfigState();
+    node->allowances_ = makeAllowances();
+    node->entry_ = makeEntry();
+    node->random_.seed(settings.seed_);
+    return node;
+}
+
+static void tickGroups(Node &node, TimePoint now, Actions &actions)
+{
+    for (auto &[id, group] : node.groups_) {
+        Context context = makeContext(node, now, actions);
+        tickGroup(*group, context);
+    }
+}
+
+static void tickHomes(Node &node, TimePoint now, Actions &actions)
+{
+    for (auto &[id, home] : node.homes_) {
+        Context context = makeContext(node, now, actions);
+        tickHome(*home, context);
+    }
+}
+
+static void publishLoads(Node &node, TimePoint now)
+{
+    if (now - node.lastLoads_ < LoadInterval) {
+        return;
+    }
+    node.lastLoads_ = now;
+    std::vector<GroupLoad> loads;
+    loads.reserve(node.groups_.size());
+    for (const auto &[id, group] : node.groups_) {
+        loads.push_back(groupLoad(*group));
+    }
+    setLocalLoads(*node.member_, loads);
+}
+
+static void tick(Node &node, TimePoint now, Actions &actions)
+{
+    setOwnFreshness(*node.member_, ownFreshness(*node.config_, node.settings_.member_.self_, now));
+    publishLoads(node, now);
+    {
+        Context context = makeContext(node, now, actions);
+        tickMembership(*node.member_, context);
+    }
+    {
+        Context context = makeContext(node, now, actions);
+        tickConfig(*node.config_, context);
+    }
+    {
+        Context context = makeContext(node, now, actions);
+        tickAllowances(*node.allowances_, context);
+    }
+    tickGroups(node, now, actions);
+    tickHomes(node, now, actions);
+    {
+        Context context = makeContext(node, now, actions);
+        tickEntry(*node.entry_, context);
+    }
+    checkFenced(node, now, actions);
+    advanceLeave(node, now, actions);
+}
+
+static void applySnapshot(Node &node, const InstanceSnapshot &snapshot, TimePoint now, Actions &actions)
+{
+    node.instances_ = snapshot;
+    Context context = makeContext(node, now, actions);
+    setInstances(*node.member_, snapshot, context);
+    for (auto &[id, group] : node.groups_) {
+        setGroupWorkers(*group, workersOfGroup(snapshot, id), context);
+    }
+}
+
+static void peerDown(Node &node, const DaemonId &peer, TimePoint now, Actions &actions)
+{
+    {
+        Context context = makeContext(node, now, actions);
+        onPeerDown(*node.member_, peer, context);
+    }
+    Context context = makeContext(node, now, actions);
+    for (auto &[id, group] : node.groups_) {
+        onGroupPeerDown(*group, peer, context);
+    }
+    for (auto &[id, home] : node.homes_) {
+        onHomePeerDown(*home, peer, context);
+    }
+    onEntryPeerDown(*node.entry_, peer, context);
+}
+
+static void workerResult(Node &node, const WorkerResult &result, TimePoint now, Actions &actions)
+{
+    const auto group = node.groups_.find(result.group_);
+    if (group == node.groups_.end()) {
+        return;
+    }
+    Context context = makeContext(node, now, actions);
+    onWorkerResult(*group->second, result, context);
+}
+
+namespace
+{
+
+// Routes one event to its part.
+struct Dispatcher
+{
+    Node &node_;
+    TimePoint now_;
+    Actions &actions_;
+
+    void operator()(const PeerReceived &event) const { dispatchPeer(node_, event, now_, actions_); }
+    void operator()(const PeerUp &event) const
+    {
+        Context context = makeContext(node_, now_, actions_);
+        onPeerUp(*node_.member_, event.daemon_, context);
+    }
+    void operator()(const PeerDown &event) const { peerDown(node_, event.daemon_, now_, actions_); }
+    void operator()(const StoreResult &event) const { dispatchStore(node_, event, now_, actions_); }
+    void operator()(const WorkerResult &event) const { workerResult(node_, event, now_, actions_); }
+    void operator()(const CallerRequest &event) const { dispatchCaller(node_, event, now_, actions_); }
+    void operator()(const CallerGone &event) const { onCallerGone(*node_.entry_, event.call_); }
+    void operator()(const InstanceSnapshot &event) const { applySnapshot(node_, event, now_, actions_); }
+    void operator()(const Tick & /*event*/) const { tick(node_, now_, actions_); }
+    void operator()(const LeaveRequested & /*event*/) const { beginNodeLeave(node_, now_, actions_); }
+};
+
+} // namespace
+
+// Moves the messages that this daemon sends to itself from actions[first..] to the loopback queue.
+static void takeLoopback(Node &node, std::size_t first, Actions &actions)
+{
+    std::size_t kept = first;
+    for (std::size_t i = first; i < actions.list_.size(); ++i) {
+        auto *send = std::get_if<PeerSend>(&actions.list_[i]);
+        if (send != nullptr && send->to_ == node.settings_.member_.self_) {
+            node.loopback_.push_back({send->to_, std::move(send->message_)});
+            continue;
+        }
+        if (kept != i) {
+            actions.list_[kept] = std::move(actions.list_[i]);
+        }
+        ++kept;
+    }
+    actions.list_.resize(kept);
+}
+
+// Applies what the event changed for other parts, and delivers messages of this daemon to itself.
+static void settle(Node &node, std::size_t first, TimePoint now, Actions &actions)
+{
+    applyOwnership(node, now, actions);
+    propagateDirectory(node, now, actions);
+    takeLoopback(node, first, actions);
+    while (!node.loopback_.empty()) {
+        const std::size_t position = actions.list_.size();
+        const PeerReceived message = std::move(node.loopback_.front());
+        node.loopback_.pop_front();
+        dispatchPeer(node, message, now, actions);
+        takeLoopback(node, position, actions);
+    }
+}
+
+void startNode(Node &node, TimePoint now, Actions &actions)
+{
+    const std::size_t first = actions.list_.size();
+    {
+        Context context = makeContext(node, now, actions);
+        startMembership(*node.member_, context);
+    }
+    Context context = makeContext(node, now, actions);
+    startConfig(*node.config_, context);
+    settle(node, first, now, actions);
+}
+
+void step(Node &node, const Event &event, TimePoint now, Actions &actions)
+{
+    const std::size_t first = actions.list_.size();
+    std::visit(Dispatcher {node, now, actions}, event);
+    settle(node, first, now, actions);
+}
+
+bool isReady(const Node &node)
+{
+    return node.leave_ == LeavePhase::None && currentBundle(*node.config_).version_.value_ != 0;
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/node/ownership.cpp
@@ -0,0 +1,174 @@
+// Opens and closes the state of shards as they are gained and lost, and hands them over when the daemon leaves.
+#include "core/common/rendezvous_func.h"
+#include "core/common/shard_func.h"
+#include "core/node/node_internal.h"
+
+namespace mimosapier
+{
+
+// Longest wait for answers of open requests before shards are handed over. Callers' requests that still wait then are
+// answered by the next holders.
+static constexpr Milliseconds FinishRequestsLimit {10'000};
+
+// A holder that was fenced reads the ownership table again at this interval until it sees the later epoch.
+static constexpr Milliseconds FenceCheckInterval {500};
+
+std::vector<WorkerInfo> workersOfGroup(const InstanceSnapshot &snapshot, const ShardId &group)
+{
+    std::vector<WorkerInfo> workers;
+    for (const WorkerInfo &worker : snapshot.workers_) {
+        if (worker.group_ == group) {
+            workers.push_back(worker);
+        }
+    }
+    return workers;
+}
+
+namespace detail
+{
+
+static void openShard(Node &node, const OwnershipChange &change, Context &context)
+{
+    if (!isGroup(change.shard_)) {
+        node.homes_[change.shard_] = makeHome(change.shard_, change.epoch_, context);
+        return;
+    }
+    openGroupAllowances(*node.allowances_, change.shard_, context);
+    Handle<Group> group = makeGroup(change.shard_, change.epoch_, *node.allowances_);
+    setGroupWorkers(*group, workersOfGroup(node.instances_, change.shard_), context);
+    node.groups_[change.shard_] = std::move(group);
+}
+
+static void closeShard(Node &node, const ShardId &shard)
+{
+    node.homes_.erase(shard);
+    if (node.groups_.erase(shard) > 0) {
+        closeGroupAllowances(*node.allowances_, shard);
+    }
+}
+
+void applyOwnership(Node &node, TimePoint now, Actions &actions)
+{
+    for (const OwnershipChange &change : takeOwnershipChanges(*node.member_)) {
+        closeShard(node, change.shard_);
+        if (change.gained_) {
+            Context context = makeContext(node, now, actions);
+            openShard(node, change, context);
+        }
+    }
+}
+
+static std::uint64_t fingerprint(const std::vector<ShardEntry> &entries, std::uint64_t print)
+{
+    for (const ShardEntry &entry : entries) {
+        print = print * 31 + stableHash(entry.holder_.value_) + entry.epoch_.value_ + (entry.reachable_ ? 7 : 0);
+    }
+    return print;
+}
+
+void propagateDirectory(Node &node, TimePoint now, Actions &actions)
+{
+    const Directory &current = directory(*node.member_);
+    const std::uint64_t print = fingerprint(current.partitions_, fingerprint(current.groups_, 1));
+    if (print == node.directoryPrint_) {
+        return;
+    }
+    node.directoryPrint_ = print;
+    for (auto &[id, home] : node.homes_) {
+        Context context = makeContext(node, now, actions);
+        onHomeDirectory(*home, context);
+    }
+}
+
+void checkFenced(Node &node, TimePoint now, Actions &actions)
+{
+    if (now - node.lastFenceCheck_ < FenceCheckInterval) {
+        return;
+    }
+    node.lastFenceCheck_ = now;
+    Context context = makeContext(node, now, actions);
+    for (const auto &[id, group] : node.groups_) {
+        if (isFenced(*group)) {
+            onFenced(*node.member_, id, context);
+        }
+    }
+    for (const auto &[id, home] : node.homes_) {
+        if (isFenced(*home)) {
+            onFenced(*node.member_, id, context);
+        }
+    }
+}
+
+void beginNodeLeave(Node &node, TimePoint now, Actions &actions)
+{
+    if (node.leave_ != LeavePhase::None) {
+        return;
+    }
+    node.leave_ = LeavePhase::FinishRequests;
+    node.leaveStarted_ = now;
+    stopAdmitting(*node.entry_);
+    Context context = makeContext(node, now, actions);
+    logLine(context, LogLevel::Info, "[node] Shutting down; no new requests are admitted.");
+    beginLeave(*node.member_, context);
+}
+
+static void stopShards(Node &node, TimePoint now, Actions &actions)
+{
+    Context context = makeContext(node, now, actions);
+    for (auto &[id, group] : node.groups_) {
+        stopStarting(*group, context);
+    }
+    for (auto &[id, home] : node.homes_) {
+        stopAccepting(*home, context);
+    }
+}
+
+// Shards on which nothing is under way any more.
+static std::vector<ShardId> shardsToRelease(const Node &node)
+{
+    std::vector<ShardId> shards;
+    for (const auto &[id, group] : node.groups_) {
+        if (canHandOver(*group)) {
+            shards.push_back(id);
+        }
+    }
+    for (const auto &[id, home] : node.homes_) {
+        if (canHandOver(*home)) {
+            shards.push_back(id);
+        }
+    }
+    return shards;
+}
+
+static void handOverShards(Node &node, TimePoint now, Actions &actions)
+{
+    for (const ShardId &shard : shardsToRelease(node)) {
+        closeShard(node, shard);
+        Context context = makeContext(node, now, actions);
+        releaseShard(*node.member_, shard, context);
+    }
+}
+
+void advanceLeave(Node &node, TimePoint now, Actions &actions)
+{
+    if (node.leave_ == LeavePhase::FinishRequests) {
+        const bool waitedLongEnough = now - node.leaveStarted_ >= FinishRequestsLimit;
+        if (openRequests(*node.entry_) == 0 || waitedLongEnough) {
+            node.leave_ = LeavePhase::HandOver;
+            stopShards(node, now, actions);
+        }
+    }
+    if (node.leave_ != LeavePhase::HandOver) {
+        return;
+    }
+    handOverShards(node, now, actions);
+    const bool idle = node.groups_.empty() && node.homes_.empty() && openRequests(*node.entry_) == 0;
+    if (idle && hasLeft(*node.member_)) {
+        node.leave_ = LeavePhase::Gone;
+        actions.push(LeaveFinished {});
+    }
+}
+
+} // namespace detail
+
+} // namespace mimosapier
