Feature: [scripts] Demo of a deployment on loopback

scripts/demo starts the stand-ins, the daemons and 48 workers of a deployment, writes the first bundle by draft and sign-off, runs the mix of its classes and checks the journals.

Ports come from below the range of outgoing connections, so that a listener never meets a port that a connection took.

The daemon does not run yet.

--- /dev/null
+++ b/scripts/lib/demo.py
@@ -0,0 +1,147 @@
+"""scripts/demo: runs a deployment on loopback and prints what became of the work."""
+
+import argparse
+import http.client
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import check_journals
+from cluster import Cluster, bundle_version, sign_bundle
+from deployments import DEPLOYMENTS, bundle
+from measure import Usage
+from processes import try_call, wait_until
+
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+DRAIN_SECONDS = 25  # longer than a task lease
+PROGRESS_SECONDS = 3
+GRACEFUL_SECONDS = 35  # a daemon's limit is 30 s
+BUNDLE_SECONDS = 30
+
+
+def parser(description):
+    result = argparse.ArgumentParser(description=description)
+    result.add_argument("deployment", choices=sorted(DEPLOYMENTS))
+    result.add_argument("--entries", type=int, default=6, help="number of daemons (6)")
+    result.add_argument("--out", help="folder for settings, logs and journals (a temporary one)")
+    result.add_argument("--rate", type=float, default=1.0, help="factor on the arrival rates (1)")
+    result.add_argument("--daemon", help="program of the daemon (build/src/daemon/mimosapierd)")
+    result.add_argument("--no-setup", action="store_true", help="skip scripts/setup")
+    return result
+
+
+def prepare(arguments):
+    """Calls scripts/setup and returns the cluster, not yet started."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
+    if not arguments.no_setup:
+        subprocess.run([os.path.join(ROOT, "scripts/setup")], check=True)
+    out = arguments.out or tempfile.mkdtemp(prefix="mimosapier-")
+    if arguments.out and os.path.isdir(out):
+        shutil.rmtree(out)
+    os.makedirs(out, exist_ok=True)
+    print(f"settings, logs and journals: {out}", flush=True)
+    return Cluster(DEPLOYMENTS[arguments.deployment], out, arguments.entries, ROOT, arguments.daemon)
+
+
+def first_bundle(cluster):
+    """Signs off the first bundle and waits until it is in force everywhere; returns its version."""
+    outcome = {}
+
+    def signed():
+        try:
+            status, outcome["answer"] = sign_bundle(cluster.entries[0], bundle(cluster.deployment))
+        except (OSError, http.client.HTTPException) as error:
+            status, outcome["answer"] = None, error
+        return status == 200
+
+    if not wait_until(signed, BUNDLE_SECONDS, 1.0):
+        raise RuntimeError(f"the first bundle was not signed off: {outcome['answer']}")
+    missing = cluster.wait_ready()
+    if missing:
+        raise RuntimeError(f"not ready: {', '.join(missing)}")
+    return bundle_version(cluster.entries[0])[0]
+
+
+def progress(cluster, started):
+    """Prints one line about the load."""
+    status, stats = try_call(cluster.load_control, "/v1/stats")
+    if status == 200:
+        outcomes = " ".join(f"{name} {count}" for name, count in sorted(stats["outcomes"].items()))
+        ready = sum(stats["ready"].values())
+        print(f"{time.monotonic() - started:5.0f} s  sent {stats['sent']}, open {stats['open']}, {outcomes}, "
+              f"ready entries {ready}/{len(stats['ready'])}", flush=True)
+
+
+def wait_for_load(cluster, limit, each=None):
+    """Shows progress until the load has ended; False when it did not end in time."""
+    started = time.monotonic()
+    shown = started
+    while cluster.load.alive():
+        now = time.monotonic()
+        if now - started > limit:
+            return False
+        if now - shown >= PROGRESS_SECONDS:
+            shown = now
+            progress(cluster, started)
+        if each:
+            each(now - started)
+        time.sleep(0.1)
+    return True
+
+
+def show_problems(violations, most=5):
+    for name, sentences in violations.items():
+        for sentence in sentences[:most]:
+            print(f"{name}: {sentence}")
+        if len(sentences) > most:
+            print(f"{name}: {len(sentences) - most} more")
+
+
+def main():
+    options = parser(__doc__)
+    options.add_argument("--seconds", type=float, default=20, help="time of arrivals (20)")
+    options.add_argument("--seed", type=int, default=1, help="of the load (1)")
+    arguments = options.parse_args()
+    cluster = prepare(arguments)
+    try:
+        cluster.start_platform()
+        cluster.start_daemons()
+        version = first_bundle(cluster)
+        print(f"{len(cluster.entries)} daemons ready, bundle version {version} in force", flush=True)
+        usage = Usage(cluster)
+        cluster.start_load(arguments.seconds, DRAIN_SECONDS, arguments.seed, arguments.rate)
+        ended = wait_for_load(cluster, arguments.seconds + DRAIN_SECONDS + 10)
+        costs = usage.lines()
+        unfinished = cluster.stop_daemons(GRACEFUL_SECONDS)
+    finally:
+        cluster.processes.end()
+    requests, workers, violations = check_journals.check_files(cluster.load_journal, cluster.worker_journals())
+    print("\n".join(check_journals.table(requests, workers)))
+    print("\n".join(costs))
+    for error, count in check_journals.refusals(requests).items():
+        print(f"{error}: {count}")
+    show_problems({name: violations[name] for name in check_journals.BASIC})
+    if unfinished:
+        print(f"did not end gracefully: {', '.join(unfinished)}")
+    print(check_journals.last_line(requests, violations, check_journals.BASIC))
+    return 0 if ended and requests and not any(violations[name] for name in check_journals.BASIC) else 1
+
+
+def run(entry_point):
+    """Runs a script's main(); Ctrl-C and start-up failures end it with a line instead of a trace."""
+    try:
+        sys.exit(entry_point())
+    except KeyboardInterrupt:
+        print("interrupted", file=sys.stderr)
+        sys.exit(130)
+    except RuntimeError as error:
+        print(f"error: {error}", file=sys.stderr)
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    run(main)
--- /dev/null
+++ b/scripts/lib/processes.py
@@ -0,0 +1,136 @@
+"""Starting, watching and ending processes; HTTP calls; free ports. Standard library only."""
+
+import ctypes
+import http.client
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import time
+
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Runs in a new process: it is killed when the script dies without ending it."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class Process:
+    """A process that this script started; its output goes to a log file."""
+
+    def __init__(self, name, command, log):
+        self.name = name
+        self.command = command
+        self.log = log
+        self.process = None
+        self.paused = False
+
+    def start(self):
+        with open(self.log, "ab") as log:
+            # A session of its own keeps Ctrl-C of the terminal away: the script ends its processes in order.
+            self.process = subprocess.Popen(
+                self.command, stdout=log, stderr=log, stdin=subprocess.DEVNULL, start_new_session=True,
+                preexec_fn=end_with_parent,
+            )
+
+    def alive(self):
+        return self.process is not None and self.process.poll() is None
+
+    def send(self, number):
+        if self.alive():
+            self.process.send_signal(number)
+            self.paused = {signal.SIGSTOP: True, signal.SIGCONT: False}.get(number, self.paused)
+
+    def wait(self, timeout):
+        """Exit status, or None when the process still runs after the timeout."""
+        try:
+            return self.process.wait(timeout)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def kill(self):
+        if self.alive():
+            self.process.kill()
+            self.process.wait()
+
+
+class ProcessSet:
+    """All processes of a script, ended in the reverse order of their starts."""
+
+    def __init__(self, out):
+        self.out = out
+        self.all = []
+
+    def start(self, name, command):
+        process = Process(name, command, os.path.join(self.out, f"{name}.log"))
+        process.start()
+        self.all.append(process)
+        return process
+
+    def end(self, graceful_seconds=5):
+        for process in self.all:
+            process.send(signal.SIGCONT)
+            process.send(signal.SIGTERM)
+        deadline = time.monotonic() + graceful_seconds
+        for process in reversed(self.all):
+            if process.process is not None and process.wait(max(0.0, deadline - time.monotonic())) is None:
+                process.kill()
+
+
+def call(address, target, body=None, timeout=2.0, headers=None):
+    """One HTTP call: (status, parsed body or None). Raises OSError or http.client.HTTPException."""
+    host, port = address.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        data = None if body is None else json.dumps(body)
+        connection.request("GET" if body is None else "POST", target, data, headers or {})
+        response = connection.getresponse()
+        text = response.read()
+        try:
+            return response.status, json.loads(text)
+        except ValueError:
+            return response.status, None
+    finally:
+        connection.close()
+
+
+def try_call(address, target, body=None, timeout=2.0):
+    """As call(), but (None, None) when there is no answer."""
+    try:
+        return call(address, target, body, timeout)
+    except (OSError, http.client.HTTPException):
+        return None, None
+
+
+def wait_until(condition, seconds, pause=0.1):
+    """True as soon as the condition holds, False after the time."""
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        if condition():
+            return True
+        time.sleep(pause)
+    return False
+
+
+class Ports:
+    """Free ports below the range from which the system takes the ports of outgoing connections."""
+
+    LOWEST = 10_000
+    HIGHEST = 32_000
+
+    def __init__(self):
+        self.next = random.SystemRandom().randrange(self.LOWEST, self.HIGHEST - 2_000)
+
+    def address(self):
+        while self.next < self.HIGHEST:
+            self.next += 1
+            with socket.socket() as probe:
+                try:
+                    probe.bind(("127.0.0.1", self.next))
+                except OSError:
+                    continue
+            return f"127.0.0.1:{self.next}"
+        raise RuntimeError("no free ports")
--- a/src/standin/link.cpp
+++ b/src/standin/link.cpp
@@ -172,7 +172,8 @@
         auto link = std::make_unique<Link>();
         link->name_ = textOr(item, "name", "");
         link->listen_ = textOr(item, "listen", "");
-        link->delay_ = Milliseconds(numberOr(item, "delay_ms", 0));
+        const std::chrono::duration<double, std::milli> delay(realOr(item, "delay_ms", 0));
+        link->delay_ = std::chrono::duration_cast<Duration>(delay);
         HttpAddress target;
         boost::system::error_code error;
         if (parseAddress(textOr(item, "target", ""), target)) {
