--- /dev/null
+++ b/src/core/group/document.cpp
@@ -0,0 +1,167 @@
+// What operators and callers are told about the group.
+#include "core/group/group_internal.h"
+
+#include <array>
+#include <cstdio>
+#include <map>
+
+namespace mimosapier
+{
+
+static constexpr std::array<std::string_view, 9> StageTexts {
+    "waits for checks before it may start",
+    "waits in the queue",
+    "was forwarded to the second candidate group",
+    "is placed, start not sent yet",
+    "is being started",
+    "runs",
+    "was started, the answer of the worker is missing",
+    "was stopped or lost and will be started again",
+    "has finished, result not acknowledged yet",
+};
+
+static std::string waitReason(const Group &group, const GroupTask &task)
+{
+    const auto priority = static_cast<std::uint32_t>(task.priority_);
+    if (group.stopping_ || group.fenced_) {
+        return "the group is handed over";
+    }
+    if (task.gang_ != nullptr && task.gang_->waiting_) {
+        return "the gang needs room for " + std::to_string(task.gang_->tasks_.size()) + " tasks at once";
+    }
+    if (task.team_->limited_) {
+        return "the team is at its allowance of "
+            + std::to_string(usableAllowance(*group.allowances_, group.id_, task.team_->id_)) + " in this group";
+    }
+    if (task.team_->noRoom_.at(priority)) {
+        return "no worker has room for the declared size";
+    }
+    if (group.total_.slots_ == 0) {
+        return "no worker has acknowledged the holder yet";
+    }
+    if (group.freeSlots_ <= 0) {
+        return "all slots are taken";
+    }
+    return "next in turn";
+}
+
+std::string explainTask(const Group &group, const TaskId &id, TimePoint now)
+{
+    const auto found = group.tasks_.find(id);
+    if (found == group.tasks_.end()) {
+        const Remembered *known = recall(group, id, now);
+        if (known == nullptr) {
+            return {};
+        }
+        std::string text = "ended as " + std::string(outcomeName(known->result_.outcome_));
+        if (known->result_.error_ != ErrorKind::None) {
+            text += " (" + std::string(errorName(known->result_.error_)) + ")";
+        }
+        return known->result_.worker_.empty() ? text : text + " on " + known->result_.worker_.value_;
+    }
+    const GroupTask &task = *found->second;
+    std::string text(StageTexts.at(static_cast<std::size_t>(task.stage_)));
+    if (holdsResources(task.stage_)) {
+        text += " on " + task.lastWorker_.value_;
+    } else if (task.stage_ == TaskStage::Queued) {
+        text += ": " + waitReason(group, task);
+        const auto wait = waitEstimate(group, task.priority_, now);
+        text += ", estimated wait " + std::to_string(wait.count()) + " ms";
+    } else if (task.stage_ == TaskStage::Checking) {
+        text += task.waitsForWorkers_ ? ": workers of the group have not acknowledged the holder"
+                                      : ": the second candidate group has not answered";
+    }
+    const auto age = std::chrono::duration_cast<Milliseconds>(now - task.arrived_);
+    return text + ", known for " + std::to_string(age.count()) + " ms";
+}
+
+static std::string quoted(std::string_view text)
+{
+    std::string result = "\"";
+    for (const char c : text) {
+        if (c == '"' || c == '\\') {
+            result += '\\';
+            result += c;
+        } else if (static_cast<unsigned char>(c) < ' ') {
+            std::array<char, 8> code {};
+            std::snprintf(code.data(), code.size(), "\\u%04x", static_cast<unsigned>(c));
+            result += code.data();
+        } else {
+            result += c;
+        }
+    }
+    return result + '"';
+}
+
+static std::string field(std::string_view name, std::string_view value)
+{
+    return quoted(name) + ':' + std::string(value);
+}
+
+static std::string resources(const Resources &amount)
+{
+    return '{' + field("milli_cpus", std::to_string(amount.milliCpus_)) + ','
+        + field("memory_mb", std::to_string(amount.memoryMb_)) + ','
+        + field("accelerators", std::to_string(amount.accelerators_)) + ','
+        + field("slots", std::to_string(amount.slots_)) + '}';
+}
+
+static std::string_view workerState(const GroupWorker &worker)
+{
+    if (!worker.acknowledged_) {
+        return "unacknowledged";
+    }
+    if (worker.leaving_ || worker.info_.leaving_ || !worker.listed_) {
+        return "leaving";
+    }
+    if (worker.silent_ || !worker.held_) {
+        return "silent";
+    }
+    return worker.quarantined_ ? "quarantined" : "live";
+}
+
+std::string groupDocument(const Group &group, TimePoint now)
+{
+    std::string text = '{' + field("group", quoted(group.id_.value_)) + ','
+        + field("epoch", std::to_string(group.epoch_.value_)) + ',' + field("fenced", group.fenced_ ? "true" : "false")
+        + ',' + field("stopping", group.stopping_ ? "true" : "false") + ','
+        + field("wait_ms", std::to_string(waitEstimate(group, Priority::Urgent, now).count())) + ','
+        + field("placements", std::to_string(group.placements_)) + ','
+        + field("preemptions", std::to_string(group.preemptions_)) + ','
+        + field("forwards", std::to_string(group.forwards_)) + ',' + field("total", resources(group.total_))
+        + ",\"workers\":[";
+    Resources used;
+    bool first = true;
+    for (const auto &worker : group.workers_) {
+        if (!worker->listed_ && worker->tasks_.empty()) {
+            continue;
+        }
+        const Resources taken = worker->info_.capacity_ - worker->free_;
+        used += taken;
+        text += first ? "{" : ",{";
+        first = false;
+        text += field("id", quoted(worker->info_.id_.value_)) + ',' + field("state", quoted(workerState(*worker))) + ','
+            + field("tasks", std::to_string(worker->tasks_.size())) + ',' + field("reserved", resources(taken)) + ','
+            + field("measured_milli_cpus", std::to_string(worker->used_.milliCpus_)) + '}';
+    }
+    text += "]," + field("used", resources(used)) + ",\"teams\":[";
+    std::map<TeamId, const GroupTeam *> teams;
+    for (const GroupTeam *team : group.teamList_) {
+        teams.emplace(team->id_, team);
+    }
+    first = true;
+    for (const auto &[id, team] : teams) {
+        std::uint32_t queued = 0;
+        for (const TaskQueue &queue : team->queues_) {
+            queued += queue.tasks_;
+        }
+        text += first ? "{" : ",{";
+        first = false;
+        text += field("team", quoted(id.value_)) + ',' + field("running", std::to_string(team->running_)) + ','
+            + field("queued", std::to_string(queued)) + ','
+            + field("allowance", std::to_string(usableAllowance(*group.allowances_, group.id_, id))) + '}';
+    }
+    return text + "]}";
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/group/gang.cpp
@@ -0,0 +1,237 @@
+// Gangs: all tasks of an offer start together or none does.
+#include "core/group/group_internal.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+void makeGang(Group &group, std::vector<GroupTask *> tasks, Context &context)
+{
+    const std::uint64_t sequence = ++group.lastSequence_;
+    auto &gang = group.gangs_[sequence];
+    gang = std::make_unique<GroupGang>();
+    gang->sequence_ = sequence;
+    gang->tasks_ = std::move(tasks);
+    gang->reserved_.assign(gang->tasks_.size(), NoWorker);
+    for (GroupTask *task : gang->tasks_) {
+        task->gang_ = gang.get();
+        setStage(group, *task, TaskStage::Queued);
+    }
+    enqueue(group, *gang->tasks_.front(), context);
+}
+
+static void stopWaiting(Group &group, GroupGang &gang)
+{
+    if (gang.waiting_) {
+        gang.waiting_ = false;
+        std::erase(group.waitingGangs_, &gang);
+    }
+    if (group.reservingGang_ == &gang) {
+        group.reservingGang_ = nullptr;
+    }
+}
+
+// Gives one reserved place back without waking other teams.
+static void unreserve(Group &group, GroupGang &gang, std::size_t index, TimePoint now)
+{
+    if (gang.reserved_[index] != NoWorker) {
+        GroupWorker &worker = *group.workers_[gang.reserved_[index]];
+        gang.reserved_[index] = NoWorker;
+        worker.free_ += gang.tasks_[index]->size_;
+        showFree(group, worker, now);
+    }
+}
+
+void releaseReservation(Group &group, GroupGang &gang, TimePoint now)
+{
+    for (std::size_t i = 0; i < gang.reserved_.size(); ++i) {
+        if (gang.reserved_[i] != NoWorker) {
+            group.freedWorkers_.push_back(gang.reserved_[i]);
+            unreserve(group, gang, i, now);
+        }
+    }
+    if (group.reservingGang_ == &gang) {
+        group.reservingGang_ = nullptr;
+    }
+}
+
+static bool takesTasks(const GroupWorker &worker)
+{
+    return worker.held_ && worker.listed_ && !worker.leaving_ && !worker.info_.leaving_ && !worker.silent_;
+}
+
+// Reserves places for tasks that have none; returns whether all have one.
+static bool reservePlaces(Group &group, GroupGang &gang, TimePoint now)
+{
+    bool complete = true;
+    for (std::size_t i = 0; i < gang.tasks_.size(); ++i) {
+        if (gang.reserved_[i] != NoWorker && !takesTasks(*group.workers_[gang.reserved_[i]])) {
+            unreserve(group, gang, i, now);
+        }
+        if (gang.reserved_[i] == NoWorker && (complete || group.freeSlots_ > 0)) {
+            gang.reserved_[i] = findFit(group.capacity_, gang.tasks_[i]->size_, FitPolicy::Tightest);
+            if (gang.reserved_[i] != NoWorker) {
+                reserveOn(group, *group.workers_[gang.reserved_[i]], gang.tasks_[i]->size_, now);
+            }
+        }
+        complete = complete && gang.reserved_[i] != NoWorker;
+    }
+    return complete;
+}
+
+PlaceResult placeGang(Group &group, GroupGang &gang, Context &context)
+{
+    GroupTask &leader = *gang.tasks_.front();
+    if (!hasAllowance(group, *leader.team_, static_cast<std::uint32_t>(gang.tasks_.size()))) {
+        noteDemand(group, *leader.team_);
+        return PlaceResult::NoAllowance;
+    }
+    if (!reservePlaces(group, gang, context.now_)) {
+        const bool free = group.reservingGang_ == nullptr && context.now_ >= gang.pausedUntil_;
+        if (free) {
+            group.reservingGang_ = &gang;
+            gang.reservationEnds_ = context.now_ + detail::GangReservation;
+        }
+        if (group.reservingGang_ != &gang) {
+            for (std::size_t i = 0; i < gang.reserved_.size(); ++i) {
+                unreserve(group, gang, i, context.now_);
+            }
+        }
+        return PlaceResult::NoRoom;
+    }
+    dequeue(group, leader);
+    unlistDeadline(group, leader);
+    stopWaiting(group, gang);
+    for (std::size_t i = 0; i < gang.tasks_.size(); ++i) {
+        GroupWorker &worker = *group.workers_[gang.reserved_[i]];
+        unreserve(group, gang, i, context.now_);
+        putOnWorker(group, *gang.tasks_[i], worker, TaskStage::Placed, context);
+    }
+    return PlaceResult::Placed;
+}
+
+void retryGangs(Group &group, Context &context)
+{
+    constexpr std::size_t TriesPerTick = 4;
+    if (group.reservingGang_ != nullptr && context.now_ >= group.reservingGang_->reservationEnds_) {
+        GroupGang &gang = *group.reservingGang_;
+        gang.pausedUntil_ = context.now_ + detail::GangPause;
+        releaseReservation(group, gang, context.now_);
+    }
+    if (group.fenced_ || group.stopping_) {
+        return;
+    }
+    const std::size_t tries = std::min(TriesPerTick, group.waitingGangs_.size());
+    const std::vector<GroupGang *> gangs(group.waitingGangs_.begin(),
+                                         group.waitingGangs_.begin() + static_cast<std::ptrdiff_t>(tries));
+    for (GroupGang *gang : gangs) {
+        placeGang(group, *gang, context);
+    }
+    if (group.waitingGangs_.size() > TriesPerTick) {
+        std::rotate(group.waitingGangs_.begin(), group.waitingGangs_.begin() + 1, group.waitingGangs_.end());
+    }
+}
+
+void leaveGang(Group &group, GroupTask &task)
+{
+    if (task.gang_ == nullptr) {
+        return;
+    }
+    GroupGang &gang = *task.gang_;
+    task.gang_ = nullptr;
+    const auto position = static_cast<std::size_t>(
+        std::distance(gang.tasks_.begin(), std::find(gang.tasks_.begin(), gang.tasks_.end(), &task)));
+    gang.tasks_.erase(gang.tasks_.begin() + static_cast<std::ptrdiff_t>(position));
+    gang.reserved_.erase(gang.reserved_.begin() + static_cast<std::ptrdiff_t>(position));
+    if (gang.tasks_.empty()) {
+        stopWaiting(group, gang);
+        group.gangs_.erase(gang.sequence_);
+    }
+}
+
+static bool canRestart(const Group &group, const GroupGang &gang)
+{
+    return !group.fenced_ && !group.stopping_ && gang.tries_ < detail::StartTriesMax
+        && std::all_of(gang.tasks_.begin(), gang.tasks_.end(), [](const GroupTask *task) {
+               return task->idempotent_ && task->job_ != nullptr && !task->cancelled_
+                   && task->stage_ != TaskStage::Finished;
+           });
+}
+
+static void stopOthers(Group &group, GroupGang &gang, const GroupTask &failed, Context &context)
+{
+    const std::vector<GroupTask *> members = gang.tasks_;
+    for (GroupTask *member : members) {
+        if (member == &failed) {
+            continue;
+        }
+        if (member->stage_ == TaskStage::Placed) {
+            takeOffWorker(group, *member, context);
+            member->worker_ = NoWorker;
+            if (gang.restart_) {
+                onGangMemberAtRest(group, *member, context);
+            } else {
+                refuseTask(group, *member, gang.error_, context);
+            }
+        } else if (member->stage_ == TaskStage::Running) {
+            requestStop(group, *member, StopMode::Stop, context);
+        }
+    }
+}
+
+bool onGangFailure(Group &group, GroupTask &task, ErrorKind error, Context &context)
+{
+    GroupGang &gang = *task.gang_;
+    if (!gang.failed_) {
+        gang.failed_ = true;
+        gang.error_ = error;
+        gang.restart_ = canRestart(group, gang);
+        const bool restart = gang.restart_;
+        stopOthers(group, gang, task, context);
+        if (!restart) {
+            return false;
+        }
+    } else if (!gang.restart_) {
+        return false;
+    }
+    if (task.worker_ == NoWorker) {
+        onGangMemberAtRest(group, task, context);
+    } else {
+        settleFirst(group, task, context);
+    }
+    return true;
+}
+
+void onGangMemberAtRest(Group &group, GroupTask &task, Context &context)
+{
+    GroupGang &gang = *task.gang_;
+    task.atRest_ = true;
+    task.worker_ = NoWorker;
+    if (!std::all_of(gang.tasks_.begin(), gang.tasks_.end(), [](const GroupTask *member) { return member->atRest_; })) {
+        return;
+    }
+    const std::vector<GroupTask *> members = gang.tasks_;
+    const bool cancelled
+        = std::any_of(members.begin(), members.end(), [](const GroupTask *member) { return member->cancelled_; });
+    gang.failed_ = false;
+    gang.restart_ = false;
+    ++gang.tries_;
+    for (GroupTask *member : members) {
+        member->atRest_ = false;
+        setStage(group, *member, TaskStage::Queued);
+    }
+    if (!cancelled && !group.stopping_ && !group.fenced_) {
+        enqueue(group, *members.front(), context);
+        return;
+    }
+    for (GroupTask *member : members) {
+        if (cancelled) {
+            finishTask(group, *member, {0, Outcome::Cancelled, ErrorKind::Cancelled, {}, {}}, context);
+        } else {
+            refuseTask(group, *member, ErrorKind::NotHolder, context);
+        }
+    }
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/group/group_cmd.cpp
@@ -0,0 +1,95 @@
+// Opening of a group, its regular work, and the steps around each event.
+#include "core/group/group_internal.h"
+
+#include "core/common/shard_func.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+template <>
+void Destroy<Group>::operator()(Group *state) const
+{
+    delete state;
+}
+
+Handle<Group> makeGroup(const ShardId &id, Epoch epoch, AllowanceState &allowances)
+{
+    Handle<Group> group(new Group);
+    group->id_ = id;
+    group->region_ = shardRegion(id);
+    group->epoch_ = epoch;
+    group->allowances_ = &allowances;
+    return group;
+}
+
+GroupTask *findTask(Group &group, const TaskId &id)
+{
+    const auto found = group.tasks_.find(id);
+    return found == group.tasks_.end() ? nullptr : found->second.get();
+}
+
+GroupTeam &teamOf(Group &group, const TeamId &id, Context &context)
+{
+    auto &team = group.teams_[id];
+    if (team == nullptr) {
+        team = std::make_unique<GroupTeam>();
+        team->id_ = id;
+        team->sequence_ = group.teamList_.size();
+        const Team *config = findTeam(context.bundle_, id);
+        team->weight_ = config == nullptr || config->share_ <= 0 ? 1 : config->share_;
+        group.teamList_.push_back(team.get());
+    }
+    return *team;
+}
+
+void beginStep(Group &group, Context &context)
+{
+    group.now_ = context.now_;
+    if (!group.opened_) {
+        group.opened_ = true;
+        group.openedAt_ = context.now_;
+    }
+}
+
+void finishStep(Group &group, Context &context)
+{
+    runTimers(group, context);
+    placeAll(group, context);
+    flushWorkers(group, context);
+    reportDemands(group, context);
+    flushAnswers(group, context);
+}
+
+void tickGroup(Group &group, Context &context)
+{
+    constexpr Milliseconds LimitCheck {200};
+    beginStep(group, context);
+    dropExpired(group, context);
+    askAgain(group, context);
+    forgetOld(group, context.now_);
+    repeatResults(group, context);
+    retryGangs(group, context);
+    wakeLimited(group);
+    if (!group.fenced_ && context.now_ - group.limitsChecked_ >= LimitCheck) {
+        group.limitsChecked_ = context.now_;
+        stopAboveLimit(group, context);
+    }
+    finishStep(group, context);
+}
+
+GroupLoad groupLoad(const Group &group)
+{
+    GroupLoad load;
+    load.group_ = group.id_;
+    load.epoch_ = group.epoch_;
+    load.capacitySlots_ = static_cast<std::uint32_t>(group.total_.slots_);
+    load.freeSlots_ = static_cast<std::uint32_t>(std::max<std::int64_t>(0, group.freeSlots_));
+    load.queued_ = group.queued_[0] + group.queued_[1] + group.queued_[2];
+    load.waitMs_ = static_cast<std::uint32_t>(waitEstimate(group, Priority::Urgent, group.now_).count());
+    load.largestFree_ = largestFree(group.capacity_);
+    return load;
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/group/offer_cmd.cpp
@@ -0,0 +1,272 @@
+// Offers of tasks: duplicates, checks before a start, refusals, admission to the queue.
+#include "core/group/group_internal.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+// What all tasks of an offer share.
+struct OfferState
+{
+    const TaskOffer &offer_;
+    const DaemonId &from_;
+    std::uint64_t asker_;
+    std::shared_ptr<const JobSpec> job_;
+    std::vector<GroupTask *> gang_; // new tasks of a gang
+    ErrorKind refusal_ = ErrorKind::None; // of all new tasks
+};
+
+static bool isInteractive(const JobSpec &job)
+{
+    return job.mode_ == WorkMode::Interactive && job.idempotent_;
+}
+
+// True when the offer is newer than the remembered outcome, so that the outcome does not answer it.
+static bool isNewer(const OfferState &state, const Remembered &known)
+{
+    const TaskOffer &offer = state.offer_;
+    if (offer.lookupOnly_) {
+        return false;
+    }
+    switch (known.kind_) {
+    case MemoryKind::Final:
+        if (known.result_.outcome_ != Outcome::Unknown || !offer.job_.idempotent_) {
+            return false;
+        }
+        break;
+    case MemoryKind::Cancelled:
+        return false;
+    case MemoryKind::LookedUp:
+        if (offer.forwarded_) {
+            return true;
+        }
+        break;
+    case MemoryKind::Refused:
+        break;
+    }
+    if (offer.replyTo_.part_ == ReplyPart::Home) {
+        // Calls of a daemon are numbered upwards, so a later number is a new decision of the home.
+        return state.from_ == known.offeredBy_ && offer.replyTo_.call_ > known.call_;
+    }
+    return offer.attempt_ > known.attempt_
+        || (offer.forwarded_ && known.kind_ == MemoryKind::Refused && offer.replyTo_.call_ > known.call_);
+}
+
+// Answer to a question about a task that the group does not know.
+static void answerLookup(Group &group, const OfferState &state, const TaskId &id, Context &context)
+{
+    TaskResult result;
+    result.index_ = id.index_;
+    result.outcome_ = Outcome::Unknown;
+    if (group.unacknowledged_ > 0) {
+        // It may run on a worker that has not been heard yet.
+        result.error_ = ErrorKind::OutcomeUnknown;
+        answerAsker(group, state.asker_, result);
+        return;
+    }
+    result.error_ = ErrorKind::UnknownJob;
+    if (memoryIsComplete(group, context.now_)) {
+        result.outcome_ = Outcome::NotRun;
+    }
+    answerAsker(group, state.asker_, result);
+    // A copy of the request that arrives later must not start here, because the asker may start it now.
+    Remembered entry;
+    entry.kind_ = MemoryKind::LookedUp;
+    entry.result_ = result;
+    entry.attempt_ = state.offer_.attempt_;
+    remember(group, id, std::move(entry), context);
+}
+
+static void answerKnown(Group &group, const OfferState &state, GroupTask &task)
+{
+    const TaskOffer &offer = state.offer_;
+    if (!offer.lookupOnly_) {
+        task.attempt_ = std::max(task.attempt_, offer.attempt_);
+        if (offer.replyTo_.part_ == ReplyPart::Home) {
+            task.call_ = offer.replyTo_.call_;
+            task.offeredBy_ = state.from_;
+        }
+    }
+    attachAsker(group, task, state.asker_);
+    if (task.stage_ == TaskStage::Finished) {
+        task.askers_.clear();
+        answerAsker(group, state.asker_, task.result_);
+        return;
+    }
+    if (offer.lookupOnly_) {
+        const bool started = holdsResources(task.stage_) && task.stage_ != TaskStage::Placed;
+        TaskResult result;
+        result.index_ = task.id_.index_;
+        result.outcome_ = started ? Outcome::Running : Outcome::Pending;
+        result.worker_ = started ? task.lastWorker_ : WorkerId {};
+        answerAsker(group, state.asker_, result);
+    }
+}
+
+// Reason to refuse new tasks of the offer; None when they may be queued.
+static ErrorKind refusalOf(const Group &group, const TaskOffer &offer, TimePoint now, Context &context)
+{
+    const JobSpec &job = offer.job_;
+    if (group.fenced_ || group.stopping_) {
+        return ErrorKind::NotHolder;
+    }
+    if (!couldHold(group, job.size_)
+        || (job.mode_ == WorkMode::Gang && group.listedSlots_ > 0 && offer.count_ > group.listedSlots_)) {
+        return ErrorKind::ImpossibleSize;
+    }
+    const Team *team = findTeam(context.bundle_, job.team_);
+    const std::uint32_t least = job.mode_ == WorkMode::Gang ? offer.count_ : 1;
+    if (context.bundle_.version_.value_ != 0 && (team == nullptr || team->limit_ < least)) {
+        return team == nullptr ? ErrorKind::UnknownTeam : ErrorKind::LimitReached;
+    }
+    const std::uint32_t queued = group.queued_[0] + group.queued_[1] + group.queued_[2];
+    if (queued + offer.count_ > detail::QueuedMax) {
+        return ErrorKind::Overloaded;
+    }
+    if (isInteractive(job) && offer.remaining_ > Milliseconds(0)
+        && waitEstimate(group, job.priority_, now) > offer.remaining_) {
+        return ErrorKind::DeadlineTooShort;
+    }
+    return ErrorKind::None;
+}
+
+static GroupTask &addTask(Group &group, const OfferState &state, const TaskId &id, Context &context)
+{
+    const TaskOffer &offer = state.offer_;
+    const JobSpec &job = *state.job_;
+    auto &task = group.tasks_[id];
+    task = std::make_unique<GroupTask>();
+    task->id_ = id;
+    task->sequence_ = ++group.lastSequence_;
+    task->job_ = state.job_;
+    task->team_ = &teamOf(group, job.team_, context);
+    task->class_ = job.class_;
+    task->size_ = job.size_;
+    task->size_.slots_ = 1;
+    task->mode_ = job.mode_;
+    task->priority_ = job.priority_;
+    task->idempotent_ = job.idempotent_;
+    task->attempt_ = offer.attempt_;
+    task->call_ = offer.replyTo_.call_;
+    task->offeredBy_ = state.from_;
+    task->arrived_ = context.now_;
+    task->forwarded_ = offer.forwarded_;
+    // A time of 0 means that work which is not interactive may wait as long as it takes.
+    if (offer.remaining_ > Milliseconds(0) || isInteractive(job)) {
+        task->deadline_ = context.now_ + offer.remaining_;
+    }
+    attachAsker(group, *task, state.asker_);
+    return *task;
+}
+
+// Decides which checks a new task needs before it may start.
+static void admit(Group &group, GroupTask &task, const TaskOffer &offer, const Remembered *known, Context &context)
+{
+    const bool interactive = isInteractive(*task.job_);
+    const bool repeated = offer.mayHaveRun_ || (interactive && task.attempt_ > 1);
+    const bool certain = known != nullptr && known->result_.outcome_ == Outcome::NotRun;
+    task.mayHaveRun_ = repeated && !certain && !memoryIsComplete(group, context.now_);
+    if (repeated && group.unacknowledged_ > 0) {
+        task.waitsForWorkers_ = true;
+        ++group.waitingForWorkers_;
+    }
+    const bool takenOver = group.epoch_.value_ > 1 && context.now_ - group.openedAt_ < detail::AfterTakeover;
+    if (interactive && !task.forwarded_ && (task.attempt_ > 1 || takenOver)
+        && isFirstCandidate(group, task.id_.job_, task.second_, context)) {
+        task.waitsForSecond_ = true;
+        listDeadline(group, task);
+        checkWithSecond(group, task, context);
+        return;
+    }
+    if (task.waitsForWorkers_) {
+        listDeadline(group, task);
+        return;
+    }
+    onChecked(group, task, context);
+}
+
+void onChecked(Group &group, GroupTask &task, Context &context)
+{
+    if (task.waitsForWorkers_ || task.waitsForSecond_) {
+        return;
+    }
+    if (task.cancelled_) {
+        finishTask(group, task, {0, Outcome::Cancelled, ErrorKind::Cancelled, {}, {}}, context);
+        return;
+    }
+    if (!task.idempotent_ && task.mayHaveRun_) {
+        finishTask(group, task, {0, Outcome::Unknown, ErrorKind::OutcomeUnknown, {}, {}}, context);
+        return;
+    }
+    if (group.fenced_ || group.stopping_) {
+        refuseTask(group, task, ErrorKind::NotHolder, context);
+        return;
+    }
+    if (task.deadline_ <= context.now_) {
+        refuseTask(group, task, ErrorKind::DeadlinePassed, context);
+        return;
+    }
+    if (!forwardIfBetter(group, task, context)) {
+        enqueue(group, task, context);
+    }
+}
+
+static void offerTask(Group &group, OfferState &state, std::uint32_t index, Context &context)
+{
+    const TaskOffer &offer = state.offer_;
+    const TaskId id {offer.job_.id_, index};
+    if (GroupTask *task = findTask(group, id)) {
+        answerKnown(group, state, *task);
+        return;
+    }
+    const Remembered *known = recall(group, id, context.now_);
+    if (known != nullptr && !isNewer(state, *known)) {
+        TaskResult result = known->result_;
+        if (known->kind_ == MemoryKind::LookedUp && !offer.lookupOnly_) {
+            // The first candidate decides about it since its question.
+            result.outcome_ = Outcome::Unknown;
+            result.error_ = ErrorKind::OutcomeUnknown;
+        }
+        answerAsker(group, state.asker_, result);
+        return;
+    }
+    if (offer.lookupOnly_) {
+        answerLookup(group, state, id, context);
+        return;
+    }
+    GroupTask &task = addTask(group, state, id, context);
+    if (state.refusal_ != ErrorKind::None) {
+        const bool repeated = offer.mayHaveRun_ || (isInteractive(offer.job_) && offer.attempt_ > 1);
+        const bool certain = known != nullptr && known->result_.outcome_ == Outcome::NotRun;
+        task.mayHaveRun_ = repeated && !certain && !memoryIsComplete(group, context.now_);
+        refuseTask(group, task, state.refusal_, context);
+        return;
+    }
+    const bool unchecked = offer.mayHaveRun_ && (group.unacknowledged_ > 0 || !offer.job_.idempotent_);
+    if (offer.job_.mode_ == WorkMode::Gang && offer.count_ > 1 && !unchecked) {
+        state.gang_.push_back(&task);
+        return;
+    }
+    admit(group, task, offer, known, context);
+}
+
+void onTaskOffer(Group &group, const DaemonId &from, const TaskOffer &message, Context &context)
+{
+    beginStep(group, context);
+    OfferState state {
+        message, from,           addAsker(group, from, message), std::make_shared<const JobSpec>(message.job_),
+        {},      ErrorKind::None};
+    if (!message.lookupOnly_) {
+        state.refusal_ = refusalOf(group, message, context.now_, context);
+    }
+    for (std::uint32_t i = 0; i < message.count_; ++i) {
+        offerTask(group, state, message.firstIndex_ + i, context);
+    }
+    if (!state.gang_.empty()) {
+        makeGang(group, std::move(state.gang_), context);
+    }
+    finishStep(group, context);
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/group/preempt.cpp
@@ -0,0 +1,165 @@
+// Makes room for urgent work by stopping, checkpointing or throttling work whose class allows it.
+#include "core/group/group_internal.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+// Lower is cheaper: checkpoints before stops, batch before normal work, short runs before long ones.
+static TaskCost costOf(GroupTask &task, bool checkpoint)
+{
+    constexpr std::int64_t StopRank = 2;
+    const std::int64_t rank = (checkpoint ? 0 : StopRank) + (task.priority_ == Priority::Batch ? 0 : 1);
+    // The latest task has lost the least work, so the order within a rank is by falling sequence.
+    return {rank, ~task.sequence_, &task};
+}
+
+void listPreemptible(Group &group, GroupTask &task, Context &context)
+{
+    const WorkClass *workClass = findClass(context.bundle_, task.class_);
+    // Non-idempotent work is never started again, so it is never stopped for other work.
+    if (task.preemptible_ || workClass == nullptr || task.job_ == nullptr || task.priority_ == Priority::Urgent
+        || task.gang_ != nullptr || !task.idempotent_ || !(workClass->mayCheckpoint_ || workClass->mayStop_)) {
+        return;
+    }
+    task.preemptible_ = true;
+    task.mayCheckpoint_ = workClass->mayCheckpoint_;
+    group.preemptible_.insert(costOf(task, task.mayCheckpoint_));
+}
+
+void unlistPreemptible(Group &group, GroupTask &task)
+{
+    if (task.preemptible_) {
+        task.preemptible_ = false;
+        group.preemptible_.erase(costOf(task, task.mayCheckpoint_));
+    }
+}
+
+static void preempt(Group &group, GroupTask &task, Context &context)
+{
+    const StopMode mode = task.mayCheckpoint_ ? StopMode::Checkpoint : StopMode::Stop;
+    unlistPreemptible(group, task);
+    task.preempted_ = true;
+    ++group.preempting_;
+    ++group.preemptions_;
+    requestStop(group, task, mode, context);
+}
+
+// Cheapest task whose end makes room for `size`.
+static GroupTask *findVictim(Group &group, const Resources &size)
+{
+    constexpr std::uint32_t Candidates = 64;
+    std::uint32_t tried = 0;
+    for (const TaskCost &cost : group.preemptible_) {
+        GroupTask &task = *std::get<2>(cost);
+        const GroupWorker &worker = *group.workers_[task.worker_];
+        const bool usable
+            = worker.held_ && worker.listed_ && !worker.leaving_ && !worker.info_.leaving_ && !worker.quarantined_;
+        if (usable && fits(size, worker.free_ + task.size_)) {
+            return &task;
+        }
+        if (++tried == Candidates) {
+            break;
+        }
+    }
+    return nullptr;
+}
+
+void preemptForUrgent(Group &group, Context &context)
+{
+    constexpr auto Urgent = static_cast<std::uint32_t>(Priority::Urgent);
+    constexpr std::uint32_t TasksPerTeam = 16;
+    const std::vector<GroupTeam *> waiting = group.noRoom_[Urgent];
+    std::vector<GroupTeam *> teams(waiting);
+    for (const auto &entry : group.ready_[Urgent]) {
+        teams.push_back(std::get<2>(entry));
+    }
+    for (GroupTeam *team : teams) {
+        const GroupTask *task = team->queues_.at(Urgent).first_;
+        std::uint32_t chosen = 0;
+        for (; task != nullptr && chosen < TasksPerTeam && group.preempting_ < group.queued_.at(Urgent);
+             task = task->next_) {
+            if (!hasAllowance(group, *team, ++chosen)) {
+                break;
+            }
+            GroupTask *victim = findVictim(group, task->size_);
+            if (victim == nullptr) {
+                break;
+            }
+            preempt(group, *victim, context);
+        }
+    }
+}
+
+void throttleFor(Group &group, const GroupTask &urgent, Context &context)
+{
+    const GroupWorker &worker = *group.workers_[urgent.worker_];
+    std::int64_t excess = worker.used_.milliCpus_ + urgent.size_.milliCpus_ - worker.info_.capacity_.milliCpus_;
+    std::vector<GroupTask *> candidates;
+    if (excess <= 0) {
+        return;
+    }
+    for (GroupTask *task : worker.tasks_) {
+        const WorkClass *workClass = findClass(context.bundle_, task->class_);
+        if (task->stage_ == TaskStage::Running && !task->throttled_ && task->priority_ != Priority::Urgent
+            && workClass != nullptr && workClass->mayThrottle_) {
+            candidates.push_back(task);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const GroupTask *left, const GroupTask *right) {
+        return std::pair(right->priority_, right->used_.milliCpus_)
+            < std::pair(left->priority_, left->used_.milliCpus_);
+    });
+    for (GroupTask *task : candidates) {
+        if (excess <= 0) {
+            return;
+        }
+        excess -= task->used_.milliCpus_;
+        task->throttled_ = true;
+        requestStop(group, *task, StopMode::Throttle, context);
+    }
+}
+
+void stopAboveLimit(Group &group, Context &context)
+{
+    for (GroupTeam *team : group.teamList_) {
+        const Team *config = findTeam(context.bundle_, team->id_);
+        if (team->running_ == 0 || config == nullptr || config->limitAction_ != LimitAction::Stop
+            || !allowanceKnown(*group.allowances_, group.id_, team->id_)) {
+            continue;
+        }
+        const std::uint32_t usable = usableAllowance(*group.allowances_, group.id_, team->id_);
+        if (team->running_ <= usable) {
+            continue;
+        }
+        std::vector<GroupTask *> running;
+        std::uint32_t stopping = 0;
+        for (const auto &worker : group.workers_) {
+            for (GroupTask *task : worker->tasks_) {
+                if (task->team_ != team || task->stage_ != TaskStage::Running) {
+                    continue;
+                }
+                if (task->stopSent_ != TimePoint {} && !task->throttled_) {
+                    ++stopping;
+                } else {
+                    running.push_back(task);
+                }
+            }
+        }
+        std::sort(running.begin(), running.end(), [](const GroupTask *left, const GroupTask *right) {
+            return std::pair(right->priority_, right->sequence_) < std::pair(left->priority_, left->sequence_);
+        });
+        for (GroupTask *task : running) {
+            if (team->running_ <= usable + stopping) {
+                break;
+            }
+            ++stopping;
+            const WorkClass *workClass = findClass(context.bundle_, task->class_);
+            const bool checkpoint = workClass != nullptr && workClass->mayCheckpoint_;
+            requestStop(group, *task, checkpoint ? StopMode::Checkpoint : StopMode::Stop, context);
+        }
+    }
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/group/stop_cmd.cpp
@@ -0,0 +1,181 @@
+// Cancellations, acknowledgements of the home, and the planned and unplanned end of the group's work.
+#include "core/group/group_internal.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+// Cancels all tasks of a gang that has not started.
+static void cancelWaitingGang(Group &group, GroupGang &gang, Context &context)
+{
+    const std::vector<GroupTask *> members = gang.tasks_;
+    releaseReservation(group, gang, context.now_);
+    for (GroupTask *member : members) {
+        finishTask(group, *member, {0, Outcome::Cancelled, ErrorKind::Cancelled, {}, {}}, context);
+    }
+}
+
+static void cancelTask(Group &group, GroupTask &task, Context &context)
+{
+    task.cancelled_ = true;
+    switch (task.stage_) {
+    case TaskStage::Checking:
+        // A task that may run elsewhere is cancelled when the checks have ended.
+        if (task.waitsForSecond_ || task.waitsForWorkers_) {
+            return;
+        }
+        [[fallthrough]];
+    case TaskStage::Queued:
+        if (task.gang_ != nullptr) {
+            cancelWaitingGang(group, *task.gang_, context);
+            return;
+        }
+        finishTask(group, task, {0, Outcome::Cancelled, ErrorKind::Cancelled, {}, {}}, context);
+        return;
+    case TaskStage::Placed:
+        takeOffWorker(group, task, context);
+        task.worker_ = NoWorker;
+        if (task.gang_ == nullptr || !onGangFailure(group, task, ErrorKind::Cancelled, context)) {
+            finishTask(group, task, {0, Outcome::Cancelled, ErrorKind::Cancelled, {}, {}}, context);
+        }
+        return;
+    case TaskStage::Running:
+        requestStop(group, task, StopMode::Stop, context);
+        return;
+    case TaskStage::Starting:
+    case TaskStage::Uncertain: // stopped when the start is known
+    case TaskStage::Settling:
+    case TaskStage::Elsewhere:
+    case TaskStage::Finished:
+        return;
+    }
+}
+
+void onTaskCancel(Group &group, const TaskCancel &message, Context &context)
+{
+    beginStep(group, context);
+    for (const TaskId &id : message.tasks_) {
+        if (GroupTask *task = findTask(group, id)) {
+            cancelTask(group, *task, context);
+        } else if (recall(group, id, context.now_) == nullptr) {
+            // The offer may still be under way on another connection.
+            Remembered entry;
+            entry.kind_ = MemoryKind::Cancelled;
+            entry.result_ = {id.index_, Outcome::Cancelled, ErrorKind::Cancelled, {}, {}};
+            remember(group, id, std::move(entry), context);
+        }
+    }
+    finishStep(group, context);
+}
+
+void onTaskAck(Group &group, const TaskAck &message, Context &context)
+{
+    beginStep(group, context);
+    for (const TaskId &id : message.tasks_) {
+        GroupTask *task = findTask(group, id);
+        if (task == nullptr || task->stage_ != TaskStage::Finished) {
+            continue;
+        }
+        acknowledge(group, task->worker_, id);
+        rememberTask(group, *task, task->result_, context);
+        eraseTask(group, *task);
+    }
+    finishStep(group, context);
+}
+
+// Tasks in the order in which they arrived.
+static std::vector<GroupTask *> tasksInOrder(const Group &group)
+{
+    std::vector<GroupTask *> tasks;
+    tasks.reserve(group.tasks_.size());
+    for (const auto &[id, task] : group.tasks_) {
+        tasks.push_back(task.get());
+    }
+    std::sort(tasks.begin(), tasks.end(),
+              [](const GroupTask *left, const GroupTask *right) { return left->sequence_ < right->sequence_; });
+    return tasks;
+}
+
+// Refuses what has not started. Everything that waits goes to the next holder.
+static void refuseWaiting(Group &group, Context &context)
+{
+    for (GroupTask *task : tasksInOrder(group)) {
+        const bool unsent = task->stage_ == TaskStage::Checking || task->stage_ == TaskStage::Queued
+            || task->stage_ == TaskStage::Placed;
+        if (!unsent) {
+            continue;
+        }
+        if (task->stage_ == TaskStage::Placed) {
+            takeOffWorker(group, *task, context);
+            task->worker_ = NoWorker;
+        } else if (task->gang_ != nullptr) {
+            releaseReservation(group, *task->gang_, context.now_);
+            dequeue(group, *task->gang_->tasks_.front());
+        }
+        refuseTask(group, *task, ErrorKind::NotHolder, context);
+    }
+}
+
+void stopStarting(Group &group, Context &context)
+{
+    beginStep(group, context);
+    if (!group.stopping_) {
+        group.stopping_ = true;
+        group.stoppedAt_ = context.now_;
+        refuseWaiting(group, context);
+        for (const auto &worker : group.workers_) {
+            showFree(group, *worker, context.now_);
+        }
+    }
+    finishStep(group, context);
+}
+
+void fence(Group &group, Context &context)
+{
+    if (group.fenced_) {
+        return;
+    }
+    group.fenced_ = true;
+    logLine(context, LogLevel::Warning, "[group] " + group.id_.value_ + " is held elsewhere");
+    refuseWaiting(group, context);
+    for (const auto &worker : group.workers_) {
+        showFree(group, *worker, context.now_);
+        setDue(group, *worker, TimePoint::max());
+    }
+    for (GroupTask *task : tasksInOrder(group)) {
+        // Homes ask the next holder by themselves; callers at entries have no other source.
+        std::erase_if(task->askers_, [&](std::uint64_t id) {
+            const auto asker = group.askers_.find(id);
+            if (asker == group.askers_.end() || asker->second.replyTo_.part_ == ReplyPart::Home) {
+                return false;
+            }
+            answerAsker(group, id, {task->id_.index_, Outcome::Unknown, ErrorKind::NotHolder, {}, {}});
+            return true;
+        });
+    }
+}
+
+bool isFenced(const Group &group)
+{
+    return group.fenced_;
+}
+
+bool canHandOver(const Group &group)
+{
+    if (group.fenced_) {
+        return true;
+    }
+    if (!group.stopping_ || group.openStarts_ > 0) {
+        return false;
+    }
+    if (group.now_ - group.stoppedAt_ >= detail::HandOverWait) {
+        return true;
+    }
+    // Interactive requests under way are answered first, because the next holder does not know who asked.
+    return std::none_of(group.tasks_.begin(), group.tasks_.end(), [](const auto &entry) {
+        return !needsJournal(*entry.second) && !entry.second->askers_.empty();
+    });
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/group/takeover.cpp
@@ -0,0 +1,234 @@
+// Workers of the group by the instance list, the holds that claim them, and the end of their leases.
+#include "core/group/group_internal.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+static GroupWorker &addWorker(Group &group, const WorkerInfo &info, Context &context)
+{
+    const auto index = static_cast<WorkerIndex>(group.workers_.size());
+    group.workerIndex_[info.id_] = index;
+    group.workers_.push_back(std::make_unique<GroupWorker>());
+    GroupWorker &worker = *group.workers_.back();
+    worker.index_ = index;
+    worker.info_ = info;
+    worker.free_ = info.capacity_;
+    worker.lastAnswer_ = context.now_;
+    worker.leaseEnd_ = context.now_ + detail::TaskLease + detail::LeaseMargin;
+    ++group.unacknowledged_;
+    group.unacknowledgedSlots_ += static_cast<std::uint32_t>(info.capacity_.slots_);
+    return worker;
+}
+
+void refreshTotals(Group &group)
+{
+    group.total_ = {};
+    group.shapes_.clear();
+    group.listedSlots_ = 0;
+    for (const auto &worker : group.workers_) {
+        if (!worker->listed_) {
+            continue;
+        }
+        const Resources &capacity = worker->info_.capacity_;
+        group.listedSlots_ += static_cast<std::uint32_t>(capacity.slots_);
+        if (std::find(group.shapes_.begin(), group.shapes_.end(), capacity) == group.shapes_.end()) {
+            group.shapes_.push_back(capacity);
+        }
+        if (worker->acknowledged_) {
+            group.total_ += capacity;
+        }
+    }
+    group.scoresStale_ = true;
+}
+
+bool couldHold(const Group &group, const Resources &size)
+{
+    // Without a worker in the list nothing is known about the sizes.
+    return group.shapes_.empty()
+        || std::any_of(group.shapes_.begin(), group.shapes_.end(),
+                       [&size](const Resources &capacity) { return fits(size, capacity); });
+}
+
+static void updateWorker(Group &group, GroupWorker &worker, const WorkerInfo &info, Context &context)
+{
+    if (!worker.listed_ && !worker.counted_ && !worker.acknowledged_) {
+        worker.counted_ = true;
+        ++group.unacknowledged_;
+        group.unacknowledgedSlots_ += static_cast<std::uint32_t>(worker.info_.capacity_.slots_);
+    }
+    const Resources grown = info.capacity_ - worker.info_.capacity_;
+    if (worker.counted_ && !worker.acknowledged_) {
+        group.unacknowledgedSlots_ += static_cast<std::uint32_t>(grown.slots_);
+    }
+    worker.free_ += grown;
+    const bool back = !worker.listed_;
+    worker.listed_ = true;
+    worker.info_ = info;
+    showFree(group, worker, context.now_);
+    if (back) {
+        contactWorker(group, worker, context);
+    }
+}
+
+void setGroupWorkers(Group &group, std::span<const WorkerInfo> workers, Context &context)
+{
+    beginStep(group, context);
+    std::vector<bool> seen(group.workers_.size() + workers.size(), false);
+    bool changed = false;
+    for (const WorkerInfo &info : workers) {
+        const auto found = group.workerIndex_.find(info.id_);
+        if (found == group.workerIndex_.end()) {
+            GroupWorker &worker = addWorker(group, info, context);
+            seen[worker.index_] = true;
+            contactWorker(group, worker, context);
+            changed = true;
+            continue;
+        }
+        seen[found->second] = true;
+        GroupWorker &worker = *group.workers_[found->second];
+        if (!worker.listed_ || worker.info_ != info) {
+            updateWorker(group, worker, info, context);
+            changed = true;
+        }
+    }
+    for (const auto &worker : group.workers_) {
+        if (worker->listed_ && !seen[worker->index_]) {
+            worker->listed_ = false;
+            worker->droppedAt_ = context.now_;
+            showFree(group, *worker, context.now_);
+            setDue(group, *worker, context.now_);
+            changed = true;
+        }
+    }
+    if (changed) {
+        refreshTotals(group);
+    }
+    runTimers(group, context);
+    finishStep(group, context);
+}
+
+void releaseWaiting(Group &group, Context &context)
+{
+    if (group.unacknowledged_ > 0) {
+        return;
+    }
+    for (GroupTeam *team : group.teamList_) {
+        noteDemand(group, *team);
+    }
+    if (group.waitingForWorkers_ == 0) {
+        return;
+    }
+    std::vector<GroupTask *> waiting;
+    for (const auto &[id, task] : group.tasks_) {
+        if (task->waitsForWorkers_) {
+            waiting.push_back(task.get());
+        }
+    }
+    std::sort(waiting.begin(), waiting.end(),
+              [](const GroupTask *left, const GroupTask *right) { return left->sequence_ < right->sequence_; });
+    std::map<JobId, std::vector<GroupTask *>> gangs;
+    for (GroupTask *task : waiting) {
+        task->waitsForWorkers_ = false;
+        --group.waitingForWorkers_;
+        if (task->mode_ == WorkMode::Gang && task->idempotent_ && !task->cancelled_) {
+            gangs[task->id_.job_].push_back(task);
+        } else {
+            onChecked(group, *task, context);
+        }
+    }
+    for (auto &[job, tasks] : gangs) {
+        makeGang(group, std::move(tasks), context);
+    }
+}
+
+// Tasks of which the worker does not know any more, or never knew.
+static void settleMissing(Group &group, GroupWorker &worker, const OpenCall &call, const WorkerResult &result,
+                          Context &context)
+{
+    std::set<TaskId> reported;
+    for (const WorkerTaskReport &report : result.tasks_) {
+        reported.insert(report.task_);
+    }
+    const std::vector<GroupTask *> tasks = worker.tasks_;
+    for (GroupTask *task : tasks) {
+        if (reported.contains(task->id_)) {
+            continue;
+        }
+        if (task->stage_ == TaskStage::Running && task->confirmed_ < call.sent_) {
+            // The worker has lost the task, for example by a restart of its process.
+            takeOffWorker(group, *task, context);
+            task->worker_ = NoWorker;
+            onTaskLost(group, *task, ErrorKind::WorkerLost, false, context);
+        } else if (task->stage_ == TaskStage::Uncertain) {
+            if (task->settleAfter_ == TimePoint {}) {
+                // The worker answers again; a start that it still has to read arrives within the margin.
+                task->settleAfter_ = context.now_ + detail::LeaseMargin;
+            } else if (call.sent_ >= task->settleAfter_) {
+                onStartRefused(group, *task, ErrorKind::WorkerLost, context);
+            }
+        }
+    }
+    for (auto stray = worker.strays_.begin(); stray != worker.strays_.end();) {
+        if (reported.contains(stray->first)) {
+            ++stray;
+            continue;
+        }
+        freeOn(group, worker, stray->second, context.now_);
+        stray = worker.strays_.erase(stray);
+    }
+}
+
+void onHoldResult(Group &group, GroupWorker &worker, const OpenCall &call, const WorkerResult &result, Context &context)
+{
+    if (result.status_ != WorkerStatus::Ok) {
+        return;
+    }
+    for (const WorkerTaskReport &report : result.tasks_) {
+        applyReport(group, worker, report, call.sent_, context);
+    }
+    settleMissing(group, worker, call, result, context);
+    worker.held_ = true;
+    const bool first = !worker.acknowledged_;
+    if (first) {
+        worker.acknowledged_ = true;
+        if (worker.counted_) {
+            worker.counted_ = false;
+            --group.unacknowledged_;
+            group.unacknowledgedSlots_ -= static_cast<std::uint32_t>(worker.info_.capacity_.slots_);
+        }
+        if (worker.listed_) {
+            group.total_ += worker.info_.capacity_;
+            group.scoresStale_ = true;
+        }
+    }
+    showFree(group, worker, context.now_);
+    group.freedWorkers_.push_back(worker.index_);
+    touchWorker(group, worker);
+    if (first) {
+        releaseWaiting(group, context);
+    }
+}
+
+void endTasksOf(Group &group, GroupWorker &worker, Context &context)
+{
+    logLine(context, LogLevel::Warning, "[group] task lease of worker " + worker.info_.id_.value_ + " has ended");
+    const std::vector<GroupTask *> tasks = worker.tasks_;
+    for (GroupTask *task : tasks) {
+        takeOffWorker(group, *task, context);
+        task->worker_ = NoWorker;
+        onTaskLost(group, *task, ErrorKind::WorkerLost, false, context);
+    }
+    for (const auto &[id, size] : worker.strays_) {
+        freeOn(group, worker, size, context.now_);
+    }
+    worker.strays_.clear();
+    const std::vector<TaskId> acks = std::move(worker.acks_);
+    worker.acks_.clear();
+    for (const TaskId &id : acks) {
+        requeueSettled(group, id, context);
+    }
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/limit/limit_cmd.cpp
@@ -0,0 +1,127 @@
+// Opening and closing of groups, demand, and the regular work of the allowances.
+#include "core/limit/limit_internal.h"
+
+namespace mimosapier
+{
+
+template <>
+void Destroy<AllowanceState>::operator()(AllowanceState *state) const
+{
+    delete state;
+}
+
+Handle<AllowanceState> makeAllowances()
+{
+    return Handle<AllowanceState>(new AllowanceState);
+}
+
+void openGroupAllowances(AllowanceState &state, const ShardId &group, Context &context)
+{
+    AllowanceGroup &opened = state.groups_[group];
+    opened = {};
+    const ShardEntry *entry = findGroup(context.directory_, group);
+    opened.epoch_ = entry == nullptr ? Epoch {} : entry->epoch_;
+    opened.firstRead_.fill(state.lastNumber_ + 1);
+    state.missingSince_.erase(group);
+    for (std::uint32_t index = 0; index < detail::AllowanceKeys; ++index) {
+        state.keys_.at(index).dirty_ = true;
+        advanceKey(state, index, context);
+    }
+}
+
+void closeGroupAllowances(AllowanceState &state, const ShardId &group)
+{
+    state.groups_.erase(group);
+}
+
+std::uint32_t usableAllowance(const AllowanceState &state, const ShardId &group, const TeamId &team)
+{
+    const auto held = state.groups_.find(group);
+    if (held == state.groups_.end()) {
+        return 0;
+    }
+    const auto demand = held->second.teams_.find(team);
+    return demand == held->second.teams_.end() ? 0 : demand->second.usable_;
+}
+
+bool allowanceKnown(const AllowanceState &state, const ShardId &group, const TeamId &team)
+{
+    const auto held = state.groups_.find(group);
+    if (held == state.groups_.end()) {
+        return false;
+    }
+    const std::uint32_t index = allowanceKeyOf(team);
+    const AllowanceKey &key = state.keys_.at(index);
+    const AllowancePart *part = findPart(key, team, group);
+    return isOpen(key, index, held->second) && !key.lostWrite_ && !key.writing_
+        && (part == nullptr || part->epoch_ == held->second.epoch_);
+}
+
+void reportDemand(AllowanceState &state, const ShardId &group, const TeamId &team, std::uint32_t inUse,
+                  std::uint32_t wanted, Context &context)
+{
+    const auto held = state.groups_.find(group);
+    if (held == state.groups_.end()) {
+        return;
+    }
+    const auto [entry, added] = held->second.teams_.try_emplace(team);
+    AllowanceDemand &demand = entry->second;
+    if (!added && demand.inUse_ == inUse && demand.wanted_ == wanted) {
+        return;
+    }
+    if (added) {
+        demand.busySince_ = context.now_;
+    }
+    demand.inUse_ = inUse;
+    demand.wanted_ = wanted;
+    const std::uint32_t index = allowanceKeyOf(team);
+    AllowanceKey &key = state.keys_.at(index);
+    key.dirty_ = true;
+    if (added) {
+        applyUsable(state, index, context);
+    }
+    if (wanted > demand.usable_ && key.call_.value_ == 0) {
+        advanceKey(state, index, context);
+    }
+}
+
+// Notes since when groups that hold a part are missing from the directory.
+static void noteMissingGroups(AllowanceState &state, Context &context)
+{
+    constexpr Milliseconds CheckInterval {5000};
+    if (context.now_ < state.nextVanishCheck_ || context.directory_.groups_.empty()) {
+        return;
+    }
+    state.nextVanishCheck_ = context.now_ + CheckInterval;
+    for (AllowanceKey &key : state.keys_) {
+        for (const auto &[team, parts] : key.rows_) {
+            for (const AllowancePart &part : parts) {
+                if (findGroup(context.directory_, part.group_) != nullptr) {
+                    state.missingSince_.erase(part.group_);
+                } else {
+                    const auto [missing, added] = state.missingSince_.try_emplace(part.group_, context.now_);
+                    key.dirty_ = key.dirty_ || context.now_ - missing->second >= detail::AllowanceVanished;
+                }
+            }
+        }
+    }
+}
+
+void tickAllowances(AllowanceState &state, Context &context)
+{
+    constexpr Milliseconds IdleCheck {100};
+    noteMissingGroups(state, context);
+    const bool newBundle = state.bundle_ != context.bundle_.version_;
+    state.bundle_ = context.bundle_.version_;
+    for (std::uint32_t index = 0; index < detail::AllowanceKeys; ++index) {
+        AllowanceKey &key = state.keys_.at(index);
+        if (newBundle || context.now_ - key.lastApplied_ >= IdleCheck) {
+            key.lastApplied_ = context.now_;
+            key.dirty_ = true;
+            applyUsable(state, index, context);
+        }
+        advanceKey(state, index, context);
+    }
+}
+
+} // namespace mimosapier
--- a/src/core/limit/limit_func.h
+++ b/src/core/limit/limit_func.h
@@ -25,6 +25,9 @@
 // Tasks of the team that the group may have running in all, at this moment. 0 when not known.
 std::uint32_t usableAllowance(const AllowanceState &state, const ShardId &group, const TeamId &team);
 
+// True when usableAllowance shows what the store holds, so that running tasks above it may be stopped.
+bool allowanceKnown(const AllowanceState &state, const ShardId &group, const TeamId &team);
+
 // The group has `inUse` tasks of the team running and wants room for `wanted` in all; the state raises or lowers the
 // allowance in chunks. Cheap enough to be called for each change.
 void reportDemand(AllowanceState &state, const ShardId &group, const TeamId &team, std::uint32_t inUse,
--- /dev/null
+++ b/src/core/limit/limit_target.cpp
@@ -0,0 +1,175 @@
+// What each group should hold: usable amounts in memory and the rows to write.
+#include "core/limit/limit_internal.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+bool isOpen(const AllowanceKey &key, std::uint32_t index, const AllowanceGroup &group)
+{
+    return key.shownRead_ != 0 && key.shownRead_ >= group.firstRead_.at(index);
+}
+
+// Amount that a holder keeps when the sum is above the limit. Rounded down, so that the parts add up to at most the
+// limit.
+static std::uint32_t proportionalPart(std::uint64_t amount, std::uint64_t sum, std::uint64_t limit)
+{
+    return sum <= limit ? static_cast<std::uint32_t>(amount) : static_cast<std::uint32_t>(amount * limit / sum);
+}
+
+static std::uint32_t chunkOf(std::uint32_t limit)
+{
+    return std::max<std::uint32_t>(1, limit / detail::AllowanceChunkParts);
+}
+
+// What the group should keep of `amount`, from its demand alone.
+static std::uint32_t keptAmount(AllowanceDemand &demand, std::uint32_t amount, bool scarce, std::uint32_t limit,
+                                TimePoint now)
+{
+    const std::uint32_t needed = std::max(demand.inUse_, demand.wanted_);
+    if (needed >= amount) {
+        demand.busySince_ = now;
+        return amount;
+    }
+    const Milliseconds idle = scarce ? detail::AllowanceScarceIdle : detail::AllowanceIdle;
+    if (now - demand.busySince_ < idle) {
+        return amount;
+    }
+    // A group that still works keeps a chunk in reserve, so that its demand does not write at each change.
+    const std::uint32_t reserve = needed > 0 && !scarce ? chunkOf(limit) : 0;
+    return std::min(amount, needed + reserve);
+}
+
+void applyUsable(AllowanceState &state, std::uint32_t index, Context &context)
+{
+    AllowanceKey &key = state.keys_.at(index);
+    if (context.bundle_.version_.value_ == 0) {
+        return;
+    }
+    for (auto &[groupId, group] : state.groups_) {
+        if (!isOpen(key, index, group)) {
+            continue;
+        }
+        for (auto &[team, parts] : key.rows_) {
+            const AllowancePart *part = findPart(key, team, groupId);
+            const auto known = group.teams_.find(team);
+            if (part == nullptr && known == group.teams_.end()) {
+                continue;
+            }
+            AllowanceDemand &demand = known == group.teams_.end() ? group.teams_[team] : known->second;
+            if (known == group.teams_.end()) {
+                demand.busySince_ = context.now_;
+            }
+            // A part written by a later holder is not ours any more; one of an earlier holder is ours after a write.
+            const bool own = part != nullptr && part->epoch_ == group.epoch_;
+            const std::uint32_t amount = own ? part->amount_ : 0;
+            const std::uint64_t sum = sumOfParts(parts);
+            const std::uint32_t limit = limitOf(context.bundle_, team);
+            const bool scarce = sum >= limit;
+            const std::uint32_t kept = keptAmount(demand, amount, scarce, limit, context.now_);
+            const std::uint32_t target = std::min(kept, proportionalPart(amount, sum, limit));
+            if (target < demand.usable_) {
+                demand.usable_ = target;
+            } else if (!key.writing_ && !key.lostWrite_ && sum <= limit) {
+                demand.usable_ = target;
+            }
+        }
+        for (auto &[team, demand] : group.teams_) {
+            if (allowanceKeyOf(team) == index && !key.rows_.contains(team)) {
+                demand.usable_ = 0;
+            }
+        }
+    }
+}
+
+static AllowancePart &partOf(std::vector<AllowancePart> &parts, const ShardId &group)
+{
+    for (AllowancePart &part : parts) {
+        if (part.group_ == group) {
+            return part;
+        }
+    }
+    parts.push_back({group, 0, {}});
+    return parts.back();
+}
+
+// Adjusts the group's part of one team; returns whether the row changes.
+static bool adjustPart(const AllowanceGroup &group, AllowanceDemand &demand, std::vector<AllowancePart> &parts,
+                       const ShardId &groupId, std::uint32_t limit, bool mayLower, bool &unmet)
+{
+    AllowancePart &part = partOf(parts, groupId);
+    if (part.epoch_ > group.epoch_) {
+        return false;
+    }
+    const AllowancePart before = part;
+    const std::uint64_t sum = sumOfParts(parts);
+    if (part.amount_ > 0 && part.epoch_ < group.epoch_) {
+        // Inherited: written with the own epoch, so that the previous holder cannot change it later.
+        part.epoch_ = group.epoch_;
+        return true;
+    }
+    const std::uint32_t needed = std::max(demand.inUse_, demand.wanted_);
+    // Never below what runs: the part bounds the running tasks of the group even while they drain.
+    const std::uint32_t floor = std::min(part.amount_, std::max(demand.usable_, demand.inUse_));
+    if (floor < part.amount_ && mayLower) {
+        part.amount_ = floor;
+    } else if (needed > part.amount_) {
+        const std::uint64_t available = sum < limit ? limit - sum : 0;
+        const std::uint64_t missing = std::uint64_t {needed} - part.amount_;
+        const std::uint64_t chunk = chunkOf(limit);
+        const std::uint64_t rounded = (missing + chunk - 1) / chunk * chunk;
+        part.amount_ += static_cast<std::uint32_t>(std::min(rounded, available));
+        unmet = unmet || available < missing;
+    }
+    part.epoch_ = group.epoch_;
+    return part.amount_ != before.amount_;
+}
+
+// Removes parts of groups that are gone for a long time.
+static bool removeVanished(const AllowanceState &state, std::vector<AllowancePart> &parts, TimePoint now)
+{
+    return std::erase_if(parts,
+                         [&state, now](const AllowancePart &part) {
+                             const auto missing = state.missingSince_.find(part.group_);
+                             return missing != state.missingSince_.end()
+                                 && now - missing->second >= detail::AllowanceVanished
+                                 && !state.groups_.contains(part.group_);
+                         })
+        > 0;
+}
+
+std::map<TeamId, std::vector<AllowancePart>> targetRows(AllowanceState &state, std::uint32_t index, Context &context,
+                                                        bool &changed, bool &unmet)
+{
+    AllowanceKey &key = state.keys_.at(index);
+    std::map<TeamId, std::vector<AllowancePart>> rows = key.rows_;
+    changed = false;
+    unmet = false;
+    for (auto &[team, parts] : rows) {
+        changed = removeVanished(state, parts, context.now_) || changed;
+    }
+    if (context.bundle_.version_.value_ == 0) {
+        return rows;
+    }
+    for (auto &[groupId, group] : state.groups_) {
+        if (!isOpen(key, index, group)) {
+            continue;
+        }
+        for (auto &[team, demand] : group.teams_) {
+            if (allowanceKeyOf(team) == index) {
+                const std::uint32_t limit = limitOf(context.bundle_, team);
+                // After a lost write usable amounts stay low until the next write; that is no reason to give back.
+                const bool mayLower = !key.lostWrite_;
+                changed = adjustPart(group, demand, rows[team], groupId, limit, mayLower, unmet) || changed;
+            }
+        }
+    }
+    for (auto &[team, parts] : rows) {
+        std::erase_if(parts, [](const AllowancePart &part) { return part.amount_ == 0; });
+    }
+    std::erase_if(rows, [](const auto &row) { return row.second.empty(); });
+    return rows;
+}
+
+} // namespace mimosapier
