--- /dev/null
+++ b/src/core/home/choice.cpp
@@ -0,0 +1,143 @@
+// Which group gets the tasks of a job: the home region first, by load, two candidates sampled.
+#include "core/home/home_internal.h"
+
+#include "core/config/bundle_base.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+constexpr std::uint32_t ChunkTasks = 32; // most tasks of a job that are assigned to one group at a time
+
+// Free slots of the group, less what was assigned since it reported.
+static std::uint32_t freeSlots(const Home &home, const ShardEntry &entry)
+{
+    const auto seen = home.groups_.find(entry.shard_);
+    const std::uint32_t assigned
+        = seen != home.groups_.end() && seen->second.load_ == entry.load_ ? seen->second.assignedSince_ : 0;
+    return entry.load_.freeSlots_ - std::min(entry.load_.freeSlots_, assigned);
+}
+
+static bool hasRoom(const Home &home, const HomeJob &job, const ShardEntry &entry, std::uint32_t count)
+{
+    return freeSlots(home, entry) >= count && fits(job.spec_.size_, entry.load_.largestFree_);
+}
+
+static bool isUsable(const HomeJob &job, const ShardEntry &entry, const Context &context)
+{
+    if (entry.holder_.empty() || !entry.reachable_ || job.impossibleFor_.contains(entry.shard_)) {
+        return false;
+    }
+    const auto refused = job.refusedBy_.find(entry.shard_);
+    return refused == job.refusedBy_.end() || refused->second <= context.now_;
+}
+
+// The less loaded of two that are picked at random.
+static const ShardEntry *sample(const Home &home, const std::vector<const ShardEntry *> &entries, Context &context)
+{
+    if (entries.empty()) {
+        return nullptr;
+    }
+    std::uniform_int_distribution<std::size_t> pick(0, entries.size() - 1);
+    const ShardEntry *first = entries[pick(context.random_)];
+    const ShardEntry *second = entries[pick(context.random_)];
+    const auto balance = [&home](const ShardEntry &entry) {
+        return std::int64_t {freeSlots(home, entry)} - std::int64_t {entry.load_.queued_};
+    };
+    return balance(*second) > balance(*first) ? second : first;
+}
+
+static const ShardEntry *chooseGroup(const Home &home, const HomeJob &job, std::uint32_t count, Context &context)
+{
+    std::vector<const ShardEntry *> local; // usable, of the home region
+    std::vector<const ShardEntry *> localRoom; // of these, with enough free capacity
+    std::vector<const ShardEntry *> remote;
+    std::vector<const ShardEntry *> remoteRoom;
+    const bool gang = job.spec_.mode_ == WorkMode::Gang;
+    for (const ShardEntry &entry : context.directory_.groups_) {
+        if (!isUsable(job, entry, context) || (gang && entry.load_.capacitySlots_ < count)) {
+            continue;
+        }
+        const bool isLocal = entry.region_ == job.spec_.homeRegion_;
+        (isLocal ? local : remote).push_back(&entry);
+        if (hasRoom(home, job, entry, count)) {
+            (isLocal ? localRoom : remoteRoom).push_back(&entry);
+        }
+    }
+    if (!localRoom.empty()) {
+        return sample(home, localRoom, context);
+    }
+    const PolicyWeights &weights = context.bundle_.weights_;
+    const bool mayCross = job.spec_.priority_ == Priority::Urgent || weights.waiting_ >= weights.crossing_;
+    if (!remoteRoom.empty() && (mayCross || local.empty())) {
+        return sample(home, remoteRoom, context);
+    }
+    return sample(home, local.empty() ? remote : local, context);
+}
+
+bool impossibleEverywhere(const HomeJob &job, const Context &context)
+{
+    const auto &groups = context.directory_.groups_;
+    return !groups.empty() && std::all_of(groups.begin(), groups.end(), [&job](const ShardEntry &entry) {
+        return job.impossibleFor_.contains(entry.shard_);
+    });
+}
+
+static void noteAssigned(Home &home, const ShardEntry &entry, std::uint32_t count)
+{
+    GroupSeen &seen = home.groups_[entry.shard_];
+    if (seen.load_ != entry.load_) {
+        seen.load_ = entry.load_;
+        seen.assignedSince_ = 0;
+    }
+    seen.assignedSince_ += count;
+}
+
+// A gang is placed as a whole, once none of its tasks is left in a group.
+static bool gangIsWhole(const HomeJob &job)
+{
+    return std::all_of(job.tasks_.begin(), job.tasks_.end(),
+                       [](const HomeTask &task) { return task.group_.empty() || isFinal(task.result_.outcome_); });
+}
+
+std::vector<TaskRange> assignTasks(Home &home, HomeJob &job, Context &context)
+{
+    std::vector<TaskRange> ranges;
+    const bool gang = job.spec_.mode_ == WorkMode::Gang;
+    if (gang && !gangIsWhole(job)) {
+        return ranges;
+    }
+    const auto waits = [](const HomeTask &task) { return task.group_.empty() && !isFinal(task.result_.outcome_); };
+    const auto waiting = static_cast<std::uint32_t>(std::count_if(job.tasks_.begin(), job.tasks_.end(), waits));
+    const ShardEntry *gangGroup = gang && waiting > 0 ? chooseGroup(home, job, waiting, context) : nullptr;
+    for (std::uint32_t index = 0; index < job.tasks_.size();) {
+        if (!waits(job.tasks_[index])) {
+            ++index;
+            continue;
+        }
+        const auto most = gang ? static_cast<std::uint32_t>(job.tasks_.size()) : ChunkTasks;
+        std::uint32_t count = 0;
+        while (count < most && index + count < job.tasks_.size() && waits(job.tasks_[index + count])) {
+            ++count;
+        }
+        const ShardEntry *group = gang ? gangGroup : chooseGroup(home, job, count, context);
+        if (group == nullptr) {
+            break;
+        }
+        noteAssigned(home, *group, count);
+        for (std::uint32_t i = index; i < index + count; ++i) {
+            HomeTask &task = job.tasks_[i];
+            task.group_ = group->shard_;
+            task.assigned_ = false;
+            task.mayHaveRun_ = false;
+            task.offer_ = {};
+        }
+        home.openByGroup_[group->shard_].insert(job.spec_.id_);
+        ranges.push_back({index, count, group->shard_});
+        index += count;
+    }
+    return ranges;
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/home/dispatch.cpp
@@ -0,0 +1,287 @@
+// Assignment of tasks to groups and the offers to their holders.
+#include "core/home/home_internal.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+constexpr Milliseconds OfferWindow {5 * 60'000}; // a group that has not started a task then gives it back
+constexpr Milliseconds FirstRepeat {30'000}; // of an offer without an end
+constexpr Milliseconds MaxRepeat {10 * 60'000};
+constexpr Milliseconds AssignRetry {200}; // when no group can be asked
+constexpr Milliseconds TenureRetry {100}; // while the proof that this is the newest holder is awaited
+constexpr Milliseconds StartWindow {24 * 60 * 60'000}; // for accepted work that no caller waits for
+
+Milliseconds startWindow(const JobSpec &spec)
+{
+    return spec.mode_ == WorkMode::Interactive ? Milliseconds(0) : StartWindow;
+}
+
+HomeJob &addJob(Home &home, const JobSpec &spec)
+{
+    HomeJob &job = home.jobs_[spec.id_];
+    job.spec_ = spec;
+    job.tasks_.resize(spec.tasks_);
+    for (std::uint32_t index = 0; index < spec.tasks_; ++index) {
+        job.tasks_[index].result_.index_ = index;
+    }
+    job.unfinished_ = spec.tasks_;
+    return job;
+}
+
+void setTimer(Home &home, HomeJob &job, TimePoint time)
+{
+    if (time >= job.timer_) {
+        return;
+    }
+    home.timers_.erase({job.timer_, job.spec_.id_});
+    job.timer_ = time;
+    home.timers_.emplace(time, job.spec_.id_);
+}
+
+static void sendOffer(Home &home, HomeJob &job, std::uint32_t first, std::uint32_t count, bool lookup, Context &context)
+{
+    const HomeTask task = job.tasks_[first];
+    const ShardEntry *entry = findGroup(context.directory_, task.group_);
+    TaskOffer offer;
+    offer.replyTo_ = {ReplyPart::Home, home.partition_, CallId {context.actions_.nextId()}};
+    offer.group_ = task.group_;
+    offer.job_ = job.spec_;
+    offer.firstIndex_ = first;
+    offer.count_ = count;
+    offer.attempt_ = task.refusals_ + task.losses_ + 1;
+    const auto remaining = std::chrono::duration_cast<Milliseconds>(job.startBy_ - context.now_);
+    offer.remaining_ = std::clamp(remaining, Milliseconds(1), OfferWindow);
+    offer.mayHaveRun_ = task.mayHaveRun_;
+    offer.lookupOnly_ = lookup;
+    for (std::uint32_t index = first; index < first + count; ++index) {
+        job.tasks_[index].offer_ = offer.replyTo_.call_;
+        job.tasks_[index].lookup_ = lookup;
+        job.tasks_[index].firstOffer_ = !lookup && !offer.mayHaveRun_;
+        job.tasks_[index].mayHaveRun_ = offer.mayHaveRun_ || !lookup;
+    }
+    sendPeer(context, entry->holder_, std::move(offer));
+}
+
+// True when the task has to be offered to the group it is assigned to.
+static bool isDue(const HomeTask &task)
+{
+    return !isFinal(task.result_.outcome_) && !task.group_.empty() && task.assigned_ && task.offer_ == CallId {};
+}
+
+static void sendOffers(Home &home, HomeJob &job, Context &context)
+{
+    const bool tenure = hasTenure(home, context.now_);
+    const bool stopping = job.cancelRecorded_ || job.gangRestart_;
+    bool waitsForTenure = false;
+    for (std::uint32_t index = 0; index < job.tasks_.size();) {
+        const HomeTask &task = job.tasks_[index];
+        if (!isDue(task)) {
+            ++index;
+            continue;
+        }
+        std::uint32_t count = 1;
+        while (index + count < job.tasks_.size() && isDue(job.tasks_[index + count])
+               && job.tasks_[index + count].group_ == task.group_
+               && job.tasks_[index + count].mayHaveRun_ == task.mayHaveRun_) {
+            ++count;
+        }
+        const ShardEntry *entry = findGroup(context.directory_, task.group_);
+        const bool reachable = entry != nullptr && !entry->holder_.empty() && entry->reachable_;
+        GroupSeen &seen = home.groups_[task.group_];
+        seen.holder_ = reachable ? entry->holder_ : DaemonId {};
+        seen.epoch_ = reachable ? entry->epoch_ : Epoch {};
+        seen.reachable_ = reachable;
+        if (reachable && (task.mayHaveRun_ || (tenure && !stopping))) {
+            // Without proof of being the newest holder, and for work that is being stopped, nothing may be started.
+            sendOffer(home, job, index, count, !tenure || stopping, context);
+        }
+        waitsForTenure = waitsForTenure || !tenure;
+        index += count;
+    }
+    if (waitsForTenure) {
+        requestProbe(home, context);
+        setTimer(home, job, context.now_ + TenureRetry);
+    }
+}
+
+// Offers again what is open: after a long silence, or once a look-up can be replaced by an offer.
+static void renewOffers(Home &home, HomeJob &job, Context &context)
+{
+    const bool due = context.now_ >= job.repeatAt_;
+    const bool tenure = hasTenure(home, context.now_) && !job.cancelRecorded_ && !job.gangRestart_;
+    bool open = false;
+    for (HomeTask &task : job.tasks_) {
+        if (isFinal(task.result_.outcome_) || task.offer_ == CallId {}) {
+            continue;
+        }
+        open = true;
+        if (due || (task.lookup_ && tenure)) {
+            task.offer_ = {};
+        }
+    }
+    if (due) {
+        job.repeatDelay_ = std::clamp(job.repeatDelay_ * 2, FirstRepeat, MaxRepeat);
+        job.repeatAt_ = context.now_ + job.repeatDelay_;
+    }
+    if (open) {
+        setTimer(home, job, job.repeatAt_);
+    }
+}
+
+// Ends tasks that can no longer start in time and certainly did not.
+static void expireStart(Home &home, HomeJob &job, Context &context)
+{
+    if (context.now_ < job.startBy_ || job.spec_.mode_ == WorkMode::Service) {
+        return;
+    }
+    std::vector<TaskResult> ended;
+    for (const HomeTask &task : job.tasks_) {
+        if (!isFinal(task.result_.outcome_) && !task.mayHaveRun_) {
+            ended.push_back({task.result_.index_, Outcome::NotRun, ErrorKind::DeadlinePassed, {}, {}});
+        }
+    }
+    finishTasks(home, job, std::move(ended), context);
+}
+
+static void assignAgain(Home &home, HomeJob &job, Context &context)
+{
+    const bool waits = std::any_of(job.tasks_.begin(), job.tasks_.end(), [](const HomeTask &task) {
+        return task.group_.empty() && !isFinal(task.result_.outcome_);
+    });
+    if (!waits) {
+        return;
+    }
+    if (context.now_ < job.assignAfter_) {
+        setTimer(home, job, job.assignAfter_);
+        return;
+    }
+    std::vector<TaskRange> ranges = assignTasks(home, job, context);
+    if (ranges.empty()) {
+        setTimer(home, job, context.now_ + AssignRetry);
+        return;
+    }
+    appendRecord(home, {RecordKind::Assigned, job.spec_.id_, {}, std::move(ranges), {}}, context);
+}
+
+// A submit that is not accepted yet: assigns it, or refuses it when its deadline has come.
+static void reviewSubmitted(Home &home, HomeJob &job, Context &context)
+{
+    if (context.now_ >= job.acceptBy_ && !job.refused_) {
+        if (!job.recorded_ || withdrawAccepted(home, job.spec_.id_)) {
+            const ErrorKind error = job.recorded_ ? ErrorKind::StoreUnavailable : ErrorKind::PeerUnavailable;
+            refuseSubmitters(home, job, Outcome::NotRun, error, context);
+            home.timers_.erase({job.timer_, job.spec_.id_});
+            home.jobs_.erase(JobId(job.spec_.id_));
+            return;
+        }
+        // The record may be in the store, so the job may still run.
+        job.refused_ = true;
+        refuseSubmitters(home, job, Outcome::Unknown, ErrorKind::StoreUnavailable, context);
+        return;
+    }
+    if (!job.recorded_) {
+        std::vector<TaskRange> ranges = assignTasks(home, job, context);
+        if (!ranges.empty()) {
+            job.recorded_ = true;
+            appendRecord(home, {RecordKind::Accepted, job.spec_.id_, {job.spec_}, std::move(ranges), {}}, context);
+        }
+    }
+    if (!job.refused_) {
+        setTimer(home, job, job.recorded_ ? job.acceptBy_ : std::min(job.acceptBy_, context.now_ + AssignRetry));
+    }
+}
+
+void reviewJob(Home &home, HomeJob &job, Context &context)
+{
+    if (context.now_ >= job.timer_) {
+        home.timers_.erase({job.timer_, job.spec_.id_});
+        job.timer_ = TimePoint::max();
+    }
+    answerQueries(job, context, false);
+    for (const Asker &asker : job.queries_) {
+        setTimer(home, job, asker.until_);
+    }
+    if (home.phase_ != HomePhase::Active || job.unfinished_ == 0) {
+        return;
+    }
+    if (!job.accepted_) {
+        reviewSubmitted(home, job, context);
+        return;
+    }
+    if (job.startBy_ == TimePoint {}) {
+        // Accepted by an earlier holder, whose clock does not count here.
+        job.startBy_ = context.now_ + startWindow(job.spec_);
+    }
+    if (job.repeatDelay_.count() == 0) {
+        job.repeatDelay_ = FirstRepeat;
+        job.repeatAt_ = context.now_ + FirstRepeat;
+    }
+    if (job.cancelled_ || job.gangRestart_) {
+        stopTasks(home, job, context);
+    }
+    if (!job.cancelRecorded_) {
+        expireStart(home, job, context);
+        if (!home.stopping_) {
+            assignAgain(home, job, context);
+        }
+    }
+    if (context.now_ < job.offerAfter_) {
+        setTimer(home, job, job.offerAfter_);
+        return;
+    }
+    renewOffers(home, job, context);
+    sendOffers(home, job, context);
+    renewOffers(home, job, context);
+    if (job.startBy_ > context.now_) {
+        setTimer(home, job, job.startBy_);
+    }
+}
+
+void repeatOffers(Home &home, const ShardId &group, Context &context)
+{
+    const auto found = home.openByGroup_.find(group);
+    if (found == home.openByGroup_.end()) {
+        return;
+    }
+    std::vector<JobId> review;
+    std::erase_if(found->second, [&](const JobId &id) {
+        const auto job = home.jobs_.find(id);
+        bool open = false;
+        if (job != home.jobs_.end()) {
+            for (HomeTask &task : job->second.tasks_) {
+                if (task.group_ == group && !isFinal(task.result_.outcome_)) {
+                    task.offer_ = {};
+                    open = true;
+                }
+            }
+        }
+        if (open) {
+            review.push_back(id);
+        }
+        return !open;
+    });
+    for (const JobId &id : review) {
+        reviewJob(home, home.jobs_.at(id), context);
+    }
+}
+
+void sendBatches(Home &home, Context &context)
+{
+    const auto send = [&context](auto &batches, auto make) {
+        for (auto &[group, tasks] : batches) {
+            const ShardEntry *entry = findGroup(context.directory_, group);
+            if (entry != nullptr && !entry->holder_.empty()) {
+                sendPeer(context, entry->holder_, make(group, std::move(tasks)));
+            }
+        }
+        batches.clear();
+    };
+    send(home.acks_, [](const ShardId &group, std::vector<TaskId> tasks) { return TaskAck {group, std::move(tasks)}; });
+    send(home.stops_, [](const ShardId &group, std::vector<TaskId> tasks) {
+        return TaskCancel {group, std::move(tasks)};
+    });
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/home/home.cpp
@@ -0,0 +1,224 @@
+// Life of a home partition: creation, routing of events, hand-over and the admin view.
+#include "core/home/home_internal.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+template <>
+void Destroy<Home>::operator()(Home *state) const
+{
+    delete state;
+}
+
+Handle<Home> makeHome(const ShardId &partition, Epoch epoch, Context &context)
+{
+    Handle<Home> home(new Home);
+    home->partition_ = partition;
+    home->epoch_ = epoch;
+    startRecovery(*home, context);
+    return home;
+}
+
+void becomeActive(Home &home, Context &context)
+{
+    home.phase_ = HomePhase::Active;
+    home.journal_.activeSince_ = context.now_;
+    std::vector<JobId> open;
+    for (auto &[id, job] : home.jobs_) {
+        if (job.unfinished_ == 0) {
+            onJobRecovered(home, job, context);
+        } else {
+            open.push_back(id);
+        }
+    }
+    logLine(context, LogLevel::Info,
+            "[home] " + home.partition_.value_ + " is open with " + std::to_string(open.size()) + " unfinished jobs");
+    for (const JobId &id : open) {
+        reviewJob(home, home.jobs_.at(id), context);
+    }
+    answerWaiting(home, context);
+}
+
+void onHomeStoreResult(Home &home, const StoreResult &result, Context &context)
+{
+    const auto found = home.ops_.find(result.id_);
+    if (found == home.ops_.end() || home.phase_ == HomePhase::Fenced) {
+        return;
+    }
+    const HomeOp op = std::move(found->second);
+    home.ops_.erase(found);
+    switch (op.kind_) {
+    case HomeOpKind::ReadHead:
+    case HomeOpKind::ReadPart:
+    case HomeOpKind::ReadEntry:
+        onRecoveryResult(home, op, result, context);
+        break;
+    case HomeOpKind::Write:
+    case HomeOpKind::ReadBack:
+    case HomeOpKind::CheckHead:
+        onWriteResult(home, op, result, context);
+        break;
+    case HomeOpKind::Probe:
+    case HomeOpKind::ProbeHead:
+        onProbeResult(home, op, result, context);
+        break;
+    case HomeOpKind::PutPart:
+    case HomeOpKind::PutHead:
+    case HomeOpKind::Delete:
+        onSnapshotResult(home, op, result, context);
+        break;
+    }
+    sendBatches(home, context);
+}
+
+void onHomePeerDown(Home &home, const DaemonId &peer, Context &context)
+{
+    (void)context;
+    for (auto &[group, seen] : home.groups_) {
+        if (seen.holder_ == peer) {
+            seen.reachable_ = false; // offers under way are repeated when the holder can be reached again
+        }
+    }
+}
+
+void onHomeDirectory(Home &home, Context &context)
+{
+    if (home.phase_ != HomePhase::Active) {
+        return;
+    }
+    std::vector<ShardId> changed;
+    for (const auto &[group, jobs] : home.openByGroup_) {
+        const ShardEntry *entry = findGroup(context.directory_, group);
+        if (entry == nullptr || entry->holder_.empty() || !entry->reachable_) {
+            home.groups_[group].reachable_ = false;
+            continue;
+        }
+        GroupSeen &seen = home.groups_[group];
+        if (!seen.reachable_ || seen.holder_ != entry->holder_ || seen.epoch_ != entry->epoch_) {
+            seen.holder_ = entry->holder_;
+            seen.epoch_ = entry->epoch_;
+            seen.reachable_ = true;
+            changed.push_back(group);
+        }
+    }
+    for (const ShardId &group : changed) {
+        repeatOffers(home, group, context);
+    }
+    sendBatches(home, context);
+}
+
+// Answers submits whose deadline passes before the journal is open.
+static void expireWaiting(Home &home, Context &context)
+{
+    std::erase_if(home.waitingSubmits_, [&](const WaitingSubmit &waiting) {
+        if (waiting.until_ > context.now_) {
+            return false;
+        }
+        JobAnswer answer;
+        answer.job_ = waiting.message_.job_.id_;
+        answer.outcome_ = Outcome::Unknown; // the journal may hold the job from an earlier submit
+        answer.error_ = ErrorKind::StoreUnavailable;
+        sendJobAnswer({waiting.from_, waiting.message_.replyTo_, {}, false}, std::move(answer), context);
+        return true;
+    });
+}
+
+void tickHome(Home &home, Context &context)
+{
+    if (home.phase_ == HomePhase::Fenced) {
+        return;
+    }
+    tickRecovery(home, context);
+    tickJournal(home, context);
+    tickSnapshot(home, context);
+    if (home.phase_ != HomePhase::Active) {
+        expireWaiting(home, context);
+        return;
+    }
+    while (!home.timers_.empty() && home.timers_.begin()->first <= context.now_) {
+        const auto [time, id] = *home.timers_.begin();
+        home.timers_.erase(home.timers_.begin());
+        const auto job = home.jobs_.find(id);
+        if (job != home.jobs_.end()) {
+            job->second.timer_ = TimePoint::max();
+            reviewJob(home, job->second, context);
+        }
+    }
+    expireFinished(home, context);
+    checkCancelWaits(home, context);
+    if (home.stopping_ && canHandOver(home)) {
+        dropAskers(home, context);
+    }
+    sendBatches(home, context);
+}
+
+bool isFenced(const Home &home)
+{
+    return home.phase_ == HomePhase::Fenced;
+}
+
+void stopAccepting(Home &home, Context &context)
+{
+    home.stopping_ = true;
+    tickHome(home, context);
+}
+
+bool canHandOver(const Home &home)
+{
+    if (home.phase_ == HomePhase::Fenced) {
+        return true;
+    }
+    if (home.phase_ != HomePhase::Active) {
+        return home.stopping_ && !home.journal_.write_.active_ && home.waitingSubmits_.empty();
+    }
+    return home.stopping_ && home.journal_.pending_.empty() && !home.journal_.write_.active_
+        && !home.snapshot_.writing_;
+}
+
+static std::string_view phaseName(HomePhase phase)
+{
+    switch (phase) {
+    case HomePhase::Active:
+        return "active";
+    case HomePhase::Fenced:
+        return "fenced";
+    default:
+        return "reading";
+    }
+}
+
+std::string homeDocument(const Home &home)
+{
+    std::size_t waiting = 0;
+    std::size_t cancelling = 0;
+    std::size_t finished = 0;
+    for (const auto &[id, job] : home.jobs_) {
+        finished += job.unfinished_ == 0 ? 1 : 0;
+        waiting += job.accepted_ ? 0 : 1;
+        cancelling += job.unfinished_ > 0 && job.cancelRecorded_ ? 1 : 0;
+    }
+    const auto field = [](std::string_view name, std::uint64_t value) {
+        return ",\"" + std::string(name) + "\":" + std::to_string(value);
+    };
+    std::string text = "{\"partition\":\"" + home.partition_.value_ + "\",\"phase\":\"";
+    text += phaseName(home.phase_);
+    text += "\"";
+    text += field("epoch", home.epoch_.value_);
+    text += ",\"jobs\":{\"total\":" + std::to_string(home.jobs_.size());
+    text += field("waiting_for_journal", waiting);
+    text += field("open", home.jobs_.size() - finished - waiting);
+    text += field("cancelling", cancelling);
+    text += field("finished", finished) + "}";
+    text += field("accepted_total", home.acceptedCount_);
+    text += field("finished_total", home.finishedCount_);
+    text += field("journal_next", home.journal_.next_);
+    text += field("journal_length", home.journal_.entries_.size());
+    text += field("journal_pending", home.journal_.pending_.size());
+    text += field("journal_writes", home.writes_);
+    text += field("flush_interval_ms", static_cast<std::uint64_t>(home.journal_.interval_.count()));
+    return text + "}";
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/home/home_base.h
@@ -0,0 +1,219 @@
+// State of a home partition.
+#pragma once
+
+#include "core/home/home_func.h"
+#include "core/home/journal_type.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace mimosapier
+{
+
+// A daemon that waits for an answer.
+struct Asker
+{
+    DaemonId daemon_;
+    ReplyTo replyTo_;
+    TimePoint until_; // answered with the current state then
+    bool explain_ = false;
+};
+
+struct HomeTask
+{
+    TaskResult result_; // outcome_ Pending or Running until the group tells the end
+    ShardId group_; // newest assignment; empty: to be assigned
+    CallId offer_; // newest offer to the group; 0: to be offered
+    std::uint32_t losses_ = 0; // times the task was lost on a worker
+    std::uint32_t refusals_ = 0; // assignments that ended as not run
+    bool assigned_ = false; // the record of the assignment is durable
+    bool mayHaveRun_ = false; // an earlier offer may have reached group_
+    bool lookup_ = false; // the newest offer was only a look-up
+    bool firstOffer_ = false; // the newest offer was the first to group_ of this assignment
+    bool finished_ = false; // the record of the outcome is durable
+};
+
+struct HomeJob
+{
+    JobSpec spec_;
+    std::vector<HomeTask> tasks_;
+    bool recorded_ = false; // the Accepted record was appended to the journal
+    bool accepted_ = false; // and is durable
+    bool cancelRecorded_ = false;
+    bool cancelled_ = false; // the Cancelled record is durable
+    bool gangRestart_ = false; // a task of the gang was lost; the others are being stopped
+    bool refused_ = false; // the submitters were told that the deadline passed
+    std::uint32_t unfinished_ = 0; // tasks with finished_ false
+    std::uint32_t attempt_ = 1; // highest of the caller
+    TimePoint acceptBy_;
+    TimePoint startBy_; // no new assignment later than this
+    TimePoint assignAfter_; // back-off between assignments
+    TimePoint offerAfter_; // back-off after an answer of a daemon that is not the holder
+    TimePoint stopAt_; // stops are repeated then; zero: none was sent
+    TimePoint repeatAt_; // open offers are repeated then
+    Milliseconds repeatDelay_ {0};
+    TimePoint timer_ = TimePoint::max(); // entry in Home::timers_
+    std::vector<Asker> submitters_; // wait for acceptance
+    std::vector<Asker> queries_; // wait for the end
+    std::map<ShardId, TimePoint> refusedBy_; // groups that are not asked again before the time
+    std::set<ShardId> impossibleFor_; // groups without a worker that is large enough
+};
+
+// A cancellation of several jobs that waits until each is final.
+struct CancelWait
+{
+    Asker asker_;
+    std::vector<JobId> jobs_;
+};
+
+enum class HomePhase : std::uint8_t {
+    ReadHead,
+    ReadParts,
+    ReadLog,
+    Open, // creates the opening entry
+    Active,
+    Fenced, // there is a later holder
+};
+
+enum class HomeOpKind : std::uint8_t {
+    ReadHead,
+    ReadPart,
+    ReadEntry,
+    Write,
+    ReadBack,
+    CheckHead, // confirms that a created key is not one that a later holder had deleted
+    Probe, // reads the next sequence to confirm that there is no later holder
+    ProbeHead, // second step of a probe when the last proof is old
+    PutPart,
+    PutHead,
+    Delete,
+};
+
+struct HomeOp
+{
+    HomeOpKind kind_ = HomeOpKind::ReadHead;
+    std::uint64_t number_ = 0; // sequence or part
+    TimePoint sentAt_;
+    std::string key_; // of Delete
+    Revision revision_; // of Delete
+};
+
+// The write that is under way. Its value does not change once the store may have it.
+struct JournalWrite
+{
+    bool active_ = false;
+    bool uncertain_ = false; // an answer was lost; the value may be in the store
+    bool opening_ = false;
+    std::string value_;
+    std::vector<JournalRecord> records_;
+    TimePoint sentAt_; // of the first try
+    HomeOpKind next_ = HomeOpKind::Write; // operation of the next try: Write, ReadBack or CheckHead
+    TimePoint retryAt_ = TimePoint::max(); // of the next try; max while an operation is under way
+    Revision revision_; // of the created key, while it is being confirmed
+};
+
+struct Journal
+{
+    std::uint64_t next_ = 1; // first sequence that is not known to be in the log
+    std::deque<JournalRecord> pending_; // not written yet
+    std::size_t pendingBytes_ = 0; // estimate
+    TimePoint pendingSince_; // of the first pending record
+    JournalWrite write_;
+    Milliseconds interval_ {0}; // between flushes
+    Milliseconds backoff_ {0}; // before the next try while the store does not answer; 0 after a success
+    TimePoint flushAfter_; // no new write before
+    TimePoint provenAt_; // this holder was certainly the newest at this time
+    TimePoint activeSince_;
+    bool probing_ = false;
+    TimePoint probeSentAt_; // of the first step
+    TimePoint probeAfter_;
+    std::map<std::uint64_t, Revision> entries_; // log keys in the store that are not covered by the snapshot
+    std::map<std::uint64_t, Revision> openings_; // opening entries in the store; revision 0: not known
+};
+
+struct Snapshot
+{
+    Revision revision_; // of the head key
+    SnapshotHead head_; // newest known
+    bool writing_ = false;
+    SnapshotHead draft_;
+    std::vector<std::string> parts_; // values of the draft
+    std::size_t nextPart_ = 0; // first part that is not stored
+    std::vector<Revision> partRevisions_; // of head_; empty when not known
+    std::vector<Revision> draftRevisions_;
+    TimePoint retryAt_ = TimePoint::max();
+    std::deque<std::pair<std::string, Revision>> garbage_; // keys to delete
+    std::size_t deletes_ = 0; // under way
+    TimePoint deleteAfter_; // back-off
+};
+
+struct Recovery
+{
+    std::map<std::uint64_t, StoreEntry> ahead_; // log entries read, not applied
+    std::set<std::uint64_t> absent_; // sequences read and not found
+    std::set<std::uint64_t> toRead_; // parts or sequences to be read, or read again after an error
+    std::uint64_t readEnd_ = 1; // sequences below were requested
+    std::uint32_t partsRead_ = 0;
+    TimePoint retryAt_; // no read before
+    Milliseconds backoff_ {0};
+};
+
+struct RefusedId
+{
+    std::uint32_t attempt_ = 1;
+    ErrorKind error_ = ErrorKind::None;
+    TimePoint until_;
+};
+
+struct GroupSeen
+{
+    DaemonId holder_;
+    Epoch epoch_;
+    bool reachable_ = false;
+    GroupLoad load_;
+    std::uint32_t assignedSince_ = 0; // tasks assigned since load_ was reported
+};
+
+struct WaitingSubmit
+{
+    DaemonId from_;
+    JobSubmit message_;
+    TimePoint until_;
+};
+
+struct Home
+{
+    ShardId partition_;
+    Epoch epoch_;
+    HomePhase phase_ = HomePhase::ReadHead;
+    bool stopping_ = false;
+    Journal journal_;
+    Snapshot snapshot_;
+    Recovery recovery_;
+    std::map<StoreOpId, HomeOp> ops_;
+    std::map<JobId, HomeJob> jobs_;
+    std::deque<std::pair<TimePoint, JobId>> finished_; // jobs that are final, in order
+    std::size_t finishedBytes_ = 0; // of results of final jobs, estimate
+    std::set<std::pair<TimePoint, JobId>> timers_; // when a job is reviewed
+    std::map<JobId, RefusedId> refused_;
+    std::deque<std::pair<TimePoint, JobId>> refusedOrder_;
+    std::map<ShardId, std::set<JobId>> openByGroup_; // jobs with unfinished tasks assigned to the group
+    std::map<ShardId, GroupSeen> groups_;
+    std::vector<WaitingSubmit> waitingSubmits_; // arrived before the journal was open
+    std::vector<std::pair<JobQuery, Asker>> waitingQueries_;
+    std::vector<std::pair<JobCancel, Asker>> waitingCancels_;
+    std::vector<CancelWait> cancelWaits_;
+    std::map<ShardId, std::vector<TaskId>> acks_; // to be sent at the end of the step
+    std::map<ShardId, std::vector<TaskId>> stops_; // to be sent at the end of the step
+    std::uint64_t acceptedCount_ = 0;
+    std::uint64_t finishedCount_ = 0;
+    std::uint64_t writes_ = 0; // log entries written
+};
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/home/snapshot.cpp
@@ -0,0 +1,248 @@
+// Snapshots bound the length of the log. The head key is replaced by compare-and-swap after its parts are stored;
+// only then are the entries that it covers deleted.
+#include "core/home/home_internal.h"
+
+#include "core/message/pack_func.h"
+
+namespace mimosapier
+{
+
+constexpr std::size_t SnapshotEntries = 128; // log entries that lead to a snapshot
+// Values in the store hold at most 1,000,000 bytes, and the client encodes binary values as base64.
+constexpr std::size_t MaxPartBytes = 700'000;
+constexpr std::size_t PartBytes = 400'000; // records are added to a part up to this size
+constexpr std::size_t MaxDeletes = 4; // under way at once
+// A replaced holder that was paused may create the key of a deleted opening entry and take that for success, so that
+// opening entries stay for a time that is longer than the age of the proof it accepts (journal.cpp).
+constexpr Milliseconds OpeningKeep {10 * 60'000};
+constexpr Milliseconds RetryDelay {500};
+
+// Durable state of a job as records.
+static void addRecords(const HomeJob &job, std::vector<JournalRecord> &records)
+{
+    JournalRecord accepted {RecordKind::Accepted, job.spec_.id_, {job.spec_}, {}, {}};
+    if (job.unfinished_ == 0) {
+        accepted.spec_.front().payload_.clear();
+    }
+    JournalRecord finished {RecordKind::Finished, job.spec_.id_, {}, {}, {}};
+    for (std::uint32_t index = 0; index < job.tasks_.size(); ++index) {
+        const HomeTask &task = job.tasks_[index];
+        if (task.finished_) {
+            finished.results_.push_back(task.result_);
+        } else if (task.assigned_) {
+            auto &ranges = accepted.ranges_;
+            if (!ranges.empty() && ranges.back().group_ == task.group_
+                && ranges.back().first_ + ranges.back().count_ == index) {
+                ++ranges.back().count_;
+            } else {
+                ranges.push_back({index, 1, task.group_});
+            }
+        }
+    }
+    records.push_back(std::move(accepted));
+    if (!finished.results_.empty()) {
+        records.push_back(std::move(finished));
+    }
+    if (job.cancelled_) {
+        records.push_back({RecordKind::Cancelled, job.spec_.id_, {}, {}, {}});
+    }
+}
+
+// Splits a record with many results, so that each fits a part.
+static void addToParts(Home &home, const JournalRecord &record, JournalEntry &part, std::size_t &bytes)
+{
+    const std::size_t size = packToString(record).size();
+    if (size > PartBytes && record.results_.size() > 1) {
+        const auto middle = record.results_.begin() + static_cast<std::ptrdiff_t>(record.results_.size() / 2);
+        JournalRecord half {record.kind_, record.job_, {}, {}, {record.results_.begin(), middle}};
+        addToParts(home, half, part, bytes);
+        half.results_.assign(middle, record.results_.end());
+        addToParts(home, half, part, bytes);
+        return;
+    }
+    if (bytes > 0 && bytes + size > PartBytes) {
+        home.snapshot_.parts_.push_back(packToString(part));
+        part.records_.clear();
+        bytes = 0;
+    }
+    part.records_.push_back(record);
+    bytes += size;
+}
+
+static void startSnapshot(Home &home, Context &context)
+{
+    Snapshot &snapshot = home.snapshot_;
+    const Journal &journal = home.journal_;
+    snapshot.writing_ = true;
+    snapshot.parts_.clear();
+    snapshot.nextPart_ = 0;
+    snapshot.draftRevisions_.clear();
+    JournalEntry part {home.epoch_, false, {}};
+    std::size_t bytes = 0;
+    std::vector<JournalRecord> records;
+    for (const auto &[id, job] : home.jobs_) {
+        if (!job.accepted_) {
+            continue;
+        }
+        records.clear();
+        addRecords(job, records);
+        for (const JournalRecord &record : records) {
+            addToParts(home, record, part, bytes);
+        }
+    }
+    if (!part.records_.empty()) {
+        snapshot.parts_.push_back(packToString(part));
+    }
+    SnapshotHead &draft = snapshot.draft_;
+    draft.epoch_ = home.epoch_;
+    draft.next_ = journal.next_;
+    draft.parts_ = static_cast<std::uint32_t>(snapshot.parts_.size());
+    draft.prefix_ = headKey(home) + '-' + std::to_string(home.epoch_.value_) + '-' + std::to_string(draft.next_) + '-';
+    draft.openings_.clear();
+    for (const auto &[sequence, revision] : journal.openings_) {
+        draft.openings_.push_back(sequence);
+    }
+    snapshot.retryAt_ = context.now_;
+}
+
+// Stores the next part, or the head after the last part.
+static void storeNext(Home &home, Context &context)
+{
+    Snapshot &snapshot = home.snapshot_;
+    snapshot.retryAt_ = TimePoint::max();
+    if (snapshot.nextPart_ < snapshot.parts_.size()) {
+        const std::string key = snapshot.draft_.prefix_ + std::to_string(snapshot.nextPart_);
+        sendHomeOp(home, {HomeOpKind::PutPart, snapshot.nextPart_, {}, {}, {}},
+                   StoreCas {key, snapshot.parts_[snapshot.nextPart_], {}, {}}, context);
+        return;
+    }
+    sendHomeOp(home, {HomeOpKind::PutHead, 0, {}, {}, {}},
+               StoreCas {headKey(home), packToString(snapshot.draft_), snapshot.revision_, {}}, context);
+}
+
+// The head is in the store: what it replaces and covers may go.
+static void finishSnapshot(Home &home, Revision revision)
+{
+    Snapshot &snapshot = home.snapshot_;
+    for (std::size_t part = 0; part < snapshot.partRevisions_.size(); ++part) {
+        snapshot.garbage_.emplace_back(snapshot.head_.prefix_ + std::to_string(part), snapshot.partRevisions_[part]);
+    }
+    auto &entries = home.journal_.entries_;
+    const auto end = entries.lower_bound(snapshot.draft_.next_);
+    for (auto entry = entries.begin(); entry != end; ++entry) {
+        snapshot.garbage_.emplace_back(logKey(home, entry->first), entry->second);
+    }
+    entries.erase(entries.begin(), end);
+    snapshot.revision_ = revision;
+    snapshot.head_ = std::move(snapshot.draft_);
+    snapshot.partRevisions_ = std::move(snapshot.draftRevisions_);
+    snapshot.parts_.clear();
+    snapshot.writing_ = false;
+}
+
+static void onPutHead(Home &home, const StoreResult &result, Context &context)
+{
+    Snapshot &snapshot = home.snapshot_;
+    if (result.status_ == StoreStatus::Ok) {
+        finishSnapshot(home, result.revision_);
+        return;
+    }
+    SnapshotHead head;
+    if (result.entries_.empty() || !unpackFromString(result.entries_.front().value_, head)) {
+        snapshot.retryAt_ = context.now_ + RetryDelay;
+        return;
+    }
+    if (head.epoch_ > home.epoch_) {
+        becomeFenced(home, context);
+        return;
+    }
+    if (result.entries_.front().value_ == packToString(snapshot.draft_)) {
+        finishSnapshot(home, result.entries_.front().revision_); // the answer of an earlier try was lost
+        return;
+    }
+    // The previous holder stored a snapshot after this one had read the journal; it covers less.
+    snapshot.revision_ = result.entries_.front().revision_;
+    for (std::uint32_t part = 0; part < head.parts_; ++part) {
+        snapshot.garbage_.emplace_back(head.prefix_ + std::to_string(part), Revision {});
+    }
+    snapshot.retryAt_ = context.now_;
+}
+
+static void onDeleted(Home &home, const HomeOp &op, const StoreResult &result, Context &context)
+{
+    Snapshot &snapshot = home.snapshot_;
+    --snapshot.deletes_;
+    if (result.status_ == StoreStatus::Unavailable || result.status_ == StoreStatus::Unknown) {
+        snapshot.garbage_.emplace_back(op.key_, op.revision_);
+        snapshot.deleteAfter_ = context.now_ + RetryDelay;
+    } else if (result.status_ == StoreStatus::Conflict && op.revision_ == Revision {} && !result.entries_.empty()) {
+        snapshot.garbage_.emplace_back(op.key_, result.entries_.front().revision_); // its revision was not known
+    }
+}
+
+void onSnapshotResult(Home &home, const HomeOp &op, const StoreResult &result, Context &context)
+{
+    Snapshot &snapshot = home.snapshot_;
+    if (op.kind_ == HomeOpKind::Delete) {
+        onDeleted(home, op, result, context);
+        return;
+    }
+    if (!snapshot.writing_) {
+        return;
+    }
+    if (result.status_ == StoreStatus::Unavailable || result.status_ == StoreStatus::Unknown) {
+        snapshot.retryAt_ = context.now_ + RetryDelay; // repeating the same compare-and-swap settles a lost answer
+        return;
+    }
+    if (op.kind_ == HomeOpKind::PutHead) {
+        onPutHead(home, result, context);
+        return;
+    }
+    // A conflict on a part means that an earlier try was stored: the key belongs to this epoch and sequence.
+    const Revision revision = result.status_ == StoreStatus::Ok || result.entries_.empty()
+        ? result.revision_
+        : result.entries_.front().revision_;
+    snapshot.draftRevisions_.push_back(revision);
+    ++snapshot.nextPart_;
+    storeNext(home, context);
+}
+
+// Opening entries may be deleted once no holder that was replaced before this one can take their keys for free.
+static void expireOpenings(Home &home, Context &context)
+{
+    Journal &journal = home.journal_;
+    if (context.now_ - journal.activeSince_ < OpeningKeep || home.snapshot_.writing_) {
+        return;
+    }
+    while (!journal.openings_.empty() && journal.openings_.begin()->first < home.snapshot_.head_.next_) {
+        const auto opening = journal.openings_.begin();
+        home.snapshot_.garbage_.emplace_back(logKey(home, opening->first), opening->second);
+        journal.openings_.erase(opening);
+    }
+}
+
+void tickSnapshot(Home &home, Context &context)
+{
+    if (home.phase_ != HomePhase::Active) {
+        return;
+    }
+    Snapshot &snapshot = home.snapshot_;
+    expireOpenings(home, context);
+    if (!snapshot.writing_ && !home.stopping_ && home.journal_.entries_.size() >= SnapshotEntries) {
+        startSnapshot(home, context);
+    }
+    if (snapshot.writing_ && context.now_ >= snapshot.retryAt_) {
+        storeNext(home, context);
+    }
+    while (!snapshot.garbage_.empty() && snapshot.deletes_ < MaxDeletes && context.now_ >= snapshot.deleteAfter_) {
+        auto [key, revision] = std::move(snapshot.garbage_.front());
+        snapshot.garbage_.pop_front();
+        ++snapshot.deletes_;
+        HomeOp op {HomeOpKind::Delete, 0, {}, key, revision};
+        sendHomeOp(home, std::move(op), StoreDelete {std::move(key), revision}, context);
+    }
+}
+
+static_assert(PartBytes < MaxPartBytes);
+
+} // namespace mimosapier
