Feature: [entry] Admission, routing, cancellation and report of callers' requests

Cause: callers need exactly one truthful answer to each request, whatever becomes of the daemons behind it. Change: candidate groups for interactive idempotent work, home partitions for the rest, resends to the same shard only, a retry budget, bounded room by priority, bulk cancellation, figures by class and team.

--- /dev/null
+++ b/src/core/entry/admission.cpp
@@ -0,0 +1,158 @@
+// Admission of callers' requests: form, sizes, defaults of the class, and room.
+#include "core/entry/entry_internal.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+constexpr std::size_t MaxRequestId = 64; // characters
+constexpr std::uint32_t MaxTasks = 10'000;
+constexpr std::size_t MaxPayload = 64 * 1024; // bytes; several records share a journal value
+constexpr std::int64_t MaxMilliCpus = 1'000'000;
+constexpr std::int64_t MaxMemoryMb = 100'000'000;
+constexpr std::int64_t MaxAccelerators = 1024;
+constexpr Milliseconds MaxDeadline {60 * 60'000};
+constexpr std::size_t MaxSubmits = 4096; // open at once
+constexpr std::size_t MaxSubmitsOfTeam = MaxSubmits / 2;
+// Parts of the room that a priority may fill, in percent: less urgent work is refused first.
+constexpr std::size_t BatchPercent = 60;
+constexpr std::size_t NormalPercent = 80;
+constexpr std::size_t UrgentPercent = 100;
+
+bool isRequestId(std::string_view id)
+{
+    const auto allowed = [](char c) {
+        return (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '.' || c == '_'
+            || c == '-';
+    };
+    return !id.empty() && id.size() <= MaxRequestId && std::all_of(id.begin(), id.end(), allowed);
+}
+
+static ErrorKind checkSize(const Resources &size)
+{
+    if (size.milliCpus_ < 0 || size.memoryMb_ < 0 || size.accelerators_ < 0) {
+        return ErrorKind::MalformedRequest;
+    }
+    if (size.milliCpus_ > MaxMilliCpus || size.memoryMb_ > MaxMemoryMb || size.accelerators_ > MaxAccelerators) {
+        return ErrorKind::ImpossibleSize;
+    }
+    return ErrorKind::None;
+}
+
+static bool knowsRegion(const Bundle &bundle, const RegionId &region)
+{
+    return std::any_of(bundle.regions_.begin(), bundle.regions_.end(),
+                       [&region](const RegionConfig &config) { return config.id_ == region; });
+}
+
+ErrorKind checkSubmit(const SubmitRequest &request, const Context &context, JobSpec &spec)
+{
+    const Team *team = findTeam(context.bundle_, request.team_);
+    if (team == nullptr) {
+        return ErrorKind::UnknownTeam;
+    }
+    const WorkClass *workClass = findClass(context.bundle_, request.class_);
+    if (workClass == nullptr) {
+        return ErrorKind::UnknownClass;
+    }
+    if (!isRequestId(request.requestId_) || request.tasks_ == 0 || request.tasks_ > MaxTasks || request.attempt_ == 0
+        || request.deadline_.count() < 0 || request.declaredRun_.count() < 0) {
+        return ErrorKind::MalformedRequest;
+    }
+    if (!request.region_.empty() && !knowsRegion(context.bundle_, request.region_)) {
+        return ErrorKind::MalformedRequest;
+    }
+    if (request.payload_.size() > MaxPayload) {
+        return ErrorKind::BodyTooLarge;
+    }
+    if (const ErrorKind error = checkSize(request.size_); error != ErrorKind::None) {
+        return error;
+    }
+    spec.id_ = JobId(request.team_.value_ + ':' + request.requestId_);
+    spec.requestId_ = request.requestId_;
+    spec.team_ = request.team_;
+    spec.class_ = request.class_;
+    spec.mode_ = workClass->mode_;
+    spec.priority_ = workClass->priority_;
+    spec.tasks_ = request.tasks_;
+    spec.size_ = request.size_;
+    spec.size_.slots_ = 1;
+    spec.declaredRun_ = request.declaredRun_;
+    spec.idempotent_ = request.idempotentGiven_ ? request.idempotent_ : workClass->idempotent_;
+    spec.payload_ = request.payload_;
+    const bool interactive = spec.mode_ == WorkMode::Interactive && spec.idempotent_;
+    if (!interactive) {
+        spec.homeRegion_ = homeRegionOf(request.team_, context);
+    } else {
+        spec.homeRegion_ = request.region_.empty() ? context.region_ : request.region_;
+    }
+    return ErrorKind::None;
+}
+
+ErrorKind checkRoom(const Entry &entry, const TeamId &team, Priority priority)
+{
+    std::size_t percent = UrgentPercent;
+    if (priority == Priority::Normal) {
+        percent = NormalPercent;
+    } else if (priority == Priority::Batch) {
+        percent = BatchPercent;
+    }
+    const auto ofTeam = entry.submitsByTeam_.find(team);
+    const std::size_t teamOpen = ofTeam == entry.submitsByTeam_.end() ? 0 : ofTeam->second;
+    const bool full = entry.submits_ * 100 >= MaxSubmits * percent || teamOpen * 100 >= MaxSubmitsOfTeam * percent;
+    return full ? ErrorKind::Overloaded : ErrorKind::None;
+}
+
+// A refusal at admission: certain for a first attempt, because nothing was sent. An earlier attempt may have run.
+static void refuse(Entry &entry, CallId call, const SubmitRequest &request, ErrorKind error, Context &context)
+{
+    ++entry.report_.refused_[error];
+    CallerAnswer answer;
+    answer.call_ = call;
+    answer.requestId_ = request.requestId_;
+    answer.outcome_ = request.attempt_ <= 1 || !isRequestId(request.requestId_) ? Outcome::NotRun : Outcome::Unknown;
+    answer.error_ = error;
+    context.actions_.push(std::move(answer));
+}
+
+void onSubmit(Entry &entry, CallId call, const SubmitRequest &request, std::error_code authorization, Context &context)
+{
+    if (authorization) {
+        refuse(entry, call, request, errorKind(authorization), context);
+        return;
+    }
+    if (entry.stopping_) {
+        refuse(entry, call, request, ErrorKind::ShuttingDown, context);
+        return;
+    }
+    OpenRequest open;
+    ErrorKind error = checkSubmit(request, context, open.spec_);
+    if (error == ErrorKind::None) {
+        error = checkRoom(entry, request.team_, open.spec_.priority_);
+    }
+    if (error != ErrorKind::None) {
+        refuse(entry, call, request, error, context);
+        return;
+    }
+    const WorkClass &workClass = *findClass(context.bundle_, request.class_);
+    const Milliseconds given = request.deadline_.count() > 0 ? request.deadline_ : workClass.deadline_;
+    open.kind_ = RequestKind::Submit;
+    open.caller_ = call;
+    open.attempt_ = request.attempt_;
+    open.received_ = context.now_;
+    open.deadline_ = context.now_ + std::min(given, MaxDeadline);
+    if (open.spec_.mode_ == WorkMode::Interactive && open.spec_.idempotent_) {
+        open.route_ = Route::First;
+        setCandidates(open, open.spec_.homeRegion_, context);
+    } else {
+        open.route_ = Route::Home;
+        open.first_ = homeOf(open.spec_.id_, request.team_, context);
+    }
+    countAdmitted(entry.report_, workClass, request.team_, context.now_);
+    ++entry.submits_;
+    ++entry.submitsByTeam_[request.team_];
+    openRequest(entry, std::move(open), context);
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/entry/answers.cpp
@@ -0,0 +1,248 @@
+// Answers of groups and homes, and the one answer that each caller gets.
+#include "core/entry/entry_internal.h"
+
+#include "core/home/outcome_func.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+constexpr Milliseconds PollInterval {200}; // of look-ups while a task still runs
+
+void dropRequest(Entry &entry, CallId id)
+{
+    const auto found = entry.open_.find(id);
+    const OpenRequest &request = found->second;
+    entry.timers_.erase({request.timer_, id});
+    entry.byMessage_.erase(request.message_);
+    entry.byCaller_.erase(request.caller_);
+    if (request.kind_ == RequestKind::Submit) {
+        --entry.submits_;
+        const auto team = entry.submitsByTeam_.find(request.spec_.team_);
+        if (--team->second == 0) {
+            entry.submitsByTeam_.erase(team);
+        }
+    }
+    entry.open_.erase(found);
+}
+
+void finish(Entry &entry, CallId id, Outcome outcome, ErrorKind error, Context &context)
+{
+    OpenRequest &request = entry.open_.at(id);
+    if (request.parent_ != CallId {}) {
+        const OpenRequest part = std::move(request);
+        entry.timers_.erase({part.timer_, id});
+        entry.byMessage_.erase(part.message_);
+        entry.open_.erase(id);
+        finishPart(entry, part, context);
+        return;
+    }
+    if (request.kind_ == RequestKind::Submit) {
+        const auto time = std::chrono::duration_cast<Milliseconds>(context.now_ - request.received_);
+        countAnswer(entry.report_, request.spec_, outcome, error, time, context.now_);
+    }
+    CallerAnswer answer;
+    answer.call_ = request.caller_;
+    answer.requestId_ = request.spec_.requestId_;
+    answer.outcome_ = outcome;
+    answer.error_ = error;
+    answer.detail_ = std::move(request.detail_);
+    answer.homeRegion_ = request.spec_.homeRegion_;
+    answer.results_ = std::move(request.results_);
+    std::sort(answer.results_.begin(), answer.results_.end(),
+              [](const TaskResult &left, const TaskResult &right) { return left.index_ < right.index_; });
+    dropRequest(entry, id);
+    context.actions_.push(std::move(answer));
+}
+
+void finishLate(Entry &entry, CallId id, Context &context)
+{
+    OpenRequest &request = entry.open_.at(id);
+    const bool mayRun = request.message_ != CallId {} && !request.lookup_;
+    if (request.accepted_) {
+        finish(entry, id, Outcome::Pending, ErrorKind::None, context);
+    } else if (request.kind_ != RequestKind::Submit) {
+        finish(entry, id, Outcome::Unknown, ErrorKind::PeerUnavailable, context);
+    } else if (request.uncertain_ || mayRun || request.attempt_ > 1) {
+        finish(entry, id, Outcome::Unknown, ErrorKind::OutcomeUnknown, context);
+    } else {
+        finish(entry, id, Outcome::NotRun, ErrorKind::PeerUnavailable, context);
+    }
+}
+
+// The open request that waits for the message; takes the message off it. nullptr for late and repeated answers.
+static OpenRequest *takeMessage(Entry &entry, CallId message, CallId &id)
+{
+    const auto found = entry.byMessage_.find(message);
+    if (found == entry.byMessage_.end()) {
+        ++entry.report_.lateAnswers_;
+        return nullptr;
+    }
+    id = found->second;
+    return &entry.open_.at(id);
+}
+
+static void endMessage(Entry &entry, OpenRequest &request)
+{
+    entry.byMessage_.erase(request.message_);
+    request.message_ = {};
+}
+
+static void waitAndAdvance(Entry &entry, CallId id, OpenRequest &request, Milliseconds delay, Context &context)
+{
+    request.sendAfter_ = context.now_ + delay;
+    advance(entry, id, context);
+}
+
+// Nothing is known at the group that was looked at.
+static void onNotKnown(Entry &entry, CallId id, OpenRequest &request, Context &context)
+{
+    if (request.route_ != Route::Lookup) {
+        waitAndAdvance(entry, id, request, PollInterval, context); // a submit that waits for its first candidate
+        return;
+    }
+    if (!request.lookAtSecond_ && !request.second_.empty()) {
+        request.lookAtSecond_ = true;
+        waitAndAdvance(entry, id, request, Milliseconds(0), context);
+        return;
+    }
+    finish(entry, id, Outcome::Unknown, ErrorKind::UnknownJob, context);
+}
+
+static void onLookup(Entry &entry, CallId id, OpenRequest &request, const TaskAnswer &message, Context &context)
+{
+    const bool known = std::any_of(message.results_.begin(), message.results_.end(), [](const TaskResult &result) {
+        return result.outcome_ != Outcome::Unknown
+            && (result.outcome_ != Outcome::NotRun
+                || (result.error_ != ErrorKind::UnknownJob && result.error_ != ErrorKind::None));
+    });
+    if (!known) {
+        onNotKnown(entry, id, request, context);
+        return;
+    }
+    const JobOutcome state = combineOutcomes(message.results_);
+    const bool refusedAtSecond = request.kind_ == RequestKind::Submit && state.outcome_ == Outcome::NotRun;
+    if (isFinal(state.outcome_) && !refusedAtSecond) {
+        request.results_ = message.results_;
+        finish(entry, id, state.outcome_, state.error_, context);
+    } else if (request.kind_ == RequestKind::Status && context.now_ >= request.waitUntil_) {
+        finish(entry, id, Outcome::Pending, ErrorKind::None, context);
+    } else {
+        waitAndAdvance(entry, id, request, PollInterval, context);
+    }
+}
+
+// Replaces what was known of the tasks by newer results.
+static void mergeResults(std::vector<TaskResult> &results, const std::vector<TaskResult> &newer)
+{
+    for (const TaskResult &result : newer) {
+        const auto known = std::find_if(results.begin(), results.end(),
+                                        [&result](const TaskResult &older) { return older.index_ == result.index_; });
+        if (known == results.end()) {
+            results.push_back(result);
+        } else if (!isFinal(known->outcome_)) {
+            *known = result;
+        }
+    }
+}
+
+void onEntryTaskAnswer(Entry &entry, const DaemonId & /*from*/, const TaskAnswer &message, Context &context)
+{
+    CallId id;
+    OpenRequest *request = takeMessage(entry, message.replyTo_.call_, id);
+    if (request == nullptr) {
+        return;
+    }
+    const auto elsewhere = [](const TaskResult &result) {
+        return result.outcome_ == Outcome::NotRun && result.error_ == ErrorKind::NotHolder;
+    };
+    if (std::any_of(message.results_.begin(), message.results_.end(), elsewhere)) {
+        endMessage(entry, *request);
+        request->uncertain_ = request->uncertain_ || request->partial_;
+        delayNext(*request, context);
+        advance(entry, id, context);
+        return;
+    }
+    if (request->lookup_) {
+        endMessage(entry, *request);
+        onLookup(entry, id, *request, message, context);
+        return;
+    }
+    mergeResults(request->results_, message.results_);
+    request->partial_ = true;
+    const JobOutcome state = combineOutcomes(request->results_);
+    if (request->results_.size() >= request->spec_.tasks_ && isFinal(state.outcome_)) {
+        finish(entry, id, state.outcome_, state.error_, context);
+    }
+}
+
+static void onSubmitAnswer(Entry &entry, CallId id, OpenRequest &request, const JobAnswer &message, Context &context)
+{
+    request.results_ = message.results_;
+    request.detail_ = message.detail_;
+    if (message.outcome_ != Outcome::Pending) {
+        // A final job is known to its home at least as long as a caller waits; "unknown job" after an acceptance
+        // means that it has ended and was forgotten.
+        finish(entry, id, message.outcome_, message.error_, context);
+        return;
+    }
+    request.accepted_ = true;
+    if (request.spec_.mode_ == WorkMode::Interactive && request.route_ == Route::Home) {
+        request.route_ = Route::Follow;
+        request.sends_ = 0;
+        waitAndAdvance(entry, id, request, Milliseconds(0), context);
+        return;
+    }
+    finish(entry, id, Outcome::Pending, message.error_, context);
+}
+
+static void onStatusAnswer(Entry &entry, CallId id, OpenRequest &request, const JobAnswer &message, Context &context)
+{
+    request.results_ = message.results_;
+    request.detail_ = message.detail_;
+    if (message.error_ != ErrorKind::UnknownJob) {
+        finish(entry, id, message.outcome_, message.error_, context);
+        return;
+    }
+    // Interactive work is known to its candidate groups only.
+    request.route_ = Route::Lookup;
+    request.sends_ = 0;
+    setCandidates(request, context.region_, context);
+    request.spec_.homeRegion_ = context.region_;
+    if (request.first_.empty()) {
+        finish(entry, id, Outcome::Unknown, ErrorKind::UnknownJob, context);
+        return;
+    }
+    waitAndAdvance(entry, id, request, Milliseconds(0), context);
+}
+
+void onEntryJobAnswer(Entry &entry, const DaemonId & /*from*/, const JobAnswer &message, Context &context)
+{
+    CallId id;
+    OpenRequest *request = takeMessage(entry, message.replyTo_.call_, id);
+    if (request == nullptr) {
+        return;
+    }
+    endMessage(entry, *request);
+    if (message.error_ == ErrorKind::NotHolder) {
+        const bool starts = request->kind_ == RequestKind::Submit && request->route_ == Route::Home;
+        request->uncertain_ = request->uncertain_ || (starts && message.outcome_ != Outcome::NotRun);
+        delayNext(*request, context);
+        advance(entry, id, context);
+        return;
+    }
+    switch (request->kind_) {
+    case RequestKind::Submit:
+        onSubmitAnswer(entry, id, *request, message, context);
+        break;
+    case RequestKind::Status:
+        onStatusAnswer(entry, id, *request, message, context);
+        break;
+    default:
+        onCancelAnswer(entry, id, message, context);
+        break;
+    }
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/entry/entry.cpp
@@ -0,0 +1,119 @@
+// Life of the entry: status requests, lost peers, timers and the admin view.
+#include "core/entry/entry_internal.h"
+
+#include "core/common/shard_func.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+constexpr Milliseconds MaxWait {10 * 60'000};
+constexpr Milliseconds StatusSlack {2000}; // for the answer after the wait
+constexpr std::size_t MaxOpen = 16'384; // requests of all kinds
+
+template <>
+void Destroy<Entry>::operator()(Entry *state) const
+{
+    delete state;
+}
+
+Handle<Entry> makeEntry()
+{
+    return Handle<Entry>(new Entry);
+}
+
+void onStatus(Entry &entry, CallId call, const StatusRequest &request, std::error_code authorization, Context &context)
+{
+    ErrorKind error = errorKind(authorization);
+    if (error == ErrorKind::None && !isRequestId(request.requestId_)) {
+        error = ErrorKind::MalformedRequest;
+    }
+    if (error == ErrorKind::None && entry.open_.size() >= MaxOpen) {
+        error = ErrorKind::Overloaded;
+    }
+    if (error != ErrorKind::None) {
+        CallerAnswer answer;
+        answer.call_ = call;
+        answer.requestId_ = request.requestId_;
+        answer.outcome_ = Outcome::Unknown;
+        answer.error_ = error;
+        context.actions_.push(std::move(answer));
+        return;
+    }
+    OpenRequest open;
+    open.kind_ = RequestKind::Status;
+    open.caller_ = call;
+    open.route_ = Route::Home;
+    open.spec_.id_ = jobId(request.team_, request.requestId_);
+    open.spec_.requestId_ = request.requestId_;
+    open.spec_.team_ = request.team_;
+    open.spec_.homeRegion_ = homeRegionOf(request.team_, context);
+    open.first_ = homeOf(open.spec_.id_, request.team_, context);
+    open.received_ = context.now_;
+    open.waitUntil_ = context.now_ + std::clamp(request.wait_, Milliseconds(0), MaxWait);
+    open.deadline_ = open.waitUntil_ + StatusSlack;
+    open.explain_ = request.explain_;
+    openRequest(entry, std::move(open), context);
+}
+
+void onCallerGone(Entry &entry, CallId call)
+{
+    const auto found = entry.byCaller_.find(call);
+    if (found == entry.byCaller_.end()) {
+        return;
+    }
+    const CallId id = found->second;
+    entry.byCaller_.erase(found);
+    if (const auto cancel = entry.cancels_.find(id); cancel != entry.cancels_.end()) {
+        cancel->second.caller_ = {}; // the cancellation itself goes on
+        return;
+    }
+    dropRequest(entry, id);
+}
+
+void onEntryPeerDown(Entry &entry, const DaemonId &peer, Context &context)
+{
+    std::vector<CallId> lost;
+    for (const auto &[id, request] : entry.open_) {
+        if (request.message_ != CallId {} && request.sentTo_ == peer) {
+            lost.push_back(id);
+        }
+    }
+    std::sort(lost.begin(), lost.end());
+    for (const CallId id : lost) {
+        OpenRequest &request = entry.open_.at(id);
+        loseMessage(entry, request);
+        delayNext(request, context);
+        advance(entry, id, context);
+    }
+}
+
+void tickEntry(Entry &entry, Context &context)
+{
+    entry.report_.now_ = context.now_;
+    while (!entry.timers_.empty() && entry.timers_.begin()->first <= context.now_) {
+        const CallId id = entry.timers_.begin()->second;
+        entry.timers_.erase(entry.timers_.begin());
+        if (entry.open_.contains(id)) {
+            advance(entry, id, context);
+        }
+    }
+}
+
+void stopAdmitting(Entry &entry)
+{
+    entry.stopping_ = true;
+}
+
+std::size_t openRequests(const Entry &entry)
+{
+    return entry.byCaller_.size();
+}
+
+std::string entryDocument(const Entry &entry)
+{
+    return reportDocument(entry.report_, openRequests(entry));
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/entry/report.cpp
@@ -0,0 +1,142 @@
+// Counting for the service-level report, and its JSON.
+#include "core/entry/report_base.h"
+
+#include "core/common/json_func.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+constexpr std::size_t MaxSeries = 4096; // further pairs of class and team are counted together
+constexpr std::string_view OtherTeams = "(other)";
+
+template <std::size_t Slots>
+static void moveTo(SlidingCount<Slots> &window, std::int64_t slot)
+{
+    const auto size = static_cast<std::int64_t>(Slots);
+    for (std::int64_t next = std::max(window.newest_ + 1, slot - size + 1); next <= slot; ++next) {
+        window.slots_.at(static_cast<std::size_t>(next % size)) = {};
+    }
+    window.newest_ = std::max(window.newest_, slot);
+}
+
+static std::int64_t slotOf(TimePoint now, Milliseconds width)
+{
+    return now.time_since_epoch() / width;
+}
+
+template <std::size_t Slots>
+static void count(SlidingCount<Slots> &window, std::int64_t slot, bool good)
+{
+    moveTo(window, slot);
+    GoodBad &counts = window.slots_.at(static_cast<std::size_t>(slot % static_cast<std::int64_t>(Slots)));
+    ++(good ? counts.good_ : counts.bad_);
+}
+
+template <std::size_t Slots>
+static GoodBad sum(SlidingCount<Slots> window, std::int64_t slot)
+{
+    moveTo(window, slot);
+    GoodBad total;
+    for (const GoodBad &counts : window.slots_) {
+        total.good_ += counts.good_;
+        total.bad_ += counts.bad_;
+    }
+    return total;
+}
+
+static Series &seriesOf(Report &report, const ClassId &workClass, const TeamId &team)
+{
+    std::pair key(workClass, team);
+    if (report.series_.size() >= MaxSeries && !report.series_.contains(key)) {
+        key.second = TeamId(std::string(OtherTeams));
+    }
+    return report.series_[key];
+}
+
+void countAdmitted(Report &report, const WorkClass &workClass, const TeamId &team, TimePoint now)
+{
+    report.now_ = now;
+    Series &series = seriesOf(report, workClass.id_, team);
+    ++series.requests_;
+    series.objective_ = workClass.objective_;
+    series.objectiveRatio_ = workClass.objectiveRatio_;
+}
+
+void countAnswer(Report &report, const JobSpec &spec, Outcome outcome, ErrorKind error, Milliseconds time,
+                 TimePoint now)
+{
+    report.now_ = now;
+    Series &series = seriesOf(report, spec.class_, spec.team_);
+    ++series.outcomes_.at(static_cast<std::size_t>(outcome));
+    const auto *const bound = std::lower_bound(BucketBounds.begin(), BucketBounds.end(), time.count());
+    ++series.buckets_.at(static_cast<std::size_t>(bound - BucketBounds.begin()));
+    series.sumMs_ += static_cast<std::uint64_t>(std::max<std::int64_t>(time.count(), 0));
+    // A task that ran and failed, or was cancelled, was served; a lost one was not.
+    const bool served = outcome == Outcome::Done || outcome == Outcome::Pending || outcome == Outcome::Cancelled
+        || (outcome == Outcome::Failed && error == ErrorKind::TaskFailed);
+    const bool good = served && time <= series.objective_;
+    count(series.shortWindow_, slotOf(now, ShortSlot), good);
+    count(series.longWindow_, slotOf(now, LongSlot), good);
+}
+
+static std::string windowText(const GoodBad &counts)
+{
+    JsonObject object;
+    object.number("good", counts.good_).number("bad", counts.bad_);
+    if (counts.good_ + counts.bad_ > 0) {
+        object.real("good_ratio", static_cast<double>(counts.good_) / (counts.good_ + counts.bad_));
+    }
+    return object.finish();
+}
+
+static std::string seriesText(const ClassId &workClass, const TeamId &team, const Series &series, TimePoint now)
+{
+    JsonObject object;
+    object.text("class", workClass.value_).text("team", team.value_);
+    object.number("requests", static_cast<std::int64_t>(series.requests_));
+    JsonObject outcomes;
+    for (std::size_t i = 0; i < series.outcomes_.size(); ++i) {
+        const auto outcome = static_cast<Outcome>(i);
+        outcomes.number(outcome == Outcome::Pending ? "accepted" : outcomeName(outcome),
+                        static_cast<std::int64_t>(series.outcomes_.at(i)));
+    }
+    object.raw("outcomes", outcomes.finish());
+    JsonArray buckets;
+    for (const std::uint64_t bucket : series.buckets_) {
+        buckets.raw(std::to_string(bucket));
+    }
+    object.raw("answer_ms_buckets", buckets.finish());
+    object.number("answer_ms_sum", static_cast<std::int64_t>(series.sumMs_));
+    object.number("objective_ms", series.objective_.count()).real("objective_ratio", series.objectiveRatio_);
+    object.raw("last_5_min", windowText(sum(series.shortWindow_, slotOf(now, ShortSlot))));
+    object.raw("last_hour", windowText(sum(series.longWindow_, slotOf(now, LongSlot))));
+    return object.finish();
+}
+
+std::string reportDocument(const Report &report, std::size_t open)
+{
+    JsonObject object;
+    object.number("open", static_cast<std::int64_t>(open));
+    object.number("retries", static_cast<std::int64_t>(report.retries_));
+    object.number("retries_delayed", static_cast<std::int64_t>(report.retriesDelayed_));
+    object.number("late_answers", static_cast<std::int64_t>(report.lateAnswers_));
+    JsonObject refused;
+    for (const auto &[error, number] : report.refused_) {
+        refused.number(errorName(error), static_cast<std::int64_t>(number));
+    }
+    object.raw("refused", refused.finish());
+    JsonArray bounds;
+    for (const std::int64_t bound : BucketBounds) {
+        bounds.raw(std::to_string(bound));
+    }
+    object.raw("bucket_bounds_ms", bounds.finish());
+    JsonArray series;
+    for (const auto &[key, value] : report.series_) {
+        series.raw(seriesText(key.first, key.second, value, report.now_));
+    }
+    return object.raw("series", series.finish()).finish();
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/entry/report_base.h
@@ -0,0 +1,66 @@
+// Counters and histograms by class and team for the service-level report.
+#pragma once
+
+#include "core/common/id_type.h"
+#include "core/common/time_type.h"
+#include "core/common/work_type.h"
+#include "core/config/bundle_base.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace mimosapier
+{
+
+// Upper bounds in milliseconds; one more bucket counts what is above.
+inline constexpr std::array<std::int64_t, 15> BucketBounds {1,   2,    5,    10,   20,    50,    100,  200,
+                                                            500, 1000, 2000, 5000, 10000, 30000, 60000};
+
+struct GoodBad
+{
+    std::uint32_t good_ = 0;
+    std::uint32_t bad_ = 0;
+};
+
+// Counts over a sliding window of Slots intervals.
+template <std::size_t Slots>
+struct SlidingCount
+{
+    std::array<GoodBad, Slots> slots_ {};
+    std::int64_t newest_ = 0; // number of the interval that was counted last
+};
+
+constexpr Milliseconds ShortSlot {10'000};
+constexpr Milliseconds LongSlot {60'000};
+
+struct Series
+{
+    std::uint64_t requests_ = 0; // admitted
+    std::array<std::uint64_t, 7> outcomes_ {}; // by Outcome; Pending counts accepted jobs
+    std::array<std::uint64_t, BucketBounds.size() + 1> buckets_ {}; // time from receipt to answer
+    std::uint64_t sumMs_ = 0;
+    SlidingCount<30> shortWindow_; // 5 min
+    SlidingCount<60> longWindow_; // 1 h
+    Milliseconds objective_ {0};
+    double objectiveRatio_ = 0;
+};
+
+struct Report
+{
+    std::map<std::pair<ClassId, TeamId>, Series> series_;
+    std::map<ErrorKind, std::uint64_t> refused_; // at admission
+    std::uint64_t retries_ = 0;
+    std::uint64_t retriesDelayed_ = 0; // because the budget was used up
+    std::uint64_t lateAnswers_ = 0; // answers that no request waited for
+    TimePoint now_; // of the newest event, for the windows
+};
+
+void countAdmitted(Report &report, const WorkClass &workClass, const TeamId &team, TimePoint now);
+void countAnswer(Report &report, const JobSpec &spec, Outcome outcome, ErrorKind error, Milliseconds time,
+                 TimePoint now);
+std::string reportDocument(const Report &report, std::size_t open);
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/entry/routing.cpp
@@ -0,0 +1,225 @@
+// Where an open request is sent, when, and when it is given up.
+#include "core/entry/entry_internal.h"
+
+#include "core/common/shard_func.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+constexpr Milliseconds CheckInterval {100}; // of messages under way and of vacant shards
+constexpr Milliseconds FirstDelay {20};
+constexpr Milliseconds MaxDelay {500};
+constexpr Milliseconds LookupInterval {200}; // while a group still runs the task
+constexpr Milliseconds FollowMargin {20}; // a wait at the home ends this long before the deadline
+constexpr double RetryPart = 0.1; // of a request, added to the budget by each
+constexpr double MaxRetries = 100.0; // that may be saved up
+
+RegionId homeRegionOf(const TeamId &team, const Context &context)
+{
+    const Team *found = findTeam(context.bundle_, team);
+    return found == nullptr || found->homeRegion_.empty() ? context.region_ : found->homeRegion_;
+}
+
+ShardId homeOf(const JobId &job, const TeamId &team, const Context &context)
+{
+    const RegionId region = homeRegionOf(team, context);
+    std::uint32_t partitions = 1;
+    for (const RegionConfig &config : context.bundle_.regions_) {
+        if (config.id_ == region) {
+            partitions = std::max<std::uint32_t>(config.partitions_, 1);
+        }
+    }
+    return homePartition(job, region, partitions);
+}
+
+void setCandidates(OpenRequest &request, const RegionId &region, const Context &context)
+{
+    std::vector<ShardId> groups;
+    for (const ShardEntry &entry : context.directory_.groups_) {
+        if (entry.region_ == region) {
+            groups.push_back(entry.shard_);
+        }
+    }
+    const CandidateGroups candidates = candidateGroups(request.spec_.id_, groups);
+    request.first_ = candidates.first_;
+    request.second_ = candidates.second_;
+}
+
+void setTimer(Entry &entry, CallId id, OpenRequest &request, TimePoint time)
+{
+    entry.timers_.erase({request.timer_, id});
+    request.timer_ = time;
+    entry.timers_.emplace(time, id);
+}
+
+CallId openRequest(Entry &entry, OpenRequest request, Context &context)
+{
+    const CallId id {++entry.lastId_};
+    if (request.caller_ != CallId {}) {
+        entry.byCaller_[request.caller_] = id;
+    }
+    entry.open_.emplace(id, std::move(request));
+    entry.budget_.tokens_ = std::min(MaxRetries, entry.budget_.tokens_ + RetryPart);
+    advance(entry, id, context);
+    return id;
+}
+
+void loseMessage(Entry &entry, OpenRequest &request)
+{
+    if (request.message_ == CallId {}) {
+        return;
+    }
+    entry.byMessage_.erase(request.message_);
+    request.message_ = {};
+    request.uncertain_ = request.uncertain_ || !request.lookup_;
+}
+
+void delayNext(OpenRequest &request, Context &context)
+{
+    request.backoff_ = std::clamp(request.backoff_ * 2, FirstDelay, MaxDelay);
+    std::uniform_int_distribution<std::int64_t> jitter(request.backoff_.count() / 2, request.backoff_.count() * 3 / 2);
+    request.sendAfter_ = context.now_ + Milliseconds(jitter(context.random_));
+}
+
+static const ShardEntry *reachable(const ShardId &shard, const Context &context)
+{
+    const ShardEntry *entry
+        = isGroup(shard) ? findGroup(context.directory_, shard) : findPartition(context.directory_, shard);
+    return entry != nullptr && entry->reachable_ && !entry->holder_.empty() ? entry : nullptr;
+}
+
+static Milliseconds until(TimePoint time, const Context &context)
+{
+    return std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(time - context.now_));
+}
+
+static PeerMessage makeOffer(const OpenRequest &request, const ReplyTo &replyTo, const Context &context)
+{
+    TaskOffer offer;
+    offer.replyTo_ = replyTo;
+    offer.group_ = request.target_;
+    offer.job_ = request.spec_;
+    offer.count_ = request.spec_.tasks_;
+    offer.attempt_ = request.attempt_;
+    offer.remaining_ = until(request.deadline_, context);
+    offer.mayHaveRun_ = request.uncertain_ || request.attempt_ > 1;
+    offer.lookupOnly_ = request.lookup_;
+    return offer;
+}
+
+static PeerMessage makeHomeMessage(const OpenRequest &request, const ReplyTo &replyTo, const Context &context)
+{
+    if (request.kind_ == RequestKind::Cancel) {
+        return JobCancel {replyTo, request.target_, request.jobs_};
+    }
+    if (request.kind_ == RequestKind::Status) {
+        return JobQuery {replyTo, request.target_, request.spec_.id_, until(request.waitUntil_, context),
+                         request.explain_};
+    }
+    if (request.route_ == Route::Follow) {
+        const Milliseconds wait = std::max(Milliseconds(0), until(request.deadline_, context) - FollowMargin);
+        return JobQuery {replyTo, request.target_, request.spec_.id_, wait, false};
+    }
+    return JobSubmit {replyTo, request.target_, request.spec_, request.attempt_, until(request.deadline_, context)};
+}
+
+// Takes a retry from the budget; false when it is used up.
+static bool mayRetry(Entry &entry)
+{
+    if (entry.budget_.tokens_ < 1.0) {
+        ++entry.report_.retriesDelayed_;
+        return false;
+    }
+    entry.budget_.tokens_ -= 1.0;
+    ++entry.report_.retries_;
+    return true;
+}
+
+static void send(Entry &entry, CallId id, OpenRequest &request, const ShardEntry &shard, bool lookup, Context &context)
+{
+    if (request.sends_ > 0 && !mayRetry(entry)) {
+        delayNext(request, context);
+        return;
+    }
+    ++request.sends_;
+    request.message_ = CallId {context.actions_.nextId()};
+    request.target_ = shard.shard_;
+    request.sentTo_ = shard.holder_;
+    request.sentEpoch_ = shard.epoch_;
+    request.lookup_ = lookup;
+    entry.byMessage_[request.message_] = id;
+    const ReplyTo replyTo {ReplyPart::Entry, {}, request.message_};
+    const bool toHome = request.route_ == Route::Home || request.route_ == Route::Follow;
+    sendPeer(context, shard.holder_,
+             toHome ? makeHomeMessage(request, replyTo, context) : makeOffer(request, replyTo, context));
+}
+
+// Sends to the candidate groups. Work is started at the second only when nothing was ever sent to the first.
+static void sendToGroups(Entry &entry, CallId id, OpenRequest &request, Context &context)
+{
+    if (request.route_ == Route::First && request.first_.empty()) {
+        setCandidates(request, request.spec_.homeRegion_, context);
+    }
+    const ShardEntry *first = reachable(request.first_, context);
+    const ShardEntry *second = reachable(request.second_, context);
+    switch (request.route_) {
+    case Route::First:
+        if (first != nullptr) {
+            send(entry, id, request, *first, false, context);
+        } else if (second != nullptr && request.attempt_ <= 1 && !request.uncertain_) {
+            request.route_ = Route::Second;
+            send(entry, id, request, *second, false, context);
+        } else if (second != nullptr) {
+            send(entry, id, request, *second, true, context);
+        }
+        break;
+    case Route::Second:
+        if (second != nullptr) {
+            send(entry, id, request, *second, false, context);
+        }
+        break;
+    default:
+        if (const ShardEntry *target = request.lookAtSecond_ ? second : first; target != nullptr) {
+            send(entry, id, request, *target, true, context);
+        }
+        break;
+    }
+}
+
+// True when the message under way can still be answered by the holder it was sent to.
+static bool isUnderWay(const OpenRequest &request, const Context &context)
+{
+    const ShardEntry *entry = reachable(request.target_, context);
+    return entry != nullptr && entry->holder_ == request.sentTo_ && entry->epoch_ == request.sentEpoch_;
+}
+
+void advance(Entry &entry, CallId id, Context &context)
+{
+    OpenRequest &request = entry.open_.at(id);
+    if (context.now_ >= request.deadline_) {
+        finishLate(entry, id, context);
+        return;
+    }
+    if (request.message_ != CallId {} && !isUnderWay(request, context)) {
+        loseMessage(entry, request);
+        delayNext(request, context);
+    }
+    if (request.message_ == CallId {} && context.now_ >= request.sendAfter_) {
+        if (request.route_ == Route::Home || request.route_ == Route::Follow) {
+            if (const ShardEntry *home = reachable(request.first_, context)) {
+                send(entry, id, request, *home, request.route_ == Route::Follow, context);
+            }
+        } else {
+            sendToGroups(entry, id, request, context);
+        }
+    }
+    TimePoint next = context.now_ + CheckInterval;
+    if (request.message_ == CallId {} && request.sendAfter_ > context.now_) {
+        next = std::min(next, request.sendAfter_);
+    }
+    setTimer(entry, id, request, std::min(next, request.deadline_));
+}
+
+} // namespace mimosapier
