Fix: [home] Acknowledgements survive a change of holder, offers to a new group holder are all repeated

A result that was durable but not acknowledged when its home died stayed at the group for ever; a single offer to a group's new holder hid the change from the other open offers; a hand-over left jobs without a record to an old home.

--- a/src/core/entry/routing.cpp
+++ b/src/core/entry/routing.cpp
@@ -11,7 +11,6 @@
 constexpr Milliseconds CheckInterval {100}; // of messages under way and of vacant shards
 constexpr Milliseconds FirstDelay {20};
 constexpr Milliseconds MaxDelay {500};
-constexpr Milliseconds LookupInterval {200}; // while a group still runs the task
 constexpr Milliseconds FollowMargin {20}; // a wait at the home ends this long before the deadline
 constexpr double RetryPart = 0.1; // of a request, added to the budget by each
 constexpr double MaxRetries = 100.0; // that may be saved up
@@ -139,11 +138,11 @@
 
 static void send(Entry &entry, CallId id, OpenRequest &request, const ShardEntry &shard, bool lookup, Context &context)
 {
-    if (request.sends_ > 0 && !mayRetry(entry)) {
+    if (request.sends_ > 0 && !lookup && !mayRetry(entry)) {
         delayNext(request, context);
         return;
     }
-    ++request.sends_;
+    request.sends_ += lookup ? 0 : 1;
     request.message_ = CallId {context.actions_.nextId()};
     request.target_ = shard.shard_;
     request.sentTo_ = shard.holder_;
--- a/src/core/home/answers.cpp
+++ b/src/core/home/answers.cpp
@@ -265,25 +265,27 @@
     }
 }
 
+void dropJobAskers(HomeJob &job, Outcome outcome, Context &context)
+{
+    for (const Asker &asker : job.submitters_) {
+        sendJobAnswer(asker, plainAnswer(job.spec_.id_, outcome, ErrorKind::NotHolder), context);
+    }
+    for (const Asker &asker : job.queries_) {
+        sendJobAnswer(asker, plainAnswer(job.spec_.id_, Outcome::Unknown, ErrorKind::NotHolder), context);
+    }
+    job.submitters_.clear();
+    job.queries_.clear();
+}
+
 void dropAskers(Home &home, Context &context)
 {
-    const JobAnswer elsewhere = plainAnswer({}, Outcome::Unknown, ErrorKind::NotHolder);
     const auto send = [&](const Asker &asker, const JobId &job, Outcome outcome) {
-        JobAnswer answer = elsewhere;
-        answer.job_ = job;
-        answer.outcome_ = outcome;
-        sendJobAnswer(asker, std::move(answer), context);
+        sendJobAnswer(asker, plainAnswer(job, outcome, ErrorKind::NotHolder), context);
     };
     for (auto &[id, job] : home.jobs_) {
-        const Outcome outcome = job.recorded_ && !withdrawAccepted(home, id) ? Outcome::Unknown : Outcome::NotRun;
-        for (const Asker &asker : job.submitters_) {
-            send(asker, id, outcome);
-        }
-        for (const Asker &asker : job.queries_) {
-            send(asker, id, Outcome::Unknown);
-        }
-        job.submitters_.clear();
-        job.queries_.clear();
+        // What is still pending was never sent to the store.
+        const bool mayBeStored = job.recorded_ && !withdrawAccepted(home, id);
+        dropJobAskers(job, mayBeStored ? Outcome::Unknown : Outcome::NotRun, context);
     }
     for (const WaitingSubmit &waiting : home.waitingSubmits_) {
         send({waiting.from_, waiting.message_.replyTo_, {}, false}, waiting.message_.job_.id_, Outcome::NotRun);
--- a/src/core/home/cancel.cpp
+++ b/src/core/home/cancel.cpp
@@ -60,7 +60,9 @@
         TaskResult result;
         result.index_ = position;
         const auto found = home.jobs_.find(jobs[position]);
-        if (found == home.jobs_.end()) {
+        if (found == home.jobs_.end() && home.refused_.contains(jobs[position])) {
+            result.outcome_ = Outcome::NotRun;
+        } else if (found == home.jobs_.end()) {
             result.outcome_ = Outcome::Unknown;
             result.error_ = ErrorKind::UnknownJob;
             answer.error_ = ErrorKind::UnknownJob;
@@ -75,12 +77,15 @@
     return answer;
 }
 
-static bool isSettled(const Home &home, const CancelWait &wait)
+static bool isSettled(const Home &home, CancelWait &wait)
 {
-    return std::all_of(wait.jobs_.begin(), wait.jobs_.end(), [&home](const JobId &id) {
-        const auto found = home.jobs_.find(id);
-        return found == home.jobs_.end() || found->second.unfinished_ == 0;
-    });
+    for (; wait.settled_ < wait.jobs_.size(); ++wait.settled_) {
+        const auto found = home.jobs_.find(wait.jobs_[wait.settled_]);
+        if (found != home.jobs_.end() && found->second.unfinished_ > 0) {
+            return false;
+        }
+    }
+    return true;
 }
 
 // True when every cancellation is durable, so that it may be answered before the tasks have stopped.
@@ -94,7 +99,7 @@
 
 void checkCancelWaits(Home &home, Context &context)
 {
-    std::erase_if(home.cancelWaits_, [&](const CancelWait &wait) {
+    std::erase_if(home.cancelWaits_, [&](CancelWait &wait) {
         const bool late = context.now_ >= wait.asker_.until_;
         if (!isSettled(home, wait) && !late) {
             return false;
@@ -127,7 +132,7 @@
         job.cancelRecorded_ = true;
         appendRecord(home, {RecordKind::Cancelled, id, {}, {}, {}}, context);
     }
-    home.cancelWaits_.push_back({asker, jobs});
+    home.cancelWaits_.push_back({asker, jobs, 0});
     checkCancelWaits(home, context);
 }
 
--- a/src/core/home/choice.cpp
+++ b/src/core/home/choice.cpp
@@ -13,9 +13,9 @@
 // Free slots of the group, less what was assigned since it reported.
 static std::uint32_t freeSlots(const Home &home, const ShardEntry &entry)
 {
-    const auto seen = home.groups_.find(entry.shard_);
+    const auto use = home.uses_.find(entry.shard_);
     const std::uint32_t assigned
-        = seen != home.groups_.end() && seen->second.load_ == entry.load_ ? seen->second.assignedSince_ : 0;
+        = use != home.uses_.end() && use->second.load_ == entry.load_ ? use->second.assignedSince_ : 0;
     return entry.load_.freeSlots_ - std::min(entry.load_.freeSlots_, assigned);
 }
 
@@ -54,9 +54,16 @@
     std::vector<const ShardEntry *> localRoom; // of these, with enough free capacity
     std::vector<const ShardEntry *> remote;
     std::vector<const ShardEntry *> remoteRoom;
+    const ShardEntry *largest = nullptr; // for a gang that no group seems to hold; it knows for certain
     const bool gang = job.spec_.mode_ == WorkMode::Gang;
     for (const ShardEntry &entry : context.directory_.groups_) {
-        if (!isUsable(job, entry, context) || (gang && entry.load_.capacitySlots_ < count)) {
+        if (!isUsable(job, entry, context)) {
+            continue;
+        }
+        if (largest == nullptr || entry.load_.capacitySlots_ > largest->load_.capacitySlots_) {
+            largest = &entry;
+        }
+        if (gang && entry.load_.capacitySlots_ < count) {
             continue;
         }
         const bool isLocal = entry.region_ == job.spec_.homeRegion_;
@@ -73,7 +80,8 @@
     if (!remoteRoom.empty() && (mayCross || local.empty())) {
         return sample(home, remoteRoom, context);
     }
-    return sample(home, local.empty() ? remote : local, context);
+    const ShardEntry *chosen = sample(home, local.empty() ? remote : local, context);
+    return chosen == nullptr ? largest : chosen;
 }
 
 bool impossibleEverywhere(const HomeJob &job, const Context &context)
@@ -86,12 +94,11 @@
 
 static void noteAssigned(Home &home, const ShardEntry &entry, std::uint32_t count)
 {
-    GroupSeen &seen = home.groups_[entry.shard_];
-    if (seen.load_ != entry.load_) {
-        seen.load_ = entry.load_;
-        seen.assignedSince_ = 0;
+    GroupUse &use = home.uses_[entry.shard_];
+    if (use.load_ != entry.load_) {
+        use = {entry.load_, 0};
     }
-    seen.assignedSince_ += count;
+    use.assignedSince_ += count;
 }
 
 // A gang is placed as a whole, once none of its tasks is left in a group.
--- a/src/core/home/dispatch.cpp
+++ b/src/core/home/dispatch.cpp
@@ -78,6 +78,8 @@
     for (std::uint32_t index = 0; index < job.tasks_.size();) {
         const HomeTask &task = job.tasks_[index];
         if (!isDue(task)) {
+            const bool looked = task.lookup_ && !task.group_.empty() && !isFinal(task.result_.outcome_);
+            waitsForTenure = waitsForTenure || (looked && !tenure && !stopping);
             ++index;
             continue;
         }
@@ -89,10 +91,10 @@
         }
         const ShardEntry *entry = findGroup(context.directory_, task.group_);
         const bool reachable = entry != nullptr && !entry->holder_.empty() && entry->reachable_;
-        GroupSeen &seen = home.groups_[task.group_];
-        seen.holder_ = reachable ? entry->holder_ : DaemonId {};
-        seen.epoch_ = reachable ? entry->epoch_ : Epoch {};
-        seen.reachable_ = reachable;
+        // An older entry is left to onHomeDirectory, which repeats all offers to the group when it differs.
+        if (!home.groups_.contains(task.group_)) {
+            home.groups_[task.group_] = reachable ? GroupSeen {entry->holder_, entry->epoch_, true} : GroupSeen {};
+        }
         if (reachable && (task.mayHaveRun_ || (tenure && !stopping))) {
             // Without proof of being the newest holder, and for work that is being stopped, nothing may be started.
             sendOffer(home, job, index, count, !tenure || stopping, context);
@@ -269,19 +271,24 @@
 
 void sendBatches(Home &home, Context &context)
 {
-    const auto send = [&context](auto &batches, auto make) {
-        for (auto &[group, tasks] : batches) {
-            const ShardEntry *entry = findGroup(context.directory_, group);
-            if (entry != nullptr && !entry->holder_.empty()) {
-                sendPeer(context, entry->holder_, make(group, std::move(tasks)));
-            }
-        }
-        batches.clear();
+    const auto holder = [&context](const ShardId &group) {
+        const ShardEntry *entry = findGroup(context.directory_, group);
+        return entry != nullptr && entry->reachable_ ? entry->holder_ : DaemonId {};
     };
-    send(home.acks_, [](const ShardId &group, std::vector<TaskId> tasks) { return TaskAck {group, std::move(tasks)}; });
-    send(home.stops_, [](const ShardId &group, std::vector<TaskId> tasks) {
-        return TaskCancel {group, std::move(tasks)};
+    // Acknowledgements wait for a holder; stops are repeated in any case.
+    std::erase_if(home.acks_, [&](auto &batch) {
+        const DaemonId to = holder(batch.first);
+        if (!to.empty()) {
+            sendPeer(context, to, TaskAck {batch.first, std::move(batch.second)});
+        }
+        return !to.empty() || findGroup(context.directory_, batch.first) == nullptr;
     });
+    for (auto &[group, tasks] : home.stops_) {
+        if (const DaemonId to = holder(group); !to.empty()) {
+            sendPeer(context, to, TaskCancel {group, std::move(tasks)});
+        }
+    }
+    home.stops_.clear();
 }
 
 } // namespace mimosapier
--- a/src/core/home/home.cpp
+++ b/src/core/home/home.cpp
@@ -27,6 +27,7 @@
     home.journal_.activeSince_ = context.now_;
     std::vector<JobId> open;
     for (auto &[id, job] : home.jobs_) {
+        acknowledgeFinished(home, job);
         if (job.unfinished_ == 0) {
             onJobRecovered(home, job, context);
         } else {
@@ -162,6 +163,20 @@
 void stopAccepting(Home &home, Context &context)
 {
     home.stopping_ = true;
+    if (home.phase_ != HomePhase::Active) {
+        dropAskers(home, context);
+    }
+    // What was not handed to the journal goes to the next holder.
+    for (auto next = home.jobs_.begin(); next != home.jobs_.end();) {
+        HomeJob &job = next->second;
+        if (job.recorded_) {
+            ++next;
+            continue;
+        }
+        dropJobAskers(job, Outcome::NotRun, context);
+        home.timers_.erase({job.timer_, next->first});
+        next = home.jobs_.erase(next);
+    }
     tickHome(home, context);
 }
 
--- a/src/core/home/home_base.h
+++ b/src/core/home/home_base.h
@@ -70,6 +70,7 @@
 {
     Asker asker_;
     std::vector<JobId> jobs_;
+    std::size_t settled_ = 0; // jobs at the front that are final
 };
 
 enum class HomePhase : std::uint8_t {
@@ -176,7 +177,11 @@
     DaemonId holder_;
     Epoch epoch_;
     bool reachable_ = false;
-    GroupLoad load_;
+};
+
+struct GroupUse
+{
+    GroupLoad load_; // newest report
     std::uint32_t assignedSince_ = 0; // tasks assigned since load_ was reported
 };
 
@@ -204,7 +209,8 @@
     std::map<JobId, RefusedId> refused_;
     std::deque<std::pair<TimePoint, JobId>> refusedOrder_;
     std::map<ShardId, std::set<JobId>> openByGroup_; // jobs with unfinished tasks assigned to the group
-    std::map<ShardId, GroupSeen> groups_;
+    std::map<ShardId, GroupSeen> groups_; // holders that the open offers were sent to
+    std::map<ShardId, GroupUse> uses_;
     std::vector<WaitingSubmit> waitingSubmits_; // arrived before the journal was open
     std::vector<std::pair<JobQuery, Asker>> waitingQueries_;
     std::vector<std::pair<JobCancel, Asker>> waitingCancels_;
--- a/src/core/home/home_internal.h
+++ b/src/core/home/home_internal.h
@@ -65,6 +65,8 @@
 void onDurable(Home &home, const JournalRecord &record, Context &context);
 // Starts the time for which a job that was read as final is kept.
 void onJobRecovered(Home &home, HomeJob &job, Context &context);
+// Acknowledges results again that were durable when the journal was read: the previous holder may not have done so.
+void acknowledgeFinished(Home &home, const HomeJob &job);
 void expireFinished(Home &home, Context &context);
 
 // answers.cpp
@@ -75,6 +77,8 @@
 void refuseSubmitters(Home &home, HomeJob &job, Outcome outcome, ErrorKind error, Context &context);
 void rememberRefusal(Home &home, const JobId &job, std::uint32_t attempt, ErrorKind error, TimePoint now);
 void answerWaiting(Home &home, Context &context);
+// Sends the askers of a job to the present holder; `outcome` is that of its submits.
+void dropJobAskers(HomeJob &job, Outcome outcome, Context &context);
 void dropAskers(Home &home, Context &context);
 
 // cancel.cpp
--- a/src/core/home/journal.cpp
+++ b/src/core/home/journal.cpp
@@ -190,6 +190,7 @@
         applyRecord(home, record);
         onDurable(home, record, context);
     }
+    checkCancelWaits(home, context);
 }
 
 // The key holds our value, unless a later holder had deleted the key before our create.
--- a/src/core/home/results.cpp
+++ b/src/core/home/results.cpp
@@ -134,6 +134,9 @@
     }
     if (!job.spec_.idempotent_) {
         at.ended_.push_back(result);
+        if (result.error_ == ErrorKind::WorkerLost) {
+            at.ended_.back().outcome_ = Outcome::Unknown; // it may have finished on the worker
+        }
         return;
     }
     // The group may forget the lost run, so that the task can be offered to it again.
@@ -178,7 +181,8 @@
 {
     HomeTask &task = at.task_;
     if (at.answer_.group_ != task.group_ || isFinal(task.result_.outcome_)) {
-        if (task.finished_ && isFinal(result.outcome_) && result.outcome_ != Outcome::NotRun) {
+        const bool replaced = at.answer_.group_ != task.group_ && at.job_.spec_.idempotent_;
+        if ((task.finished_ || replaced) && isFinal(result.outcome_) && result.outcome_ != Outcome::NotRun) {
             at.home_.acks_[at.answer_.group_].push_back({at.job_.spec_.id_, result.index_});
         } else if (task.finished_ && result.outcome_ == Outcome::Running) {
             at.home_.stops_[at.answer_.group_].push_back({at.job_.spec_.id_, result.index_});
@@ -256,6 +260,21 @@
     job.spec_.payload_.clear();
 }
 
+// True when the group holds the result until it is acknowledged.
+static bool wantsAck(const HomeTask &task)
+{
+    return task.finished_ && !task.group_.empty() && task.mayHaveRun_ && task.result_.outcome_ != Outcome::NotRun;
+}
+
+void acknowledgeFinished(Home &home, const HomeJob &job)
+{
+    for (const HomeTask &task : job.tasks_) {
+        if (wantsAck(task)) {
+            home.acks_[task.group_].push_back({job.spec_.id_, task.result_.index_});
+        }
+    }
+}
+
 static void onJobFinal(Home &home, HomeJob &job, Context &context)
 {
     ++home.finishedCount_;
@@ -274,7 +293,7 @@
     HomeJob &job = found->second;
     for (const TaskResult &result : record.results_) {
         const HomeTask &task = job.tasks_[result.index_];
-        if (!task.group_.empty() && task.mayHaveRun_) {
+        if (wantsAck(task)) {
             home.acks_[task.group_].push_back({job.spec_.id_, result.index_});
         }
     }
@@ -287,7 +306,6 @@
     } else {
         reviewJob(home, job, context);
     }
-    checkCancelWaits(home, context);
 }
 
 void expireFinished(Home &home, Context &context)
--- a/src/core/home/snapshot.cpp
+++ b/src/core/home/snapshot.cpp
@@ -29,7 +29,8 @@
         const HomeTask &task = job.tasks_[index];
         if (task.finished_) {
             finished.results_.push_back(task.result_);
-        } else if (task.assigned_) {
+        }
+        if (task.assigned_) {
             auto &ranges = accepted.ranges_;
             if (!ranges.empty() && ranges.back().group_ == task.group_
                 && ranges.back().first_ + ranges.back().count_ == index) {
