Change: [home] Look up only work that is being stopped; entries wait on one look-up

Cause: the group remembers a look-up of an unknown task as a reason not to start it, and tells the end of a task that was looked up in a further answer. Change: without proof of being the newest holder the home waits for the proof instead of looking up; an entry keeps the look-up under way while the group knows the task.

--- a/src/core/entry/answers.cpp
+++ b/src/core/entry/answers.cpp
@@ -95,9 +95,24 @@
     advance(entry, id, context);
 }
 
+// Replaces what was known of the tasks by newer results.
+static void mergeResults(std::vector<TaskResult> &results, const std::vector<TaskResult> &newer)
+{
+    for (const TaskResult &result : newer) {
+        const auto known = std::find_if(results.begin(), results.end(),
+                                        [&result](const TaskResult &older) { return older.index_ == result.index_; });
+        if (known == results.end()) {
+            results.push_back(result);
+        } else if (!isFinal(known->outcome_)) {
+            *known = result;
+        }
+    }
+}
+
 // Nothing is known at the group that was looked at.
 static void onNotKnown(Entry &entry, CallId id, OpenRequest &request, Context &context)
 {
+    endMessage(entry, request);
     if (request.route_ != Route::Lookup) {
         waitAndAdvance(entry, id, request, PollInterval, context); // a submit that waits for its first candidate
         return;
@@ -107,44 +122,37 @@
         waitAndAdvance(entry, id, request, Milliseconds(0), context);
         return;
     }
-    finish(entry, id, Outcome::Unknown, ErrorKind::UnknownJob, context);
+    finish(entry, id, Outcome::Unknown, request.unsure_ ? ErrorKind::OutcomeUnknown : ErrorKind::UnknownJob, context);
 }
 
 static void onLookup(Entry &entry, CallId id, OpenRequest &request, const TaskAnswer &message, Context &context)
 {
     const bool known = std::any_of(message.results_.begin(), message.results_.end(), [](const TaskResult &result) {
-        return result.outcome_ != Outcome::Unknown
-            && (result.outcome_ != Outcome::NotRun
-                || (result.error_ != ErrorKind::UnknownJob && result.error_ != ErrorKind::None));
+        const bool refused = result.outcome_ == Outcome::NotRun && result.error_ != ErrorKind::UnknownJob;
+        return refused || (result.outcome_ != Outcome::Unknown && result.outcome_ != Outcome::NotRun);
     });
     if (!known) {
+        request.unsure_ = request.unsure_
+            || std::any_of(message.results_.begin(), message.results_.end(),
+                           [](const TaskResult &result) { return result.error_ == ErrorKind::OutcomeUnknown; });
         onNotKnown(entry, id, request, context);
         return;
     }
-    const JobOutcome state = combineOutcomes(message.results_);
-    const bool refusedAtSecond = request.kind_ == RequestKind::Submit && state.outcome_ == Outcome::NotRun;
-    if (isFinal(state.outcome_) && !refusedAtSecond) {
-        request.results_ = message.results_;
-        finish(entry, id, state.outcome_, state.error_, context);
-    } else if (request.kind_ == RequestKind::Status && context.now_ >= request.waitUntil_) {
-        finish(entry, id, Outcome::Pending, ErrorKind::None, context);
-    } else {
-        waitAndAdvance(entry, id, request, PollInterval, context);
+    std::vector<TaskResult> results;
+    mergeResults(results, message.results_);
+    const JobOutcome state = combineOutcomes(results);
+    if (request.kind_ == RequestKind::Submit && state.outcome_ == Outcome::NotRun) {
+        onNotKnown(entry, id, request, context); // the first candidate may still have run it
+        return;
     }
-}
-
-// Replaces what was known of the tasks by newer results.
-static void mergeResults(std::vector<TaskResult> &results, const std::vector<TaskResult> &newer)
-{
-    for (const TaskResult &result : newer) {
-        const auto known = std::find_if(results.begin(), results.end(),
-                                        [&result](const TaskResult &older) { return older.index_ == result.index_; });
-        if (known == results.end()) {
-            results.push_back(result);
-        } else if (!isFinal(known->outcome_)) {
-            *known = result;
-        }
+    request.results_ = std::move(results);
+    if (isFinal(state.outcome_)) {
+        finish(entry, id, state.outcome_, state.error_, context);
+        return;
     }
+    request.known_ = true; // the end follows in a further answer to the same message
+    request.detail_ = std::string(outcomeName(state.outcome_)) + " in " + message.group_.value_;
+    advance(entry, id, context);
 }
 
 void onEntryTaskAnswer(Entry &entry, const DaemonId & /*from*/, const TaskAnswer &message, Context &context)
@@ -165,7 +173,6 @@
         return;
     }
     if (request->lookup_) {
-        endMessage(entry, *request);
         onLookup(entry, id, *request, message, context);
         return;
     }
--- a/src/core/entry/entry_base.h
+++ b/src/core/entry/entry_base.h
@@ -55,6 +55,8 @@
     bool lookup_ = false; // the message under way cannot start anything
     bool uncertain_ = false; // a message that is lost may have started the work
     bool lookAtSecond_ = false; // the next look-up goes to the second candidate
+    bool known_ = false; // the group that is looked at has the tasks and will tell their end
+    bool unsure_ = false; // a group could not tell whether it knows the tasks
     bool partial_ = false; // the group has told about some of the tasks
     bool accepted_ = false; // the home has accepted the job
     std::uint32_t sends_ = 0;
--- a/src/core/entry/routing.cpp
+++ b/src/core/entry/routing.cpp
@@ -72,6 +72,7 @@
     }
     entry.byMessage_.erase(request.message_);
     request.message_ = {};
+    request.known_ = false;
     request.uncertain_ = request.uncertain_ || !request.lookup_;
 }
 
@@ -201,6 +202,11 @@
         finishLate(entry, id, context);
         return;
     }
+    const bool waits = request.kind_ == RequestKind::Status && request.known_;
+    if (waits && context.now_ >= request.waitUntil_) {
+        finish(entry, id, Outcome::Pending, ErrorKind::None, context);
+        return;
+    }
     if (request.message_ != CallId {} && !isUnderWay(request, context)) {
         loseMessage(entry, request);
         delayNext(request, context);
@@ -218,6 +224,9 @@
     if (request.message_ == CallId {} && request.sendAfter_ > context.now_) {
         next = std::min(next, request.sendAfter_);
     }
+    if (waits) {
+        next = std::min(next, request.waitUntil_);
+    }
     setTimer(entry, id, request, std::min(next, request.deadline_));
 }
 
--- a/src/core/home/dispatch.cpp
+++ b/src/core/home/dispatch.cpp
@@ -78,8 +78,6 @@
     for (std::uint32_t index = 0; index < job.tasks_.size();) {
         const HomeTask &task = job.tasks_[index];
         if (!isDue(task)) {
-            const bool looked = task.lookup_ && !task.group_.empty() && !isFinal(task.result_.outcome_);
-            waitsForTenure = waitsForTenure || (looked && !tenure && !stopping);
             ++index;
             continue;
         }
@@ -95,11 +93,11 @@
         if (!home.groups_.contains(task.group_)) {
             home.groups_[task.group_] = reachable ? GroupSeen {entry->holder_, entry->epoch_, true} : GroupSeen {};
         }
-        if (reachable && (task.mayHaveRun_ || (tenure && !stopping))) {
-            // Without proof of being the newest holder, and for work that is being stopped, nothing may be started.
-            sendOffer(home, job, index, count, !tenure || stopping, context);
+        // Without proof of being the newest holder nothing may be started; work that is being stopped is looked up.
+        if (reachable && (stopping ? task.mayHaveRun_ : tenure)) {
+            sendOffer(home, job, index, count, stopping, context);
         }
-        waitsForTenure = waitsForTenure || !tenure;
+        waitsForTenure = waitsForTenure || (!tenure && !stopping);
         index += count;
     }
     if (waitsForTenure) {
@@ -108,18 +106,17 @@
     }
 }
 
-// Offers again what is open: after a long silence, or once a look-up can be replaced by an offer.
+// Offers again what is open after a long silence.
 static void renewOffers(Home &home, HomeJob &job, Context &context)
 {
     const bool due = context.now_ >= job.repeatAt_;
-    const bool tenure = hasTenure(home, context.now_) && !job.cancelRecorded_ && !job.gangRestart_;
     bool open = false;
     for (HomeTask &task : job.tasks_) {
         if (isFinal(task.result_.outcome_) || task.offer_ == CallId {}) {
             continue;
         }
         open = true;
-        if (due || (task.lookup_ && tenure)) {
+        if (due) {
             task.offer_ = {};
         }
     }
--- a/src/core/home/results.cpp
+++ b/src/core/home/results.cpp
@@ -96,14 +96,10 @@
         return;
     }
     if (job.gangRestart_) {
+        job.refusedBy_[task.group_] = now + RefusalMemory + Milliseconds(1000);
         unassign(task);
         return;
     }
-    if (task.lookup_) {
-        task.offer_ = {};
-        job.offerAfter_ = now + backoff(WrongHolderDelay, WrongHolderDelay, 0, at.context_);
-        return;
-    }
     if (result.error_ == ErrorKind::ImpossibleSize) {
         job.impossibleFor_.insert(task.group_);
         if (impossibleEverywhere(job, at.context_)) {
@@ -127,8 +123,12 @@
 {
     HomeTask &task = at.task_;
     HomeJob &job = at.job_;
+    if (task.lookup_ && at.answer_.replyTo_.call_ == task.offer_ && result.outcome_ == Outcome::Unknown
+        && result.error_ == ErrorKind::OutcomeUnknown) {
+        return; // the group has not heard all its workers yet; the look-up is repeated with the next stop
+    }
     const bool service = job.spec_.mode_ == WorkMode::Service;
-    if (job.cancelRecorded_) {
+    if (job.cancelRecorded_ && job.spec_.idempotent_) {
         at.ended_.push_back({result.index_, Outcome::Cancelled, ErrorKind::Cancelled, result.worker_, {}});
         return;
     }
