Feature: [member] Member records, ownership tables, claims, heartbeats and freshness

Cause: the node needs to know who is there, who holds which shard, and whether its knowledge of the configuration is fresh. Change: implements member_func.h. One lease and two long-poll watches per daemon. Heartbeat gets echo_ (last field): the age of a peer's statement counts from when this daemon sent what the peer echoes, so a heartbeat that waited in a socket during a pause is not taken for a new one. Added to member_func.h: shardsToRelease, setVoters, headAge, regionDaemons. Conclusion: compiles; not tested yet.

--- /dev/null
+++ b/src/core/config/announce.cpp
@@ -0,0 +1,121 @@
+// Announcements of changes before they are written, so that no majority counts on the old version meanwhile.
+#include "core/config/config_internal.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+static std::vector<DaemonId> quorum(const ConfigState &state, const HeadRecord &head)
+{
+    std::vector<DaemonId> members;
+    for (const DaemonId &voter : head.voters_) {
+        if (std::find(state.members_.begin(), state.members_.end(), voter) != state.members_.end()) {
+            members.push_back(voter);
+        }
+    }
+    return members.empty() ? state.members_ : members;
+}
+
+static void sendAnnouncement(ConfigState &state, SignOff &sign, Context &context)
+{
+    sign.announceRepeatAt_ = context.now_ + WithdrawRepeat;
+    const ConfigAnnounce message {sign.announce_, sign.head_.version_, false};
+    for (const DaemonId &daemon : sign.quorum_) {
+        if (daemon == context.self_) {
+            state.announced_[daemon] = message;
+            sign.acks_.insert(daemon);
+        } else if (!sign.acks_.contains(daemon)) {
+            sendPeer(context, daemon, message);
+        }
+    }
+}
+
+// Sends the announcement of sign.head_, or repeats it to those who have not answered.
+void announce(ConfigState &state, SignOff &sign, Context &context)
+{
+    if (sign.announce_.value_ == 0) {
+        sign.announce_ = CallId {context.actions_.nextId()};
+        sign.announceUntil_ = context.now_ + AnnounceWait;
+        sign.quorum_ = quorum(state, sign.head_);
+        sendAnnouncement(state, sign, context);
+    } else if (context.now_ >= sign.announceRepeatAt_) {
+        sendAnnouncement(state, sign, context);
+    }
+}
+
+bool hasMajority(const SignOff &sign)
+{
+    return 2 * sign.acks_.size() > sign.quorum_.size();
+}
+
+void withdraw(ConfigState &state, const SignOff &sign, Context &context)
+{
+    if (sign.announce_.value_ == 0) {
+        return;
+    }
+    state.announced_.erase(context.self_);
+    state.withdrawals_.push_back(
+        {{sign.announce_, sign.head_.version_, true}, sign.quorum_, WithdrawTimes, context.now_});
+    tickWithdrawals(state, context);
+}
+
+void tickWithdrawals(ConfigState &state, Context &context)
+{
+    for (Withdrawal &withdrawal : state.withdrawals_) {
+        if (context.now_ < withdrawal.nextAt_) {
+            continue;
+        }
+        withdrawal.nextAt_ = context.now_ + WithdrawRepeat;
+        --withdrawal.left_;
+        for (const DaemonId &daemon : withdrawal.to_) {
+            if (daemon != context.self_) {
+                sendPeer(context, daemon, withdrawal.message_);
+            }
+        }
+    }
+    std::erase_if(state.withdrawals_, [](const Withdrawal &withdrawal) { return withdrawal.left_ <= 0; });
+}
+
+void dropAnnouncements(ConfigState &state)
+{
+    std::erase_if(state.announced_,
+                  [&state](const auto &entry) { return entry.second.version_ <= state.head_.version_; });
+}
+
+// Calls of a signer rise, so that a late copy of an earlier message changes nothing.
+void onConfigAnnounce(ConfigState &state, const DaemonId &from, const ConfigAnnounce &message, Context &context)
+{
+    const auto known = state.announced_.find(from);
+    if (message.withdrawn_) {
+        if (known != state.announced_.end() && known->second.call_ == message.call_) {
+            state.announced_.erase(known);
+        }
+        auto &withdrawn = state.withdrawn_[from];
+        withdrawn = std::max(withdrawn, message.call_);
+        return;
+    }
+    const auto withdrawn = state.withdrawn_.find(from);
+    if (withdrawn != state.withdrawn_.end() && message.call_ <= withdrawn->second) {
+        return;
+    }
+    if (message.version_ > state.head_.version_
+        && (known == state.announced_.end() || known->second.call_ <= message.call_)) {
+        state.announced_[from] = message;
+    }
+    sendPeer(context, from, ConfigAnnounceAck {message.call_, message.version_});
+}
+
+void onConfigAnnounceAck(ConfigState &state, const DaemonId &from, const ConfigAnnounceAck &message, Context &context)
+{
+    if (state.signOffs_.empty() || state.signOffs_.front().announce_ != message.call_) {
+        return;
+    }
+    SignOff &sign = state.signOffs_.front();
+    if (std::find(sign.quorum_.begin(), sign.quorum_.end(), from) != sign.quorum_.end()) {
+        sign.acks_.insert(from);
+    }
+    tickSignOffs(state, context);
+}
+
+} // namespace mimosapier
--- a/src/core/config/config_func.h
+++ b/src/core/config/config_func.h
@@ -45,6 +45,20 @@
 void onConfigAnnounceAck(ConfigState &state, const DaemonId &from, const ConfigAnnounceAck &message, Context &context);
 void onConfigPush(ConfigState &state, const DaemonId &from, const ConfigPush &message, Context &context);
 
+// All member daemons (memberDaemons of Membership), of which a majority hears of a change before it is written, and the
+// live daemons of the own region, to which a relay pushes the head.
+void setMembers(ConfigState &state, std::span<const DaemonId> members, std::span<const DaemonId> ownRegion);
+
+// Whether this daemon follows the head for its region.
+void setRelay(ConfigState &state, bool relay);
+
+// Age of what this daemon and its peers know of the head (headAge of Membership). A daemon reads the head itself when
+// the age grows because the relay is gone.
+void setHeadAge(ConfigState &state, Milliseconds age);
+
+// Daemons of which a majority has to confirm that the version in force is the head (setVoters of Membership).
+std::span<const DaemonId> voters(const ConfigState &state);
+
 // A heartbeat told of a head; a higher version than the own is read from the store or awaited from the relay.
 void onHeadHeard(ConfigState &state, BundleVersion version, Context &context);
 
@@ -52,7 +66,10 @@
 void onDraft(ConfigState &state, CallId call, const DraftRequest &request, Context &context);
 void onSign(ConfigState &state, CallId call, const SignRequest &request, Context &context);
 std::string bundleDocument(const ConfigState &state); // JSON: version, digest, author, signer, text
-std::string draftsDocument(const ConfigState &state); // JSON
+std::string draftsDocument(const ConfigState &state); // JSON; the drafts known here, as of the last list
+
+// Lists the drafts in the store, then answers the call with draftsDocument.
+void onDraftsView(ConfigState &state, CallId call, Context &context);
 
 // The bundle in force; version 0 before the first.
 const Bundle &currentBundle(const ConfigState &state);
--- /dev/null
+++ b/src/core/config/draft_cmd.cpp
@@ -0,0 +1,191 @@
+// Drafts: validation, storage under config/draft/<id>, and the list.
+#include "core/config/config_internal.h"
+
+#include "core/common/json_func.h"
+#include "core/message/pack_func.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace mimosapier
+{
+
+void answerOperator(Context &context, CallId call, Outcome outcome, ErrorKind error, std::string detail)
+{
+    CallerAnswer answer;
+    answer.call_ = call;
+    answer.outcome_ = outcome;
+    answer.error_ = error;
+    answer.detail_ = std::move(detail);
+    context.actions_.push(std::move(answer));
+}
+
+std::string draftDetail(const std::string &id, BundleVersion base)
+{
+    return "{\"draft\":" + jsonString(id) + ",\"base_version\":" + std::to_string(base.value_) + "}";
+}
+
+// Random, so that drafts of several daemons do not meet.
+static std::string newDraftId(const ConfigState &state, Context &context)
+{
+    std::array<char, 64> text {};
+    const int length = std::snprintf(text.data(), text.size(), "%llu-%016llx",
+                                     static_cast<unsigned long long>(state.head_.version_.value_ + 1),
+                                     static_cast<unsigned long long>(context.random_()));
+    return {text.data(), static_cast<std::size_t>(length)};
+}
+
+static void writeDraft(DraftWrite &write, Context &context)
+{
+    write.readBack_ = false;
+    write.opGiveUpAt_ = context.now_ + ConfigOpTimeout;
+    write.op_ = sendStore(context, StorePart::Config, {},
+                          StoreCas {std::string(DraftPrefix) + write.id_, packToString(write.record_), {}, {}});
+}
+
+static void readDraftBack(DraftWrite &write, Context &context)
+{
+    write.readBack_ = true;
+    write.opGiveUpAt_ = context.now_ + ConfigOpTimeout;
+    write.op_ = sendStore(context, StorePart::Config, {}, StoreGet {std::string(DraftPrefix) + write.id_});
+}
+
+void onDraft(ConfigState &state, CallId call, const DraftRequest &request, Context &context)
+{
+    if (request.author_.empty()) {
+        answerOperator(context, call, Outcome::NotRun, ErrorKind::MalformedRequest, "The author is missing.");
+        return;
+    }
+    Bundle bundle;
+    std::vector<BundleProblem> problems;
+    if (parseBundle(request.text_, bundle, problems)) {
+        answerOperator(context, call, Outcome::NotRun, ErrorKind::BadBundle, formatProblems("", problems));
+        return;
+    }
+    const std::string change = partitionChange(state.bundle_, bundle);
+    if (!change.empty()) {
+        answerOperator(context, call, Outcome::NotRun, ErrorKind::BadBundle, change);
+        return;
+    }
+    if (state.draftWrites_.size() >= MaxSignOffs) {
+        answerOperator(context, call, Outcome::NotRun, ErrorKind::Overloaded, "");
+        return;
+    }
+    DraftWrite write;
+    write.call_ = call;
+    write.id_ = newDraftId(state, context);
+    write.record_ = {request.author_, state.head_.version_, request.text_};
+    write.deadline_ = context.now_ + SignWait;
+    writeDraft(write, context);
+    state.draftWrites_.push_back(std::move(write));
+}
+
+static void finishDraft(ConfigState &state, DraftWrite &write, Context &context)
+{
+    answerOperator(context, write.call_, Outcome::Done, ErrorKind::None, draftDetail(write.id_, write.record_.base_));
+    state.drafts_[write.id_] = std::move(write.record_);
+    if (state.drafts_.size() > MaxDraftsKept) {
+        state.drafts_.erase(state.drafts_.begin());
+    }
+}
+
+// Returns true when the write has its answer. A draft that is in the store although its author was told otherwise is
+// harmless: only a sign-off makes it effective.
+static bool settleDraft(ConfigState &state, DraftWrite &write, const StoreResult &result, Context &context)
+{
+    const bool late = context.now_ >= write.deadline_;
+    switch (result.status_) {
+    case StoreStatus::Ok:
+    case StoreStatus::Conflict: // the id is random, so the key that exists is this draft
+        finishDraft(state, write, context);
+        return true;
+    case StoreStatus::NotFound:
+        if (!late) {
+            writeDraft(write, context);
+            return false;
+        }
+        break;
+    case StoreStatus::Unavailable:
+        if (!write.readBack_) {
+            answerOperator(context, write.call_, Outcome::NotRun, ErrorKind::StoreUnavailable, "");
+            return true;
+        }
+        break;
+    case StoreStatus::Unknown:
+        break;
+    }
+    if (late) {
+        answerOperator(context, write.call_, Outcome::Unknown, ErrorKind::OutcomeUnknown, "");
+        return true;
+    }
+    readDraftBack(write, context);
+    return false;
+}
+
+static void takeDraftList(ConfigState &state, const StoreResult &result, Context &context)
+{
+    state.draftsOp_ = {};
+    if (result.status_ == StoreStatus::Ok) {
+        state.drafts_.clear();
+        for (const StoreEntry &entry : result.entries_) {
+            DraftRecord record;
+            if (state.drafts_.size() < MaxDraftsKept && unpackFromString(entry.value_, record)) {
+                state.drafts_.emplace(entry.key_.substr(DraftPrefix.size()), std::move(record));
+            }
+        }
+    }
+    for (const CallId &call : std::exchange(state.draftsCalls_, {})) {
+        CallerAnswer answer;
+        answer.call_ = call;
+        answer.outcome_ = Outcome::Done;
+        answer.document_ = draftsDocument(state);
+        context.actions_.push(std::move(answer));
+    }
+}
+
+bool onDraftResult(ConfigState &state, const StoreResult &result, Context &context)
+{
+    if (result.id_ == state.draftsOp_) {
+        takeDraftList(state, result, context);
+        return true;
+    }
+    const auto write = std::find_if(state.draftWrites_.begin(), state.draftWrites_.end(),
+                                    [&result](const DraftWrite &candidate) { return candidate.op_ == result.id_; });
+    if (write == state.draftWrites_.end()) {
+        return false;
+    }
+    if (settleDraft(state, *write, result, context)) {
+        state.draftWrites_.erase(write);
+    }
+    return true;
+}
+
+void tickDrafts(ConfigState &state, Context &context)
+{
+    std::vector<StoreOpId> late;
+    for (const DraftWrite &write : state.draftWrites_) {
+        if (context.now_ >= write.opGiveUpAt_) {
+            late.push_back(write.op_);
+        }
+    }
+    if (state.draftsOp_.value_ != 0 && context.now_ >= state.draftsGiveUpAt_) {
+        late.push_back(state.draftsOp_);
+    }
+    for (const StoreOpId &id : late) {
+        StoreResult result;
+        result.id_ = id;
+        onDraftResult(state, result, context);
+    }
+}
+
+void onDraftsView(ConfigState &state, CallId call, Context &context)
+{
+    state.draftsCalls_.push_back(call);
+    if (state.draftsOp_.value_ == 0) {
+        state.draftsOp_ = sendStore(context, StorePart::Config, {}, StoreList {std::string(DraftPrefix)});
+        state.draftsGiveUpAt_ = context.now_ + ConfigOpTimeout;
+    }
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/config/head.cpp
@@ -0,0 +1,147 @@
+// Following config/head: by one watch at the relay of the region, by pushes and single reads elsewhere.
+#include "core/config/config_internal.h"
+
+#include "core/message/pack_func.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+static void pushHead(const ConfigState &state, const std::string &value, Context &context)
+{
+    for (const DaemonId &daemon : state.ownRegion_) {
+        if (daemon != context.self_) {
+            sendPeer(context, daemon, ConfigPush {state.head_.version_, value});
+        }
+    }
+}
+
+std::optional<BundleVersion> applyHead(ConfigState &state, const std::string &value, Revision revision,
+                                       Context &context)
+{
+    HeadRecord record;
+    if (!unpackFromString(value, record)) {
+        logLine(context, LogLevel::Error, "[config] The head of the configuration cannot be decoded.");
+        return std::nullopt;
+    }
+    state.headRevision_ = std::max(state.headRevision_, revision);
+    if (record.version_ <= state.head_.version_) {
+        return record.version_;
+    }
+    Bundle bundle;
+    std::vector<BundleProblem> problems;
+    if (record.digest_ != sha256Hex(record.text_) || parseBundle(record.text_, bundle, problems)) {
+        logLine(context, LogLevel::Error,
+                "[config] Version " + std::to_string(record.version_.value_) + " is not valid and is not applied.");
+        return std::nullopt;
+    }
+    bundle.version_ = record.version_;
+    state.bundle_ = std::move(bundle);
+    state.head_ = std::move(record);
+    state.heard_ = std::max(state.heard_, state.head_.version_);
+    dropAnnouncements(state);
+    logLine(context, LogLevel::Info,
+            "[config] Version " + std::to_string(state.head_.version_.value_) + " is in force.");
+    if (state.relay_) {
+        pushHead(state, value, context);
+    }
+    return state.head_.version_;
+}
+
+static void sendHeadOp(ConfigState &state, StoreOp op, Milliseconds bound, Context &context)
+{
+    state.headOp_ = sendStore(context, StorePart::Config, {}, std::move(op));
+    state.headOpSentAt_ = context.now_;
+    state.headOpGiveUpAt_ = context.now_ + bound;
+}
+
+static bool mustRead(const ConfigState &state, const Context &context)
+{
+    if (!state.headKnown_) {
+        return true;
+    }
+    if (state.heard_ > state.head_.version_ && context.now_ - state.heardAt_ >= PushWait) {
+        return true;
+    }
+    const bool ownOld = context.now_ - state.headKnownAt_ >= ReadAge;
+    return ownOld && state.peerHeadAge_ >= ReadAge;
+}
+
+void tickHead(ConfigState &state, Context &context)
+{
+    if (state.headOp_.value_ != 0 && context.now_ >= state.headOpGiveUpAt_) {
+        StoreResult late;
+        late.id_ = state.headOp_;
+        onHeadResult(state, late, context);
+    }
+    if (state.headOp_.value_ != 0 || context.now_ < state.nextHeadAt_) {
+        return;
+    }
+    if (state.relay_ && state.watchAfter_.value_ != 0) {
+        sendHeadOp(state, StoreWatch {std::string(HeadKey), state.watchAfter_, HeadWait}, HeadWait + HeadWait, context);
+    } else if (state.relay_ || mustRead(state, context)) {
+        // The answer to a list names the revision of the store from which to watch.
+        sendHeadOp(state, StoreList {std::string(HeadKey)}, ConfigOpTimeout, context);
+    }
+}
+
+bool onHeadResult(ConfigState &state, const StoreResult &result, Context &context)
+{
+    if (result.id_ != state.headOp_) {
+        return false;
+    }
+    state.headOp_ = {};
+    if (result.status_ != StoreStatus::Ok) {
+        state.storeReached_ = false;
+        // Spread over the daemons, which all miss the relay at the same time.
+        state.nextHeadAt_ = context.now_ + HeadRetry + Milliseconds(context.random_() % HeadRetry.count());
+        return true;
+    }
+    state.storeReached_ = true;
+    state.nextHeadAt_ = context.now_ + HeadPause;
+    state.watchAfter_ = state.relay_ ? result.revision_ : Revision {};
+    const auto entry = std::find_if(result.entries_.begin(), result.entries_.end(),
+                                    [](const StoreEntry &candidate) { return candidate.key_ == HeadKey; });
+    BundleVersion shown; // 0: there is no head yet
+    if (entry != result.entries_.end()) {
+        const auto version = applyHead(state, entry->value_, entry->revision_, context);
+        if (!version) {
+            state.nextHeadAt_ = context.now_ + HeadRetry;
+            return true;
+        }
+        shown = *version;
+    }
+    // An answer that shows an older head than the one in force says nothing about the present head.
+    const bool current = shown == state.head_.version_;
+    if (current) {
+        state.headKnown_ = true;
+        state.headKnownAt_ = std::max(state.headKnownAt_, state.headOpSentAt_);
+    }
+    return true;
+}
+
+void onConfigPush(ConfigState &state, const DaemonId &from, const ConfigPush &message, Context &context)
+{
+    if (message.version_ > state.head_.version_ && !applyHead(state, message.record_, {}, context)) {
+        logLine(context, LogLevel::Warning, "[config] A push of " + from.value_ + " was not applied.");
+    }
+}
+
+void onHeadHeard(ConfigState &state, BundleVersion version, Context &context)
+{
+    if (version > state.heard_) {
+        state.heard_ = version;
+        state.heardAt_ = context.now_;
+    }
+}
+
+void setRelay(ConfigState &state, bool relay)
+{
+    if (relay != state.relay_) {
+        state.relay_ = relay;
+        state.watchAfter_ = {};
+    }
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/member/claim_cmd.cpp
@@ -0,0 +1,212 @@
+// Claims of vacant shards: one compare-and-swap of a region's table for all that this daemon should take.
+#include "core/member/member_internal.h"
+
+#include "core/common/rendezvous_func.h"
+#include "core/common/shard_func.h"
+#include "core/config/bundle_base.h"
+#include "core/message/pack_func.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+bool isLeavingMember(const Membership &m, const DaemonId &daemon)
+{
+    if (daemon == m.settings_.self_) {
+        return m.leaving_;
+    }
+    const auto member = m.members_.find(daemon);
+    if (member != m.members_.end() && member->second.record_.leaving_) {
+        return true;
+    }
+    const auto peer = m.peers_.find(daemon);
+    return peer != m.peers_.end() && peer->second.leaving_;
+}
+
+std::vector<DaemonId> eligibleDaemons(const Membership &m, const RegionId &region)
+{
+    std::vector<DaemonId> own;
+    std::vector<DaemonId> all;
+    bool anyMember = false;
+    for (const auto &[daemon, entry] : m.members_) {
+        const bool inRegion = entry.record_.region_ == region;
+        anyMember = anyMember || inRegion;
+        if (isLeavingMember(m, daemon)) {
+            continue;
+        }
+        all.push_back(daemon);
+        if (inRegion) {
+            own.push_back(daemon);
+        }
+    }
+    if (!own.empty()) {
+        return own;
+    }
+    const auto empty = m.emptySince_.find(region);
+    const bool longEmpty = empty != m.emptySince_.end() && m.now_ - empty->second >= RegionGrace;
+    return anyMember || longEmpty ? all : own;
+}
+
+std::size_t rendezvousRank(const ShardId &shard, const std::vector<DaemonId> &candidates, const DaemonId &daemon)
+{
+    const std::uint64_t weight = rendezvousWeight(shard.value_, daemon.value_);
+    return static_cast<std::size_t>(std::count_if(candidates.begin(), candidates.end(), [&](const DaemonId &other) {
+        return rendezvousWeight(shard.value_, other.value_) > weight;
+    }));
+}
+
+// Shards of the region that exist according to the instance list, the bundle and the table.
+static std::set<ShardId> shardsOf(const Membership &m, const RegionId &region, const Bundle &bundle)
+{
+    std::set<ShardId> shards;
+    const auto wanted = m.wanted_.find(region);
+    if (wanted != m.wanted_.end()) {
+        shards = wanted->second;
+    }
+    for (const RegionConfig &config : bundle.regions_) {
+        if (config.id_ == region) {
+            for (std::uint32_t i = 0; i < config.partitions_; ++i) {
+                shards.insert(partitionShard(region, i));
+            }
+        }
+    }
+    const auto table = m.tables_.find(region);
+    if (table != m.tables_.end()) {
+        for (const auto &[shard, row] : table->second.rows_) {
+            shards.insert(shard);
+        }
+    }
+    return shards;
+}
+
+// A hand-over counts while the table still names its sender with the same epoch.
+static bool isHandedToSelf(const Membership &m, const ShardId &shard, const OwnerRow *row)
+{
+    const auto handover = m.handovers_.find(shard);
+    return handover != m.handovers_.end() && row != nullptr && row->epoch_ == handover->second.epoch_;
+}
+
+// True when this daemon should claim the shard now; notes since when it is vacant.
+static bool isClaimable(Membership &m, const ShardId &shard, const std::vector<DaemonId> &eligible)
+{
+    const OwnerRow *row = findRow(m, shard);
+    if (isHandedToSelf(m, shard, row)) {
+        return true;
+    }
+    const auto released = m.released_.find(shard);
+    if (row != nullptr && row->holder_ == m.settings_.self_ && released != m.released_.end()) {
+        // Handed over, but the daemon that should have claimed it is gone and this one is next again.
+        return !m.leaving_ && m.now_ - released->second.since_ >= ClaimStep
+            && nextHolder(m, shard, true) == m.settings_.self_;
+    }
+    if (row != nullptr && isMember(m, row->holder_)) {
+        m.vacantSince_.erase(shard);
+        return false;
+    }
+    const TimePoint since = m.vacantSince_.try_emplace(shard, m.now_).first->second;
+    if (m.now_ - since < VacancyGrace) {
+        return false;
+    }
+    const auto rank = rendezvousRank(shard, eligible, m.settings_.self_);
+    return m.now_ - since >= VacancyGrace + ClaimStep * rank;
+}
+
+static void sendClaim(Membership &m, const RegionId &region, const std::vector<ShardId> &shards, Context &context)
+{
+    OwnerTable &table = m.tables_[region];
+    std::map<ShardId, OwnerRow> rows = table.rows_;
+    for (const ShardId &shard : shards) {
+        OwnerRow &row = rows[shard];
+        row = {shard, m.settings_.self_, Epoch {row.epoch_.value_ + 1}};
+    }
+    std::vector<OwnerRow> list;
+    for (auto &[shard, row] : rows) {
+        list.push_back(std::move(row));
+    }
+    logLine(context, LogLevel::Info,
+            "[member] Claims " + std::to_string(shards.size()) + " shards of region " + region.value_ + ".");
+    const std::string value = packToString(list);
+    table.pending_ = sendMemberOp(m, context, {OpKind::Claim, region, {}, {}, false, value},
+                                  StoreCas {"owners/" + region.value_, value, table.revision_, {}});
+}
+
+static void claimRegion(Membership &m, const RegionId &region, Context &context)
+{
+    const std::set<ShardId> shards = shardsOf(m, region, context.bundle_);
+    const std::vector<DaemonId> eligible = eligibleDaemons(m, region);
+    const bool mayClaim = std::find(eligible.begin(), eligible.end(), m.settings_.self_) != eligible.end();
+    std::vector<ShardId> claims;
+    for (const ShardId &shard : shards) {
+        if (isClaimable(m, shard, eligible) && (mayClaim || m.handovers_.contains(shard))) {
+            claims.push_back(shard);
+        }
+    }
+    std::erase_if(m.handovers_, [&m](const auto &entry) {
+        const OwnerRow *row = findRow(m, entry.first);
+        return row != nullptr && row->epoch_ > entry.second.epoch_;
+    });
+    OwnerTable &table = m.tables_[region];
+    if (claims.empty() || table.pending_.value_ != 0 || table.mustRead_ || context.now_ < table.retryAt_) {
+        return;
+    }
+    for (const ShardId &shard : claims) {
+        m.handovers_.erase(shard);
+    }
+    sendClaim(m, region, claims, context);
+}
+
+static std::set<RegionId> regions(const Membership &m, const Bundle &bundle)
+{
+    std::set<RegionId> all {m.settings_.region_};
+    for (const RegionConfig &region : bundle.regions_) {
+        all.insert(region.id_);
+    }
+    for (const auto &[region, shards] : m.wanted_) {
+        all.insert(region);
+    }
+    for (const auto &[region, table] : m.tables_) {
+        all.insert(region);
+    }
+    return all;
+}
+
+static void noteEmptyRegions(Membership &m, const std::set<RegionId> &all)
+{
+    std::set<RegionId> populated;
+    for (const auto &[daemon, entry] : m.members_) {
+        populated.insert(entry.record_.region_);
+    }
+    for (const RegionId &region : all) {
+        if (populated.contains(region)) {
+            m.emptySince_.erase(region);
+        } else {
+            m.emptySince_.try_emplace(region, m.now_);
+        }
+    }
+}
+
+void tickClaims(Membership &m, Context &context)
+{
+    for (auto &[region, table] : m.tables_) {
+        if (table.mustRead_ && table.pending_.value_ == 0 && context.now_ >= table.retryAt_) {
+            readTable(m, region, context);
+        }
+    }
+    if (context.now_ < m.nextClaims_) {
+        return;
+    }
+    m.nextClaims_ = context.now_ + ClaimInterval;
+    const bool known = m.memberWatch_.known_ && m.ownerWatch_.known_ && isMember(m, m.settings_.self_);
+    if (!known || m.suspect_ || m.outage_ || m.leaving_ || context.now_ < m.noClaimsBefore_) {
+        m.vacantSince_.clear(); // absence counts only while this daemon follows the store
+        return;
+    }
+    const std::set<RegionId> all = regions(m, context.bundle_);
+    noteEmptyRegions(m, all);
+    for (const RegionId &region : all) {
+        claimRegion(m, region, context);
+    }
+}
+
+} // namespace mimosapier
--- a/src/core/member/member_func.h
+++ b/src/core/member/member_func.h
@@ -59,15 +59,31 @@
 // The directory, current after each of the calls above.
 const Directory &directory(const Membership &membership);
 
+// Shards that this daemon should stop working on and then release: all while it leaves, otherwise at most one at a time
+// that belongs to another daemon. The node calls releaseShard for each when its work there has stopped.
+std::vector<ShardId> shardsToRelease(const Membership &membership);
+
+// Daemons named by the head of the configuration; condition (b) of section 6 needs a majority of them. Empty: the last
+// known members.
+void setVoters(Membership &membership, std::span<const DaemonId> voters);
+
+// Time since the store is known to have named the version in force, or an older one, as the head; Milliseconds::max()
+// when it is not known.
+Milliseconds headAge(const Membership &membership, TimePoint now);
+
 // True while keyed work may be taken (section 6 of docs/design.md).
 bool configIsFresh(const Membership &membership, TimePoint now);
 
 // Highest version of the configuration that any peer has told of.
 BundleVersion highestVersionHeard(const Membership &membership);
 
-// All member daemons, for announcements that need a majority. Includes this daemon.
+// All member daemons, for announcements that need a majority. Includes this daemon, and voters whose record is missing
+// but who may still count on condition (b).
 std::vector<DaemonId> memberDaemons(const Membership &membership);
 
+// Live daemons of this daemon's region, including itself.
+std::vector<DaemonId> regionDaemons(const Membership &membership);
+
 // Live daemon with the lowest id of this daemon's region.
 bool isRelay(const Membership &membership);
 
--- /dev/null
+++ b/src/core/member/member_record.cpp
@@ -0,0 +1,122 @@
+// The daemon's own member record and the store lease under which it stands.
+#include "core/member/member_internal.h"
+
+#include "core/message/pack_func.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+StoreOpId sendMemberOp(Membership &m, Context &context, PendingOp op, StoreOp storeOp, Milliseconds bound)
+{
+    const StoreOpId id = sendStore(context, StorePart::Member, {}, std::move(storeOp));
+    op.sentAt_ = context.now_;
+    op.giveUpAt_ = context.now_ + bound;
+    m.pending_.emplace(id, std::move(op));
+    return id;
+}
+
+static std::string recordKey(const Membership &m)
+{
+    return "members/" + m.settings_.region_.value_ + "/" + m.settings_.self_.value_;
+}
+
+static void writeRecord(Membership &m, Context &context)
+{
+    const MemberRecord record {m.settings_.region_, m.settings_.zone_, m.settings_.peerAddress_, m.startOrder_,
+                               m.leaving_};
+    PendingOp op {OpKind::Record, {}, {}, {}, m.leaving_, {}};
+    m.recordOp_ = sendMemberOp(m, context, std::move(op),
+                               StoreCas {recordKey(m), packToString(record), m.recordRevision_, m.lease_});
+}
+
+void tickRecord(Membership &m, Context &context)
+{
+    if (m.revokeTried_ || m.recordGone_) {
+        return;
+    }
+    if (m.leaseOp_.value_ == 0 && context.now_ >= m.renewAt_) {
+        m.renewAt_ = context.now_ + RenewInterval;
+        if (m.lease_.value_ == 0) {
+            m.leaseOp_
+                = sendMemberOp(m, context, {OpKind::Grant, {}, {}, {}, false, {}}, StoreLeaseGrant {MemberLease});
+        } else {
+            m.leaseOp_ = sendMemberOp(m, context, {OpKind::Renew, {}, {}, {}, false, {}}, StoreLeaseRenew {m.lease_});
+        }
+    }
+    const bool stale = m.recordRevision_.value_ == 0 || m.recordLeaving_ != m.leaving_;
+    // The record is written after the first look at the store, so that its start order is known.
+    if (stale && m.lease_.value_ != 0 && m.recordOp_.value_ == 0 && m.memberWatch_.known_
+        && context.now_ >= m.recordAt_) {
+        writeRecord(m, context);
+    }
+}
+
+// The keys under a lapsed lease are gone, and others may have claimed the shards.
+static void onLeaseLost(Membership &m, Context &context)
+{
+    if (m.lease_.value_ != 0) {
+        logLine(context, LogLevel::Warning, "[member] The lease has lapsed; a new one is granted.");
+    }
+    m.lease_ = {};
+    m.recordRevision_ = {};
+    m.renewAt_ = context.now_;
+    m.suspect_ = true;
+    m.directoryDirty_ = true;
+}
+
+static void onLeaseResult(Membership &m, const PendingOp &op, const StoreResult &result, Context &context)
+{
+    m.leaseOp_ = {};
+    if (result.status_ == StoreStatus::Ok) {
+        if (op.kind_ == OpKind::Grant) {
+            m.lease_ = result.lease_;
+        }
+        m.leaseOkAt_ = std::max(m.leaseOkAt_, op.sentAt_);
+    } else if (result.status_ == StoreStatus::NotFound) {
+        onLeaseLost(m, context);
+    }
+}
+
+static void onRecordWritten(Membership &m, const PendingOp &op, const StoreResult &result, Context &context)
+{
+    m.recordOp_ = {};
+    switch (result.status_) {
+    case StoreStatus::Ok:
+        m.recordRevision_ = result.revision_;
+        m.recordLeaving_ = op.leaving_;
+        return;
+    case StoreStatus::Conflict:
+        // An earlier write whose answer was lost, or one under a former lease: it is written over under this lease.
+        m.recordRevision_ = result.entries_.empty() ? Revision {} : result.entries_.front().revision_;
+        m.recordLeaving_ = !m.leaving_;
+        return;
+    case StoreStatus::NotFound:
+        onLeaseLost(m, context);
+        return;
+    case StoreStatus::Unavailable:
+    case StoreStatus::Unknown:
+        m.recordAt_ = context.now_ + StoreRetry;
+        return;
+    }
+}
+
+void onRecordResult(Membership &m, const PendingOp &op, const StoreResult &result, Context &context)
+{
+    if (op.kind_ == OpKind::Record) {
+        onRecordWritten(m, op, result, context);
+    } else if (op.kind_ == OpKind::Revoke) {
+        m.revoking_ = false;
+        m.recordAt_ = context.now_ + StoreRetry;
+        if (result.status_ == StoreStatus::Ok || result.status_ == StoreStatus::NotFound) {
+            m.recordGone_ = true;
+            m.recordRevision_ = {};
+            m.lease_ = {};
+        }
+    } else {
+        onLeaseResult(m, op, result, context);
+    }
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/member/member_watch.cpp
@@ -0,0 +1,152 @@
+// The watches on member records and ownership tables, and the set of peers that follows from the members.
+#include "core/member/member_internal.h"
+
+#include "core/message/pack_func.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+static constexpr std::string_view MemberPrefix = "members/";
+static constexpr std::string_view OwnerPrefix = "owners/";
+
+static void tickWatch(Membership &m, WatchState &watch, OpKind kind, std::string_view prefix, Context &context)
+{
+    if (watch.pending_.value_ != 0 || context.now_ < watch.nextAt_) {
+        return;
+    }
+    PendingOp op {kind, {}, {}, {}, false, {}};
+    if (watch.known_) {
+        watch.pending_ = sendMemberOp(m, context, std::move(op),
+                                      StoreWatch {std::string(prefix), watch.after_, WatchWait}, WatchWait + OpTimeout);
+    } else {
+        watch.pending_ = sendMemberOp(m, context, std::move(op), StoreList {std::string(prefix)});
+    }
+}
+
+void tickWatches(Membership &m, Context &context)
+{
+    tickWatch(m, m.memberWatch_, OpKind::Members, MemberPrefix, context);
+    tickWatch(m, m.ownerWatch_, OpKind::Owners, OwnerPrefix, context);
+    if (m.suspect_ && m.suspectOp_.value_ == 0) {
+        m.suspectOp_ = sendMemberOp(m, context, {OpKind::ReadOwners, {}, {}, {}, false, {}},
+                                    StoreList {std::string(OwnerPrefix)});
+    }
+}
+
+static bool hasOwnRecord(const Membership &m)
+{
+    return m.members_.contains(m.settings_.self_);
+}
+
+static void applyMembers(Membership &m, const StoreResult &result, Context &context)
+{
+    std::map<DaemonId, MemberEntry> members;
+    for (const StoreEntry &entry : result.entries_) {
+        const std::size_t slash = entry.key_.rfind('/');
+        MemberRecord record;
+        if (slash == std::string::npos || !unpackFromString(entry.value_, record)) {
+            logLine(context, LogLevel::Warning, "[member] The record " + entry.key_ + " cannot be decoded.");
+            continue;
+        }
+        const DaemonId daemon(entry.key_.substr(slash + 1));
+        const auto known = m.members_.find(daemon);
+        const TimePoint since = known == m.members_.end() ? context.now_ : known->second.since_;
+        members.emplace(daemon, MemberEntry {std::move(record), since});
+    }
+    for (const auto &[daemon, entry] : m.members_) {
+        if (!members.contains(daemon) && isLeavingMember(m, daemon)) {
+            m.goneForGood_.insert(daemon);
+        }
+    }
+    m.members_ = std::move(members);
+    if (!hasOwnRecord(m) && m.recordRevision_.value_ != 0 && result.revision_ >= m.recordRevision_) {
+        m.recordRevision_ = {};
+    }
+    m.directoryDirty_ = true;
+    updatePeerSet(m, context);
+}
+
+static void applyOwners(Membership &m, const StoreResult &result)
+{
+    for (const StoreEntry &entry : result.entries_) {
+        if (entry.key_.starts_with(OwnerPrefix)) {
+            applyTable(m, RegionId(entry.key_.substr(OwnerPrefix.size())), entry);
+        }
+    }
+    updateHeld(m);
+}
+
+void onWatchResult(Membership &m, const PendingOp &op, const StoreResult &result, Context &context)
+{
+    if (op.kind_ == OpKind::ReadOwners) {
+        // Without the store nobody can have claimed since; higher epochs in heartbeats show earlier claims.
+        m.suspectOp_ = {};
+        m.suspect_ = false;
+        m.directoryDirty_ = true;
+        if (result.status_ == StoreStatus::Ok) {
+            applyOwners(m, result);
+        }
+        return;
+    }
+    WatchState &watch = op.kind_ == OpKind::Members ? m.memberWatch_ : m.ownerWatch_;
+    watch.pending_ = {};
+    if (result.status_ != StoreStatus::Ok) {
+        watch.nextAt_ = context.now_ + WatchRetry;
+        return;
+    }
+    watch.nextAt_ = context.now_ + WatchPause;
+    watch.after_ = result.revision_;
+    if (!watch.known_) {
+        watch.known_ = true;
+        m.startOrder_ = std::max(m.startOrder_, result.revision_.value_);
+    }
+    if (op.kind_ == OpKind::Members) {
+        applyMembers(m, result, context);
+    } else {
+        applyOwners(m, result);
+    }
+}
+
+// All daemons of the own region; of a large other region the relay and holders of shards.
+void updatePeerSet(Membership &m, Context &context)
+{
+    std::map<RegionId, std::vector<DaemonId>> remote;
+    std::vector<PeerAddress> peers;
+    std::set<DaemonId> holders;
+    for (const auto &[region, table] : m.tables_) {
+        for (const auto &[shard, row] : table.rows_) {
+            holders.insert(row.holder_);
+        }
+    }
+    for (const auto &[daemon, entry] : m.members_) {
+        if (daemon == m.settings_.self_) {
+            continue;
+        }
+        if (entry.record_.region_ == m.settings_.region_) {
+            peers.push_back({daemon, entry.record_.peerAddress_});
+        } else {
+            remote[entry.record_.region_].push_back(daemon);
+        }
+    }
+    for (auto &[region, daemons] : remote) {
+        if (daemons.size() > MaxRemotePeers) {
+            // The lowest id, which comes first, is the relay.
+            std::stable_partition(daemons.begin() + 1, daemons.end(),
+                                  [&holders](const DaemonId &daemon) { return holders.contains(daemon); });
+            daemons.resize(MaxRemotePeers);
+        }
+        for (const DaemonId &daemon : daemons) {
+            peers.push_back({daemon, m.members_.at(daemon).record_.peerAddress_});
+        }
+    }
+    std::sort(peers.begin(), peers.end(),
+              [](const PeerAddress &left, const PeerAddress &right) { return left.daemon_ < right.daemon_; });
+    if (peers != m.peerSet_) {
+        m.peerSet_ = peers;
+        context.actions_.push(PeerSet {std::move(peers)});
+    }
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/member/membership.cpp
@@ -0,0 +1,180 @@
+// Entry points of Membership: start, tick, store results and inputs from other parts.
+#include "core/member/member_internal.h"
+
+#include "core/common/shard_func.h"
+#include "core/config/bundle_base.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+template <>
+void Destroy<Membership>::operator()(Membership *state) const
+{
+    delete state;
+}
+
+Handle<Membership> makeMembership(const MemberSettings &settings)
+{
+    Handle<Membership> membership(new Membership);
+    membership->settings_ = settings;
+    return membership;
+}
+
+// Notes the time and the bundle of the call. A long gap since the last call is a pause of the process: then the lease
+// may have lapsed, and what is known of the tables and of the head may be old.
+static void enter(Membership &m, const Context &context)
+{
+    if (m.started_ && context.now_ - m.now_ >= PauseGap) {
+        m.suspect_ = true;
+        m.blocked_ = m.blocked_ || context.now_ - m.now_ >= ReplacedGap;
+        m.directoryDirty_ = true;
+    }
+    m.now_ = context.now_;
+    m.applied_ = context.bundle_.version_;
+}
+
+static void leaveCall(Membership &m)
+{
+    if (m.directoryDirty_) {
+        rebuildDirectory(m);
+    }
+}
+
+void startMembership(Membership &membership, Context &context)
+{
+    membership.now_ = context.now_;
+    membership.started_ = true;
+    membership.renewAt_ = context.now_;
+    membership.noClaimsBefore_ = context.now_;
+    tickMembership(membership, context);
+}
+
+static void dispatchResult(Membership &m, const PendingOp &op, const StoreResult &result, Context &context)
+{
+    const bool answered = result.status_ != StoreStatus::Unavailable && result.status_ != StoreStatus::Unknown;
+    if (answered) {
+        if (m.outage_) {
+            m.noClaimsBefore_ = context.now_ + OutageGrace;
+        }
+        m.outage_ = false;
+        m.storeReached_ = true;
+        m.storeOkAt_ = std::max(m.storeOkAt_, op.sentAt_);
+        // A grant or renewal shows that the daemon is a member again after a pause.
+        m.blocked_ = m.blocked_ && !(op.kind_ == OpKind::Renew && result.status_ == StoreStatus::Ok);
+    } else {
+        m.outage_ = true;
+    }
+    switch (op.kind_) {
+    case OpKind::Grant:
+    case OpKind::Renew:
+    case OpKind::Record:
+    case OpKind::Revoke:
+        onRecordResult(m, op, result, context);
+        return;
+    case OpKind::Members:
+    case OpKind::Owners:
+    case OpKind::ReadOwners:
+        onWatchResult(m, op, result, context);
+        return;
+    case OpKind::Claim:
+    case OpKind::ReadTable:
+        onTableResult(m, op, result, context);
+        return;
+    }
+}
+
+void onMemberStoreResult(Membership &membership, const StoreResult &result, Context &context)
+{
+    enter(membership, context);
+    const auto found = membership.pending_.find(result.id_);
+    if (found == membership.pending_.end()) {
+        return; // given up before
+    }
+    const PendingOp op = std::move(found->second);
+    membership.pending_.erase(found);
+    dispatchResult(membership, op, result, context);
+    tickRecord(membership, context);
+    leaveCall(membership);
+}
+
+// An operation without a result for long counts as Unknown.
+static void giveUpLateOps(Membership &m, Context &context)
+{
+    std::vector<StoreOpId> late;
+    for (const auto &[id, op] : m.pending_) {
+        if (context.now_ >= op.giveUpAt_) {
+            late.push_back(id);
+        }
+    }
+    for (const StoreOpId &id : late) {
+        const PendingOp op = std::move(m.pending_.at(id));
+        m.pending_.erase(id);
+        StoreResult result;
+        result.id_ = id;
+        result.status_ = StoreStatus::Unknown;
+        dispatchResult(m, op, result, context);
+    }
+}
+
+void tickMembership(Membership &membership, Context &context)
+{
+    Membership &m = membership;
+    enter(m, context);
+    giveUpLateOps(m, context);
+    tickRecord(m, context);
+    tickWatches(m, context);
+    tickVoters(m);
+    tickClaims(m, context);
+    tickHandovers(m, context);
+    tickLeave(m, context);
+    leaveCall(m);
+    tickHeartbeats(m, context);
+}
+
+void setInstances(Membership &membership, const InstanceSnapshot &snapshot, Context &context)
+{
+    enter(membership, context);
+    for (const WorkerInfo &worker : snapshot.workers_) {
+        if (membership.wanted_[worker.region_].insert(worker.group_).second) {
+            membership.directoryDirty_ = true;
+        }
+    }
+    leaveCall(membership);
+}
+
+void setLocalLoads(Membership &membership, std::span<const GroupLoad> loads)
+{
+    membership.localLoads_.assign(loads.begin(), loads.end());
+    for (const GroupLoad &load : loads) {
+        membership.loads_[load.group_] = load;
+        for (ShardEntry &entry : membership.directory_.groups_) {
+            if (entry.shard_ == load.group_ && entry.epoch_ == load.epoch_) {
+                entry.load_ = load;
+            }
+        }
+    }
+}
+
+std::vector<OwnershipChange> takeOwnershipChanges(Membership &membership)
+{
+    return std::exchange(membership.changes_, {});
+}
+
+const Directory &directory(const Membership &membership)
+{
+    return membership.directory_;
+}
+
+void onFenced(Membership &membership, const ShardId &shard, Context &context)
+{
+    enter(membership, context);
+    const OwnerRow *row = findRow(membership, shard);
+    if (row != nullptr) {
+        readTable(membership, shardRegion(shard), context);
+    }
+    leaveCall(membership);
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/member/ownership_table.cpp
@@ -0,0 +1,211 @@
+// Ownership tables as read from the store, what this daemon holds by them, and the directory.
+#include "core/member/member_internal.h"
+
+#include "core/common/shard_func.h"
+#include "core/message/pack_func.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+const OwnerRow *findRow(const Membership &m, const ShardId &shard)
+{
+    const auto table = m.tables_.find(shardRegion(shard));
+    if (table == m.tables_.end()) {
+        return nullptr;
+    }
+    const auto row = table->second.rows_.find(shard);
+    return row == table->second.rows_.end() ? nullptr : &row->second;
+}
+
+// Takes over a table that is newer than the known one; false when it is older or malformed.
+bool applyTable(Membership &m, const RegionId &region, const StoreEntry &entry)
+{
+    OwnerTable &table = m.tables_[region];
+    if (entry.revision_ <= table.revision_) {
+        return false;
+    }
+    std::vector<OwnerRow> rows;
+    if (!unpackFromString(entry.value_, rows)) {
+        return false;
+    }
+    table.revision_ = entry.revision_;
+    table.rows_.clear();
+    for (OwnerRow &row : rows) {
+        const ShardId shard = row.shard_;
+        const auto heard = m.heard_.find(shard);
+        if (heard != m.heard_.end() && heard->second.second <= row.epoch_) {
+            m.heard_.erase(heard);
+        }
+        table.rows_.emplace(shard, std::move(row));
+    }
+    m.directoryDirty_ = true;
+    return true;
+}
+
+// True when the row makes this daemon the holder, as far as it knows.
+static bool isHeldBy(const Membership &m, const OwnerRow &row)
+{
+    if (row.holder_ != m.settings_.self_ || m.heard_.contains(row.shard_)) {
+        return false;
+    }
+    const auto released = m.released_.find(row.shard_);
+    return released == m.released_.end() || row.epoch_ > released->second.epoch_;
+}
+
+void updateHeld(Membership &m)
+{
+    std::map<ShardId, Epoch> held;
+    for (const auto &[region, table] : m.tables_) {
+        for (const auto &[shard, row] : table.rows_) {
+            const auto released = m.released_.find(shard);
+            if (released != m.released_.end()
+                && (row.holder_ != m.settings_.self_ || row.epoch_ > released->second.epoch_)) {
+                m.released_.erase(released);
+            }
+            if (isHeldBy(m, row)) {
+                held.emplace(shard, row.epoch_);
+            }
+        }
+    }
+    for (const auto &[shard, epoch] : m.held_) {
+        const auto now = held.find(shard);
+        if (now == held.end() || now->second != epoch) {
+            m.changes_.push_back({shard, epoch, false});
+            m.directoryDirty_ = true;
+        }
+    }
+    for (const auto &[shard, epoch] : held) {
+        const auto before = m.held_.find(shard);
+        if (before == m.held_.end() || before->second != epoch) {
+            m.changes_.push_back({shard, epoch, true});
+            m.directoryDirty_ = true;
+        }
+    }
+    m.held_ = std::move(held);
+    if (!m.moving_.empty() && !m.held_.contains(m.moving_)) {
+        m.moving_ = {};
+    }
+}
+
+void readTable(Membership &m, const RegionId &region, Context &context)
+{
+    OwnerTable &table = m.tables_[region];
+    if (table.pending_.value_ != 0) {
+        table.mustRead_ = true; // reads after the operation under way
+        return;
+    }
+    table.mustRead_ = true;
+    table.pending_ = sendMemberOp(m, context, {OpKind::ReadTable, region, {}, {}, false, {}},
+                                  StoreGet {"owners/" + region.value_});
+}
+
+static void onTableRead(Membership &m, OwnerTable &table, const RegionId &region, const StoreResult &result)
+{
+    if (result.status_ == StoreStatus::Ok || result.status_ == StoreStatus::NotFound) {
+        table.mustRead_ = false;
+        if (!result.entries_.empty()) {
+            applyTable(m, region, result.entries_.front());
+        }
+    } else {
+        table.retryAt_ = m.now_ + StoreRetry;
+    }
+}
+
+// Settles a claim. Only a table that the store has shown, or the answer to the write, puts it in force.
+static void onClaimed(Membership &m, OwnerTable &table, const PendingOp &op, const StoreResult &result)
+{
+    const RegionId &region = op.region_;
+    switch (result.status_) {
+    case StoreStatus::Ok:
+        applyTable(m, region, {"", op.value_, result.revision_});
+        return;
+    case StoreStatus::Unknown:
+        table.mustRead_ = true;
+        return;
+    case StoreStatus::Conflict:
+        if (!result.entries_.empty()) {
+            applyTable(m, region, result.entries_.front());
+        } else {
+            table.mustRead_ = true;
+        }
+        return;
+    case StoreStatus::NotFound:
+    case StoreStatus::Unavailable:
+        table.retryAt_ = m.now_ + StoreRetry;
+        return;
+    }
+}
+
+void onTableResult(Membership &m, const PendingOp &op, const StoreResult &result, Context &context)
+{
+    OwnerTable &table = m.tables_[op.region_];
+    table.pending_ = {};
+    if (op.kind_ == OpKind::ReadTable) {
+        onTableRead(m, table, op.region_, result);
+    } else {
+        onClaimed(m, table, op, result);
+    }
+    updateHeld(m);
+    if (table.mustRead_ && table.pending_.value_ == 0 && context.now_ >= table.retryAt_) {
+        readTable(m, op.region_, context);
+    }
+}
+
+static ShardEntry shardEntry(const Membership &m, const OwnerRow &row)
+{
+    ShardEntry entry;
+    entry.shard_ = row.shard_;
+    entry.region_ = shardRegion(row.shard_);
+    entry.holder_ = row.holder_;
+    entry.epoch_ = row.epoch_;
+    const auto heard = m.heard_.find(row.shard_);
+    if (heard != m.heard_.end()) {
+        entry.holder_ = heard->second.first;
+        entry.epoch_ = heard->second.second;
+    }
+    if (entry.holder_ == m.settings_.self_) {
+        entry.reachable_ = !m.suspect_ && m.held_.contains(row.shard_);
+    } else {
+        const auto peer = m.peers_.find(entry.holder_);
+        entry.reachable_ = peer != m.peers_.end() && peer->second.up_;
+    }
+    const auto load = m.loads_.find(row.shard_);
+    if (load != m.loads_.end() && load->second.epoch_ == entry.epoch_) {
+        entry.load_ = load->second;
+    }
+    return entry;
+}
+
+void rebuildDirectory(Membership &m)
+{
+    m.directoryDirty_ = false;
+    m.directory_.groups_.clear();
+    m.directory_.partitions_.clear();
+    std::set<ShardId> unheld; // wanted, but in no table yet
+    for (const auto &[region, shards] : m.wanted_) {
+        for (const ShardId &shard : shards) {
+            if (findRow(m, shard) == nullptr) {
+                unheld.insert(shard);
+            }
+        }
+    }
+    const auto add = [&m](const OwnerRow &row) {
+        auto &list = isGroup(row.shard_) ? m.directory_.groups_ : m.directory_.partitions_;
+        list.push_back(shardEntry(m, row));
+    };
+    for (const auto &[region, table] : m.tables_) {
+        for (const auto &[shard, row] : table.rows_) {
+            add(row);
+        }
+    }
+    for (const ShardId &shard : unheld) {
+        add({shard, {}, {}});
+    }
+    const auto byShard = [](const ShardEntry &left, const ShardEntry &right) { return left.shard_ < right.shard_; };
+    std::sort(m.directory_.groups_.begin(), m.directory_.groups_.end(), byShard);
+    std::sort(m.directory_.partitions_.begin(), m.directory_.partitions_.end(), byShard);
+}
+
+} // namespace mimosapier
--- a/src/core/message/peer_type.h
+++ b/src/core/message/peer_type.h
@@ -71,6 +71,7 @@
     std::vector<HeldShard> shards_;
     std::vector<GroupLoad> loads_;
     std::vector<PeerFreshness> freshness_; // first the sender's own; further ones only from relays
+    std::uint64_t echo_ = 0; // highest sequence_ got from the receiver; bounds the age of what the heartbeat says
     bool operator==(const Heartbeat &) const = default;
 };
 
