--- a/src/core/common/json_func.h
+++ b/src/core/common/json_func.h
@@ -1,41 +1,45 @@
-// Writing of JSON text by the decision logic, for documents of the admin views.
+// Writes JSON text for the admin views. Not a parser: JSON from outside is parsed by the shells.
 #pragma once
 
-#include <array>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace mimosapier
 {
 
-// Appends `text` as a JSON string with quotes. Bytes of 0x80 and above are copied, so that UTF-8 stays as it is.
-inline void appendJsonString(std::string &out, std::string_view text)
+// Appends `text` as a JSON string with quotes; control characters are escaped, bytes above 127 are copied.
+void appendJsonString(std::string &out, std::string_view text);
+
+// Builds one JSON object member by member; finish() returns the text.
+class JsonObject
 {
-    constexpr std::string_view HexDigits = "0123456789abcdef";
-    out += '"';
-    for (const char c : text) {
-        const auto byte = static_cast<unsigned char>(c);
-        if (c == '"' || c == '\\') {
-            out += '\\';
-            out += c;
-        } else if (c == '\n') {
-            out += "\\n";
-        } else if (byte < 0x20 || byte == 0x7f) {
-            out += "\\u00";
-            out += HexDigits[byte >> 4U];
-            out += HexDigits[byte & 0xfU];
-        } else {
-            out += c;
-        }
-    }
-    out += '"';
-}
-
-inline std::string jsonString(std::string_view text)
+public:
+    JsonObject &text(std::string_view name, std::string_view value);
+    JsonObject &number(std::string_view name, std::int64_t value);
+    JsonObject &real(std::string_view name, double value); // non-finite values are written as null
+    JsonObject &boolean(std::string_view name, bool value);
+    JsonObject &raw(std::string_view name, std::string_view json); // `json` is valid JSON
+    std::string finish();
+
+private:
+    void key(std::string_view name);
+
+    std::string out_ = "{"; // without the closing brace
+};
+
+// Builds one JSON array of raw elements.
+class JsonArray
 {
-    std::string out;
-    appendJsonString(out, text);
-    return out;
-}
+public:
+    JsonArray &raw(std::string_view json); // `json` is valid JSON
+    JsonArray &text(std::string_view value);
+    std::string finish();
+
+private:
+    void separate();
+
+    std::string out_ = "["; // without the closing bracket
+};
 
 } // namespace mimosapier
--- a/src/core/config/config_document.cpp
+++ b/src/core/config/config_document.cpp
@@ -9,26 +9,27 @@
 std::string bundleDocument(const ConfigState &state)
 {
     const HeadRecord &head = state.head_;
-    std::string out = "{\"version\":" + std::to_string(head.version_.value_);
-    out += ",\"digest\":" + jsonString(head.digest_);
-    out += ",\"author\":" + jsonString(head.author_);
-    out += ",\"signer\":" + jsonString(head.signer_);
-    out += ",\"text\":" + jsonString(head.text_);
-    return out + "}";
+    return JsonObject()
+        .number("version", static_cast<std::int64_t>(head.version_.value_))
+        .text("digest", head.digest_)
+        .text("author", head.author_)
+        .text("signer", head.signer_)
+        .text("text", head.text_)
+        .finish();
 }
 
 std::string draftsDocument(const ConfigState &state)
 {
-    std::string out = "{\"drafts\":[";
-    std::string separator;
+    JsonArray drafts;
     for (const auto &[id, draft] : state.drafts_) {
-        out += separator + "{\"draft\":" + jsonString(id);
-        out += ",\"author\":" + jsonString(draft.author_);
-        out += ",\"base_version\":" + std::to_string(draft.base_.value_);
-        out += ",\"text\":" + jsonString(draft.text_) + "}";
-        separator = ",";
+        drafts.raw(JsonObject()
+                       .text("draft", id)
+                       .text("author", draft.author_)
+                       .number("base_version", static_cast<std::int64_t>(draft.base_.value_))
+                       .text("text", draft.text_)
+                       .finish());
     }
-    return out + "]}";
+    return JsonObject().raw("drafts", drafts.finish()).finish();
 }
 
 } // namespace mimosapier
--- a/src/core/config/draft_cmd.cpp
+++ b/src/core/config/draft_cmd.cpp
@@ -23,7 +23,7 @@
 
 std::string draftDetail(const std::string &id, BundleVersion base)
 {
-    return "{\"draft\":" + jsonString(id) + ",\"base_version\":" + std::to_string(base.value_) + "}";
+    return JsonObject().text("draft", id).number("base_version", static_cast<std::int64_t>(base.value_)).finish();
 }
 
 // Random, so that drafts of several daemons do not meet.
--- a/src/core/config/sign_cmd.cpp
+++ b/src/core/config/sign_cmd.cpp
@@ -1,7 +1,6 @@
 // Signing off a draft: read the draft and the head, announce the change to a majority, write, and settle lost answers.
 #include "core/config/config_internal.h"
 
-#include "core/common/json_func.h"
 #include "core/message/pack_func.h"
 
 #include <algorithm>
--- a/src/core/member/member_document.cpp
+++ b/src/core/member/member_document.cpp
@@ -7,36 +7,37 @@
 namespace mimosapier
 {
 
-static void appendMembers(std::string &out, const Membership &m)
+static std::string membersArray(const Membership &m)
 {
-    out += "\"members\":[";
-    std::string separator;
+    JsonArray members;
     for (const auto &[daemon, entry] : m.members_) {
         const auto peer = m.peers_.find(daemon);
         const bool up = daemon == m.settings_.self_ || (peer != m.peers_.end() && peer->second.up_);
-        out += separator + "{\"daemon\":" + jsonString(daemon.value_);
-        out += ",\"region\":" + jsonString(entry.record_.region_.value_);
-        out += ",\"zone\":" + jsonString(entry.record_.zone_.value_);
-        out += ",\"address\":" + jsonString(entry.record_.peerAddress_);
-        out += std::string(",\"leaving\":") + (isLeavingMember(m, daemon) ? "true" : "false");
-        out += std::string(",\"connected\":") + (up ? "true" : "false") + "}";
-        separator = ",";
+        members.raw(JsonObject()
+                        .text("daemon", daemon.value_)
+                        .text("region", entry.record_.region_.value_)
+                        .text("zone", entry.record_.zone_.value_)
+                        .text("address", entry.record_.peerAddress_)
+                        .boolean("leaving", isLeavingMember(m, daemon))
+                        .boolean("connected", up)
+                        .finish());
     }
-    out += "]";
+    return members.finish();
 }
 
-static void appendShards(std::string &out, const std::vector<ShardEntry> &shards, std::string &separator)
+static void appendShards(JsonArray &out, const std::vector<ShardEntry> &shards)
 {
     for (const ShardEntry &entry : shards) {
-        out += separator + "{\"shard\":" + jsonString(entry.shard_.value_);
-        out += ",\"holder\":" + jsonString(entry.holder_.value_);
-        out += ",\"epoch\":" + std::to_string(entry.epoch_.value_);
-        out += std::string(",\"reachable\":") + (entry.reachable_ ? "true" : "false");
-        out += ",\"capacity\":" + std::to_string(entry.load_.capacitySlots_);
-        out += ",\"free\":" + std::to_string(entry.load_.freeSlots_);
-        out += ",\"queued\":" + std::to_string(entry.load_.queued_);
-        out += ",\"wait_ms\":" + std::to_string(entry.load_.waitMs_) + "}";
-        separator = ",";
+        out.raw(JsonObject()
+                    .text("shard", entry.shard_.value_)
+                    .text("holder", entry.holder_.value_)
+                    .number("epoch", static_cast<std::int64_t>(entry.epoch_.value_))
+                    .boolean("reachable", entry.reachable_)
+                    .number("capacity", entry.load_.capacitySlots_)
+                    .number("free", entry.load_.freeSlots_)
+                    .number("queued", entry.load_.queued_)
+                    .number("wait_ms", entry.load_.waitMs_)
+                    .finish());
     }
 }
 
@@ -44,20 +45,21 @@
 {
     const Membership &m = membership;
     const Milliseconds age = headAge(m, now);
-    std::string out = "{\"daemon\":" + jsonString(m.settings_.self_.value_);
-    out += ",\"region\":" + jsonString(m.settings_.region_.value_);
-    out += std::string(",\"relay\":") + (isRelay(m) ? "true" : "false");
-    out += std::string(",\"leaving\":") + (m.leaving_ ? "true" : "false");
-    out += std::string(",\"store_reached\":") + (m.storeReached_ && !m.outage_ ? "true" : "false");
-    out += std::string(",\"config_fresh\":") + (configIsFresh(m, now) ? "true" : "false");
-    out += ",\"head_age_ms\":" + (age == Milliseconds::max() ? std::string("null") : std::to_string(age.count()));
-    out += ",\"version\":" + std::to_string(m.applied_.value_) + ",";
-    appendMembers(out, m);
-    out += ",\"shards\":[";
-    std::string separator;
-    appendShards(out, m.directory_.groups_, separator);
-    appendShards(out, m.directory_.partitions_, separator);
-    return out + "]}";
+    JsonArray shards;
+    appendShards(shards, m.directory_.groups_);
+    appendShards(shards, m.directory_.partitions_);
+    return JsonObject()
+        .text("daemon", m.settings_.self_.value_)
+        .text("region", m.settings_.region_.value_)
+        .boolean("relay", isRelay(m))
+        .boolean("leaving", m.leaving_)
+        .boolean("store_reached", m.storeReached_ && !m.outage_)
+        .boolean("config_fresh", configIsFresh(m, now))
+        .raw("head_age_ms", age == Milliseconds::max() ? "null" : std::to_string(age.count()))
+        .number("version", static_cast<std::int64_t>(m.applied_.value_))
+        .raw("members", membersArray(m))
+        .raw("shards", shards.finish())
+        .finish();
 }
 
 } // namespace mimosapier
