--- a/src/core/config/config_internal.h
+++ b/src/core/config/config_internal.h
@@ -1,6 +1,7 @@
 // State of the configuration and the functions that its files share.
 #pragma once
 
+#include "core/chart/chart_func.h"
 #include "core/config/config_func.h"
 #include "core/message/fields.h"
 
@@ -56,23 +57,21 @@
 MIMOSAPIER_FIELDS(HeadRecord, s.version_, s.digest_, s.author_, s.signer_, s.text_, s.voters_)
 MIMOSAPIER_FIELDS(DraftRecord, s.author_, s.base_, s.text_)
 
-enum class SignState : std::uint8_t { ReadDraft, ReadHead, Announce, Write, ReadBack };
-
 // One sign-off. Only the first of the queue is under way.
 struct SignOff
 {
     CallId call_;
     SignRequest request_;
-    SignState state_ = SignState::ReadDraft;
+    ChartInstance chart_; // charts/rollout.yaml
     StoreOpId op_; // under way; 0 for none
     TimePoint opGiveUpAt_;
     TimePoint retryAt_;
-    bool mayBeWritten_ = false; // a write without a certain answer was sent
     TimePoint deadline_;
     bool started_ = false;
     DraftRecord draft_;
     Revision draftRevision_;
     Revision headRevision_;
+    Revision winningRevision_; // of the written head
     HeadRecord head_; // that is signed off
     std::string value_; // head_ as it is written
     CallId announce_;
--- a/src/core/config/sign_cmd.cpp
+++ b/src/core/config/sign_cmd.cpp
@@ -14,17 +14,56 @@
     sign.opGiveUpAt_ = context.now_ + ConfigOpTimeout;
 }
 
+static void write(ConfigState &state, SignOff &sign, Context &context)
+{
+    if (sign.value_.empty()) {
+        sign.head_.voters_ = state.members_;
+        sign.value_ = packToString(sign.head_);
+    }
+    sendSignOp(sign, StoreCas {std::string(HeadKey), sign.value_, sign.headRevision_, {}}, context);
+}
+
+// Answers the first sign-off and removes it.
 static void finish(ConfigState &state, Outcome outcome, ErrorKind error, std::string detail, Context &context)
 {
     answerOperator(context, state.signOffs_.front().call_, outcome, error, std::move(detail));
     state.signOffs_.pop_front();
 }
 
-// Refuses a sign-off that certainly took no effect.
-static void refuse(ConfigState &state, ErrorKind error, std::string detail, Context &context)
+static void apply(ConfigState &state, Context &context)
 {
-    withdraw(state, state.signOffs_.front(), context);
-    finish(state, Outcome::NotRun, error, std::move(detail), context);
+    const SignOff &sign = state.signOffs_.front();
+    applyHead(state, sign.value_, sign.winningRevision_, context);
+    // The draft has served; a lost delete leaves an entry in the list of drafts.
+    sendStore(context, StorePart::Config, {},
+              StoreDelete {std::string(DraftPrefix) + sign.request_.draft_, sign.draftRevision_});
+    state.drafts_.erase(sign.request_.draft_);
+    finish(state, Outcome::Done, ErrorKind::None, "version " + std::to_string(sign.head_.version_.value_), context);
+}
+
+// Takes an event of the chart for the first sign-off and carries out the action. Error and detail serve a refusal.
+static void advance(ConfigState &state, std::string_view event, Context &context, ErrorKind error = ErrorKind::None,
+                    std::string detail = {})
+{
+    SignOff &sign = state.signOffs_.front();
+    const std::string_view action = advanceChart(sign.chart_, event);
+    if (action == "read-head" || action == "read-back") {
+        sendSignOp(sign, StoreGet {std::string(HeadKey)}, context);
+    } else if (action == "announce") {
+        announce(state, sign, context);
+    } else if (action == "write") {
+        write(state, sign, context);
+    } else if (action == "write-again") {
+        sign.retryAt_ = context.now_ + SignRetry;
+    } else if (action == "apply") {
+        apply(state, context);
+    } else if (action == "refuse") {
+        withdraw(state, sign, context);
+        finish(state, Outcome::NotRun, error, std::move(detail), context);
+    } else if (action == "answer-unknown") {
+        // The announcement stays, because the write may still take effect.
+        finish(state, Outcome::Unknown, ErrorKind::OutcomeUnknown, std::move(detail), context);
+    }
 }
 
 static std::string raceDetail(const HeadRecord &winner, const DraftRecord &draft)
@@ -38,15 +77,31 @@
     SignOff &sign = state.signOffs_.front();
     const bool found = result.status_ == StoreStatus::Ok && !result.entries_.empty();
     if (!found || !unpackFromString(result.entries_.front().value_, sign.draft_)) {
-        refuse(state, ErrorKind::MalformedRequest, "There is no draft " + sign.request_.draft_ + ".", context);
+        advance(state, "refused", context, ErrorKind::MalformedRequest,
+                "There is no draft " + sign.request_.draft_ + ".");
         return;
     }
     if (sign.draft_.author_ == sign.request_.signer_) {
-        refuse(state, ErrorKind::SameSigner, "", context);
+        advance(state, "refused", context, ErrorKind::SameSigner);
         return;
     }
     sign.draftRevision_ = result.entries_.front().revision_;
-    sign.state_ = SignState::ReadHead;
+    advance(state, "draft-read", context);
+}
+
+// Text of what is wrong with the draft as the successor of the head; empty when it is valid.
+static std::string checkDraft(const HeadRecord &head, const DraftRecord &draft)
+{
+    Bundle current;
+    Bundle next;
+    std::vector<BundleProblem> problems;
+    if (parseBundle(draft.text_, next, problems)) {
+        return formatProblems("", problems);
+    }
+    if (head.version_.value_ != 0 && !parseBundle(head.text_, current, problems)) {
+        return partitionChange(current, next);
+    }
+    return {};
 }
 
 static void onHeadRead(ConfigState &state, const StoreResult &result, Context &context)
@@ -56,56 +111,27 @@
     if (!result.entries_.empty()) {
         const StoreEntry &entry = result.entries_.front();
         if (!unpackFromString(entry.value_, head) || !applyHead(state, entry.value_, entry.revision_, context)) {
-            refuse(state, ErrorKind::Internal, "The head of the configuration is not valid.", context);
+            advance(state, "refused", context, ErrorKind::Internal, "The head of the configuration is not valid.");
             return;
         }
         sign.headRevision_ = entry.revision_;
     }
     if (head.version_ != sign.request_.base_) {
-        refuse(state, ErrorKind::VersionRace, raceDetail(head, sign.draft_), context);
+        advance(state, "refused", context, ErrorKind::VersionRace, raceDetail(head, sign.draft_));
         return;
     }
-    Bundle current;
-    Bundle next;
-    std::vector<BundleProblem> problems;
-    if (parseBundle(sign.draft_.text_, next, problems)) {
-        refuse(state, ErrorKind::BadBundle, formatProblems("", problems), context);
+    std::string problem = checkDraft(head, sign.draft_);
+    if (!problem.empty()) {
+        advance(state, "refused", context, ErrorKind::BadBundle, std::move(problem));
         return;
     }
-    if (head.version_.value_ != 0 && !parseBundle(head.text_, current, problems)) {
-        const std::string change = partitionChange(current, next);
-        if (!change.empty()) {
-            refuse(state, ErrorKind::BadBundle, change, context);
-            return;
-        }
-    }
     sign.head_ = {BundleVersion {head.version_.value_ + 1},
                   sha256Hex(sign.draft_.text_),
                   sign.draft_.author_,
                   sign.request_.signer_,
                   sign.draft_.text_,
                   head.voters_};
-    sign.state_ = SignState::Announce;
-}
-
-static void write(ConfigState &state, SignOff &sign, Context &context)
-{
-    if (sign.value_.empty()) {
-        sign.head_.voters_ = state.members_;
-        sign.value_ = packToString(sign.head_);
-    }
-    sendSignOp(sign, StoreCas {std::string(HeadKey), sign.value_, sign.headRevision_, {}}, context);
-}
-
-static void won(ConfigState &state, Revision revision, Context &context)
-{
-    SignOff &sign = state.signOffs_.front();
-    applyHead(state, sign.value_, revision, context);
-    // The draft has served; a lost delete leaves an entry in the list of drafts.
-    sendStore(context, StorePart::Config, {},
-              StoreDelete {std::string(DraftPrefix) + sign.request_.draft_, sign.draftRevision_});
-    state.drafts_.erase(sign.request_.draft_);
-    finish(state, Outcome::Done, ErrorKind::None, "version " + std::to_string(sign.head_.version_.value_), context);
+    advance(state, "head-read", context);
 }
 
 // The head as the store has it decides who won.
@@ -116,99 +142,79 @@
     Revision revision;
     if (!result.entries_.empty()) {
         const StoreEntry &entry = result.entries_.front();
+        revision = entry.revision_;
         if (entry.value_ == sign.value_) {
-            won(state, entry.revision_, context);
+            sign.winningRevision_ = revision;
+            advance(state, "written", context);
             return;
         }
-        revision = entry.revision_;
         if (unpackFromString(entry.value_, head)) {
             applyHead(state, entry.value_, entry.revision_, context);
         }
     }
     if (revision == sign.headRevision_) {
-        // Not written yet, but the earlier write may still arrive: the same write again settles both.
-        sign.state_ = SignState::Write;
-        sign.retryAt_ = context.now_ + SignRetry;
-        return;
-    }
-    // Another head means that this write never takes effect, or that it did and a later version followed.
-    if (sign.mayBeWritten_ && head.version_ > sign.head_.version_) {
-        finish(state, Outcome::Unknown, ErrorKind::OutcomeUnknown,
-               "Version " + std::to_string(head.version_.value_) + " followed before the answer came.", context);
-        return;
+        advance(state, "not-written", context);
+    } else if (head.version_ > sign.head_.version_ && !isInState(sign.chart_, "writing")) {
+        // A later version followed; whether this one came before it is not known.
+        advance(state, "refused", context, ErrorKind::OutcomeUnknown,
+                "Version " + std::to_string(head.version_.value_) + " followed before the answer came.");
+    } else {
+        advance(state, "other-head", context, ErrorKind::VersionRace, raceDetail(head, sign.draft_));
     }
-    refuse(state, ErrorKind::VersionRace, raceDetail(head, sign.draft_), context);
 }
 
 static void onWritten(ConfigState &state, const StoreResult &result, Context &context)
 {
-    SignOff &sign = state.signOffs_.front();
     switch (result.status_) {
     case StoreStatus::Ok:
-        won(state, result.revision_, context);
+        state.signOffs_.front().winningRevision_ = result.revision_;
+        advance(state, "written", context);
         return;
     case StoreStatus::Conflict:
         settle(state, result, context);
         return;
     case StoreStatus::Unknown:
-        sign.mayBeWritten_ = true;
-        sign.state_ = SignState::ReadBack;
+        advance(state, "answer-lost", context);
         return;
     case StoreStatus::NotFound:
     case StoreStatus::Unavailable:
-        sign.retryAt_ = context.now_ + SignRetry;
+        advance(state, "unavailable", context);
         return;
     }
 }
 
+static bool isWriting(const SignOff &sign)
+{
+    return isInState(sign.chart_, "writing") || isInState(sign.chart_, "rewriting");
+}
+
+// Sends what the state needs when nothing is under way.
 static void sendNext(ConfigState &state, SignOff &sign, Context &context)
 {
     if (sign.op_.value_ != 0 || context.now_ < sign.retryAt_) {
         return;
     }
-    switch (sign.state_) {
-    case SignState::ReadDraft:
+    if (isInState(sign.chart_, "reading-draft")) {
         sendSignOp(sign, StoreGet {std::string(DraftPrefix) + sign.request_.draft_}, context);
-        return;
-    case SignState::ReadHead:
-    case SignState::ReadBack:
-        sendSignOp(sign, StoreGet {std::string(HeadKey)}, context);
-        return;
-    case SignState::Announce:
-        announce(state, sign, context);
-        if (hasMajority(sign)) {
-            sign.state_ = SignState::Write;
-            write(state, sign, context);
-        } else if (context.now_ >= sign.announceUntil_) {
-            refuse(state, ErrorKind::PeerUnavailable, "A majority of the daemons did not answer.", context);
-        }
-        return;
-    case SignState::Write:
+    } else if (isWriting(sign)) {
         write(state, sign, context);
-        return;
-    }
-}
-
-// Past the deadline the caller is told what is certain. The announcement of a write that may take effect stays.
-static bool answerLate(ConfigState &state, SignOff &sign, Context &context)
-{
-    if (context.now_ < sign.deadline_ || (sign.state_ == SignState::Write && sign.op_.value_ != 0)) {
-        return false;
-    }
-    if (sign.mayBeWritten_) {
-        finish(state, Outcome::Unknown, ErrorKind::OutcomeUnknown, "", context);
+    } else if (!isInState(sign.chart_, "announcing")) {
+        sendSignOp(sign, StoreGet {std::string(HeadKey)}, context);
+    } else if (hasMajority(sign)) {
+        advance(state, "majority", context);
+    } else if (context.now_ >= sign.announceUntil_) {
+        advance(state, "refused", context, ErrorKind::PeerUnavailable, "A majority of the daemons did not answer.");
     } else {
-        refuse(state, ErrorKind::StoreUnavailable, "", context);
+        announce(state, sign, context);
     }
-    return true;
 }
 
 void tickSignOffs(ConfigState &state, Context &context)
 {
     while (!state.signOffs_.empty()) {
         SignOff &sign = state.signOffs_.front();
-        if (!sign.started_) {
-            sign.started_ = true;
+        if (sign.chart_.chart_ == nullptr) {
+            sign.chart_ = startChart(chartNamed("rollout"));
             sign.deadline_ = context.now_ + SignWait;
         }
         if (sign.op_.value_ != 0 && context.now_ >= sign.opGiveUpAt_) {
@@ -218,7 +224,10 @@
             return;
         }
         const std::size_t before = state.signOffs_.size();
-        if (!answerLate(state, sign, context)) {
+        // A write under way has to be settled first; it is bounded by its own time.
+        if (context.now_ >= sign.deadline_ && !(isWriting(sign) && sign.op_.value_ != 0)) {
+            advance(state, "timeout", context, ErrorKind::StoreUnavailable);
+        } else {
             sendNext(state, sign, context);
         }
         if (state.signOffs_.size() == before) {
@@ -235,13 +244,13 @@
     SignOff &sign = state.signOffs_.front();
     sign.op_ = {};
     const bool answered = result.status_ == StoreStatus::Ok || result.status_ == StoreStatus::NotFound;
-    if (sign.state_ == SignState::Write) {
+    if (isWriting(sign)) {
         onWritten(state, result, context);
     } else if (!answered) {
         sign.retryAt_ = context.now_ + SignRetry;
-    } else if (sign.state_ == SignState::ReadDraft) {
+    } else if (isInState(sign.chart_, "reading-draft")) {
         onDraftRead(state, result, context);
-    } else if (sign.state_ == SignState::ReadHead) {
+    } else if (isInState(sign.chart_, "reading-head")) {
         onHeadRead(state, result, context);
     } else {
         settle(state, result, context);
