Feature: [node] Hand over shards that belong to other daemons; link membership and configuration

Membership names shards to release, one at a time outside a leave; the node stops work there, waits until nothing is under way, and releases. Stopping is final, because a group that has refused its queue cannot take it back.

--- a/src/core/node/dispatch.cpp
+++ b/src/core/node/dispatch.cpp
@@ -165,6 +165,10 @@
 
     void operator()(const AdminViewRequest &request) const
     {
+        if (request.view_ == AdminView::Drafts) {
+            onDraftsView(*node_.config_, call_, context_);
+            return;
+        }
         CallerAnswer answer;
         answer.call_ = call_;
         answer.outcome_ = Outcome::Done;
--- a/src/core/node/node.cpp
+++ b/src/core/node/node.cpp
@@ -9,7 +9,7 @@
 
 using namespace detail;
 
-// Loads change with every start; the directory and the heartbeats need them at this rate only.
+// Loads and freshness change all the time; the directory and the heartbeats need them at this rate only.
 static constexpr Milliseconds LoadInterval {100};
 
 template <>
@@ -57,12 +57,8 @@
     }
 }
 
-static void publishLoads(Node &node, TimePoint now)
+static void publishLoads(Node &node)
 {
-    if (now - node.lastLoads_ < LoadInterval) {
-        return;
-    }
-    node.lastLoads_ = now;
     std::vector<GroupLoad> loads;
     loads.reserve(node.groups_.size());
     for (const auto &[id, group] : node.groups_) {
@@ -71,10 +67,25 @@
     setLocalLoads(*node.member_, loads);
 }
 
+// Exchanges what membership and configuration know of each other.
+static void linkConfig(Node &node, TimePoint now)
+{
+    Membership &member = *node.member_;
+    ConfigState &config = *node.config_;
+    setOwnFreshness(member, ownFreshness(config, node.settings_.member_.self_, now));
+    setVoters(member, voters(config));
+    setMembers(config, memberDaemons(member), regionDaemons(member));
+    setRelay(config, isRelay(member));
+    setHeadAge(config, headAge(member, now));
+}
+
 static void tick(Node &node, TimePoint now, Actions &actions)
 {
-    setOwnFreshness(*node.member_, ownFreshness(*node.config_, node.settings_.member_.self_, now));
-    publishLoads(node, now);
+    if (now - node.lastLoads_ >= LoadInterval) {
+        node.lastLoads_ = now;
+        linkConfig(node, now);
+        publishLoads(node);
+    }
     {
         Context context = makeContext(node, now, actions);
         tickMembership(*node.member_, context);
@@ -94,6 +105,7 @@
         tickEntry(*node.entry_, context);
     }
     checkFenced(node, now, actions);
+    handOverShards(node, now, actions);
     advanceLeave(node, now, actions);
 }
 
--- a/src/core/node/node_base.h
+++ b/src/core/node/node_base.h
@@ -13,6 +13,7 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <set>
 
 namespace mimosapier
 {
@@ -35,6 +36,7 @@
     std::map<ShardId, Handle<Home>> homes_; // exactly the partitions held
     InstanceSnapshot instances_; // newest reading of the list
     std::mt19937_64 random_;
+    std::set<ShardId> stopping_; // held, but released as soon as nothing is under way
     std::deque<PeerReceived> loopback_; // messages of this daemon to itself, in order
     std::uint64_t directoryPrint_ = 0; // fingerprint of holders and epochs when the homes last saw the directory
     TimePoint lastFenceCheck_ {};
--- a/src/core/node/node_internal.h
+++ b/src/core/node/node_internal.h
@@ -30,6 +30,9 @@
 // Reads the ownership table for shards on which a later epoch was seen.
 void checkFenced(Node &node, TimePoint now, Actions &actions);
 
+// Stops and releases the shards that go to other daemons.
+void handOverShards(Node &node, TimePoint now, Actions &actions);
+
 void beginNodeLeave(Node &node, TimePoint now, Actions &actions);
 void advanceLeave(Node &node, TimePoint now, Actions &actions);
 
--- a/src/core/node/ownership.cpp
+++ b/src/core/node/ownership.cpp
@@ -41,6 +41,7 @@
 
 static void closeShard(Node &node, const ShardId &shard)
 {
+    node.stopping_.erase(shard);
     node.homes_.erase(shard);
     if (node.groups_.erase(shard) > 0) {
         closeGroupAllowances(*node.allowances_, shard);
@@ -112,37 +113,46 @@
     beginLeave(*node.member_, context);
 }
 
-static void stopShards(Node &node, TimePoint now, Actions &actions)
+// Stops work on a shard that is to be handed over. Stopping is final: the shard is released once nothing is under way.
+static void stopShard(Node &node, const ShardId &shard, Context &context)
 {
-    Context context = makeContext(node, now, actions);
-    for (auto &[id, group] : node.groups_) {
-        stopStarting(*group, context);
+    if (!node.stopping_.insert(shard).second) {
+        return;
     }
-    for (auto &[id, home] : node.homes_) {
-        stopAccepting(*home, context);
+    if (const auto group = node.groups_.find(shard); group != node.groups_.end()) {
+        stopStarting(*group->second, context);
+    }
+    if (const auto home = node.homes_.find(shard); home != node.homes_.end()) {
+        stopAccepting(*home->second, context);
     }
 }
 
-// Shards on which nothing is under way any more.
-static std::vector<ShardId> shardsToRelease(const Node &node)
+// True when nothing is under way on the shard any more.
+static bool isQuiet(const Node &node, const ShardId &shard)
 {
-    std::vector<ShardId> shards;
-    for (const auto &[id, group] : node.groups_) {
-        if (canHandOver(*group)) {
-            shards.push_back(id);
-        }
-    }
-    for (const auto &[id, home] : node.homes_) {
-        if (canHandOver(*home)) {
-            shards.push_back(id);
-        }
+    if (const auto group = node.groups_.find(shard); group != node.groups_.end()) {
+        return canHandOver(*group->second);
     }
-    return shards;
+    const auto home = node.homes_.find(shard);
+    return home == node.homes_.end() || canHandOver(*home->second);
 }
 
-static void handOverShards(Node &node, TimePoint now, Actions &actions)
+void handOverShards(Node &node, TimePoint now, Actions &actions)
 {
-    for (const ShardId &shard : shardsToRelease(node)) {
+    if (node.leave_ == LeavePhase::FinishRequests) {
+        return;
+    }
+    for (const ShardId &shard : shardsToRelease(*node.member_)) {
+        Context context = makeContext(node, now, actions);
+        stopShard(node, shard, context);
+    }
+    std::vector<ShardId> quiet;
+    for (const ShardId &shard : node.stopping_) {
+        if (isQuiet(node, shard)) {
+            quiet.push_back(shard);
+        }
+    }
+    for (const ShardId &shard : quiet) {
         closeShard(node, shard);
         Context context = makeContext(node, now, actions);
         releaseShard(*node.member_, shard, context);
@@ -151,17 +161,13 @@
 
 void advanceLeave(Node &node, TimePoint now, Actions &actions)
 {
-    if (node.leave_ == LeavePhase::FinishRequests) {
-        const bool waitedLongEnough = now - node.leaveStarted_ >= FinishRequestsLimit;
-        if (openRequests(*node.entry_) == 0 || waitedLongEnough) {
-            node.leave_ = LeavePhase::HandOver;
-            stopShards(node, now, actions);
-        }
+    const bool waitedLongEnough = now - node.leaveStarted_ >= FinishRequestsLimit;
+    if (node.leave_ == LeavePhase::FinishRequests && (openRequests(*node.entry_) == 0 || waitedLongEnough)) {
+        node.leave_ = LeavePhase::HandOver;
     }
     if (node.leave_ != LeavePhase::HandOver) {
         return;
     }
-    handOverShards(node, now, actions);
     const bool idle = node.groups_.empty() && node.homes_.empty() && openRequests(*node.entry_) == 0;
     if (idle && hasLeft(*node.member_)) {
         node.leave_ = LeavePhase::Gone;
