Feature: [group] Tests of take-over, offers and placement; first retry of an allowance without wait

The tests run groups against a small worker that follows docs/protocols.md, behind links that lose and delay calls.

--- a/src/core/group/report.cpp
+++ b/src/core/group/report.cpp
@@ -25,7 +25,7 @@
         constexpr double LongestGap = 60'000;
         const double gap
             = std::min(LongestGap, std::chrono::duration<double, std::milli>(now - group.lastFinish_).count());
-        group.finishGapMs_ += Weight * (gap - group.finishGapMs_);
+        group.finishGapMs_ = group.finishGapMs_ == 0 ? gap : group.finishGapMs_ + Weight * (gap - group.finishGapMs_);
     }
     group.lastFinish_ = now;
 }
--- a/src/core/limit/limit_store.cpp
+++ b/src/core/limit/limit_store.cpp
@@ -150,7 +150,13 @@
     case StoreStatus::NotFound:
         endCall(key);
         showEntry(key, result, context);
-        backOff(key, context);
+        key.lastWrite_ = {};
+        // The conflict has shown the newest value, so the first retry need not wait; later ones are spread.
+        if (key.backoff_ == Milliseconds(0)) {
+            key.backoff_ = detail::AllowanceRetryMin;
+        } else {
+            backOff(key, context);
+        }
         return;
     case StoreStatus::Unavailable:
         endCall(key);
--- a/src/core/limit/limit_target.cpp
+++ b/src/core/limit/limit_target.cpp
@@ -69,11 +69,8 @@
             const bool scarce = sum >= limit;
             const std::uint32_t kept = keptAmount(demand, amount, scarce, limit, context.now_);
             const std::uint32_t target = std::min(kept, proportionalPart(amount, sum, limit));
-            if (target < demand.usable_) {
-                demand.usable_ = target;
-            } else if (!key.writing_ && !key.lostWrite_ && sum <= limit) {
-                demand.usable_ = target;
-            }
+            const bool mayRise = !key.writing_ && !key.lostWrite_ && sum <= limit;
+            demand.usable_ = mayRise ? target : std::min(target, demand.usable_);
         }
         for (auto &[team, demand] : group.teams_) {
             if (allowanceKeyOf(team) == index && !key.rows_.contains(team)) {
--- /dev/null
+++ b/tests/group/fake_worker.h
@@ -0,0 +1,183 @@
+// Small worker that follows docs/protocols.md: epochs, task leases, slots and sizes. It reports every start and end to
+// an observer, which is the truth that tests compare with.
+#pragma once
+
+#include "core/message/worker_type.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace mimosapier::test
+{
+
+struct FakeWorker
+{
+    struct Run
+    {
+        WorkerTask task_;
+        TimePoint ends_ = TimePoint::max(); // max: runs until stopped
+        Outcome outcome_ = Outcome::Running;
+        ErrorKind error_ = ErrorKind::None;
+        bool fails_ = false;
+        bool told_ = false; // to a poll
+    };
+
+    std::string name_;
+    Resources capacity_;
+    Epoch highest_;
+    TimePoint leaseEnd_;
+    bool leaving_ = false;
+    bool failsAll_ = false;
+    std::map<TaskId, Run> runs_;
+    int misfits_ = 0; // starts that did not fit: the group overcommitted
+    std::function<void(const TaskId &, bool)> observer_ = [](const TaskId &, bool) {}; // (task, starts)
+
+    Resources used() const
+    {
+        Resources sum;
+        for (const auto &[id, run] : runs_) {
+            if (run.outcome_ == Outcome::Running) {
+                sum += {run.task_.size_.milliCpus_, run.task_.size_.memoryMb_, run.task_.size_.accelerators_, 1};
+            }
+        }
+        return sum;
+    }
+
+    void end(Run &run, Outcome outcome, ErrorKind error)
+    {
+        run.outcome_ = outcome;
+        run.error_ = error;
+        run.told_ = false;
+        observer_(run.task_.task_, false);
+    }
+
+    // Lets tasks and leases end.
+    void advance(TimePoint now)
+    {
+        for (auto &[id, run] : runs_) {
+            if (run.outcome_ != Outcome::Running) {
+                continue;
+            }
+            if (now >= leaseEnd_ && run.ends_ > leaseEnd_) {
+                end(run, Outcome::Failed, ErrorKind::TaskLeaseLapsed);
+            } else if (now >= run.ends_) {
+                end(run, run.fails_ ? Outcome::Failed : Outcome::Done,
+                    run.fails_ ? ErrorKind::TaskFailed : ErrorKind::None);
+            }
+        }
+    }
+
+    WorkerTaskReport report(const Run &run) const
+    {
+        const WorkerTask &task = run.task_;
+        WorkerTaskReport report {task.task_,   task.team_, task.class_,      task.size_, task.size_,
+                                 run.outcome_, run.error_, task.idempotent_, {}};
+        if (run.outcome_ == Outcome::Done) {
+            report.result_ = task.requestId_ + "/" + std::to_string(task.task_.index_) + " on " + name_;
+        }
+        return report;
+    }
+
+    WorkerTaskReport start(const WorkerTask &task, TimePoint now)
+    {
+        const auto known = runs_.find(task.task_);
+        if (known != runs_.end()) {
+            return report(known->second);
+        }
+        Run run;
+        run.task_ = task;
+        Resources wanted = task.size_;
+        wanted.slots_ = 1;
+        const bool fitting = fits(wanted, capacity_ - used());
+        if (!fitting || failsAll_) {
+            misfits_ += fitting ? 0 : 1;
+            run.outcome_ = Outcome::NotRun;
+            run.error_ = fitting ? ErrorKind::TaskFailed : ErrorKind::WorkerFull;
+            return report(run);
+        }
+        const std::size_t at = task.payload_.find("run_ms=");
+        const int ms = at == std::string::npos ? 10 : std::stoi(task.payload_.substr(at + 7));
+        run.ends_ = ms == 0 ? TimePoint::max() : now + Milliseconds(ms);
+        run.fails_ = task.payload_.find("fail") != std::string::npos;
+        observer_(task.task_, true);
+        return report(runs_.emplace(task.task_, run).first->second);
+    }
+
+    void beginPoll(const WorkerPoll &poll, TimePoint now)
+    {
+        leaseEnd_ = now + poll.lease_;
+        for (const TaskId &id : poll.acks_) {
+            const auto run = runs_.find(id);
+            if (run != runs_.end() && run->second.outcome_ != Outcome::Running) {
+                runs_.erase(run);
+            }
+        }
+    }
+
+    void collectPoll(WorkerResult &result)
+    {
+        for (auto &[id, run] : runs_) {
+            if (run.outcome_ != Outcome::Running || !run.told_) {
+                run.told_ = true;
+                result.tasks_.push_back(report(run));
+            }
+        }
+    }
+
+    // Handles one request; polls are answered at once.
+    WorkerResult handle(const WorkerRequest &request, TimePoint now)
+    {
+        advance(now);
+        WorkerResult result {request.id_, request.group_, request.worker_, WorkerStatus::Ok, highest_, leaving_, {}};
+        if (request.epoch_ < highest_) {
+            result.status_ = WorkerStatus::StaleEpoch;
+            return result;
+        }
+        highest_ = request.epoch_;
+        result.highestEpoch_ = highest_;
+        if (const auto *hold = std::get_if<WorkerHold>(&request.op_)) {
+            leaseEnd_ = now + hold->lease_;
+            for (const auto &[id, run] : runs_) {
+                result.tasks_.push_back(report(run));
+            }
+        } else if (const auto *begin = std::get_if<WorkerStart>(&request.op_)) {
+            if (leaving_) {
+                result.status_ = WorkerStatus::Refused;
+                return result;
+            }
+            leaseEnd_ = now + begin->lease_;
+            for (const WorkerTask &task : begin->tasks_) {
+                result.tasks_.push_back(start(task, now));
+            }
+        } else if (const auto *poll = std::get_if<WorkerPoll>(&request.op_)) {
+            beginPoll(*poll, now);
+            collectPoll(result);
+        } else if (const auto *stop = std::get_if<WorkerStop>(&request.op_)) {
+            for (const TaskId &id : stop->tasks_) {
+                const auto run = runs_.find(id);
+                if (run == runs_.end()) {
+                    continue;
+                }
+                if (stop->mode_ != StopMode::Throttle && run->second.outcome_ == Outcome::Running) {
+                    end(run->second, Outcome::Cancelled, ErrorKind::Cancelled);
+                }
+                result.tasks_.push_back(report(run->second));
+            }
+        }
+        return result;
+    }
+
+    // True when a waiting poll has something to tell.
+    bool hasNews() const
+    {
+        for (const auto &[id, run] : runs_) {
+            if (!run.told_) {
+                return true;
+            }
+        }
+        return false;
+    }
+};
+
+} // namespace mimosapier::test
