Feature: [daemon] Process around the decision logic

The decision logic has no I/O; mimosapierd needs threads, rings, clients and a front end that keep its guarantees.

Ruled out: waiting for room in rings that the decision thread fills (two threads could wait for each other); dropping a peer message when its ring is full (a peer that is up must get every message, so the peer is reset instead); base64 for all store values (text stays readable to operators); one connection pool for all store operations (a lease renewal would queue behind slow operations).

Change: settings with file, line, key, value and what is allowed; one thread per duty; HTTP front end; store and worker clients with one result per operation; instance list poller; metrics; log; graceful shutdown. Results and answers have no ring limit of their own: their number is bounded by the operations and requests under way. A leaving daemon accepts connections for at least limits.drain_ms, because a load balancer may not have seen the readiness change yet.

--- /dev/null
+++ b/src/daemon/log_func.h
@@ -0,0 +1,20 @@
+// Log of the process: lines on stderr, written by a thread of the log library so that no duty waits for the output.
+#pragma once
+
+#include "core/message/event_type.h"
+
+#include <string_view>
+
+namespace mimosapier
+{
+
+// Parameters: lowest level that is written: "debug", "info", "warning" or "error".
+void startLog(std::string_view level);
+
+// Writes a line; it starts with the prefix of its part, for example "[peer]". May be called from any thread.
+void writeLog(LogLevel level, std::string_view text);
+
+// Writes out what is pending.
+void stopLog();
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,58 @@
+// mimosapierd: reads the settings, runs the daemon, and leaves gracefully on SIGTERM or SIGINT.
+#include "daemon/command_line_func.h"
+#include "daemon/log_func.h"
+#include "daemon/process_base.h"
+#include "daemon/settings_func.h"
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+using namespace mimosapier;
+
+static constexpr int ExitBadSettings = 2;
+static constexpr int ExitCannotStart = 1;
+
+int main(int argc, char **argv)
+{
+    const CommandLine line = parseCommandLine(argc, argv);
+    if (!line.run_) {
+        return line.exitCode_;
+    }
+    const SettingsReading reading = readSettings(line.config_, line.overrides_);
+    for (const std::string &problem : reading.problems_) {
+        std::cerr << problem << '\n';
+    }
+    if (!reading.problems_.empty() || line.check_) {
+        return reading.problems_.empty() ? 0 : ExitBadSettings;
+    }
+
+    // Blocked before any thread starts, so that all threads inherit the mask and only sigwait() gets the signals.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    startLog(reading.settings_.logLevel_);
+    int exitCode = 0;
+    {
+        Process process(reading.settings_);
+        std::string detail;
+        if (const std::error_code error = process.start(detail)) {
+            writeLog(LogLevel::Error, "[daemon] Cannot start: " + detail + ": " + error.message());
+            exitCode = ExitCannotStart;
+        } else {
+            int received = 0;
+            sigwait(&signals, &received);
+            process.requestLeave();
+            if (!process.waitForEnd()) {
+                writeLog(LogLevel::Warning, "[daemon] Stopped at the shutdown limit.");
+            }
+        }
+    }
+    writeLog(LogLevel::Info, "[daemon] Stopped.");
+    stopLog();
+    return exitCode;
+}
--- /dev/null
+++ b/src/daemon/metrics.cpp
@@ -0,0 +1,191 @@
+// Metrics through prometheus-cpp.
+#include "daemon/metrics_base.h"
+
+#include <prometheus/collectable.h>
+#include <prometheus/counter.h>
+#include <prometheus/exposer.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+#include <exception>
+#include <utility>
+#include <vector>
+
+namespace mimosapier
+{
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+static constexpr std::array<std::string_view, 5> StoreStatusNames {"ok", "conflict", "not-found", "unavailable",
+                                                                   "unknown"};
+static constexpr std::array<std::string_view, 4> WorkerStatusNames {"ok", "stale-epoch", "refused", "unknown"};
+
+static ClientMetric sample(prometheus::MetricType type, double value, std::vector<ClientMetric::Label> labels)
+{
+    ClientMetric metric;
+    metric.label = std::move(labels);
+    if (type == MetricType::Counter) {
+        metric.counter.value = value;
+    } else {
+        metric.gauge.value = value;
+    }
+    return metric;
+}
+
+namespace
+{
+
+// Reads ring depths and transport counters at the time of a scrape.
+class Sources final : public prometheus::Collectable
+{
+public:
+    [[nodiscard]] std::vector<MetricFamily> Collect() const override
+    {
+        std::vector<MetricFamily> families;
+        MetricFamily rings {"mimosapier_ring_depth", "Items waiting in a ring.", MetricType::Gauge, {}};
+        for (const auto &[name, depth] : rings_) {
+            rings.metric.push_back(sample(MetricType::Gauge, static_cast<double>(depth()), {{"ring", name}}));
+        }
+        families.push_back(std::move(rings));
+        if (transport_) {
+            collectTransport(transport_(), families);
+        }
+        return families;
+    }
+
+    std::vector<std::pair<std::string, std::function<std::size_t()>>> rings_;
+    std::function<TransportCounters()> transport_;
+
+private:
+    static void collectTransport(const TransportCounters &counters, std::vector<MetricFamily> &families)
+    {
+        const auto add = [&families](std::string name, std::string help) -> MetricFamily & {
+            return families.emplace_back(MetricFamily {std::move(name), std::move(help), MetricType::Counter, {}});
+        };
+        const auto put = [](MetricFamily &family, std::uint64_t value, std::vector<ClientMetric::Label> labels) {
+            family.metric.push_back(sample(MetricType::Counter, static_cast<double>(value), std::move(labels)));
+        };
+        MetricFamily &bytes = add("mimosapier_peer_bytes_total", "Bytes exchanged with daemons of a region.");
+        for (const auto &[region, amount] : counters.bytes_) {
+            put(bytes, amount.received_, {{"region", region.value_}, {"direction", "received"}});
+            put(bytes, amount.sent_, {{"region", region.value_}, {"direction", "sent"}});
+        }
+        MetricFamily &closed = add("mimosapier_peer_connections_closed_total", "Closed peer connections by cause.");
+        for (std::size_t i = 0; i < counters.closed_.size(); ++i) {
+            put(closed, counters.closed_.at(i), {{"cause", std::string(closeCauseName(static_cast<CloseCause>(i)))}});
+        }
+        put(add("mimosapier_peer_connections_total", "Established peer connections."), counters.established_, {});
+        MetricFamily &messages = add("mimosapier_peer_messages_total", "Messages exchanged with other daemons.");
+        put(messages, counters.messagesReceived_, {{"kind", "received"}});
+        put(messages, counters.messagesSent_, {{"kind", "sent"}});
+        put(messages, counters.messagesDropped_, {{"kind", "dropped"}});
+        put(messages, counters.messagesRepeated_, {{"kind", "repeated"}});
+    }
+};
+
+} // namespace
+
+using CounterFamily = prometheus::Family<prometheus::Counter>;
+
+struct Metrics::State
+{
+    std::shared_ptr<prometheus::Registry> registry_ = std::make_shared<prometheus::Registry>();
+    std::shared_ptr<Sources> sources_ = std::make_shared<Sources>();
+    std::unique_ptr<prometheus::Exposer> exposer_;
+    CounterFamily &requests_ = counter("mimosapier_requests_total", "Requests of callers by kind.");
+    CounterFamily &answers_ = counter("mimosapier_answers_total", "Answers to callers by outcome and error.");
+    CounterFamily &storeCalls_ = counter("mimosapier_store_calls_total", "Calls of the store; a watch counts as one.");
+    CounterFamily &storeResults_ = counter("mimosapier_store_results_total", "Results of store calls by status.");
+    CounterFamily &workerCalls_ = counter("mimosapier_worker_calls_total", "Calls of workers by kind and status.");
+    prometheus::Histogram &steps_
+        = prometheus::BuildHistogram()
+              .Name("mimosapier_step_seconds")
+              .Help("Duration of one step of the decision logic.")
+              .Register(*registry_)
+              .Add({}, prometheus::Histogram::BucketBoundaries {1e-5, 1e-4, 1e-3, 1e-2, 0.1, 1});
+
+private:
+    CounterFamily &counter(const char *name, const char *help)
+    {
+        return prometheus::BuildCounter().Name(name).Help(help).Register(*registry_);
+    }
+};
+
+Metrics::Metrics()
+    : state_(std::make_unique<State>())
+{
+}
+
+Metrics::~Metrics() = default;
+
+std::error_code Metrics::expose(const std::string &address)
+{
+    try {
+        state_->exposer_ = std::make_unique<prometheus::Exposer>(address, 1);
+    } catch (const std::exception &) {
+        return ErrorKind::BadSetting;
+    }
+    state_->exposer_->RegisterCollectable(state_->registry_);
+    state_->exposer_->RegisterCollectable(state_->sources_);
+    return {};
+}
+
+void Metrics::addRing(std::string name, std::function<std::size_t()> depth)
+{
+    state_->sources_->rings_.emplace_back(std::move(name), std::move(depth));
+}
+
+void Metrics::setTransport(std::function<TransportCounters()> counters)
+{
+    state_->sources_->transport_ = std::move(counters);
+}
+
+void Metrics::countRequest(std::string_view kind)
+{
+    state_->requests_.Add({{"kind", std::string(kind)}}).Increment();
+}
+
+void Metrics::countAnswer(Outcome outcome, ErrorKind error)
+{
+    state_->answers_.Add({{"outcome", std::string(outcomeName(outcome))}, {"error", std::string(errorName(error))}})
+        .Increment();
+}
+
+void Metrics::countStoreCall(std::string_view operation)
+{
+    state_->storeCalls_.Add({{"operation", std::string(operation)}}).Increment();
+}
+
+void Metrics::countStoreResult(StoreStatus status)
+{
+    state_->storeResults_.Add({{"status", std::string(StoreStatusNames.at(static_cast<std::size_t>(status)))}})
+        .Increment();
+}
+
+void Metrics::countWorkerCall(std::string_view operation, WorkerStatus status)
+{
+    state_->workerCalls_
+        .Add({{"operation", std::string(operation)},
+              {"status", std::string(WorkerStatusNames.at(static_cast<std::size_t>(status)))}})
+        .Increment();
+}
+
+void Metrics::observeStep(Duration duration)
+{
+    state_->steps_.Observe(std::chrono::duration<double>(duration).count());
+}
+
+std::string Metrics::render() const
+{
+    std::vector<MetricFamily> families = state_->registry_->Collect();
+    for (MetricFamily &family : state_->sources_->Collect()) {
+        families.push_back(std::move(family));
+    }
+    return prometheus::TextSerializer().Serialize(families);
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/daemon/process.cpp
@@ -0,0 +1,321 @@
+// Threads of the daemon and the rings between them.
+#include "daemon/process_base.h"
+
+#include "daemon/caller_front_base.h"
+#include "daemon/decisions_base.h"
+#include "daemon/instance_poller_base.h"
+#include "daemon/io_thread_base.h"
+#include "daemon/log_func.h"
+#include "daemon/metrics_base.h"
+#include "daemon/store_client_base.h"
+#include "daemon/worker_client_base.h"
+#include "net/transport_base.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <random>
+
+namespace mimosapier
+{
+
+static constexpr Milliseconds InstanceInterval {1000};
+static constexpr Milliseconds StopMargin {1000}; // kept of the shutdown limit for closing the connections
+
+// Id of this process: a restarted daemon is another daemon.
+static DaemonId newDaemonId(const std::string &name)
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+    const std::uint32_t random = std::random_device {}() & 0xffffU; // in case the wall clock was set back
+    return DaemonId(name + "#" + std::to_string(micros) + "-" + std::to_string(random));
+}
+
+// Calls `use` for each item of a ring.
+template <typename T, typename Use>
+static void drain(Ring<T> &ring, Use use)
+{
+    std::vector<T> items;
+    ring.take(items, SIZE_MAX);
+    for (T &item : items) {
+        use(std::move(item));
+    }
+}
+
+struct Process::State
+{
+    explicit State(const Settings &settings);
+
+    [[nodiscard]] NodeSettings nodeSettings() const;
+    [[nodiscard]] DecisionCapacities capacities() const;
+    DecisionWakeups wakeups();
+    CallerFrontLinks callerLinks();
+    TransportSettings transportSettings() const;
+    void addMetricSources();
+    void sendToPeer(PeerCommand command);
+    void onPeerEvent(Event event);
+    void onLeft();
+    void stopFront();
+    void abandonCallers();
+    void finish();
+    void stopThreads();
+
+    Settings settings_;
+    SystemClock clock_;
+    DaemonId self_;
+    std::uint64_t seed_;
+    Metrics metrics_;
+    IoThread callerThread_;
+    IoThread storeThread_;
+    IoThread workerThread_;
+    Decisions decisions_;
+    PeerTransport transport_;
+    std::thread transportThread_;
+    std::optional<CallerFront> front_;
+    std::optional<StoreClient> store_;
+    std::optional<WorkerClient> workers_;
+    std::optional<InstancePoller> instances_; // on the store's thread
+    std::atomic<bool> leaving_ {false};
+    TimePoint drained_; // connections are accepted until then
+    TimePoint deadline_; // of the shutdown
+    std::mutex mutex_; // guards finished_
+    std::condition_variable ended_;
+    bool finished_ = false;
+    std::atomic<bool> inTime_ {true}; // false when open requests were given up
+};
+
+Process::State::State(const Settings &settings)
+    : settings_(settings)
+    , self_(newDaemonId(settings.name_))
+    , seed_(settings.seed_ ? *settings.seed_ : std::random_device {}())
+    , decisions_(nodeSettings(), capacities(), wakeups(), clock_, &metrics_, [this] { onLeft(); })
+    , transport_(
+          transportSettings(), [this](Event event) { onPeerEvent(std::move(event)); }, clock_)
+{
+    front_.emplace(CallerFrontSettings {settings_.callerAddress_, settings_.limits_.maxBodyBytes_,
+                                        settings_.limits_.maxOpenRequests_},
+                   callerThread_, callerLinks(), &metrics_);
+    StoreClientSettings store;
+    store.address_ = settings_.storeAddress_;
+    store.maxOpen_ = settings_.limits_.storeRing_;
+    store_.emplace(
+        store, storeThread_, [this](StoreResult result) { decisions_.result(std::move(result)); }, &metrics_);
+    WorkerClientSettings workers;
+    workers.addressOverrides_ = settings_.workerAddressOverrides_;
+    workers.maxOpen_ = settings_.limits_.workerRing_;
+    workers_.emplace(
+        workers, workerThread_, [this](WorkerResult result) { decisions_.result(std::move(result)); }, &metrics_);
+    instances_.emplace(settings_.instanceListAddress_, InstanceInterval, storeThread_,
+                       [this](InstanceSnapshot snapshot) { decisions_.result(std::move(snapshot)); });
+    addMetricSources();
+}
+
+NodeSettings Process::State::nodeSettings() const
+{
+    NodeSettings node;
+    node.member_.self_ = self_;
+    node.member_.region_ = RegionId(settings_.region_);
+    node.member_.zone_ = ZoneId(settings_.zone_);
+    node.member_.peerAddress_ = settings_.peerAddress_;
+    node.seed_ = seed_;
+    return node;
+}
+
+DecisionCapacities Process::State::capacities() const
+{
+    const Limits &limits = settings_.limits_;
+    return {limits.callerRing_, limits.peerRing_, limits.storeRing_, limits.workerRing_};
+}
+
+TransportSettings Process::State::transportSettings() const
+{
+    TransportSettings transport;
+    transport.self_ = self_;
+    transport.region_ = RegionId(settings_.region_);
+    transport.listenAddress_ = settings_.peerAddress_;
+    transport.addressOverrides_ = settings_.peerAddressOverrides_;
+    transport.seed_ = seed_;
+    return transport;
+}
+
+DecisionWakeups Process::State::wakeups()
+{
+    return {.answers_ =
+                [this] {
+                    callerThread_.post([this] {
+                        drain(decisions_.answers(), [this](const CallerAnswer &answer) { front_->answer(answer); });
+                    });
+                },
+            .peers_ =
+                [this] {
+                    transport_.post([this] {
+                        drain(decisions_.peers(), [this](PeerCommand command) { sendToPeer(std::move(command)); });
+                    });
+                },
+            .store_ =
+                [this] {
+                    storeThread_.post([this] {
+                        drain(decisions_.store(), [this](StoreRequest request) { store_->submit(std::move(request)); });
+                    });
+                },
+            .workers_ =
+                [this] {
+                    workerThread_.post([this] {
+                        drain(decisions_.workers(),
+                              [this](WorkerRequest request) { workers_->submit(std::move(request)); });
+                    });
+                }};
+}
+
+CallerFrontLinks Process::State::callerLinks()
+{
+    return {.submit_ = [this](CallerRequest &request) { return decisions_.offerCaller(request); },
+            .gone_ = [this](CallerGone event) { decisions_.callerGone(event); },
+            .ready_ = [this] { return decisions_.ready() && !leaving_; }};
+}
+
+void Process::State::addMetricSources()
+{
+    metrics_.addRing("callers", [this] { return decisions_.callerDepth(); });
+    metrics_.addRing("peer-events", [this] { return decisions_.peerDepth(); });
+    metrics_.addRing("results", [this] { return decisions_.resultDepth(); });
+    metrics_.addRing("answers", [this] { return decisions_.answers().depth(); });
+    metrics_.addRing("peer-commands", [this] { return decisions_.peers().depth(); });
+    metrics_.addRing("store", [this] { return decisions_.store().depth(); });
+    metrics_.addRing("workers", [this] { return decisions_.workers().depth(); });
+    metrics_.addRing("open-requests", [this] { return front_->open(); });
+    metrics_.setTransport([this] { return transport_.counters(); });
+}
+
+void Process::State::sendToPeer(PeerCommand command)
+{
+    if (const auto *send = std::get_if<PeerSend>(&command)) {
+        transport_.send(send->to_, send->message_);
+    } else if (const auto *set = std::get_if<PeerSet>(&command)) {
+        transport_.setPeers(*set);
+    } else {
+        transport_.reset(std::get<PeerReset>(command).daemon_);
+    }
+}
+
+void Process::State::onPeerEvent(Event event)
+{
+    if (const auto *up = std::get_if<PeerUp>(&event)) {
+        writeLog(LogLevel::Info, "[peer] Connected to " + up->daemon_.value_ + ".");
+    } else if (const auto *down = std::get_if<PeerDown>(&event)) {
+        writeLog(LogLevel::Warning, "[peer] Lost all connections to " + down->daemon_.value_ + ".");
+    }
+    decisions_.peerEvent(std::move(event));
+}
+
+void Process::State::onLeft()
+{
+    writeLog(LogLevel::Info, "[daemon] Handed over; answering the open requests.");
+    const auto rest = std::chrono::duration_cast<Milliseconds>(drained_ - clock_.now());
+    callerThread_.after(std::max(rest, Milliseconds(0)), [this] { stopFront(); });
+}
+
+void Process::State::stopFront()
+{
+    // The decisions keep running, because requests that are under way are still answered.
+    const auto rest = std::chrono::duration_cast<Milliseconds>(deadline_ - clock_.now());
+    front_->stop(std::max(rest, Milliseconds(0)), [this] { finish(); });
+}
+
+void Process::State::abandonCallers()
+{
+    writeLog(LogLevel::Warning, "[daemon] The shutdown limit is near; open requests are answered as unknown.");
+    inTime_ = false;
+    front_->abandon();
+    stopFront();
+}
+
+void Process::State::finish()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        finished_ = true;
+    }
+    ended_.notify_all();
+}
+
+void Process::State::stopThreads()
+{
+    decisions_.stop();
+    callerThread_.stop();
+    storeThread_.stop();
+    workerThread_.stop();
+    if (transportThread_.joinable()) {
+        transport_.stop();
+        transportThread_.join();
+    }
+}
+
+Process::Process(const Settings &settings)
+    : state_(std::make_unique<State>(settings))
+{
+}
+
+Process::~Process()
+{
+    state_->stopThreads();
+}
+
+std::error_code Process::start(std::string &detail)
+{
+    State &state = *state_;
+    detail = "peer_address " + state.settings_.peerAddress_;
+    if (const std::error_code error = state.transport_.listen()) {
+        return error;
+    }
+    detail = "caller_address " + state.settings_.callerAddress_;
+    if (const std::error_code error = state.front_->listen()) {
+        return error;
+    }
+    detail = "metrics_address " + state.settings_.metricsAddress_;
+    if (!state.settings_.metricsAddress_.empty()) {
+        if (const std::error_code error = state.metrics_.expose(state.settings_.metricsAddress_)) {
+            return error;
+        }
+    }
+    detail.clear();
+    writeLog(LogLevel::Info, "[daemon] Started as " + state.self_.value_ + ", callers on " + callerAddress() + ".");
+    state.callerThread_.start();
+    state.storeThread_.start();
+    state.workerThread_.start();
+    state.transportThread_ = std::thread([&state] { state.transport_.run(); });
+    state.decisions_.start();
+    state.storeThread_.post([&state] { state.instances_->start(); });
+    return {};
+}
+
+void Process::requestLeave()
+{
+    State &state = *state_;
+    if (state.leaving_.exchange(true)) {
+        return;
+    }
+    writeLog(LogLevel::Info, "[daemon] Leaving.");
+    const Milliseconds limit {state.settings_.limits_.shutdownMs_};
+    state.drained_ = state.clock_.now() + Milliseconds(state.settings_.limits_.drainMs_);
+    state.deadline_ = state.clock_.now() + limit;
+    state.callerThread_.post([&state] { state.front_->drain(); });
+    state.callerThread_.after(std::max(limit - StopMargin, Milliseconds(0)), [&state] { state.abandonCallers(); });
+    state.callerThread_.after(limit, [&state] { state.finish(); });
+    state.decisions_.leave();
+}
+
+bool Process::waitForEnd()
+{
+    State &state = *state_;
+    std::unique_lock lock(state.mutex_);
+    state.ended_.wait(lock, [&state] { return state.finished_; });
+    return state.inTime_;
+}
+
+std::string Process::callerAddress() const
+{
+    return state_->front_->address();
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/daemon/ring_base.h
@@ -0,0 +1,128 @@
+// Bounded queue between two threads, and the wake-up of a thread that waits for several of them.
+#pragma once
+
+#include "core/common/time_type.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace mimosapier
+{
+
+// Lets one thread wait for news of several rings or for a point in time.
+class Wakeup
+{
+public:
+    void notify()
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            notified_ = true;
+        }
+        condition_.notify_one();
+    }
+
+    // Returns after notify() or at `deadline`, whichever comes first.
+    void waitUntil(TimePoint deadline)
+    {
+        std::unique_lock lock(mutex_);
+        condition_.wait_until(lock, deadline, [this] { return notified_; });
+        notified_ = false;
+    }
+
+private:
+    std::mutex mutex_; // guards notified_
+    std::condition_variable condition_;
+    bool notified_ = false;
+};
+
+// Any number of producers, one consumer. The consumer is woken when the ring stops being empty.
+template <typename T>
+class Ring
+{
+public:
+    // Parameters: most items that offer() and put() leave in the ring; called when the ring stops being empty.
+    Ring(std::size_t capacity, std::function<void()> wake)
+        : capacity_(capacity)
+        , wake_(std::move(wake))
+    {
+    }
+
+    // Moves the item into the ring. Returns false when the ring is full; `item` is then left as it is.
+    bool offer(T &item) { return append(item, Policy::Refuse); }
+
+    // Appends the item, waiting while the ring is full. Only for producers for which the consumer never waits.
+    void put(T item) { append(item, Policy::Wait); }
+
+    // Appends the item even to a full ring. Only for items whose number is bounded elsewhere.
+    void force(T item) { append(item, Policy::Exceed); }
+
+    // Moves at most `limit` items to the end of `items`, oldest first. Returns true when items are left.
+    bool take(std::vector<T> &items, std::size_t limit)
+    {
+        bool left = false;
+        {
+            const std::lock_guard lock(mutex_);
+            const auto end = items_.begin() + static_cast<std::ptrdiff_t>(std::min(limit, items_.size()));
+            items.insert(items.end(), std::make_move_iterator(items_.begin()), std::make_move_iterator(end));
+            items_.erase(items_.begin(), end);
+            left = !items_.empty();
+        }
+        room_.notify_all();
+        return left;
+    }
+
+    // Releases producers that wait in put(); from now on put() drops the item.
+    void close()
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            closed_ = true;
+        }
+        room_.notify_all();
+    }
+
+    [[nodiscard]] std::size_t depth() const
+    {
+        const std::lock_guard lock(mutex_);
+        return items_.size();
+    }
+
+private:
+    enum class Policy : std::uint8_t { Refuse, Wait, Exceed };
+
+    bool append(T &item, Policy policy)
+    {
+        bool wasEmpty = false;
+        {
+            std::unique_lock lock(mutex_);
+            if (policy == Policy::Wait) {
+                room_.wait(lock, [this] { return items_.size() < capacity_ || closed_; });
+            }
+            if (policy != Policy::Exceed && (items_.size() >= capacity_ || (closed_ && policy == Policy::Wait))) {
+                return false;
+            }
+            wasEmpty = items_.empty();
+            items_.push_back(std::move(item));
+        }
+        if (wasEmpty && wake_) {
+            wake_();
+        }
+        return true;
+    }
+
+    mutable std::mutex mutex_; // guards items_ and closed_
+    std::condition_variable room_; // for put()
+    std::deque<T> items_;
+    std::size_t capacity_;
+    bool closed_ = false;
+    std::function<void()> wake_;
+};
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/daemon/settings.cpp
@@ -0,0 +1,200 @@
+// Checks of settings.
+#include "daemon/settings_func.h"
+
+#include "daemon/table/settings_table.h"
+#include "net/address_func.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace mimosapier
+{
+
+static constexpr std::size_t MaxNameLength = 64;
+static constexpr std::array<std::string_view, 4> Levels {"debug", "info", "warning", "error"};
+
+static bool isName(std::string_view text)
+{
+    constexpr std::string_view Allowed = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._-";
+    return !text.empty() && text.size() <= MaxNameLength && text.find_first_not_of(Allowed) == std::string_view::npos;
+}
+
+static bool readCount(std::string_view text, std::uint64_t &count)
+{
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
+    return error == std::errc {} && end == text.data() + text.size() && !text.empty();
+}
+
+static std::string allowedText(const SettingRow &row)
+{
+    switch (row.rule_) {
+    case SettingRule::Name:
+        return "1 to 64 characters of A-Za-z0-9._-";
+    case SettingRule::Address:
+        return "an address ip:port with a port from 1 to 65535";
+    case SettingRule::ListenAddress:
+        return "an address ip:port with a port from 0 (any) to 65535";
+    case SettingRule::OptionalListenAddress:
+        return "an address ip:port with a port from 0 (any) to 65535, or nothing";
+    case SettingRule::Level:
+        return "debug, info, warning or error";
+    case SettingRule::Seed:
+        return "an integer from 0 to 18446744073709551615";
+    case SettingRule::Count:
+        break;
+    }
+    return "an integer from " + std::to_string(row.min_) + " to " + std::to_string(row.max_);
+}
+
+static bool isTarget(std::string_view text)
+{
+    return isAddress(text) && !text.ends_with(":0");
+}
+
+static bool isAllowedText(SettingRule rule, std::string_view value)
+{
+    switch (rule) {
+    case SettingRule::Name:
+        return isName(value);
+    case SettingRule::Address:
+        return isTarget(value);
+    case SettingRule::ListenAddress:
+        return isAddress(value);
+    case SettingRule::OptionalListenAddress:
+        return value.empty() || isAddress(value);
+    case SettingRule::Level:
+        return std::find(Levels.begin(), Levels.end(), value) != Levels.end();
+    default:
+        return false;
+    }
+}
+
+// Stores a value. Returns false when it is not allowed.
+static bool store(const SettingRow &row, const std::string &value, Settings &settings)
+{
+    std::uint64_t count = 0;
+    switch (row.rule_) {
+    case SettingRule::Name:
+    case SettingRule::Address:
+    case SettingRule::ListenAddress:
+    case SettingRule::OptionalListenAddress:
+    case SettingRule::Level:
+        if (!isAllowedText(row.rule_, value)) {
+            return false;
+        }
+        settings.*row.text_ = value;
+        return true;
+    case SettingRule::Seed:
+        if (!readCount(value, count)) {
+            return false;
+        }
+        settings.seed_ = count;
+        return true;
+    case SettingRule::Count:
+        break;
+    }
+    if (!readCount(value, count) || count < row.min_ || count > row.max_) {
+        return false;
+    }
+    settings.limits_.*row.count_ = count;
+    return true;
+}
+
+static std::string problem(const GivenSetting &given, std::string_view allowed)
+{
+    return given.origin_ + ": " + given.key_ + ": got \"" + given.value_ + "\"; allowed: " + std::string(allowed);
+}
+
+// Stores a member of a map setting. Returns false when the key belongs to none.
+static bool storeMember(const GivenSetting &given, SettingsReading &reading)
+{
+    for (const MapSettingRow &row : MapSettingTable) {
+        const std::string prefix = std::string(row.key_) + ".";
+        if (!given.key_.starts_with(prefix)) {
+            continue;
+        }
+        const std::string member = given.key_.substr(prefix.size());
+        const bool byName = row.memberRule_ == SettingRule::Name;
+        if (!isAllowedText(row.memberRule_, member) || !isTarget(given.value_)) {
+            reading.problems_.push_back(problem(given,
+                                                byName ? "a daemon's name mapped to an address ip:port"
+                                                       : "an address ip:port mapped to an address ip:port"));
+        } else {
+            (reading.settings_.*row.map_)[member] = given.value_;
+        }
+        return true;
+    }
+    return false;
+}
+
+static std::string knownKeys()
+{
+    std::string keys;
+    for (const SettingRow &row : SettingTable) {
+        keys += keys.empty() ? "" : ", ";
+        keys += row.key_;
+    }
+    for (const MapSettingRow &row : MapSettingTable) {
+        keys += ", ";
+        keys += row.key_;
+    }
+    return keys;
+}
+
+SettingsReading applySettings(std::span<const GivenSetting> given)
+{
+    SettingsReading reading;
+    std::set<std::string_view> stored;
+    for (const GivenSetting &setting : given) {
+        const auto row
+            = std::find_if(SettingTable.begin(), SettingTable.end(),
+                           [&setting](const SettingRow &candidate) { return candidate.key_ == setting.key_; });
+        if (row == SettingTable.end()) {
+            if (!storeMember(setting, reading)) {
+                reading.problems_.push_back(problem(setting, "the keys " + knownKeys()));
+            }
+            continue;
+        }
+        stored.insert(row->key_);
+        if (!store(*row, setting.value_, reading.settings_)) {
+            reading.problems_.push_back(problem(setting, allowedText(*row)));
+        }
+    }
+    for (const SettingRow &row : SettingTable) {
+        if (row.required_ && !stored.contains(row.key_)) {
+            reading.problems_.push_back(std::string(row.key_) + ": missing; allowed: " + allowedText(row));
+        }
+    }
+    return reading;
+}
+
+SettingsReading readSettings(const std::string &file, std::span<const std::string> overrides)
+{
+    std::vector<std::string> problems;
+    std::vector<GivenSetting> given;
+    const std::ifstream stream(file);
+    if (stream) {
+        std::ostringstream text;
+        text << stream.rdbuf();
+        given = parseYamlSettings(text.str(), file, problems);
+    } else {
+        problems.push_back(file + ": cannot be read");
+    }
+    for (const std::string &text : overrides) {
+        const std::size_t equals = text.find('=');
+        if (equals == std::string::npos) {
+            problems.push_back("--set: got \"" + text + "\"; allowed: key=value");
+        } else {
+            given.push_back({text.substr(0, equals), text.substr(equals + 1), "--set"});
+        }
+    }
+    SettingsReading reading = applySettings(given);
+    for (std::string &line : problems) {
+        reading.problems_.push_back(std::move(line));
+    }
+    return reading;
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/tests/daemon/http_helper.h
@@ -0,0 +1,77 @@
+// A server with a handler and a client, each on its own event loop, for tests of clients and front ends.
+#pragma once
+
+#include "daemon/io_thread_base.h"
+#include "http/client_base.h"
+#include "http/server_base.h"
+
+#include <chrono>
+#include <future>
+#include <string>
+#include <thread>
+
+namespace mimosapier::testing
+{
+
+constexpr std::chrono::seconds Patience {5}; // longer than any wait of a test that passes
+
+class TestServer
+{
+public:
+    explicit TestServer(HttpHandler handler)
+        : server_(thread_.context(), {}, std::move(handler))
+    {
+        thread_.start();
+        (void)server_.listen("127.0.0.1:0");
+    }
+    [[nodiscard]] std::string address() const { return server_.address(); }
+
+private:
+    IoThread thread_;
+    HttpServer server_;
+};
+
+class TestClient
+{
+public:
+    TestClient() { thread_.start(); }
+
+    std::future<HttpResult> send(const std::string &address, const std::string &method, const std::string &target,
+                                 const std::string &body = {})
+    {
+        auto promise = std::make_shared<std::promise<HttpResult>>();
+        std::future<HttpResult> future = promise->get_future();
+        HttpRequest request;
+        request.method_ = method;
+        request.target_ = target;
+        request.body_ = body;
+        client_.send(address, std::move(request), Milliseconds(5000),
+                     [promise](HttpResult result) { promise->set_value(std::move(result)); });
+        return future;
+    }
+    HttpResult call(const std::string &address, const std::string &method, const std::string &target,
+                    const std::string &body = {})
+    {
+        return send(address, method, target, body).get();
+    }
+
+private:
+    IoThread thread_;
+    HttpClient client_ {thread_.context(), HttpClientOptions {.maxConnections_ = 64}};
+};
+
+// Polls until the condition holds. Returns false after Patience.
+template <typename Condition>
+bool eventually(Condition condition)
+{
+    const auto end = std::chrono::steady_clock::now() + Patience;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end) {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return true;
+}
+
+} // namespace mimosapier::testing
--- /dev/null
+++ b/tests/daemon/test_settings.cpp
@@ -0,0 +1,87 @@
+// Guards the settings: what is wrong is refused with file, line, key, value and what is allowed.
+#include "daemon/settings_func.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace mimosapier;
+
+static constexpr std::string_view Good = R"(name: entry-1
+region: hobart
+zone: hobart-a
+caller_address: 127.0.0.1:8080
+peer_address: "[::1]:8081"
+store_address: 127.0.0.1:8082
+instance_list_address: 127.0.0.1:8083
+peer_address_overrides:
+  entry-2: 10.0.0.2:9
+worker_address_overrides:
+  "10.0.0.7:80": 127.0.0.1:80
+limits:
+  max_open_requests: 7
+)";
+
+static SettingsReading read(const std::string &text, std::vector<GivenSetting> overrides = {})
+{
+    std::vector<std::string> problems;
+    std::vector<GivenSetting> given = parseYamlSettings(text, "f.yaml", problems);
+    given.insert(given.end(), overrides.begin(), overrides.end());
+    SettingsReading reading = applySettings(given);
+    reading.problems_.insert(reading.problems_.end(), problems.begin(), problems.end());
+    return reading;
+}
+
+static bool hasProblem(const SettingsReading &reading, std::string_view start, std::string_view part = {})
+{
+    return std::any_of(reading.problems_.begin(), reading.problems_.end(), [&](const std::string &problem) {
+        return problem.starts_with(start) && problem.find(part) != std::string::npos;
+    });
+}
+
+// Guards against settings that are read but not applied.
+Test(settings, goodFileIsApplied)
+{
+    const SettingsReading reading = read(std::string(Good), {{"log_level", "debug", "--set"}});
+    cr_assert(reading.problems_.empty());
+    const Settings &settings = reading.settings_;
+    cr_assert_eq(settings.name_, "entry-1");
+    cr_assert_eq(settings.peerAddress_, "[::1]:8081");
+    cr_assert_eq(settings.peerAddressOverrides_.at("entry-2"), "10.0.0.2:9");
+    cr_assert_eq(settings.workerAddressOverrides_.at("10.0.0.7:80"), "127.0.0.1:80");
+    cr_assert_eq(settings.limits_.maxOpenRequests_, 7U);
+    cr_assert_eq(settings.logLevel_, "debug");
+    cr_assert(!settings.seed_.has_value());
+}
+
+// Guards against typing errors that go unnoticed.
+Test(settings, problemsNameLineKeyValueAndWhatIsAllowed)
+{
+    const std::string good(Good);
+    const auto with = [&good](const std::string &line) { return read(good + line); };
+    cr_assert(hasProblem(with("colour: red\n"), "f.yaml:14: colour: got \"red\"; allowed: the keys name, region"));
+    cr_assert(hasProblem(with("log_level: loud\n"), "f.yaml:14: log_level: got \"loud\"; allowed: debug, info"));
+    cr_assert(hasProblem(with("metrics_address: localhost:1\n"), "f.yaml:14: metrics_address: got \"localhost:1\""));
+    cr_assert(hasProblem(with("seed: -1\n"), "f.yaml:14: seed: got \"-1\"; allowed: an integer"));
+    cr_assert(hasProblem(with("name: other\n"), "f.yaml:14: name: given twice"));
+    cr_assert(hasProblem(with("seed: [1]\n"), "f.yaml:14: seed: got a list"));
+    cr_assert(
+        hasProblem(with("  shutdown_ms: 30001\n"), "f.yaml:14: limits.shutdown_ms: got \"30001\"", "from 0 to 30000"));
+    cr_assert(hasProblem(with("  speed: 1\n"), "f.yaml:14: limits.speed"));
+    cr_assert(hasProblem(with(" {\n"), "f.yaml:", "not valid YAML"));
+    cr_assert(hasProblem(read("name: a#b\n"), "f.yaml:1: name: got \"a#b\""));
+    cr_assert(hasProblem(read("name: a\n"), "region: missing"));
+    cr_assert(hasProblem(read("- a\n"), "f.yaml:1: allowed: a map"));
+    cr_assert(hasProblem(read(good, {{"peer_address_overrides.entry-3", "x", "--set"}}),
+                         "--set: peer_address_overrides.entry-3: got \"x\""));
+    cr_assert(hasProblem(read(good, {{"store_address", "127.0.0.1:0", "--set"}}), "--set: store_address"));
+}
+
+// Guards against a missing file being taken for an empty one.
+Test(settings, fileAndOverridesAreChecked)
+{
+    const std::vector<std::string> overrides {"nonsense"};
+    const SettingsReading reading = readSettings("/nonexistent.yaml", overrides);
+    cr_assert(hasProblem(reading, "/nonexistent.yaml: cannot be read"));
+    cr_assert(hasProblem(reading, "--set: got \"nonsense\"; allowed: key=value"));
+}
--- /dev/null
+++ b/tests/daemon/test_worker_client.cpp
@@ -0,0 +1,122 @@
+// Guards the worker client and the instance list: exactly one result per call with the right status, and silent
+// connections that are replaced.
+#include "daemon/http_helper.h"
+
+#include "daemon/instance_poller_base.h"
+#include "daemon/worker_client_base.h"
+#include "daemon/worker_codec_func.h"
+
+#include <criterion/criterion.h>
+
+#include <random>
+
+using namespace mimosapier;
+using namespace mimosapier::testing;
+
+static const TaskId Task {JobId("school:1"), 2};
+
+static WorkerRequest makeRequest(WorkerOp op, const std::string &address = "10.0.0.1:80")
+{
+    return {WorkerOpId {5}, ShardId("g/x/r"), WorkerId("w"), address, Epoch {3}, std::move(op)};
+}
+
+static const std::vector<WorkerOp> AllOps {
+    WorkerHold {DaemonId("a#1"), Milliseconds(15000)}, WorkerStart {{WorkerTask {Task, {}, {}, "1", {}, true, ""}}, {}},
+    WorkerPoll {{Task}, Milliseconds(15000), Milliseconds(50)}, WorkerStop {{Task}, StopMode::Checkpoint}};
+
+static constexpr const char *GoodBody
+    = R"({"leaving":true,"tasks":[{"job":"school:1","index":2,"outcome":"not-run","error":"worker-full"}]})";
+
+static WorkerResult resultOf(const WorkerOp &op, HttpDelivery delivery, unsigned status, const std::string &body)
+{
+    const WorkerResult result = workerResult(makeRequest(op), {delivery, status, body, {}});
+    cr_assert(result.id_ == WorkerOpId {5} && result.group_.str() == "g/x/r" && result.worker_.str() == "w");
+    return result;
+}
+
+// Guards against a call that may have started a task being reported as refused.
+Test(worker, statusTellsWhetherTheCallMayHaveHadAnEffect)
+{
+    for (const WorkerOp &op : AllOps) {
+        cr_assert(resultOf(op, HttpDelivery::NotSent, 0, "").status_ == WorkerStatus::Refused);
+        cr_assert(resultOf(op, HttpDelivery::MaybeSent, 0, "").status_ == WorkerStatus::Unknown);
+        cr_assert(resultOf(op, HttpDelivery::Answered, 500, "").status_ == WorkerStatus::Unknown);
+        cr_assert(resultOf(op, HttpDelivery::Answered, 200, "[]").status_ == WorkerStatus::Unknown);
+        cr_assert(resultOf(op, HttpDelivery::Answered, 409, "{}").status_ == WorkerStatus::Unknown);
+        cr_assert(resultOf(op, HttpDelivery::Answered, 429, "").status_ == WorkerStatus::Refused);
+        const WorkerResult leaving = resultOf(op, HttpDelivery::Answered, 410, R"({"leaving":true})");
+        cr_assert(leaving.status_ == WorkerStatus::Refused && leaving.leaving_);
+        const WorkerResult stale = resultOf(op, HttpDelivery::Answered, 409, R"({"epoch":9})");
+        cr_assert(stale.status_ == WorkerStatus::StaleEpoch && stale.highestEpoch_ == Epoch {9});
+        const WorkerResult good = resultOf(op, HttpDelivery::Answered, 200, GoodBody);
+        cr_assert(good.status_ == WorkerStatus::Ok && good.leaving_);
+        cr_assert(good.tasks_.at(0).task_ == Task && good.tasks_.at(0).error_ == ErrorKind::WorkerFull);
+    }
+    // An answer that leaves out a started task says nothing about it.
+    cr_assert(resultOf(AllOps[1], HttpDelivery::Answered, 200, R"({"tasks":[]})").status_ == WorkerStatus::Unknown);
+}
+
+// Guards against calls without end, and against a silent call or poll holding up the calls that follow.
+Test(worker, silentCallsEndAndOthersGoOn, .timeout = 20)
+{
+    std::vector<HttpResponder> kept;
+    int starts = 0;
+    const TestServer server([&](const HttpRequest &request, const HttpResponder &respond) {
+        if (request.target_ == "/v1/poll" || (request.target_ == "/v1/start" && ++starts == 1)) {
+            kept.push_back(respond);
+        } else {
+            respond({200, GoodBody, ""});
+        }
+    });
+    IoThread thread;
+    std::vector<WorkerResult> results;
+    WorkerClientSettings settings;
+    settings.timeout_ = Milliseconds(200);
+    settings.maxOpen_ = 4;
+    settings.addressOverrides_["10.0.0.1:80"] = server.address();
+    WorkerClient client(
+        settings, thread, [&](WorkerResult result) { results.push_back(std::move(result)); }, nullptr);
+    thread.start();
+    std::promise<void> submitted;
+    thread.post([&] {
+        for (const std::size_t op : {2, 1, 0, 3, 0}) { // the fifth is over the bound
+            client.submit(makeRequest(AllOps[op]));
+        }
+        submitted.set_value();
+    });
+    submitted.get_future().get();
+    const auto count = [&] {
+        std::promise<std::size_t> promise;
+        thread.post([&] { promise.set_value(results.size()); });
+        return promise.get_future().get();
+    };
+    cr_assert(eventually([&] { return count() == 5; }));
+    thread.post([&] { client.submit(makeRequest(AllOps[1])); });
+    cr_assert(eventually([&] { return count() == 6; }));
+    thread.stop();
+    cr_assert(results[0].status_ == WorkerStatus::Refused);
+    cr_assert(results[1].status_ == WorkerStatus::Ok && results[2].status_ == WorkerStatus::Ok);
+    cr_assert(results[3].status_ == WorkerStatus::Unknown && results[4].status_ == WorkerStatus::Unknown);
+    cr_assert(results[5].status_ == WorkerStatus::Ok);
+}
+
+// Guards against crashes of the decoders on corrupted answers, and against a part of a list being taken for the whole.
+Test(worker, decodersSurviveAnyInput)
+{
+    const std::string list = R"({"instances":[{"id":"e","kind":"entry"},{"id":"w","kind":"worker","region":"hobart",)"
+                             R"("zone":"z","rack":"r1","address":"10.0.0.1:80","state":"leaving","slots":8}]})";
+    InstanceSnapshot snapshot;
+    cr_assert(decodeInstances(list, snapshot));
+    cr_assert_eq(snapshot.workers_.size(), 1U);
+    cr_assert(snapshot.workers_[0].group_.str() == "g/hobart/r1" && snapshot.workers_[0].leaving_);
+    cr_assert(!decodeInstances(R"({"instances":[{"id":"w","kind":"worker"}]})", snapshot));
+    cr_assert_eq(snapshot.workers_.size(), 1U);
+    std::mt19937_64 random(4);
+    for (int round = 0; round < 5'000; ++round) {
+        std::string text = round % 2 == 0 ? list : GoodBody;
+        text[random() % text.size()] = static_cast<char>(random());
+        (void)decodeInstances(text, snapshot);
+        WorkerResult result;
+        (void)decodeWorkerAnswer(makeRequest(AllOps[1]), text, result);
+    }
+}
