--- /dev/null
+++ b/scripts/lib/capacity.py
@@ -0,0 +1,130 @@
+"""scripts/capacity: slopes of the control cost, one run of a deployment on loopback for each point.
+
+Each series varies one size and keeps the others. A line gives, for one daemon: processor share, memory, bytes per
+second sent and received (payload of all its connections but those of callers), and the store calls per second of all
+daemons with waiting watches counted.
+"""
+
+import argparse
+import copy
+import json
+import os
+import shutil
+import sys
+import tempfile
+import time
+
+import cluster as cluster_module
+from cluster import Cluster, sign_bundle
+from deployments import HOLLINGS, bundle
+from measure import memory_mb, processor_seconds
+from processes import try_call, wait_until
+
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+SETTLE_SECONDS = 6
+BUNDLE_SECONDS = 30
+
+# name: (daemons, regions, workers, teams, load factor) of each point; 0 load is idle control cost
+SERIES = {
+    "workers": [(2, 1, 16, 6, 0), (2, 1, 96, 6, 0), (2, 1, 192, 6, 0), (2, 1, 384, 6, 0)],
+    "daemons": [(3, 3, 48, 6, 0), (6, 3, 48, 6, 0), (12, 3, 48, 6, 0), (24, 3, 48, 6, 0)],
+    "regions": [(6, 1, 48, 6, 0), (6, 2, 48, 6, 0), (6, 3, 48, 6, 0)],
+    "teams": [(6, 3, 48, 6, 0), (6, 3, 48, 60, 0), (6, 3, 48, 610, 0)],
+    "load": [(6, 3, 48, 6, 0.5), (6, 3, 48, 6, 1), (6, 3, 48, 6, 2)],
+}
+
+
+def deployment_of(regions):
+    result = copy.deepcopy(HOLLINGS)
+    result["regions"] = result["regions"][:regions]
+    return result
+
+
+def bundle_of(deployment, teams):
+    text = bundle(deployment)
+    pattern = next(iter(text["teams"].values()))
+    for i in range(len(text["teams"]), teams):
+        text["teams"][f"team-{i:03}"] = dict(pattern)
+    return text
+
+
+def totals(cluster):
+    """Bytes on all links but those of callers, and store calls."""
+    links = (try_call(cluster.link_control, "/v1/stats")[1] or {}).get("links", {})
+    total = sum(counted["out"] + counted["back"] for name, counted in links.items() if not name.startswith("client-"))
+    calls = (try_call(cluster.store, "/v1/stats")[1] or {}).get("calls", {})
+    return total, sum(calls.values())
+
+
+def measure(cluster, seconds):
+    pids = [process.process.pid for process in cluster.daemons.values()]
+    started = time.monotonic()
+    processor = [processor_seconds(pid) for pid in pids]
+    transferred, calls = totals(cluster)
+    time.sleep(seconds)
+    elapsed = time.monotonic() - started
+    used = [(processor_seconds(pid) - before) / elapsed for pid, before in zip(pids, processor)]
+    transferred_after, calls_after = totals(cluster)
+    return {
+        "processor_percent": round(100 * sum(used) / len(used), 2),
+        "processor_percent_max": round(100 * max(used), 2),
+        "memory_mb": round(max(memory_mb(pid) for pid in pids), 1),
+        # Both ends of a connection between daemons are daemons, so its bytes count at two of them; counting each once
+        # for "sent" and dividing by the daemons gives what one daemon causes.
+        "kb_per_second": round((transferred_after - transferred) / elapsed / len(pids) / 1000, 2),
+        "store_calls_per_second": round((calls_after - calls) / elapsed, 2),
+    }
+
+
+def sign(cluster, text):
+    wait_until(lambda: sign_bundle(cluster.entries[0], text)[0] == 200, BUNDLE_SECONDS, 1.0)
+    missing = cluster.wait_ready()
+    if missing:
+        raise RuntimeError(f"not ready: {', '.join(missing)}")
+
+
+def run_point(point, seconds, out):
+    daemons, regions, workers, teams, load = point
+    deployment = deployment_of(regions)
+    cluster_module.WORKERS = workers
+    cluster = Cluster(deployment, out, daemons, ROOT)
+    try:
+        cluster.start_platform()
+        cluster.start_daemons()
+        sign(cluster, bundle_of(deployment, teams))
+        if load:
+            cluster.start_load(SETTLE_SECONDS + seconds + 2, 1, 1, load)
+        time.sleep(SETTLE_SECONDS)
+        result = measure(cluster, seconds)
+        if load:
+            stats = try_call(cluster.load_control, "/v1/stats")[1] or {}
+            result["requests"] = stats.get("sent", 0)
+    finally:
+        cluster.processes.end()
+    names = ("daemons", "regions", "workers", "teams", "load")
+    return {**dict(zip(names, point)), **result}
+
+
+def main():
+    options = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    options.add_argument("--series", choices=sorted(SERIES), action="append", help="only these (all)")
+    options.add_argument("--seconds", type=float, default=10, help="time measured at each point (10)")
+    options.add_argument("--json", help="file for the results")
+    arguments = options.parse_args()
+    results = {}
+    for name in arguments.series or SERIES:
+        results[name] = []
+        for point in SERIES[name]:
+            out = tempfile.mkdtemp(prefix="mimosapier-capacity-")
+            result = run_point(point, arguments.seconds, out)
+            shutil.rmtree(out)
+            results[name].append(result)
+            print(name, json.dumps(result), flush=True)
+    if arguments.json:
+        with open(arguments.json, "w", encoding="utf-8") as file:
+            json.dump(results, file, indent=1)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
