--- a/scripts/lib/check_journals.py
+++ b/scripts/lib/check_journals.py
@@ -8,6 +8,7 @@
   {"t","event":"signed","version"}               a sign-off that was answered as in force
   {"t","event":"version","daemon","version"}     the version a daemon (name and incarnation) said is in force
   {"t","event":"stop-begin"|"stop-end","entry"}  a graceful stop from the signal to the exit of the process
+  {"t","event":"worker-leaving"|"worker-live","worker"}  what the platform was told about a worker
 """
 
 import argparse
@@ -19,6 +20,7 @@
 SECOND = 1_000_000_000
 CONFIG_GRACE = 15 * SECOND  # for a bundle to be in force everywhere
 KEY_GRACE = 10 * SECOND  # for a withdrawn key to stop working
+LEAVING_GRACE = 8 * SECOND  # from the change in the platform to the last new start; the list lags by 2 s
 
 
 def check_lost(requests):
@@ -193,6 +195,24 @@
     return found
 
 
+def check_leaving(workers, events):
+    """Starts on a worker that had been leaving for longer than LEAVING_GRACE."""
+    spans = []
+    begun = {}
+    for line in events:
+        if line["event"] == "worker-leaving":
+            begun[line["worker"]] = line["t"]
+        elif line["event"] == "worker-live" and line["worker"] in begun:
+            spans.append((line["worker"], begun.pop(line["worker"]), line["t"]))
+    spans += [(worker, begin, None) for worker, begin in begun.items()]
+    return [
+        f"{run.job}/{run.index} started on {worker}, leaving for {(run.start - begin) / SECOND:.1f} s"
+        for worker, begin, end in spans
+        for run in workers.runs
+        if run.worker == worker and run.start > begin + LEAVING_GRACE and (end is None or run.start < end)
+    ]
+
+
 def check_all(requests, workers, events):
     """All violations by name, in the order of the last line."""
     return {
@@ -205,6 +225,7 @@
         "wrong_answer": check_answers(requests),
         "cut_off": check_cut_off(requests, events),
         "not_run_but_ran": check_not_run(requests, workers.by_request()),
+        "leaving_late": check_leaving(workers, events),
     }
 
 
--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -66,27 +66,32 @@
     return bundle_version(cluster.entries[0])[0]
 
 
-def progress(cluster, started):
-    """Prints one line about the load."""
+def progress(cluster, started, before):
+    """Prints one line about the load unless it says the same as before; returns the line."""
     status, stats = try_call(cluster.load_control, "/v1/stats")
     if status == 200:
         outcomes = " ".join(f"{name} {count}" for name, count in sorted(stats["outcomes"].items()))
         ready = sum(stats["ready"].values())
-        print(f"{time.monotonic() - started:5.0f} s  sent {stats['sent']}, open {stats['open']}, {outcomes}, "
-              f"ready entries {ready}/{len(stats['ready'])}", flush=True)
+        line = (f"sent {stats['sent']}, open {stats['open']}, {outcomes}, "
+                f"ready entries {ready}/{len(stats['ready'])}")
+        if line != before:
+            print(f"{time.monotonic() - started:5.0f} s  {line}", flush=True)
+        return line
+    return before
 
 
 def wait_for_load(cluster, limit, each=None):
     """Shows progress until the load has ended; False when it did not end in time."""
     started = time.monotonic()
     shown = started
+    line = ""
     while cluster.load.alive():
         now = time.monotonic()
         if now - started > limit:
             return False
         if now - shown >= PROGRESS_SECONDS:
             shown = now
-            progress(cluster, started)
+            line = progress(cluster, started, line)
         if each:
             each(now - started)
         time.sleep(0.1)
--- /dev/null
+++ b/scripts/lib/operators.py
@@ -0,0 +1,206 @@
+"""Operators of a fault run: they watch the bundle at each daemon, race each other, change limits and replace keys."""
+
+import http.client
+import json
+import re
+import threading
+import time
+
+from cluster import bundle_version, detail_of, sign_bundle
+from deployments import bundle, key_hash, team_key
+from processes import call, try_call, wait_until
+
+WATCH_PERIOD = 0.5
+KEY_DELAY = 11  # seconds from the withdrawal of a key to the probe; above the checker's grace
+LOWERED_LIMIT = 8
+
+
+class Events:
+    """Journal of the scripts, written by several threads."""
+
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
+        self.lock = threading.Lock()
+
+    def add(self, event, time_ns=None, **fields):
+        line = json.dumps({"t": time_ns or time.time_ns(), "event": event, **fields})
+        with self.lock:
+            self.file.write(line + "\n")
+            self.file.flush()
+
+    def close(self):
+        self.file.close()
+
+
+class Watcher:
+    """Reads the bundle of each daemon again and again and writes versions, limits and withdrawn keys as events."""
+
+    def __init__(self, cluster, events):
+        self.cluster = cluster
+        self.events = events
+        self.lock = threading.Lock()
+        self.highest = 0  # version seen anywhere
+        self.keys = {}  # team -> hashes in the highest version
+        self.limits = {}  # team -> limit in the highest version
+        self.known_keys = {}  # hash -> (team, key)
+        self.stopped = threading.Event()
+        self.threads = [
+            threading.Thread(target=self._watch, args=(entry,), daemon=True) for entry in cluster.entries
+        ]
+
+    def start(self):
+        for thread in self.threads:
+            thread.start()
+
+    def remember_key(self, team, key):
+        self.known_keys[key_hash(key)] = (team, key)
+
+    def _watch(self, entry):
+        while not self.stopped.wait(WATCH_PERIOD):
+            self.look(entry)
+
+    def look(self, entry, last=False):
+        process = self.cluster.daemons[entry["name"]]
+        pid = process.process.pid
+        version, answer = bundle_version(entry)
+        if version is None or self.cluster.daemons[entry["name"]].process.pid != pid:
+            return None
+        fields = {"daemon": f"{entry['name']}#{pid}", "version": version}
+        self.events.add("version", **fields, **({"last": True} if last else {}))
+        with self.lock:
+            if version > self.highest:
+                self._note(version, answer.get("text", detail_of(answer).get("text", "")))
+        return version
+
+    def _note(self, version, text):
+        """Writes what differs in a version that is seen for the first time."""
+        try:
+            teams = json.loads(text)["teams"]
+        except (ValueError, KeyError, TypeError):
+            return
+        self.highest = version
+        for team, settings in teams.items():
+            if self.limits.get(team) != settings["limit"]:
+                self.limits[team] = settings["limit"]
+                self.events.add("limit", team=team, limit=settings["limit"])
+            for gone in set(self.keys.get(team, ())) - set(settings["keys"]):
+                if gone in self.known_keys:
+                    self.events.add("key-withdrawn", team=team, key=self.known_keys[gone][1])
+            self.keys[team] = settings["keys"]
+
+    def finish(self):
+        """Ends the threads and writes the last version of each live daemon."""
+        self.stopped.set()
+        for thread in self.threads:
+            thread.join()
+        for entry in self.cluster.entries:
+            self.look(entry, last=True)
+
+
+class Operators:
+    """Changes of the bundle. `state` is what the operators want to be in force."""
+
+    def __init__(self, cluster, events, watcher, probes):
+        self.cluster = cluster
+        self.events = events
+        self.watcher = watcher
+        self.probes = probes  # Events of the probe requests, in the format of the load's journal
+        self.limits = {}
+        self.keys = {team: [team_key(team)] for team in cluster.deployment["teams"]}
+        self.generation = {team: 1 for team in cluster.deployment["teams"]}
+        self.note = 0
+        self.probe_number = 0
+        self.lock = threading.Lock()
+        for team, keys in self.keys.items():
+            watcher.remember_key(team, keys[0])
+
+    def text(self, **changes):
+        with self.lock:
+            self.note += 1
+            note = self.note
+        limits = {**self.limits, **changes.get("limits", {})}
+        keys = {**self.keys, **changes.get("keys", {})}
+        return bundle(self.cluster.deployment, limits, keys, note)
+
+    def sign(self, entry, text, author="ana", signer="ben"):
+        """True when the sign-off was answered as in force."""
+        try:
+            status, answer = sign_bundle(entry, text, author, signer)
+        except (OSError, http.client.HTTPException):
+            return False
+        if status != 200:
+            return False
+        detail = detail_of(answer)
+        number = detail.get("version") or next(iter(re.findall(r"\d+", str(detail.get("text", "")))), None)
+        if number is not None:
+            self.events.add("signed", version=int(number))
+        return True
+
+    def sign_anywhere(self, text, random, seconds=15):
+        """Tries daemons until one signs the text off."""
+        def attempt():
+            return self.sign(random.choice(self.cluster.entries), text)
+
+        return wait_until(attempt, seconds, 1.0)
+
+    def race(self, random, sleep):
+        """Several operators sign different bundles off at once; then the limits are restored."""
+        team = random.choice(self.cluster.deployment["large"])
+        texts = [self.text(limits={team: LOWERED_LIMIT + i}) for i in range(3)]
+        entries = random.sample(self.cluster.entries, min(3, len(self.cluster.entries)))
+        threads = [
+            threading.Thread(target=self.sign, args=(entry, text, f"author-{i}", f"signer-{i}"))
+            for i, (entry, text) in enumerate(zip(entries, texts))
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        sleep(random.uniform(4, 20))
+        self.sign_anywhere(self.text(), random)
+
+    def replace_key(self, random, sleep):
+        """Grants a new key, moves the callers to it, withdraws the old one and probes with it."""
+        team = random.choice(self.cluster.deployment["teams"])
+        with self.lock:
+            self.generation[team] += 1
+            old, new = self.keys[team], team_key(team, self.generation[team])
+        self.watcher.remember_key(team, new)
+        self.keys[team] = old + [new]
+        if not self.sign_anywhere(self.text(), random):
+            return
+        self._wait_in_force()
+        try_call(self.cluster.load_control, "/v1/control", {"team": team, "key": new})
+        self.keys[team] = [new]
+        if not self.sign_anywhere(self.text(), random):
+            self.keys[team] = old + [new]
+            return
+        sleep(KEY_DELAY)
+        for entry in self.cluster.entries:
+            self.probe(entry, team, old[0])
+
+    def _wait_in_force(self):
+        def reached():
+            versions = [bundle_version(entry)[0] for entry in self.cluster.entries]
+            return all(version is None or version >= self.watcher.highest for version in versions)
+
+        wait_until(reached, 15, 0.5)
+
+    def probe(self, entry, team, key):
+        """One interactive request with a key that should no longer work."""
+        class_ = self.cluster.deployment["streams"][0]["class"]
+        with self.lock:
+            self.probe_number += 1
+            request_id = f"probe-{self.probe_number}"
+        common = {"team": team, "class": class_, "request_id": request_id, "attempt": 1, "entry": entry["name"]}
+        self.probes.add("send", **common, key=key, tasks=1, idempotent=True)
+        body = {"request_id": request_id, "team": team, "class": class_}
+        outcome = "unknown"
+        try:
+            headers = {"Authorization": f"Bearer {key}"}
+            status, answer = call(entry["caller"], "/v1/jobs", body, 3.0, headers)
+            self.probes.add("answer", **common, status=status, answer=answer or {})
+            outcome = (answer or {}).get("outcome", "unknown")
+        except (OSError, http.client.HTTPException) as error:
+            self.probes.add("error", **common, delivery="maybe-sent", timeout=True, error=str(error))
+        self.probes.add("final", **common, outcome=outcome, error="probe")
--- a/tests/standin/test_check_journals.py
+++ b/tests/standin/test_check_journals.py
@@ -145,6 +145,13 @@
         load = [send("x"), answer("x", "not-run"), final("x", "not-run")]
         self.assertEqual(self.violations(load=load, workers=[start("x", 40)]), {"not_run_but_ran"})
 
+    def test_leaving(self):
+        leaving = [{"t": S, "event": "worker-leaving", "worker": "w1"}]
+        self.assertEqual(self.violations(workers=[start("x", 20 * S)], events=leaving), {"leaving_late"})
+        self.assertEqual(self.violations(workers=[start("x", 5 * S)], events=leaving), set())
+        back = leaving + [{"t": 15 * S, "event": "worker-live", "worker": "w1"}]
+        self.assertEqual(self.violations(workers=[start("x", 20 * S)], events=back), set())
+
     def test_percentile(self):
         values = list(range(1, 101))
         self.assertEqual([check.percentile(values, part) for part in (0.5, 0.99, 1)], [50, 99, 100])
