--- a/src/core/home/answers.cpp
+++ b/src/core/home/answers.cpp
@@ -139,6 +139,19 @@
     job.queries_.clear();
 }
 
+JobAnswer pastState(const Home &home, const JobId &job, TimePoint now)
+{
+    if (const auto ended = home.ended_.find(job); ended != home.ended_.end()) {
+        JobAnswer answer = plainAnswer(job, ended->second.outcome_, ended->second.error_);
+        answer.detail_ = "the results are no longer kept";
+        return answer;
+    }
+    if (const auto refused = home.refused_.find(job); refused != home.refused_.end() && refused->second.until_ > now) {
+        return plainAnswer(job, Outcome::NotRun, refused->second.error_);
+    }
+    return plainAnswer(job, Outcome::Unknown, ErrorKind::UnknownJob);
+}
+
 static bool overloaded(const Home &home)
 {
     return home.journal_.pendingBytes_ > MaxPendingBytes || home.jobs_.size() - home.finished_.size() > MaxOpenJobs;
@@ -160,6 +173,10 @@
         }
         return;
     }
+    if (home.ended_.contains(id)) {
+        sendJobAnswer(asker, pastState(home, id, context.now_), context);
+        return;
+    }
     if (const auto refused = home.refused_.find(id); refused != home.refused_.end()
         && refused->second.until_ > context.now_ && message.attempt_ <= refused->second.attempt_) {
         sendJobAnswer(asker, plainAnswer(id, Outcome::NotRun, refused->second.error_), context);
@@ -190,12 +207,7 @@
 {
     const auto found = home.jobs_.find(message.job_);
     if (found == home.jobs_.end()) {
-        const auto refused = home.refused_.find(message.job_);
-        const bool known = refused != home.refused_.end() && refused->second.until_ > context.now_;
-        sendJobAnswer(asker,
-                      known ? plainAnswer(message.job_, Outcome::NotRun, refused->second.error_)
-                            : plainAnswer(message.job_, Outcome::Unknown, ErrorKind::UnknownJob),
-                      context);
+        sendJobAnswer(asker, pastState(home, message.job_, context.now_), context);
         return;
     }
     HomeJob &job = found->second;
--- a/src/core/home/cancel.cpp
+++ b/src/core/home/cancel.cpp
@@ -1,8 +1,6 @@
 // Cancellation of jobs, in bulk and durable, before or after their start.
 #include "core/home/home_internal.h"
 
-#include "core/home/outcome_func.h"
-
 #include <algorithm>
 
 namespace mimosapier
@@ -26,7 +24,8 @@
             } else if (!task.group_.empty()) {
                 task.group_ = {};
                 task.assigned_ = false;
-                task.offer_ = {};
+                task.call_ = {};
+                task.offered_ = false;
             }
             continue;
         }
@@ -34,7 +33,7 @@
         if (repeat) {
             home.stops_[task.group_].push_back({job.spec_.id_, task.result_.index_});
             if (job.stopAt_ != TimePoint {}) {
-                task.offer_ = {}; // asks for the state as well, because a stop has no answer
+                task.offered_ = false; // asks for the state as well, because a stop has no answer
             }
         }
     }
@@ -52,7 +51,7 @@
 
 // Answer to a cancellation once all its jobs are final, or when it has waited long enough: one result per job, with
 // the position of the job in the request as index.
-static JobAnswer cancelState(const Home &home, const std::vector<JobId> &jobs)
+static JobAnswer cancelState(const Home &home, const std::vector<JobId> &jobs, TimePoint now)
 {
     JobAnswer answer;
     answer.outcome_ = Outcome::Done;
@@ -60,14 +59,11 @@
         TaskResult result;
         result.index_ = position;
         const auto found = home.jobs_.find(jobs[position]);
-        if (found == home.jobs_.end() && home.refused_.contains(jobs[position])) {
-            result.outcome_ = Outcome::NotRun;
-        } else if (found == home.jobs_.end()) {
-            result.outcome_ = Outcome::Unknown;
-            result.error_ = ErrorKind::UnknownJob;
-            answer.error_ = ErrorKind::UnknownJob;
-        } else {
-            result.outcome_ = jobState(found->second).outcome_;
+        const JobAnswer state
+            = found == home.jobs_.end() ? pastState(home, jobs[position], now) : jobState(found->second);
+        result.outcome_ = state.outcome_;
+        if (state.error_ == ErrorKind::UnknownJob) {
+            result.error_ = answer.error_ = ErrorKind::UnknownJob;
         }
         if (result.outcome_ == Outcome::Pending) {
             answer.outcome_ = Outcome::Pending;
@@ -104,7 +100,7 @@
         if (!isSettled(home, wait) && !late) {
             return false;
         }
-        JobAnswer answer = cancelState(home, wait.jobs_);
+        JobAnswer answer = cancelState(home, wait.jobs_, context.now_);
         if (late && !isDurable(home, wait)) {
             answer.outcome_ = Outcome::Unknown;
             answer.error_ = ErrorKind::StoreUnavailable;
--- a/src/core/home/choice.cpp
+++ b/src/core/home/choice.cpp
@@ -138,7 +138,8 @@
             task.group_ = group->shard_;
             task.assigned_ = false;
             task.mayHaveRun_ = false;
-            task.offer_ = {};
+            task.call_ = {};
+            task.offered_ = false;
         }
         home.openByGroup_[group->shard_].insert(job.spec_.id_);
         ranges.push_back({index, count, group->shard_});
--- a/src/core/home/dispatch.cpp
+++ b/src/core/home/dispatch.cpp
@@ -45,7 +45,11 @@
     const HomeTask task = job.tasks_[first];
     const ShardEntry *entry = findGroup(context.directory_, task.group_);
     TaskOffer offer;
-    offer.replyTo_ = {ReplyPart::Home, home.partition_, CallId {context.actions_.nextId()}};
+    // To a group, a higher call number is a new decision that overrides its earlier refusal, so that a repeat keeps
+    // the number: a holder that was replaced must not override what its successor was told.
+    const bool repeats = task.call_ != CallId {} && !lookup;
+    const CallId call = repeats ? task.call_ : CallId {context.actions_.nextId()};
+    offer.replyTo_ = {ReplyPart::Home, home.partition_, call};
     offer.group_ = task.group_;
     offer.job_ = job.spec_;
     offer.firstIndex_ = first;
@@ -53,13 +57,15 @@
     offer.attempt_ = task.refusals_ + task.losses_ + 1;
     const auto remaining = std::chrono::duration_cast<Milliseconds>(job.startBy_ - context.now_);
     offer.remaining_ = std::clamp(remaining, Milliseconds(1), OfferWindow);
-    offer.mayHaveRun_ = task.mayHaveRun_;
+    // A later holder may have offered the tasks, and a new holder of the group may not know of it any more.
+    offer.mayHaveRun_ = task.mayHaveRun_ || !hasFreshProof(home, context.now_);
     offer.lookupOnly_ = lookup;
     for (std::uint32_t index = first; index < first + count; ++index) {
-        job.tasks_[index].offer_ = offer.replyTo_.call_;
+        job.tasks_[index].call_ = call;
+        job.tasks_[index].offered_ = true;
         job.tasks_[index].lookup_ = lookup;
-        job.tasks_[index].firstOffer_ = !lookup && !offer.mayHaveRun_;
-        job.tasks_[index].mayHaveRun_ = offer.mayHaveRun_ || !lookup;
+        job.tasks_[index].firstOffer_ = !lookup && !task.mayHaveRun_;
+        job.tasks_[index].mayHaveRun_ = task.mayHaveRun_ || !lookup;
     }
     sendPeer(context, entry->holder_, std::move(offer));
 }
@@ -67,7 +73,7 @@
 // True when the task has to be offered to the group it is assigned to.
 static bool isDue(const HomeTask &task)
 {
-    return !isFinal(task.result_.outcome_) && !task.group_.empty() && task.assigned_ && task.offer_ == CallId {};
+    return !isFinal(task.result_.outcome_) && !task.group_.empty() && task.assigned_ && !task.offered_;
 }
 
 static void sendOffers(Home &home, HomeJob &job, Context &context)
@@ -83,7 +89,7 @@
         }
         std::uint32_t count = 1;
         while (index + count < job.tasks_.size() && isDue(job.tasks_[index + count])
-               && job.tasks_[index + count].group_ == task.group_
+               && job.tasks_[index + count].group_ == task.group_ && job.tasks_[index + count].call_ == task.call_
                && job.tasks_[index + count].mayHaveRun_ == task.mayHaveRun_) {
             ++count;
         }
@@ -112,12 +118,12 @@
     const bool due = context.now_ >= job.repeatAt_;
     bool open = false;
     for (HomeTask &task : job.tasks_) {
-        if (isFinal(task.result_.outcome_) || task.offer_ == CallId {}) {
+        if (isFinal(task.result_.outcome_) || !task.offered_) {
             continue;
         }
         open = true;
         if (due) {
-            task.offer_ = {};
+            task.offered_ = false;
         }
     }
     if (due) {
@@ -251,7 +257,7 @@
         if (job != home.jobs_.end()) {
             for (HomeTask &task : job->second.tasks_) {
                 if (task.group_ == group && !isFinal(task.result_.outcome_)) {
-                    task.offer_ = {};
+                    task.offered_ = false;
                     open = true;
                 }
             }
--- a/src/core/home/home_base.h
+++ b/src/core/home/home_base.h
@@ -29,7 +29,8 @@
 {
     TaskResult result_; // outcome_ Pending or Running until the group tells the end
     ShardId group_; // newest assignment; empty: to be assigned
-    CallId offer_; // newest offer to the group; 0: to be offered
+    CallId call_; // of the decision to offer the task to group_, kept by repeats; 0: no offer yet
+    bool offered_ = false; // the present holder of group_ has the offer, as far as is known
     std::uint32_t losses_ = 0; // times the task was lost on a worker
     std::uint32_t refusals_ = 0; // assignments that ended as not run
     bool assigned_ = false; // the record of the assignment is durable
@@ -172,6 +173,14 @@
     TimePoint until_;
 };
 
+// A non-idempotent job that is final. Its outcome is kept for long, so that a late repeat does not run again.
+struct EndedJob
+{
+    Outcome outcome_ = Outcome::Unknown;
+    ErrorKind error_ = ErrorKind::None;
+    TimePoint until_;
+};
+
 struct GroupSeen
 {
     DaemonId holder_;
@@ -204,6 +213,8 @@
     std::map<StoreOpId, HomeOp> ops_;
     std::map<JobId, HomeJob> jobs_;
     std::deque<std::pair<TimePoint, JobId>> finished_; // jobs that are final, in order
+    std::map<JobId, EndedJob> ended_;
+    std::deque<std::pair<TimePoint, JobId>> endedOrder_;
     std::size_t finishedBytes_ = 0; // of results of final jobs, estimate
     std::set<std::pair<TimePoint, JobId>> timers_; // when a job is reviewed
     std::map<JobId, RefusedId> refused_;
--- a/src/core/home/home_internal.h
+++ b/src/core/home/home_internal.h
@@ -23,6 +23,8 @@
 Milliseconds nextBackoff(Milliseconds &delay, Milliseconds first, Milliseconds most, Context &context);
 // True when no later holder can have ended an assignment long enough ago for groups to have forgotten it.
 bool hasTenure(const Home &home, TimePoint now);
+// True when no later holder can have ended a task yet.
+bool hasFreshProof(const Home &home, TimePoint now);
 void requestProbe(Home &home, Context &context);
 void onProbeResult(Home &home, const HomeOp &op, const StoreResult &result, Context &context);
 // Removes the Accepted record of a job that is not under way to the store; false when there is none.
@@ -67,11 +69,14 @@
 void onJobRecovered(Home &home, HomeJob &job, Context &context);
 // Acknowledges results again that were durable when the journal was read: the previous holder may not have done so.
 void acknowledgeFinished(Home &home, const HomeJob &job);
+void rememberEnded(Home &home, const JobId &job, Outcome outcome, ErrorKind error, TimePoint now);
 void expireFinished(Home &home, Context &context);
 
 // answers.cpp
 void sendJobAnswer(const Asker &asker, JobAnswer answer, Context &context);
 JobAnswer jobState(const HomeJob &job);
+// State of a job that is not in Home::jobs_.
+JobAnswer pastState(const Home &home, const JobId &job, TimePoint now);
 void answerSubmitters(HomeJob &job, Context &context);
 void answerQueries(HomeJob &job, Context &context, bool all);
 void refuseSubmitters(Home &home, HomeJob &job, Outcome outcome, ErrorKind error, Context &context);
--- a/src/core/home/journal.cpp
+++ b/src/core/home/journal.cpp
@@ -303,6 +303,12 @@
     return home.phase_ == HomePhase::Active && now - home.journal_.provenAt_ < TenureAge;
 }
 
+bool hasFreshProof(const Home &home, TimePoint now)
+{
+    // A later holder needs at least the time of a flush to make an outcome durable and acknowledge it.
+    return now - home.journal_.provenAt_ < FlushInterval;
+}
+
 void requestProbe(Home &home, Context &context)
 {
     Journal &journal = home.journal_;
--- a/src/core/home/journal_type.h
+++ b/src/core/home/journal_type.h
@@ -16,11 +16,12 @@
     Assigned, // ranges_
     Finished, // results_ of tasks that are final
     Cancelled, // cancellation was requested
+    Ended, // in snapshots: a job of which only the outcome is kept, in results_
 };
 
 constexpr bool isValid(RecordKind value)
 {
-    return value <= RecordKind::Cancelled;
+    return value <= RecordKind::Ended;
 }
 
 // Tasks [first_, first_ + count_) of a job assigned to a group.
--- a/src/core/home/recovery.cpp
+++ b/src/core/home/recovery.cpp
@@ -25,6 +25,8 @@
     home.timers_.clear();
     home.finished_.clear();
     home.openByGroup_.clear();
+    home.ended_.clear();
+    home.endedOrder_.clear();
     home.journal_ = {};
     home.snapshot_ = {};
     home.recovery_ = {};
@@ -101,7 +103,12 @@
     }
     home.snapshot_.partRevisions_.at(op.number_) = result.entries_.front().revision_;
     for (const JournalRecord &record : entry.records_) {
-        applyRecord(home, record);
+        if (record.kind_ == RecordKind::Ended && !record.results_.empty()) {
+            const TaskResult &whole = record.results_.front();
+            rememberEnded(home, record.job_, whole.outcome_, whole.error_, context.now_);
+        } else {
+            applyRecord(home, record);
+        }
     }
     if (++home.recovery_.partsRead_ == home.snapshot_.head_.parts_) {
         startReadingLog(home, context);
@@ -185,7 +192,8 @@
         if (home.phase_ != HomePhase::Active) {
             task.group_ = range.group_;
             task.mayHaveRun_ = true;
-            task.offer_ = {};
+            task.call_ = {};
+            task.offered_ = false;
             home.openByGroup_[range.group_].insert(job.spec_.id_);
         }
         task.assigned_ = task.group_ == range.group_;
--- a/src/core/home/results.cpp
+++ b/src/core/home/results.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t MaxResultBytes = 256 * 1024; // of one task; values in the store are limited
 constexpr Milliseconds KeepFinished {10 * 60'000};
 constexpr std::size_t MaxFinished = 50'000;
+constexpr std::chrono::hours KeepEnded {24}; // outcomes of non-idempotent jobs
+constexpr std::size_t MaxEnded = 100'000;
 constexpr std::size_t MaxFinishedBytes = 8 * 1024 * 1024;
 
 static Milliseconds backoff(Milliseconds first, Milliseconds most, std::uint32_t steps, Context &context)
@@ -53,7 +55,8 @@
 static void unassign(HomeTask &task)
 {
     task.group_ = {};
-    task.offer_ = {};
+    task.call_ = {};
+    task.offered_ = false;
     task.assigned_ = false;
     task.mayHaveRun_ = false;
     task.result_.outcome_ = Outcome::Pending;
@@ -72,6 +75,7 @@
     Home &home_;
     HomeJob &job_;
     HomeTask &task_;
+    const DaemonId &from_;
     const TaskAnswer &answer_;
     std::vector<TaskResult> &ended_; // results that are final
     Context &context_;
@@ -82,12 +86,14 @@
     HomeTask &task = at.task_;
     HomeJob &job = at.job_;
     const TimePoint now = at.context_.now_;
-    if (at.answer_.replyTo_.call_ != task.offer_) {
-        return; // answers an older offer; the newer one may have started the task since
+    const auto seen = at.home_.groups_.find(task.group_);
+    const bool fromHolder = seen != at.home_.groups_.end() && seen->second.holder_ == at.from_;
+    if (at.answer_.replyTo_.call_ != task.call_ || !fromHolder) {
+        return; // an older offer or holder; the task may have been started by a newer one
     }
     if (result.error_ == ErrorKind::NotHolder || result.error_ == ErrorKind::StaleEpoch) {
         task.mayHaveRun_ = task.mayHaveRun_ && !task.firstOffer_;
-        task.offer_ = {};
+        task.offered_ = false;
         job.offerAfter_ = now + backoff(WrongHolderDelay, WrongHolderDelay, 0, at.context_);
         return;
     }
@@ -123,7 +129,7 @@
 {
     HomeTask &task = at.task_;
     HomeJob &job = at.job_;
-    if (task.lookup_ && at.answer_.replyTo_.call_ == task.offer_ && result.outcome_ == Outcome::Unknown
+    if (task.lookup_ && at.answer_.replyTo_.call_ == task.call_ && result.outcome_ == Outcome::Unknown
         && result.error_ == ErrorKind::OutcomeUnknown) {
         return; // the group has not heard all its workers yet; the look-up is repeated with the next stop
     }
@@ -236,7 +242,7 @@
     std::vector<TaskResult> ended;
     for (const TaskResult &result : message.results_) {
         if (result.index_ < job.tasks_.size()) {
-            ResultContext at {home, job, job.tasks_[result.index_], message, ended, context};
+            ResultContext at {home, job, job.tasks_[result.index_], from, message, ended, context};
             onTaskResult(at, result);
         }
     }
@@ -308,8 +314,19 @@
     }
 }
 
+void rememberEnded(Home &home, const JobId &job, Outcome outcome, ErrorKind error, TimePoint now)
+{
+    home.ended_[job] = {outcome, error, now + KeepEnded};
+    home.endedOrder_.emplace_back(now + KeepEnded, job);
+}
+
 void expireFinished(Home &home, Context &context)
 {
+    while (!home.endedOrder_.empty()
+           && (home.endedOrder_.front().first <= context.now_ || home.endedOrder_.size() > MaxEnded)) {
+        home.ended_.erase(home.endedOrder_.front().second);
+        home.endedOrder_.pop_front();
+    }
     while (!home.finished_.empty()
            && (home.finished_.front().first <= context.now_ || home.finished_.size() > MaxFinished
                || home.finishedBytes_ > MaxFinishedBytes)) {
@@ -318,6 +335,10 @@
             for (const HomeTask &task : found->second.tasks_) {
                 home.finishedBytes_ -= std::min(home.finishedBytes_, task.result_.result_.size());
             }
+            if (!found->second.spec_.idempotent_) {
+                const JobAnswer state = jobState(found->second);
+                rememberEnded(home, found->first, state.outcome_, state.error_, context.now_);
+            }
             home.timers_.erase({found->second.timer_, found->first});
             home.jobs_.erase(found);
         }
--- a/src/core/home/snapshot.cpp
+++ b/src/core/home/snapshot.cpp
@@ -91,6 +91,9 @@
             addToParts(home, record, part, bytes);
         }
     }
+    for (const auto &[id, ended] : home.ended_) {
+        addToParts(home, {RecordKind::Ended, id, {}, {}, {{0, ended.outcome_, ended.error_, {}, {}}}}, part, bytes);
+    }
     if (!part.records_.empty()) {
         snapshot.parts_.push_back(packToString(part));
     }
--- /dev/null
+++ b/tests/home/test_dispatch.cpp
@@ -0,0 +1,223 @@
+// Guards the dispatch of jobs to groups: refusals, losses, changes of holders, gangs, services and cancellations.
+#include "home/home_world.h"
+
+#include <criterion/criterion.h>
+
+using namespace mimosapier;
+using namespace mimosapier::test;
+
+static CallId cancel(HomeWorld &world, std::vector<JobId> jobs)
+{
+    return world.ask(world.holder(), JobCancel {{}, {}, std::move(jobs)});
+}
+
+// Guards against a second start when the home dies between the written assignment and the start, or right after it.
+Test(dispatch, homeDiesAroundTheFirstOffer)
+{
+    for (int steps = 1; steps < 40; ++steps) {
+        OpenWorld world;
+        const JobId id("school:1");
+        world.submit(world.holder(), world.job("1", WorkMode::Journaled, false));
+        for (int i = 0; i < steps; ++i) {
+            world.step();
+        }
+        const bool accepted = !world.answers_.empty();
+        world.holder().home_.reset();
+        world.takeOver();
+        world.run(Milliseconds(1000));
+        cr_assert(world.state(id).outcome_ == naiveOutcome(id) || !accepted);
+        cr_assert(world.starts(id) == (accepted ? 1 : world.starts(id)));
+        cr_assert(world.starts(id) <= 1);
+        int first = 0;
+        for (const TaskOffer &offer : world.offers_) {
+            first += offer.mayHaveRun_ || offer.lookupOnly_ ? 0 : 1;
+        }
+        cr_assert(first <= 1);
+    }
+}
+
+// Guards against work that stays with a group that refused it, and against asking it again too early.
+Test(dispatch, refusedJobGoesToAnotherGroup)
+{
+    OpenWorld world;
+    world.groups_[0]->refusePercent_ = 100;
+    for (int i = 0; i < 20; ++i) {
+        world.submit(world.holder(), world.job(std::to_string(i), WorkMode::Journaled, false));
+    }
+    world.run(Milliseconds(5000));
+    for (int i = 0; i < 20; ++i) {
+        const JobId id("school:" + std::to_string(i));
+        cr_assert(world.state(id).outcome_ == naiveOutcome(id));
+    }
+    std::map<JobId, int> refusals;
+    for (const TaskOffer &offer : world.groups_[0]->offers_) {
+        cr_assert(++refusals[offer.job_.id_] == 1);
+    }
+}
+
+// Guards against a job that waits for ever although no worker can hold it.
+Test(dispatch, impossibleSizeIsToldAtOnce)
+{
+    OpenWorld world(3);
+    for (const auto &group : world.groups_) {
+        group->refusePercent_ = 100;
+        group->refusal_ = ErrorKind::ImpossibleSize;
+    }
+    world.submit(world.holder(), world.job("1"));
+    world.run(Milliseconds(3000));
+    const JobAnswer answer = world.state(JobId("school:1"));
+    cr_assert(answer.outcome_ == Outcome::NotRun && answer.error_ == ErrorKind::ImpossibleSize);
+}
+
+// Guards against offers that are forgotten when a group changes hands.
+Test(dispatch, offersAreRepeatedToANewGroupHolder)
+{
+    OpenWorld world(1, 3000);
+    world.dropPercent_ = 100; // the first offers never arrive
+    for (int i = 0; i < 5; ++i) {
+        world.submit(world.holder(), world.job(std::to_string(i), WorkMode::Journaled, i % 2 == 0));
+    }
+    world.run(Milliseconds(1000));
+    world.dropPercent_ = 0;
+    world.groups_[0]->changeHolder(DaemonId("group0#2"), world.now_);
+    world.updateDirectory();
+    world.run(Milliseconds(5000));
+    for (int i = 0; i < 5; ++i) {
+        const JobId id("school:" + std::to_string(i));
+        const Outcome outcome = world.state(id).outcome_;
+        // The new holder cannot tell whether a task that must not start twice has run.
+        cr_assert(outcome == (i % 2 == 0 ? naiveOutcome(id) : Outcome::Unknown));
+    }
+    for (const TaskOffer &offer : world.groups_[0]->offers_) {
+        cr_assert(offer.mayHaveRun_);
+    }
+}
+
+// Guards against an offer of a holder that cannot know whether it was replaced: after a long silence it asks first.
+Test(dispatch, noOfferWithoutProofOfBeingTheNewest)
+{
+    OpenWorld world(1, 60'000);
+    world.submit(world.holder(), world.job("1", WorkMode::Journaled, false));
+    world.run(Milliseconds(20'000));
+    const std::size_t offers = world.offers_.size();
+    world.setFault(FakeStore::Fault::Refuses);
+    world.groups_[0]->changeHolder(DaemonId("group0#2"), world.now_);
+    world.updateDirectory();
+    world.run(Milliseconds(3000));
+    cr_assert_eq(world.offers_.size(), offers);
+    world.setFault(FakeStore::Fault::None);
+    world.run(Milliseconds(3000));
+    cr_assert_eq(world.offers_.size(), offers + 1);
+}
+
+// Guards against services that stay down after a loss, and against services that run on after a cancellation.
+Test(dispatch, serviceRunsUntilCancelled)
+{
+    OpenWorld world(2, 200);
+    world.submit(world.holder(), world.job("web", WorkMode::Service));
+    world.groups_[0]->losePercent_ = world.groups_[1]->losePercent_ = 30;
+    world.run(Milliseconds(60'000));
+    const TaskId task {JobId("school:web"), 0};
+    cr_assert(world.starts(task.job_) > 2);
+    cr_assert(world.ledger_.overlapped_.empty());
+    cr_assert(world.state(task.job_).outcome_ == Outcome::Pending);
+    world.groups_[0]->losePercent_ = world.groups_[1]->losePercent_ = 0;
+    world.run(Milliseconds(60'000));
+    cr_assert_eq(world.running(task.job_), 1);
+    const CallId call = cancel(world, {task.job_});
+    world.run(Milliseconds(3000));
+    cr_assert(world.answers_.at(call).outcome_ == Outcome::Done);
+    cr_assert_eq(world.running(task.job_), 0);
+    cr_assert(world.state(task.job_).outcome_ == Outcome::Cancelled);
+}
+
+// Guards against a lost task that is started for ever, or a lost non-idempotent one that is started again.
+Test(dispatch, lostTasksEnd)
+{
+    OpenWorld world;
+    world.groups_[0]->losePercent_ = world.groups_[1]->losePercent_ = 100;
+    world.submit(world.holder(), world.job("often"));
+    world.submit(world.holder(), world.job("once", WorkMode::Journaled, false));
+    world.run(std::chrono::minutes(6), Milliseconds(50));
+    const JobAnswer often = world.state(JobId("school:often"));
+    cr_assert(often.outcome_ == Outcome::Failed && often.error_ == ErrorKind::WorkerLost);
+    cr_assert(world.starts(JobId("school:often")) <= 10);
+    cr_assert(world.state(JobId("school:once")).outcome_ == Outcome::Unknown);
+    cr_assert_eq(world.starts(JobId("school:once")), 1);
+}
+
+// Guards against a gang that is spread over groups or that runs on in part after one of its tasks was lost.
+Test(dispatch, gangStaysTogether)
+{
+    OpenWorld world(3, 500);
+    JobSpec gang = world.job("gang", WorkMode::Gang);
+    gang.tasks_ = 8;
+    world.groups_[0]->refusePercent_ = 50;
+    world.groups_[0]->losePercent_ = world.groups_[1]->losePercent_ = world.groups_[2]->losePercent_ = 15;
+    world.submit(world.holder(), gang);
+    world.run(Milliseconds(90'000));
+    cr_assert(isFinal(world.state(gang.id_).outcome_));
+    cr_assert(world.ledger_.overlapped_.empty());
+    for (const TaskOffer &offer : world.offers_) {
+        cr_assert(offer.lookupOnly_ || offer.mayHaveRun_ || offer.count_ == 8 || offer.attempt_ > 1);
+    }
+}
+
+// Guards against a wave of cancellations that takes a message per job, loses a job, or is forgotten by a new holder.
+Test(dispatch, cancellationsAreBulkAndDurable)
+{
+    OpenWorld world(2, 30'000);
+    std::vector<JobId> jobs;
+    for (int i = 0; i < 200; ++i) {
+        world.submit(world.holder(), world.job(std::to_string(i), WorkMode::Journaled, i % 2 == 0));
+        jobs.emplace_back("school:" + std::to_string(i));
+    }
+    world.run(Milliseconds(600));
+    for (int i = 200; i < 220; ++i) { // cancelled before their records are durable
+        world.submit(world.holder(), world.job(std::to_string(i)));
+        jobs.emplace_back("school:" + std::to_string(i));
+    }
+    const std::size_t calls = world.store_.calls_;
+    const CallId call = cancel(world, jobs);
+    world.run(Milliseconds(400));
+    world.holder().home_.reset(); // dies after the record was written
+    world.takeOver();
+    world.run(Milliseconds(6000));
+    cr_assert(world.store_.calls_ - calls < 40);
+    for (const JobId &id : jobs) {
+        cr_assert(world.state(id).outcome_ == Outcome::Cancelled);
+        cr_assert_eq(world.running(id), 0);
+    }
+    cr_assert(!world.answers_.contains(call) || world.answers_.at(call).outcome_ != Outcome::Unknown);
+}
+
+// Guards against two jobs from one request: repeats attach to the job, before and after its end.
+Test(dispatch, repeatsAttach)
+{
+    OpenWorld world;
+    const JobSpec spec = world.job("1", WorkMode::Journaled, false);
+    std::vector<CallId> calls;
+    for (int i = 0; i < 60; ++i) {
+        calls.push_back(world.submit(world.holder(), spec));
+        world.step();
+    }
+    world.run(Milliseconds(1000));
+    for (const CallId call : calls) {
+        cr_assert(world.answers_.at(call).outcome_ == Outcome::Pending
+                  || world.answers_.at(call).outcome_ == naiveOutcome(spec.id_));
+    }
+    cr_assert_eq(world.starts(spec.id_), 1);
+    cr_assert(world.answeredTwice_.empty());
+}
+
+// Guards against state that grows for ever: final jobs are forgotten after a time.
+Test(dispatch, finishedJobsExpire)
+{
+    OpenWorld world;
+    world.submit(world.holder(), world.job("1"));
+    world.run(Milliseconds(1000));
+    cr_assert(world.state(JobId("school:1")).error_ != ErrorKind::UnknownJob);
+    world.run(std::chrono::minutes(11), Milliseconds(500));
+    cr_assert(world.state(JobId("school:1")).error_ == ErrorKind::UnknownJob);
+    cr_assert(homeDocument(*world.holder().home_).find("\"total\":0") != std::string::npos);
+}
--- /dev/null
+++ b/tests/home/test_journal.cpp
@@ -0,0 +1,242 @@
+// Guards the journal of a home partition: what is answered or started is durable, lost answers are settled, a replaced
+// holder does nothing, and a new holder knows what the old one accepted.
+#include "home/home_world.h"
+
+#include <criterion/criterion.h>
+
+using namespace mimosapier;
+using namespace mimosapier::test;
+
+using Fault = FakeStore::Fault;
+
+static std::size_t logEntries(const HomeWorld &world)
+{
+    std::size_t count = 0;
+    for (const auto &[key, entry] : world.store_.keys_) {
+        count += key.find("/snapshot") == std::string::npos ? 1 : 0;
+    }
+    return count;
+}
+
+// Guards against answering "accepted" or starting work before the record is in the store.
+Test(journal, nothingBeforeTheRecord)
+{
+    OpenWorld world;
+    world.setFault(Fault::Refuses);
+    const CallId call = world.submit(world.holder(), world.job("1"), Milliseconds(60'000));
+    world.run(Milliseconds(3000));
+    cr_assert(!world.answers_.contains(call));
+    cr_assert(world.offers_.empty());
+    world.setFault(Fault::None);
+    world.run(Milliseconds(4000));
+    cr_assert(world.answers_.at(call).outcome_ == Outcome::Pending);
+    cr_assert(world.state(JobId("school:1")).outcome_ == naiveOutcome(JobId("school:1")));
+}
+
+// Guards against a write for each record: what arrives within the interval is one entry.
+Test(journal, recordsOfAnIntervalAreOneEntry)
+{
+    OpenWorld world;
+    const std::size_t before = logEntries(world);
+    for (int i = 0; i < 50; ++i) {
+        world.submit(world.holder(), world.job(std::to_string(i)));
+    }
+    world.run(Milliseconds(300));
+    cr_assert_eq(logEntries(world), before + 1);
+    cr_assert_eq(world.answers_.size(), 50U);
+}
+
+// Guards against "not run" for a record that may be in the store, and against losing or doubling it.
+Test(journal, lostAnswerIsReadBack)
+{
+    for (const Fault fault : {Fault::LosesAnswer, Fault::AppliesLate, Fault::LosesRequest}) {
+        OpenWorld world;
+        const std::size_t before = logEntries(world);
+        world.setFault(fault, 1);
+        const CallId call = world.submit(world.holder(), world.job("1"));
+        world.run(Milliseconds(4000));
+        cr_assert(world.answers_.at(call).outcome_ == Outcome::Pending);
+        cr_assert_eq(world.starts(JobId("school:1")), 1);
+        world.takeOver();
+        cr_assert(world.state(JobId("school:1")).outcome_ == naiveOutcome(JobId("school:1")));
+        cr_assert(logEntries(world) <= before + 3); // accepted, finished, opening of the new holder
+    }
+}
+
+// Guards against "not run" for work that runs later: only records that the store refused are withdrawn.
+Test(journal, refusalDuringAnOutageIsCertain)
+{
+    for (const Fault fault : {Fault::Refuses, Fault::LosesRequest, Fault::LosesAnswer}) {
+        OpenWorld world;
+        world.setFault(fault);
+        const CallId call = world.submit(world.holder(), world.job("1"), Milliseconds(1000));
+        world.run(Milliseconds(1100));
+        const JobAnswer answer = world.answers_.at(call);
+        cr_assert(answer.error_ == ErrorKind::StoreUnavailable);
+        cr_assert(answer.outcome_ == (fault == Fault::Refuses ? Outcome::NotRun : Outcome::Unknown));
+        world.setFault(Fault::None);
+        world.run(Milliseconds(5000));
+        const bool ran = world.starts(JobId("school:1")) > 0;
+        cr_assert(!ran || answer.outcome_ != Outcome::NotRun);
+        cr_assert(ran || fault == Fault::Refuses);
+        // A late copy of the refused request does not run either.
+        const CallId copy = world.submit(world.holder(), world.job("1"));
+        world.run(Milliseconds(1000));
+        cr_assert(world.answers_.at(copy).outcome_ != Outcome::NotRun || !ran);
+        cr_assert(fault != Fault::Refuses || world.answers_.at(copy).outcome_ == Outcome::NotRun);
+    }
+}
+
+// Guards against loss during an outage: accepted jobs go on, outcomes are kept until they are durable.
+Test(journal, acceptedJobsGoOnDuringAnOutage)
+{
+    OpenWorld world;
+    world.groups_[0]->runTime_ = world.groups_[1]->runTime_ = Milliseconds(1000);
+    world.submit(world.holder(), world.job("1"));
+    world.run(Milliseconds(400));
+    world.setFault(Fault::Refuses);
+    const CallId query = world.query(world.holder(), JobId("school:1"), Milliseconds(60'000));
+    world.run(Milliseconds(5000));
+    cr_assert(!world.answers_.contains(query), "a final answer depends on a durable record");
+    world.setFault(Fault::None);
+    world.run(Milliseconds(4000));
+    cr_assert(world.answers_.at(query).outcome_ == naiveOutcome(JobId("school:1")));
+}
+
+// Guards against two holders: the old one, paused at any point, neither accepts nor starts anything after the new one.
+Test(journal, replacedHolderIsFenced)
+{
+    OpenWorld world;
+    HomeDaemon &old = world.holder();
+    world.submit(old, world.job("1"));
+    world.step();
+    old.paused_ = true;
+    world.takeOver();
+    world.run(Milliseconds(1000));
+    const std::size_t offers = world.offers_.size();
+    old.paused_ = false;
+    const CallId late = world.submit(old, world.job("2"));
+    world.run(Milliseconds(2000));
+    cr_assert(isFenced(*old.home_));
+    cr_assert(world.answers_.at(late).error_ == ErrorKind::NotHolder);
+    cr_assert_eq(world.offers_.size(), offers);
+    cr_assert(!isFenced(*world.holder().home_));
+}
+
+// Guards against a create that succeeds because the new holder has already deleted the key again.
+Test(journal, replacedHolderIsFencedAfterALongPause)
+{
+    OpenWorld world;
+    HomeDaemon &old = world.holder();
+    old.paused_ = true;
+    world.takeOver();
+    for (int i = 0; i < 200; ++i) {
+        world.submit(world.holder(), world.job(std::to_string(i)));
+        world.run(Milliseconds(600), Milliseconds(50));
+    }
+    world.run(std::chrono::minutes(15), Milliseconds(500));
+    const std::string opening = "journal/p/hobart/0/000000000002";
+    cr_assert(!world.store_.keys_.contains(opening), "the case needs the deleted opening entry");
+    const std::size_t offers = world.offers_.size();
+    old.paused_ = false;
+    const CallId late = world.submit(old, world.job("late"));
+    world.run(Milliseconds(3000));
+    cr_assert(isFenced(*old.home_));
+    cr_assert(world.answers_.at(late).error_ == ErrorKind::NotHolder);
+    cr_assert_eq(world.offers_.size(), offers);
+}
+
+// Guards against a log that grows for ever, and against state that a snapshot loses.
+Test(journal, snapshotsBoundTheLog)
+{
+    OpenWorld world;
+    world.groups_[0]->runTime_ = world.groups_[1]->runTime_ = Milliseconds(200'000);
+    for (int i = 0; i < 300; ++i) {
+        JobSpec spec = world.job(std::to_string(i));
+        spec.payload_.assign(4000, 'x'); // 1.2 MB in all: more than one value of the store holds
+        world.submit(world.holder(), spec);
+        world.run(Milliseconds(400), Milliseconds(50));
+    }
+    world.run(Milliseconds(2000));
+    cr_assert(logEntries(world) < 200);
+    cr_assert(world.store_.largestValue_ <= 750'000, "base64 of a value has to stay below 1,000,000 bytes");
+    world.takeOver();
+    for (int i = 0; i < 300; ++i) {
+        const JobAnswer answer = world.state(JobId("school:" + std::to_string(i)));
+        cr_assert(answer.error_ != ErrorKind::UnknownJob);
+    }
+    world.run(Milliseconds(300'000), Milliseconds(500));
+    for (int i = 0; i < 300; ++i) {
+        const JobId id("school:" + std::to_string(i));
+        cr_assert(world.state(id).outcome_ == naiveOutcome(id));
+        cr_assert_eq(world.starts(id), 1);
+    }
+}
+
+// Guards against a new holder that reads a log while the old one cuts it: it must not take the gap for the end.
+Test(journal, logCutWhileItIsRead)
+{
+    for (int cut = 1; cut < 12; ++cut) {
+        OpenWorld world;
+        HomeDaemon &old = world.holder();
+        world.groups_[0]->runTime_ = world.groups_[1]->runTime_ = Milliseconds(600'000);
+        for (int i = 0; i < 125; ++i) {
+            world.submit(old, world.job(std::to_string(i)));
+            world.run(Milliseconds(400), Milliseconds(50));
+        }
+        HomeDaemon &reader = world.takeOver();
+        reader.paused_ = true; // its first reads are answered, and it acts on them later
+        for (int i = 125; i < 140; ++i) {
+            world.submit(old, world.job(std::to_string(i)));
+            world.run(Milliseconds(400), Milliseconds(50));
+            if (i % 12 == cut) {
+                reader.paused_ = false;
+                world.step(Milliseconds(1));
+                reader.paused_ = true;
+            }
+        }
+        reader.paused_ = false;
+        world.run(Milliseconds(5000));
+        for (int i = 0; i < 140; ++i) {
+            const JobAnswer answer = world.state(JobId("school:" + std::to_string(i)));
+            const bool refused
+                = answer.error_ == ErrorKind::UnknownJob && world.starts(JobId("school:" + std::to_string(i))) == 0;
+            cr_assert(answer.error_ != ErrorKind::UnknownJob || refused);
+        }
+        for (const auto &[call, answer] : world.answers_) {
+            if (world.asked_.contains(call) && answer.outcome_ == Outcome::Pending) {
+                cr_assert(world.state(world.asked_.at(call)).error_ != ErrorKind::UnknownJob);
+            }
+        }
+    }
+}
+
+// Guards against loss at a planned hand-over.
+Test(journal, handOverLosesNothing)
+{
+    OpenWorld world;
+    HomeDaemon &old = world.holder();
+    world.groups_[0]->runTime_ = world.groups_[1]->runTime_ = Milliseconds(2000);
+    std::vector<CallId> calls;
+    for (int i = 0; i < 20; ++i) {
+        calls.push_back(world.submit(old, world.job(std::to_string(i))));
+    }
+    world.step();
+    Context now = world.context(old);
+    stopAccepting(*old.home_, now);
+    world.carryOut(old);
+    const CallId refused = world.submit(old, world.job("late"));
+    for (int i = 0; i < 200 && !canHandOver(*old.home_); ++i) {
+        world.step();
+    }
+    cr_assert(canHandOver(*old.home_));
+    cr_assert(world.answers_.at(refused).error_ == ErrorKind::NotHolder);
+    old.home_.reset();
+    world.takeOver();
+    world.run(Milliseconds(4000));
+    for (int i = 0; i < 20; ++i) {
+        const JobId id("school:" + std::to_string(i));
+        cr_assert(world.answers_.at(calls[i]).outcome_ == Outcome::Pending);
+        cr_assert(world.state(id).outcome_ == naiveOutcome(id));
+    }
+}
--- /dev/null
+++ b/tests/home/test_schedules.cpp
@@ -0,0 +1,199 @@
+// Random schedules of failures against the guarantees of a home partition, compared with a naive version: each job
+// that is accepted and not cancelled ends with the outcome that its task has by itself.
+#include "home/home_world.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+
+using namespace mimosapier;
+using namespace mimosapier::test;
+
+using Fault = FakeStore::Fault;
+
+enum class Trouble : std::uint8_t {
+    None,
+    StoreRefuses,
+    StoreLosesRequests,
+    StoreLosesAnswers,
+    StoreAppliesLate,
+    HolderPaused,
+    HolderReplaced,
+    HolderDies,
+    OldHolderWakes,
+    GroupChangesHolder,
+    GroupsRefuse,
+    MessagesLost,
+    LongSilence, // longer than opening entries and finished jobs are kept
+    ManyWrites, // enough for a snapshot
+    Calm,
+    Count,
+};
+
+// What a schedule asked for, and where.
+struct Submitted
+{
+    JobSpec spec_;
+    std::vector<CallId> calls_;
+    bool cancelled_ = false;
+};
+
+static void inflict(HomeWorld &world, Trouble trouble)
+{
+    switch (trouble) {
+    case Trouble::StoreRefuses:
+        world.setFault(Fault::Refuses);
+        break;
+    case Trouble::StoreLosesRequests:
+        world.setFault(Fault::LosesRequest);
+        break;
+    case Trouble::StoreLosesAnswers:
+        world.setFault(Fault::LosesAnswer);
+        break;
+    case Trouble::StoreAppliesLate:
+        world.setFault(Fault::AppliesLate, 3);
+        break;
+    case Trouble::HolderPaused:
+        world.holder().paused_ = true;
+        break;
+    case Trouble::HolderDies:
+        world.holder().home_.reset();
+        [[fallthrough]];
+    case Trouble::HolderReplaced:
+        world.takeOver();
+        break;
+    case Trouble::OldHolderWakes:
+        for (const auto &daemon : world.daemons_) {
+            daemon->paused_ = false;
+        }
+        break;
+    case Trouble::GroupChangesHolder: {
+        FakeGroup &group = *world.groups_[world.random_() % world.groups_.size()];
+        group.changeHolder(DaemonId(group.id_.value_ + "#" + std::to_string(group.epoch_.value_ + 1)), world.now_);
+        world.updateDirectory();
+        break;
+    }
+    case Trouble::GroupsRefuse:
+        for (const auto &group : world.groups_) {
+            group->refusePercent_ = 60;
+        }
+        break;
+    case Trouble::LongSilence:
+        world.silent_ = true;
+        world.run(std::chrono::minutes(11), Milliseconds(500));
+        break;
+    case Trouble::ManyWrites:
+        for (int i = 0; i < 140 && world.holder().home_; ++i) {
+            world.submit(world.holder(), world.job("filler" + std::to_string(world.lastCall_)));
+            world.run(Milliseconds(350), Milliseconds(50));
+        }
+        break;
+    case Trouble::MessagesLost:
+        world.dropPercent_ = 30;
+        break;
+    default:
+        world.setFault(Fault::None);
+        world.dropPercent_ = 0;
+        for (const auto &group : world.groups_) {
+            group->refusePercent_ = 0;
+        }
+        break;
+    }
+}
+
+static void submitSome(HomeWorld &world, std::map<JobId, Submitted> &jobs)
+{
+    for (int i = 0; i < 4; ++i) {
+        const std::string name = std::to_string(jobs.size());
+        Submitted job {world.job(name, WorkMode::Journaled, world.random_() % 2 == 0), {}, false};
+        job.spec_.tasks_ = 1 + world.random_() % 3;
+        if (!jobs.empty() && world.random_() % 3 == 0) { // the same request again
+            job.spec_
+                = std::next(jobs.begin(), static_cast<std::ptrdiff_t>(world.random_() % jobs.size()))->second.spec_;
+        }
+        // The entry's directory may be old, so that any daemon may be asked.
+        HomeDaemon &daemon = *world.daemons_[world.daemons_.size() - 1
+                                             - world.random_() % std::min<std::size_t>(world.daemons_.size(), 2)];
+        const CallId call
+            = daemon.home_ ? world.submit(daemon, job.spec_, Milliseconds(500 + world.random_() % 3000)) : CallId {};
+        Submitted &known = jobs.emplace(job.spec_.id_, job).first->second;
+        if (call != CallId {}) {
+            known.calls_.push_back(call);
+        }
+    }
+    if (world.random_() % 8 == 0) {
+        Submitted &job = std::next(jobs.begin(), static_cast<std::ptrdiff_t>(world.random_() % jobs.size()))->second;
+        job.cancelled_ = true;
+        if (world.holder().home_) {
+            world.ask(world.holder(), JobCancel {{}, {}, {job.spec_.id_}});
+        }
+    }
+}
+
+static void checkJob(HomeWorld &world, const Submitted &job)
+{
+    bool accepted = false;
+    bool refused = !job.calls_.empty();
+    for (const CallId call : job.calls_) {
+        const auto answer = world.answers_.find(call);
+        accepted = accepted
+            || (answer != world.answers_.end() && answer->second.outcome_ != Outcome::NotRun
+                && answer->second.outcome_ != Outcome::Unknown);
+        refused = refused && answer != world.answers_.end() && answer->second.outcome_ == Outcome::NotRun;
+    }
+    int starts = 0;
+    for (std::uint32_t index = 0; index < job.spec_.tasks_; ++index) {
+        const int ofTask = world.starts(job.spec_.id_, index);
+        starts += ofTask;
+        RC_ASSERT((job.spec_.idempotent_ || ofTask <= 1));
+    }
+    RC_ASSERT(!refused || starts == 0);
+    if (!accepted) {
+        return;
+    }
+    const JobAnswer state = world.state(job.spec_.id_);
+    if (state.error_ == ErrorKind::UnknownJob) {
+        // Final jobs are forgotten after ten minutes; the world remembers whether the tasks ran.
+        RC_ASSERT(world.silent_);
+        return;
+    }
+    RC_ASSERT(isFinal(state.outcome_));
+    RC_ASSERT((state.results_.size() == job.spec_.tasks_ || world.silent_));
+    const bool naive = state.outcome_ == naiveOutcome(job.spec_.id_);
+    const bool cancelled = job.cancelled_ && state.outcome_ == Outcome::Cancelled;
+    // A group that changed hands may not know what became of a task that must not start twice.
+    const bool unknown = !job.spec_.idempotent_ && state.outcome_ == Outcome::Unknown;
+    RC_ASSERT((naive || cancelled || unknown));
+}
+
+static void runSchedule(std::uint32_t seed, const std::vector<std::uint8_t> &troubles)
+{
+    HomeWorld world(seed, 3);
+    std::map<JobId, Submitted> jobs;
+    world.takeOver();
+    for (const std::uint8_t trouble : troubles) {
+        inflict(world, static_cast<Trouble>(trouble % static_cast<std::uint8_t>(Trouble::Count)));
+        submitSome(world, jobs);
+        world.run(Milliseconds(50 + world.random_() % 1500));
+    }
+    inflict(world, Trouble::Calm);
+    inflict(world, Trouble::OldHolderWakes);
+    world.run(Milliseconds(2000));
+    world.takeOver();
+    world.run(Milliseconds(150'000), Milliseconds(50)); // refusals of groups are remembered for 60 s
+    RC_ASSERT(world.ledger_.overlapped_.empty());
+    RC_ASSERT(world.answeredTwice_.empty());
+    for (const auto &[id, job] : jobs) {
+        checkJob(world, job);
+    }
+}
+
+// Guards against accepted jobs that are lost, non-idempotent tasks that start twice, refused jobs that run, and
+// requests that are answered twice.
+Test(schedules, guaranteesHoldUnderFailures)
+{
+    setenv("RC_PARAMS", "seed=20261204 max_success=1000 max_size=60", 1);
+    cr_assert(
+        rc::check([](std::uint32_t seed, const std::vector<std::uint8_t> &troubles) { runSchedule(seed, troubles); }));
+}
