--- a/src/core/home/home.cpp
+++ b/src/core/home/home.cpp
@@ -1,8 +1,7 @@
 // Life of a home partition: creation, routing of events, hand-over and the admin view.
+#include "core/common/json_func.h"
 #include "core/home/home_internal.h"
 
-#include <algorithm>
-
 namespace mimosapier
 {
 
@@ -214,26 +213,20 @@
         waiting += job.accepted_ ? 0 : 1;
         cancelling += job.unfinished_ > 0 && job.cancelRecorded_ ? 1 : 0;
     }
-    const auto field = [](std::string_view name, std::uint64_t value) {
-        return ",\"" + std::string(name) + "\":" + std::to_string(value);
-    };
-    std::string text = "{\"partition\":\"" + home.partition_.value_ + "\",\"phase\":\"";
-    text += phaseName(home.phase_);
-    text += "\"";
-    text += field("epoch", home.epoch_.value_);
-    text += ",\"jobs\":{\"total\":" + std::to_string(home.jobs_.size());
-    text += field("waiting_for_journal", waiting);
-    text += field("open", home.jobs_.size() - finished - waiting);
-    text += field("cancelling", cancelling);
-    text += field("finished", finished) + "}";
-    text += field("accepted_total", home.acceptedCount_);
-    text += field("finished_total", home.finishedCount_);
-    text += field("journal_next", home.journal_.next_);
-    text += field("journal_length", home.journal_.entries_.size());
-    text += field("journal_pending", home.journal_.pending_.size());
-    text += field("journal_writes", home.writes_);
-    text += field("flush_interval_ms", static_cast<std::uint64_t>(home.journal_.interval_.count()));
-    return text + "}";
+    const auto count = [](std::uint64_t value) { return static_cast<std::int64_t>(value); };
+    JsonObject jobs;
+    jobs.number("total", count(home.jobs_.size())).number("waiting_for_journal", count(waiting));
+    jobs.number("open", count(home.jobs_.size() - finished - waiting)).number("cancelling", count(cancelling));
+    jobs.number("finished", count(finished)).number("outcome_only", count(home.ended_.size()));
+    const Journal &journal = home.journal_;
+    JsonObject document;
+    document.text("partition", home.partition_.value_).text("phase", phaseName(home.phase_));
+    document.number("epoch", count(home.epoch_.value_)).raw("jobs", jobs.finish());
+    document.number("accepted_total", count(home.acceptedCount_)).number("finished_total", count(home.finishedCount_));
+    document.number("journal_next", count(journal.next_)).number("journal_length", count(journal.entries_.size()));
+    document.number("journal_pending", count(journal.pending_.size())).number("journal_writes", count(home.writes_));
+    document.number("flush_interval_ms", journal.interval_.count());
+    return document.finish();
 }
 
 } // namespace mimosapier
