--- a/tests/config/test_config.cpp
+++ b/tests/config/test_config.cpp
@@ -199,6 +199,72 @@
     expectNoViolations(cluster);
 }
 
+// Guards against a majority that goes on without the store after it acknowledged a change: the signer writes it and is
+// cut off from the others before it can tell them.
+Test(config, announcedChangeEndsConditionB)
+{
+    int lateCuts = 0;
+    for (std::uint64_t seed = 0; seed < 10; ++seed) {
+        Cluster cluster(seed);
+        addDaemons(cluster, 3);
+        cluster.signOff(cluster.at(0), bundleText(1));
+        cluster.run(Milliseconds(3000));
+        for (std::size_t i = 0; i < 5; ++i) {
+            cluster.at(i).storeCut_ = true;
+        }
+        cluster.run(Milliseconds(8000));
+        cr_assert(cluster.fresh(cluster.at(0)));
+        TestDaemon &signer = cluster.at(5);
+        cluster.cut(cluster.at(0), signer, true); // hears of the change from the others only
+        cluster.sign(signer, cluster.draft(signer, bundleText(2)), BundleVersion {1});
+        for (int i = 0; i < 100 && !cluster.headWritten_.contains(2); ++i) {
+            cluster.run(Milliseconds(20));
+        }
+        cr_assert(cluster.headWritten_.contains(2));
+        for (std::size_t i = 0; i < 5; ++i) {
+            cluster.cut(cluster.at(i), signer, true);
+        }
+        lateCuts += static_cast<int>(version(cluster.at(3)) == 1);
+        cluster.run(Milliseconds(10'000));
+        expectNoViolations(cluster);
+    }
+    cr_expect_gt(lateCuts, 0);
+}
+
+// Guards against an older version that is applied because its push comes late.
+Test(config, olderPushChangesNothing)
+{
+    Cluster cluster(9);
+    addDaemons(cluster, 2);
+    cluster.signOff(cluster.at(0), bundleText(1));
+    const std::string old = cluster.store_.keys_.at("config/head").value_;
+    cluster.signOff(cluster.at(0), bundleText(2));
+    cluster.run(Milliseconds(2000));
+    TestDaemon &daemon = cluster.at(1);
+    cluster.withContext(daemon, [&](Context &context) {
+        onConfigPush(*daemon.config_, cluster.at(0).settings_.self_, ConfigPush {BundleVersion {9}, old}, context);
+    });
+    cr_expect_eq(version(daemon), 2);
+    expectNoViolations(cluster);
+}
+
+// Guards against daemons of a single region that all wait for a relay that is gone.
+Test(config, headIsReadWhenTheOnlyRelayDies)
+{
+    Cluster cluster(10);
+    for (int i = 0; i < 3; ++i) {
+        cluster.add("r1-" + std::to_string(i) + "#1", "r1");
+    }
+    cluster.run(Milliseconds(2000));
+    cluster.signOff(cluster.at(0), bundleText(1));
+    cluster.run(Milliseconds(3000));
+    cluster.kill(cluster.at(0));
+    for (int i = 0; i < 500; ++i) {
+        cluster.run(Milliseconds(20));
+        cr_assert(cluster.fresh(cluster.at(1)) && cluster.fresh(cluster.at(2)), "step %d", i);
+    }
+}
+
 // Guards against a daemon that counts heartbeats which waited in its sockets during a pause as new ones.
 Test(config, heartbeatsReadAfterAPauseAreOld)
 {
--- a/tests/member/test_member.cpp
+++ b/tests/member/test_member.cpp
@@ -117,6 +117,27 @@
     }
 }
 
+// Guards against claims right after an outage, when a holder whose record lapsed meanwhile reaches the store a little
+// later than the others.
+Test(member, lateReturnAfterAnOutageKeepsShards)
+{
+    Cluster cluster(10);
+    addRegions(cluster, 3);
+    cluster.run(Milliseconds(60'000));
+    TestDaemon &late = cluster.at(0);
+    const auto before = late.held_;
+    cr_assert(!before.empty());
+    cluster.storeDown_ = true;
+    cluster.run(Milliseconds(30'000));
+    late.storeCut_ = true;
+    cluster.storeDown_ = false;
+    cluster.run(Milliseconds(2000));
+    late.storeCut_ = false;
+    cluster.run(Milliseconds(5000));
+    expectSettled(cluster);
+    cr_expect(late.held_ == before);
+}
+
 // Guards against a leave that loses shards for the time of a lease, and against new claims by the one that leaves.
 Test(member, plannedLeaveHandsOver)
 {
