--- a/src/core/group/group_cmd.cpp
+++ b/src/core/group/group_cmd.cpp
@@ -56,6 +56,8 @@
 void finishStep(Group &group, Context &context)
 {
     runTimers(group, context);
+    // Before placing: a lowered limit may forbid to replace the tasks that have just ended.
+    reportDemands(group, context);
     placeAll(group, context);
     flushWorkers(group, context);
     reportDemands(group, context);
--- a/src/core/limit/limit_cmd.cpp
+++ b/src/core/limit/limit_cmd.cpp
@@ -1,6 +1,8 @@
 // Opening and closing of groups, demand, and the regular work of the allowances.
 #include "core/limit/limit_internal.h"
 
+#include <algorithm>
+
 namespace mimosapier
 {
 
@@ -71,9 +73,13 @@
     }
     if (added) {
         demand.busySince_ = context.now_;
+        demand.limit_ = limitOf(context.bundle_, team);
     }
     demand.inUse_ = inUse;
     demand.wanted_ = wanted;
+    if (demand.frozen_) {
+        demand.usable_ = std::min(demand.usable_, inUse);
+    }
     const std::uint32_t index = allowanceKeyOf(team);
     AllowanceKey &key = state.keys_.at(index);
     key.dirty_ = true;
@@ -113,6 +119,9 @@
     noteMissingGroups(state, context);
     const bool newBundle = state.bundle_ != context.bundle_.version_;
     state.bundle_ = context.bundle_.version_;
+    if (newBundle) {
+        applyLoweredLimits(state, context);
+    }
     for (std::uint32_t index = 0; index < detail::AllowanceKeys; ++index) {
         AllowanceKey &key = state.keys_.at(index);
         if (newBundle || context.now_ - key.lastApplied_ >= IdleCheck) {
--- a/src/core/limit/limit_internal.h
+++ b/src/core/limit/limit_internal.h
@@ -23,6 +23,8 @@
 constexpr Milliseconds AllowanceRetryMax {2000};
 constexpr Milliseconds AllowanceUnmetRead {1000}; // time between reads while a demand is not met
 constexpr Milliseconds AllowanceUnmetReadMax {8000};
+// Rows in use are read again at least this often: another daemon may have raised the sum under an older bundle.
+constexpr Milliseconds AllowanceRefresh {10'000};
 constexpr Milliseconds AllowanceCallTimeout {10'000}; // a store call without result counts as lost after this time
 // A group that is missing from the directory for this long is gone: far longer than the task lease, after which
 // none of its tasks runs.
@@ -51,6 +53,10 @@
     std::uint32_t usable_ = 0; // tasks that may run; never above the part in the store
     std::uint32_t inUse_ = 0;
     std::uint32_t wanted_ = 0;
+    std::uint32_t limit_ = 0; // of the team, when last compared
+    // The parts of all groups may add up to more than a lowered limit: nothing starts until they do not, because tasks
+    // of other groups may still run above their part.
+    bool frozen_ = false;
     TimePoint busySince_; // last time at which everything held was wanted
 };
 
@@ -77,10 +83,14 @@
     // have moved on, no usable amount rises.
     bool lostWrite_ = false;
     Revision lostExpected_;
+    // After a limit was lowered, usable amounts rise only when a call with this number or a later one has shown the
+    // rows: other groups may have taken more under the old limit.
+    std::uint64_t riseFrom_ = 0;
     bool mustRead_ = true;
     TimePoint notBefore_; // of the next call
     TimePoint lastWrite_;
     TimePoint lastRead_;
+    TimePoint nextRefresh_; // read that is due although nothing has changed here
     TimePoint lastApplied_; // usable amounts compared with idle times
     Milliseconds backoff_ {0};
     Milliseconds unmetWait_ {detail::AllowanceUnmetRead};
@@ -121,6 +131,9 @@
 std::map<TeamId, std::vector<AllowancePart>> targetRows(AllowanceState &state, std::uint32_t index, Context &context,
                                                         bool &changed, bool &unmet);
 
+// Stops starts of teams whose limit was lowered until the rows have been read again.
+void applyLoweredLimits(AllowanceState &state, Context &context);
+
 // Starts the next call of a key when one is due.
 void advanceKey(AllowanceState &state, std::uint32_t index, Context &context);
 
--- a/src/core/limit/limit_store.cpp
+++ b/src/core/limit/limit_store.cpp
@@ -47,9 +47,22 @@
     backOff(key, context);
 }
 
-// True when a group was opened after the newest read.
-static bool needsRead(const AllowanceState &state, const AllowanceKey &key, std::uint32_t index)
+static bool isUsed(const AllowanceState &state, std::uint32_t index)
 {
+    return std::any_of(state.groups_.begin(), state.groups_.end(), [index](const auto &group) {
+        return std::any_of(group.second.teams_.begin(), group.second.teams_.end(), [index](const auto &team) {
+            return team.second.usable_ > 0 && allowanceKeyOf(team.first) == index;
+        });
+    });
+}
+
+// True when a group was opened after the newest read, or the newest read is old.
+static bool needsRead(const AllowanceState &state, AllowanceKey &key, std::uint32_t index, Context &context)
+{
+    if (context.now_ >= key.nextRefresh_) {
+        key.nextRefresh_ = context.now_ + detail::AllowanceRefresh;
+        key.mustRead_ = key.mustRead_ || isUsed(state, index);
+    }
     return key.mustRead_ || std::any_of(state.groups_.begin(), state.groups_.end(), [&](const auto &entry) {
                return !isOpen(key, index, entry.second);
            });
@@ -67,7 +80,7 @@
     if (state.groups_.empty() || context.now_ < key.notBefore_) {
         return;
     }
-    if (needsRead(state, key, index)) {
+    if (needsRead(state, key, index, context)) {
         key.lastRead_ = context.now_;
         startCall(state, key, false, StoreGet {keyName(index)}, context);
         return;
@@ -115,6 +128,7 @@
     key.revision_ = revision;
     key.shownRead_ = key.callNumber_;
     key.mustRead_ = false;
+    key.nextRefresh_ = context.now_ + jittered(detail::AllowanceRefresh, context);
     if (key.lostWrite_ && revision != key.lostExpected_) {
         key.lostWrite_ = false;
     }
--- a/src/core/limit/limit_target.cpp
+++ b/src/core/limit/limit_target.cpp
@@ -69,8 +69,12 @@
             const bool scarce = sum >= limit;
             const std::uint32_t kept = keptAmount(demand, amount, scarce, limit, context.now_);
             const std::uint32_t target = std::min(kept, proportionalPart(amount, sum, limit));
-            const bool mayRise = !key.writing_ && !key.lostWrite_ && sum <= limit;
+            demand.frozen_ = sum > limit || key.shownRead_ < key.riseFrom_;
+            const bool mayRise = !key.writing_ && !key.lostWrite_ && !demand.frozen_;
             demand.usable_ = mayRise ? target : std::min(target, demand.usable_);
+            if (demand.frozen_) {
+                demand.usable_ = std::min(demand.usable_, demand.inUse_);
+            }
         }
         for (auto &[team, demand] : group.teams_) {
             if (allowanceKeyOf(team) == index && !key.rows_.contains(team)) {
@@ -80,6 +84,24 @@
     }
 }
 
+void applyLoweredLimits(AllowanceState &state, Context &context)
+{
+    const std::uint64_t next = state.lastNumber_ + 1;
+    for (auto &[groupId, group] : state.groups_) {
+        for (auto &[team, demand] : group.teams_) {
+            const std::uint32_t limit = limitOf(context.bundle_, team);
+            if (limit < demand.limit_) {
+                AllowanceKey &key = state.keys_.at(allowanceKeyOf(team));
+                key.riseFrom_ = next;
+                key.mustRead_ = true;
+                demand.frozen_ = true;
+                demand.usable_ = std::min(demand.usable_, demand.inUse_);
+            }
+            demand.limit_ = limit;
+        }
+    }
+}
+
 static AllowancePart &partOf(std::vector<AllowancePart> &parts, const ShardId &group)
 {
     for (AllowancePart &part : parts) {
