Change: [store] A watch without a change answers without the keys

Ruled out: a longer wait, because the age of the head has to stay below 5 s.

Change: after wait_ms the store answers {unchanged, revision}; StoreStatus::Unchanged. The head counts as confirmed only when the watch began at an answer that showed the version in force.

--- a/src/core/config/config_internal.h
+++ b/src/core/config/config_internal.h
@@ -118,6 +118,7 @@
     TimePoint headOpGiveUpAt_;
     TimePoint nextHeadAt_; // earliest time of the next one
     Revision watchAfter_; // revision of the store to watch from; 0: get first
+    BundleVersion watchShown_; // version of the head at watchAfter_
     bool headKnown_ = false;
     TimePoint headKnownAt_; // sending of the last operation that showed the head
     bool storeReached_ = false; // by the last operation
--- a/src/core/config/head.cpp
+++ b/src/core/config/head.cpp
@@ -92,7 +92,7 @@
         return false;
     }
     state.headOp_ = {};
-    if (result.status_ != StoreStatus::Ok) {
+    if (result.status_ != StoreStatus::Ok && result.status_ != StoreStatus::Unchanged) {
         state.storeReached_ = false;
         // Spread over the daemons, which all miss the relay at the same time.
         state.nextHeadAt_ = context.now_ + HeadRetry + Milliseconds(context.random_() % HeadRetry.count());
@@ -104,7 +104,9 @@
     const auto entry = std::find_if(result.entries_.begin(), result.entries_.end(),
                                     [](const StoreEntry &candidate) { return candidate.key_ == HeadKey; });
     BundleVersion shown; // 0: there is no head yet
-    if (entry != result.entries_.end()) {
+    if (result.status_ == StoreStatus::Unchanged) {
+        shown = state.watchShown_;
+    } else if (entry != result.entries_.end()) {
         const auto version = applyHead(state, entry->value_, entry->revision_, context);
         if (!version) {
             state.nextHeadAt_ = context.now_ + HeadRetry;
@@ -112,6 +114,7 @@
         }
         shown = *version;
     }
+    state.watchShown_ = shown;
     // An answer that shows an older head than the one in force says nothing about the present head.
     const bool current = shown == state.head_.version_;
     if (current) {
--- a/src/core/member/member_watch.cpp
+++ b/src/core/member/member_watch.cpp
@@ -92,12 +92,15 @@
     }
     WatchState &watch = op.kind_ == OpKind::Members ? m.memberWatch_ : m.ownerWatch_;
     watch.pending_ = {};
-    if (result.status_ != StoreStatus::Ok) {
+    if (result.status_ != StoreStatus::Ok && result.status_ != StoreStatus::Unchanged) {
         watch.nextAt_ = context.now_ + WatchRetry;
         return;
     }
     watch.nextAt_ = context.now_ + WatchPause;
     watch.after_ = result.revision_;
+    if (result.status_ == StoreStatus::Unchanged) {
+        return;
+    }
     if (!watch.known_) {
         watch.known_ = true;
         m.startOrder_ = std::max(m.startOrder_, result.revision_.value_);
--- a/src/core/message/store_type.h
+++ b/src/core/message/store_type.h
@@ -56,8 +56,8 @@
     StoreLeaseId lease_;
 };
 
-// Waits until the prefix has a change after revision after_, or for wait_. Result: the keys under the prefix as
-// StoreList gives them, and the revision to continue from.
+// Waits until the prefix has a change after revision after_, or for wait_. Result: Ok with the keys under the prefix as
+// StoreList gives them, or Unchanged; and the revision to continue from.
 struct StoreWatch
 {
     std::string prefix_;
@@ -78,6 +78,7 @@
 
 enum class StoreStatus : std::uint8_t {
     Ok,
+    Unchanged, // of a watch: nothing under the prefix has changed since after_; revision_ is where to continue
     Conflict, // revision differs; entries_ holds the current value when the key exists
     NotFound, // key or lease is absent
     Unavailable, // the operation certainly had no effect
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -20,8 +20,8 @@
 using prometheus::MetricFamily;
 using prometheus::MetricType;
 
-static constexpr std::array<std::string_view, 5> StoreStatusNames {"ok", "conflict", "not-found", "unavailable",
-                                                                   "unknown"};
+static constexpr std::array<std::string_view, 6> StoreStatusNames {"ok",        "unchanged",   "conflict",
+                                                                   "not-found", "unavailable", "unknown"};
 static constexpr std::array<std::string_view, 4> WorkerStatusNames {"ok", "stale-epoch", "refused", "unknown"};
 
 static ClientMetric sample(prometheus::MetricType type, double value, std::vector<ClientMetric::Label> labels)
--- a/src/daemon/store_codec.cpp
+++ b/src/daemon/store_codec.cpp
@@ -149,6 +149,10 @@
 
 static bool decode(const StoreWatch &, const Json &json, StoreResult &result)
 {
+    if (json.contains("unchanged")) {
+        result.status_ = StoreStatus::Unchanged;
+        return readField(json, "revision", result.revision_.value_);
+    }
     return decodeEntries(json, result);
 }
 
