Fix: [http] Keep a connection until its last operation has completed

A daemon that was paused with SIGSTOP ended with "pure virtual method called" after SIGCONT. The answer of a call and its timeout were both due; the timeout destroyed the connection, and the read that had already received its bytes then used the destroyed parser. The handlers now keep the connection. Ruled out: the parser being replaced by the next call.

The server had a related hazard by inspection: while it drops what a client still sends, a cancelled read may go on with the shared buffer. It reads into a buffer of its own now.

scripts: one thread starts all processes, because a child's death signal comes when the thread that started it ends, and replacements died with the thread of their fault. A daemon that ends by itself fails the run.

--- a/scripts/lib/faults.py
+++ b/scripts/lib/faults.py
@@ -76,13 +76,13 @@
 
 
 def restore(cluster, context):
-    """Ends whatever an interrupted or failed fault may have left, and starts daemons that are missing."""
+    """Ends whatever a failed fault may have left and replaces daemons that have ended by themselves; returns those."""
     context.store(mode="ok")
     context.link("restore", ["*"])
-    for entry in cluster.entries:
-        if not cluster.daemons[entry["name"]].alive():
-            print(f"{entry['name']} was not running", flush=True)
-            cluster.start_daemon(entry)
+    ended = [entry for entry in cluster.entries if not cluster.daemons[entry["name"]].alive()]
+    for entry in ended:
+        cluster.start_daemon(entry)
+    return [entry["name"] for entry in ended]
 
 
 def settle(cluster, watcher):
@@ -122,7 +122,7 @@
         runner.start()
         ended = wait_for_load(cluster, arguments.seconds + DRAIN_SECONDS + 60)
         runner.join(60)
-        restore(cluster, context)
+        crashed = restore(cluster, context)
         not_ready = cluster.wait_ready()
         settle(cluster, watcher)
         watcher.finish()
@@ -144,12 +144,14 @@
     show_problems(violations)
     for problem in runner.failed:
         print(f"fault failed: {problem}")
+    for name in crashed:
+        print(f"{name} ended by itself, see {name}.log")
     for name in not_ready:
         print(f"{name} is not ready after the faults")
     for name in unfinished:
         print(f"{name} did not end gracefully")
     print(check_journals.last_line(requests, violations, violations.keys()))
-    sound = ended and requests and not runner.failed and not not_ready
+    sound = ended and requests and not (runner.failed or crashed or not_ready)
     return 0 if sound and not any(violations.values()) else 1
 
 
--- a/scripts/lib/processes.py
+++ b/scripts/lib/processes.py
@@ -1,5 +1,6 @@
 """Starting, watching and ending processes; HTTP calls; free ports. Standard library only."""
 
+import concurrent.futures
 import ctypes
 import http.client
 import json
@@ -63,10 +64,12 @@
     def __init__(self, out):
         self.out = out
         self.all = []
+        # The death signal of a child comes when the thread that started it ends, so one thread starts all of them.
+        self.starter = concurrent.futures.ThreadPoolExecutor(max_workers=1)
 
     def start(self, name, command):
         process = Process(name, command, os.path.join(self.out, f"{name}.log"))
-        process.start()
+        self.starter.submit(process.start).result()
         self.all.append(process)
         return process
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -177,7 +177,8 @@
     call->connection_ = std::make_shared<Connection>(strand_);
     arm(call, std::min(call->deadline_, SystemClock().now() + options_.connectTimeout_));
     call->connection_->socket_.async_connect(
-        {ip, parts.port_}, [self = shared_from_this(), call](boost::system::error_code failure) {
+        {ip, parts.port_},
+        [self = shared_from_this(), call, connection = call->connection_](boost::system::error_code failure) {
             if (call->stage_ == CallStage::Finished) {
                 return;
             }
@@ -195,8 +196,10 @@
 void ClientState::exchange(const std::shared_ptr<Call> &call)
 {
     call->stage_ = CallStage::Sent;
+    // Handlers keep the connection: after a timeout an operation may still complete with what it had already received.
     http::async_write(call->connection_->socket_, call->message_,
-                      [self = shared_from_this(), call](boost::system::error_code error, std::size_t bytes) {
+                      [self = shared_from_this(), call, connection = call->connection_](boost::system::error_code error,
+                                                                                        std::size_t bytes) {
                           if (call->stage_ == CallStage::Finished) {
                               return;
                           }
@@ -216,7 +219,7 @@
     connection.parser_->body_limit(options_.maxBodyBytes_);
     http::async_read(
         connection.socket_, connection.buffer_, *connection.parser_,
-        [self = shared_from_this(), call](boost::system::error_code error, std::size_t) {
+        [self = shared_from_this(), call, kept = call->connection_](boost::system::error_code error, std::size_t) {
             if (call->stage_ == CallStage::Finished) {
                 return;
             }
--- a/src/http/server_internal.h
+++ b/src/http/server_internal.h
@@ -11,6 +11,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <array>
 #include <atomic>
 #include <deque>
 #include <mutex>
@@ -102,6 +103,7 @@
     TimePoint hardLimit_ = TimePoint::max(); // set by stop()
     TimePoint idleUntil_ = TimePoint::max(); // set by stop()
     boost::beast::flat_buffer buffer_;
+    std::array<char, 4096> discarded_ {}; // read while lingering; buffer_ may still belong to a read under way
     std::optional<Parser> parser_;
     std::deque<std::shared_ptr<HttpExchange>> open_; // in the order of the requests
     bool partial_ = false; // bytes of the next request have been read
--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -249,9 +249,7 @@
 // can destroy the last answer on its way to the client.
 void Session::linger()
 {
-    buffer_.consume(buffer_.size());
-    constexpr std::size_t ChunkBytes = 4096;
-    socket_.async_read_some(buffer_.prepare(ChunkBytes),
+    socket_.async_read_some(boost::asio::buffer(discarded_),
                             [self = shared_from_this()](boost::system::error_code error, std::size_t) {
                                 if (self->closed_) {
                                     return;
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -167,6 +167,30 @@
     cr_assert(refused.delivery_ == HttpDelivery::NotSent);
 }
 
+// Guards against use of a connection that is gone when its answer and its timeout arrive together, as they do after the
+// process was paused.
+Test(http, answerAndTimeoutTogether)
+{
+    Fixture fixture([](const HttpRequest &request, const HttpResponder &respond) {
+        std::thread([request, respond] {
+            std::this_thread::sleep_for(Milliseconds(20));
+            echo(request, respond);
+        }).detach();
+    });
+    boost::asio::io_context paused;
+    HttpClient client(paused, {});
+    int answered = 0;
+    constexpr int Calls = 50;
+    for (int i = 0; i < Calls; ++i) {
+        client.send(fixture.server_->address(), {"POST", "/", {}, std::string(50'000, 'x')}, Milliseconds(50),
+                    [&](const HttpResult &) { ++answered; });
+    }
+    paused.run_for(Milliseconds(10));
+    std::this_thread::sleep_for(Milliseconds(200));
+    paused.run_for(Milliseconds(500));
+    cr_assert_eq(answered, Calls);
+}
+
 // Guards against a graceful stop that cuts off an open request.
 Test(http, stopFlushesAnswers)
 {
