--- a/tests/home/test_dispatch.cpp
+++ b/tests/home/test_dispatch.cpp
@@ -221,3 +221,22 @@
     cr_assert(world.state(JobId("school:1")).error_ == ErrorKind::UnknownJob);
     cr_assert(homeDocument(*world.holder().home_).find("\"total\":0") != std::string::npos);
 }
+
+// Guards against a gang whose other tasks run on alone after the loss of one, and against a restart in parts.
+Test(dispatch, gangRestartsAsAWhole)
+{
+    OpenWorld world(2, 20'000);
+    JobSpec gang = world.job("gang", WorkMode::Gang);
+    gang.tasks_ = 4;
+    world.submit(world.holder(), gang);
+    world.run(Milliseconds(1000));
+    FakeGroup &first = *world.groups_[world.groups_[0]->tasks_.empty() ? 1 : 0];
+    const TaskId lost {gang.id_, 2};
+    first.end(lost, first.tasks_.at(lost), Outcome::Failed, ErrorKind::WorkerLost, world.sender(first.holder_));
+    world.run(Milliseconds(6000));
+    for (std::uint32_t index = 0; index < 4; ++index) {
+        cr_assert_eq(world.starts(gang.id_, index), 2);
+        cr_assert_eq(world.running(gang.id_, index), 1);
+    }
+    cr_assert_eq(world.offers_.back().count_, 4U);
+}
--- a/tests/home/test_journal.cpp
+++ b/tests/home/test_journal.cpp
@@ -240,3 +240,65 @@
         cr_assert(world.state(id).outcome_ == naiveOutcome(id));
     }
 }
+
+// Guards against a replaced holder whose repeat of a lost offer overrides the refusal that its successor was told.
+Test(journal, repeatDoesNotOverrideARefusal)
+{
+    OpenWorld world(2, 60'000);
+    HomeDaemon &old = world.holder();
+    const JobId id("school:1");
+    world.groups_[0]->refusePercent_ = world.groups_[1]->refusePercent_ = 100;
+    world.submit(old, world.job("1"));
+    while (world.offers_.empty()) {
+        world.step();
+    }
+    old.inbox_.clear(); // the refusal is lost
+    world.groups_[0]->refusePercent_ = world.groups_[1]->refusePercent_ = 0;
+    world.run(Milliseconds(24'000));
+    world.submit(old, world.job("2")); // proof that it is the newest holder for a while
+    world.run(Milliseconds(2000));
+    world.takeOver();
+    world.run(Milliseconds(10'000)); // the old holder repeats its offer 30 s after the first
+    cr_assert(world.starts(id) == 1 && world.ledger_.overlapped_.empty());
+}
+
+// Guards against the first offer of a holder that was replaced between its write and the answer: the work has run.
+Test(journal, lateFirstOfferSaysThatTheTaskMayHaveRun)
+{
+    OpenWorld world;
+    HomeDaemon &old = world.holder();
+    const JobId id("school:1");
+    world.submit(old, world.job("1", WorkMode::Journaled, false));
+    while (old.results_.empty()) {
+        world.step();
+    }
+    old.paused_ = true;
+    world.takeOver();
+    world.run(Milliseconds(1000));
+    cr_assert(world.state(id).outcome_ == naiveOutcome(id));
+    for (const auto &group : world.groups_) {
+        group->changeHolder(DaemonId(group->id_.value_ + "#2"), world.now_);
+    }
+    world.updateDirectory();
+    old.paused_ = false;
+    world.run(Milliseconds(5000));
+    cr_assert_eq(world.starts(id), 1);
+    cr_assert(world.state(id).outcome_ == naiveOutcome(id));
+}
+
+// Guards against a second run of a non-idempotent request that is repeated after its job was forgotten.
+Test(journal, lateRepeatDoesNotRunAgain)
+{
+    OpenWorld world;
+    const JobSpec spec = world.job("1", WorkMode::Journaled, false);
+    world.submit(world.holder(), spec);
+    for (int i = 0; i < 150; ++i) {
+        world.run(Milliseconds(6000), Milliseconds(100));
+        world.submit(world.holder(), world.job("other" + std::to_string(i))); // leads to a snapshot
+    }
+    world.takeOver();
+    const CallId call = world.submit(world.holder(), spec);
+    world.run(Milliseconds(2000));
+    cr_assert(world.answers_.at(call).outcome_ == naiveOutcome(spec.id_));
+    cr_assert_eq(world.starts(spec.id_), 1);
+}
