--- a/src/core/home/results.cpp
+++ b/src/core/home/results.cpp
@@ -108,10 +108,6 @@
     }
     if (result.error_ == ErrorKind::ImpossibleSize) {
         job.impossibleFor_.insert(task.group_);
-        if (impossibleEverywhere(job, at.context_)) {
-            at.ended_.push_back({result.index_, Outcome::NotRun, ErrorKind::ImpossibleSize, {}, {}});
-            return;
-        }
     } else {
         job.refusedBy_[task.group_] = now + RefusalMemory + Milliseconds(1000);
         job.assignAfter_ = now + backoff(RefusalBackoff, MaxRefusalBackoff, task.refusals_, at.context_);
