--- a/tests/home/test_dispatch.cpp
+++ b/tests/home/test_dispatch.cpp
@@ -221,3 +221,45 @@
     cr_assert(world.state(JobId("school:1")).error_ == ErrorKind::UnknownJob);
     cr_assert(homeDocument(*world.holder().home_).find("\"total\":0") != std::string::npos);
 }
+
+// Guards against a gang whose other tasks run on alone after the loss of one, and against a restart in parts.
+Test(dispatch, gangRestartsAsAWhole)
+{
+    OpenWorld world(2, 20'000);
+    JobSpec gang = world.job("gang", WorkMode::Gang);
+    gang.tasks_ = 4;
+    world.submit(world.holder(), gang);
+    world.run(Milliseconds(1000));
+    FakeGroup &first = *world.groups_[world.groups_[0]->tasks_.empty() ? 1 : 0];
+    const TaskId lost {gang.id_, 2};
+    first.end(lost, first.tasks_.at(lost), Outcome::Failed, ErrorKind::WorkerLost, world.sender(first.holder_));
+    world.run(Milliseconds(6000));
+    for (std::uint32_t index = 0; index < 4; ++index) {
+        cr_assert_eq(world.starts(gang.id_, index), 2);
+        cr_assert_eq(world.running(gang.id_, index), 1);
+    }
+    cr_assert_eq(world.offers_.back().count_, 4U);
+}
+
+// Guards against a late refusal of a group's previous holder that moves a task which the present holder runs.
+Test(dispatch, lateRefusalOfAnOldGroupHolder)
+{
+    OpenWorld world(2, 60'000);
+    const JobId id("school:1");
+    world.submit(world.holder(), world.job("1"));
+    world.run(Milliseconds(1000));
+    const TaskOffer offer = world.offers_.back();
+    FakeGroup &group = *world.groups_[offer.group_ == world.groups_[0]->id_ ? 0 : 1];
+    const DaemonId before = group.holder_;
+    group.changeHolder(DaemonId("next#1"), world.now_);
+    world.updateDirectory();
+    const TaskResult refusal {0, Outcome::NotRun, ErrorKind::Overloaded, {}, {}};
+    for (const CallId call : {offer.replyTo_.call_, CallId {offer.replyTo_.call_.value_ - 1}}) {
+        const ReplyTo replyTo {ReplyPart::Home, world.partition_, call};
+        const DaemonId from = call == offer.replyTo_.call_ ? before : group.holder_;
+        world.holder().inbox_.emplace_back(from, TaskAnswer {replyTo, offer.group_, id, {refusal}});
+    }
+    world.run(Milliseconds(3000));
+    cr_assert_eq(world.starts(id), 1);
+    cr_assert(world.state(id).outcome_ == Outcome::Pending);
+}
