--- /dev/null
+++ b/tests/chart/test_chart.cpp
@@ -0,0 +1,136 @@
+// Guards the state charts: the compiled-in text equals the files, faults in charts are found at load, and the
+// interpreter follows them.
+#include "core/chart/chart_func.h"
+#include "core/chart/table/chart_table.h"
+
+#include <criterion/criterion.h>
+
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+using namespace mimosapier;
+
+static const std::string Door = R"(chart: door
+initial: shut
+events: [push, lock]
+actions: [swing]
+states:
+  shut:
+    on: {push: {to: open, do: swing}, lock: {to: locked}}
+  open:
+    on: {push: {to: shut}}
+    ignore: [lock]
+  locked: {final: true}
+)";
+
+static std::string problemsOf(const std::string &text)
+{
+    Chart chart;
+    std::vector<std::string> problems;
+    const bool failed = static_cast<bool>(parseChart(text, chart, problems));
+    cr_assert_eq(failed, !problems.empty());
+    std::string all;
+    for (const std::string &problem : problems) {
+        all += problem + "\n";
+    }
+    return all;
+}
+
+// Guards against a table that was not generated again after a chart changed.
+Test(chart, tableEqualsFiles)
+{
+    std::size_t files = 0;
+    for (const auto &entry : std::filesystem::directory_iterator(MIMOSAPIER_SOURCE_DIR "/charts")) {
+        std::ifstream file(entry.path());
+        std::stringstream text;
+        text << file.rdbuf();
+        ++files;
+        bool found = false;
+        for (const auto &[name, compiled] : ChartTable) {
+            found = found || (name == entry.path().stem().string() && compiled == text.str());
+        }
+        cr_expect(found, "run scripts/charts: %s", entry.path().c_str());
+    }
+    cr_expect_eq(files, ChartTable.size());
+}
+
+// Guards against a compiled-in chart with faults.
+Test(chart, compiledChartsAreValid)
+{
+    for (const auto &[name, text] : ChartTable) {
+        cr_expect_str_eq(problemsOf(std::string(text)).c_str(), "");
+        cr_expect(chartNamed(name).name_ == name);
+    }
+}
+
+// Guards against names in the code of the sign-off that the chart does not have.
+Test(chart, rolloutHasTheNamesOfTheCode)
+{
+    constexpr std::array<std::string_view, 6> States {"reading-draft", "reading-head", "announcing",
+                                                      "writing",       "reading-back", "rewriting"};
+    constexpr std::array<std::string_view, 10> Events {"draft-read",  "head-read",  "majority",    "refused",
+                                                       "written",     "other-head", "not-written", "answer-lost",
+                                                       "unavailable", "timeout"};
+    constexpr std::array<std::string_view, 8> Actions {"read-head", "announce",    "write",  "read-back",
+                                                       "apply",     "write-again", "refuse", "answer-unknown"};
+    cr_expect(missingNames(chartNamed("rollout"), States, Events, Actions).empty());
+}
+
+// Guards against each kind of fault passing the checks.
+Test(chart, faultsAreFound)
+{
+    const auto expect = [](const std::string &from, const std::string &to, const std::string &message) {
+        std::string text = Door;
+        text.replace(text.find(from), from.size(), to);
+        const std::string problems = problemsOf(text);
+        cr_expect(problems.find(message) != std::string::npos, "%s", problems.c_str());
+    };
+    cr_assert_str_eq(problemsOf(Door).c_str(), "");
+    expect("lock: {to: locked}", "lock: {to: shut}", "the state locked cannot be reached");
+    expect("    ignore: [lock]\n", "", "open: the event lock is missing");
+    expect("to: open", "to: opened", "the state opened is unknown");
+    expect("do: swing", "do: swim", "the action swim is unknown");
+    expect("[lock]", "[look]", "the event look is unknown");
+    expect("[lock]", "[lock, push]", "the event push is named twice");
+    expect("[push, lock]", "[push, lock, kick]", "the event kick has no use");
+    expect("[swing]", "[swing, creak]", "the action creak has no use");
+    expect("initial: shut", "initial: ajar", "initial: the state is unknown");
+    expect("locked: {final: true}", "locked: {final: true, ignore: [push]}", "a final state names no events");
+    expect("ignore:", "ignored:", "the key ignored is unknown");
+}
+
+// Guards against an interpreter that goes elsewhere than the chart says.
+Test(chart, interpreterFollowsTheChart)
+{
+    Chart chart;
+    std::vector<std::string> problems;
+    cr_assert(!parseChart(Door, chart, problems));
+    ChartInstance door = startChart(chart);
+    cr_expect(advanceChart(door, "push") == "swing" && isInState(door, "open"));
+    cr_expect(advanceChart(door, "lock").empty() && isInState(door, "open"));
+    cr_expect(advanceChart(door, "push").empty() && isInState(door, "shut"));
+    cr_expect(advanceChart(door, "lock").empty() && isInState(door, "locked") && isFinished(door));
+    cr_expect(advanceChart(door, "push").empty() && isInState(door, "locked"));
+}
+
+// Guards against crashes on damaged charts; the inputs are the same in each run.
+Test(chart, damagedChartsNeverCrash)
+{
+    std::mt19937_64 random(12);
+    const std::string text(ChartTable.back().second);
+    for (int round = 0; round < 3000; ++round) {
+        std::string damaged = text;
+        for (std::uint64_t i = 0; i <= random() % 4; ++i) {
+            const std::size_t at = random() % damaged.size();
+            if (random() % 2 == 0) {
+                damaged[at] = static_cast<char>(random());
+            } else {
+                damaged.erase(at, random() % 40);
+            }
+        }
+        problemsOf(damaged);
+    }
+}
