Feature: [ctl] Command line for operators and callers

Cause: operators and callers need one tool for jobs, bundles and reports. Keys come from a file, the environment or standard input, not from arguments. Ruled out: sending a request again that may have been carried out. Open: drain, because the daemon has no such request yet. Edits do not keep the comments of the bundle's text, because yaml-cpp drops them.

--- a/src/core/config/bundle_diff.cpp
+++ b/src/core/config/bundle_diff.cpp
@@ -20,7 +20,7 @@
     return lines;
 }
 
-// Lines that differ, "-" for those only in `from` and "+" for those only in `to`, by longest common subsequence.
+// By longest common subsequence.
 std::string lineDiff(std::string_view from, std::string_view to)
 {
     std::vector<std::string_view> a = splitLines(from);
--- a/src/core/config/config_func.h
+++ b/src/core/config/config_func.h
@@ -33,6 +33,9 @@
 // "line 3: teams.school.limit: -1: an integer from 0 to 1000000", one line for each problem.
 std::string formatProblems(std::string_view file, std::span<const BundleProblem> problems);
 
+// Lines that differ, "-" for those only in `from` and "+" for those only in `to`; at most 40 lines and a count.
+std::string lineDiff(std::string_view from, std::string_view to);
+
 // Hex SHA-256 of a key, as it stands in the bundle.
 std::string keyHash(std::string_view key);
 
--- a/src/core/config/config_internal.h
+++ b/src/core/config/config_internal.h
@@ -138,8 +138,6 @@
 bool equalConstantTime(std::string_view left, std::string_view right);
 
 // bundle_diff.cpp
-std::string lineDiff(std::string_view from, std::string_view to);
-
 // Text of the first region whose number of partitions differs; empty when none does.
 std::string partitionChange(const Bundle &from, const Bundle &to);
 
--- /dev/null
+++ b/src/ctl/bundle_cmd.cpp
@@ -0,0 +1,217 @@
+// Commands of operators on the configuration.
+#include "ctl/ctl_internal.h"
+
+#include "core/config/config_func.h"
+
+#include <fstream>
+#include <iterator>
+#include <ostream>
+
+namespace mimosapier
+{
+
+static bool readText(const std::string &file, const Surroundings &io, std::string &text)
+{
+    if (file == "-") {
+        text.assign(std::istreambuf_iterator<char>(io.in_), {});
+        return true;
+    }
+    std::ifstream stream(file, std::ios::binary);
+    text.assign(std::istreambuf_iterator<char>(stream), {});
+    if (!stream) {
+        io.err_ << "The file " << file << " cannot be read.\n";
+    }
+    return static_cast<bool>(stream);
+}
+
+static bool hasOperator(const Options &options, const Surroundings &io)
+{
+    if (options.bundle_.operator_.empty()) {
+        io.err_ << "Say who you are with --as NAME or MIMOSAPIER_OPERATOR.\n";
+        return false;
+    }
+    return true;
+}
+
+static ExitCode sendDraft(const Options &options, const Surroundings &io, const std::string &text)
+{
+    const Json body {{"author", options.bundle_.operator_}, {"text", text}};
+    return printAnswer(options, io, ask(options, io, "POST", "/v1/admin/draft", body));
+}
+
+ExitCode draftCmd(const Options &options, const Surroundings &io)
+{
+    std::string text;
+    if (!hasOperator(options, io) || !readText(options.bundle_.file_, io, text)) {
+        return ExitCode::Usage;
+    }
+    Bundle bundle;
+    std::vector<BundleProblem> problems;
+    if (parseBundle(text, bundle, problems)) {
+        io.err_ << formatProblems(options.bundle_.file_, problems);
+        return ExitCode::Refused;
+    }
+    return sendDraft(options, io, text);
+}
+
+// Finds a draft in the list; null when it is not there.
+static Json findDraft(const Options &options, const Surroundings &io, const std::string &draft)
+{
+    const Answer answer = ask(options, io, "GET", "/v1/admin/drafts");
+    if (answer.json_.is_object() && answer.json_.contains("drafts")) {
+        for (const Json &candidate : answer.json_["drafts"]) {
+            if (textField(candidate, "draft") == draft) {
+                return candidate;
+            }
+        }
+    }
+    return nullptr;
+}
+
+ExitCode signCmd(const Options &options, const Surroundings &io)
+{
+    if (!hasOperator(options, io)) {
+        return ExitCode::Usage;
+    }
+    std::int64_t base = options.bundle_.base_;
+    if (base < 0) {
+        const Json draft = findDraft(options, io, options.bundle_.draft_);
+        if (draft.is_null()) {
+            io.err_ << "There is no draft " << options.bundle_.draft_ << ".\n";
+            return ExitCode::Refused;
+        }
+        base = numberField(draft, "base_version");
+    }
+    const Json body {{"signer", options.bundle_.operator_}, {"draft", options.bundle_.draft_}, {"base_version", base}};
+    return printAnswer(options, io, ask(options, io, "POST", "/v1/admin/sign", body));
+}
+
+ExitCode showCmd(const Options &options, const Surroundings &io)
+{
+    const Answer answer = ask(options, io, "GET", "/v1/admin/bundle");
+    if (options.json_ || exitCode(answer) != ExitCode::Done) {
+        return printAnswer(options, io, answer);
+    }
+    io.out_ << "# version " << numberField(answer.json_, "version") << ", by " << textField(answer.json_, "author")
+            << ", signed off by " << textField(answer.json_, "signer") << "\n"
+            << textField(answer.json_, "text");
+    return ExitCode::Done;
+}
+
+ExitCode diffCmd(const Options &options, const Surroundings &io)
+{
+    const Answer head = ask(options, io, "GET", "/v1/admin/bundle");
+    if (exitCode(head) != ExitCode::Done) {
+        return printAnswer(options, io, head);
+    }
+    std::string text;
+    if (!options.bundle_.file_.empty()) {
+        if (!readText(options.bundle_.file_, io, text)) {
+            return ExitCode::Usage;
+        }
+    } else {
+        const Json draft = findDraft(options, io, options.bundle_.draft_);
+        if (draft.is_null()) {
+            io.err_ << "There is no draft " << options.bundle_.draft_ << ".\n";
+            return ExitCode::Refused;
+        }
+        text = textField(draft, "text");
+    }
+    const std::string difference = lineDiff(textField(head.json_, "text"), text);
+    if (options.json_) {
+        io.out_ << dumpJson({{"version", numberField(head.json_, "version")}, {"diff", difference}}) << "\n";
+    } else {
+        io.out_ << difference;
+    }
+    return ExitCode::Done;
+}
+
+ExitCode draftsCmd(const Options &options, const Surroundings &io)
+{
+    const Answer answer = ask(options, io, "GET", "/v1/admin/drafts");
+    if (options.json_ || exitCode(answer) != ExitCode::Done || !answer.json_.contains("drafts")) {
+        return printAnswer(options, io, answer);
+    }
+    for (const Json &draft : answer.json_["drafts"]) {
+        io.out_ << textField(draft, "draft") << " by " << textField(draft, "author") << ", from version "
+                << numberField(draft, "base_version") << "\n";
+    }
+    return ExitCode::Done;
+}
+
+ExitCode bundleStatusCmd(const Options &options, const Surroundings &io)
+{
+    Json list = Json::array();
+    ExitCode code = ExitCode::Done;
+    for (const std::string &address : options.addresses_) {
+        const Answer answer = askOne(options, io, address, "GET", "/v1/admin/status");
+        if (exitCode(answer) != ExitCode::Done) {
+            code = ExitCode::Unreachable;
+            list.push_back({{"address", address}, {"reached", false}});
+            continue;
+        }
+        bool fresh = false;
+        readField(answer.json_, "config_fresh", fresh);
+        list.push_back({{"address", address},
+                        {"reached", true},
+                        {"daemon", textField(answer.json_, "daemon")},
+                        {"version", numberField(answer.json_, "bundle_version")},
+                        {"fresh", fresh}});
+    }
+    if (options.json_) {
+        io.out_ << dumpJson({{"daemons", list}}) << "\n";
+        return code;
+    }
+    for (const Json &entry : list) {
+        io.out_ << textField(entry, "address") << ": ";
+        if (!entry["reached"].get<bool>()) {
+            io.out_ << "not reached\n";
+            continue;
+        }
+        io.out_ << textField(entry, "daemon") << ", version " << numberField(entry, "version")
+                << (entry["fresh"].get<bool>() ? "" : ", cannot confirm that it is the head") << "\n";
+    }
+    return code;
+}
+
+// The key is read from standard input, because other users of the machine can see command lines.
+static bool resolveKey(Edit edit, Options &options, const Surroundings &io)
+{
+    BundleOptions &bundle = options.bundle_;
+    if (bundle.keyFromInput_) {
+        std::string key;
+        std::getline(io.in_, key);
+        bundle.hash_ = key.empty() ? "" : keyHash(key);
+    } else if (bundle.hash_.empty() && edit == Edit::GrantKey) {
+        const std::string key = io.randomHex_();
+        bundle.hash_ = keyHash(key);
+        io.err_ << "New key, shown only once: " << key << "\n";
+    }
+    if (bundle.hash_.empty()) {
+        io.err_ << "Name the key with --hash or --key-from-input.\n";
+        return false;
+    }
+    return true;
+}
+
+ExitCode editCmd(Edit edit, const Options &options, const Surroundings &io)
+{
+    Options used = options;
+    const bool needsKey = edit == Edit::GrantKey || edit == Edit::WithdrawKey;
+    if (!hasOperator(options, io) || (needsKey && !resolveKey(edit, used, io))) {
+        return ExitCode::Usage;
+    }
+    const Answer head = ask(options, io, "GET", "/v1/admin/bundle");
+    if (exitCode(head) != ExitCode::Done) {
+        return printAnswer(options, io, head);
+    }
+    std::string edited;
+    std::string reason;
+    if (!editBundle(edit, used.bundle_, textField(head.json_, "text"), edited, reason)) {
+        io.err_ << reason << "\n";
+        return ExitCode::Refused;
+    }
+    return sendDraft(options, io, edited);
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/ctl/command_line.cpp
@@ -0,0 +1,208 @@
+// Command line of mimosapierctl, by CLI11.
+#include "ctl/ctl_internal.h"
+
+#include <CLI/CLI.hpp>
+
+#include <fstream>
+
+namespace mimosapier
+{
+
+static constexpr const char *Footer = R"(Exit codes:
+  0 done, accepted, or shown         1 the work failed or was cancelled
+  2 wrong usage                      3 refused; nothing was run or changed
+  4 unknown; it may have happened    5 no daemon, or not every daemon, was reached
+  6 another bundle was signed off first
+  7 accepted, not finished yet
+
+Examples:
+  mimosapierctl submit --team school --class slot-confirmation --payload "run_ms=20"
+  mimosapierctl wait 4711 --team school --wait-ms 60000
+  mimosapierctl --as ann bundle draft bundle.yaml
+  mimosapierctl --as ben bundle sign 8-0f3c5a2277e01b9d
+  mimosapierctl --as ann key withdraw school --hash 2bb80d53...
+  mimosapierctl --address 10.0.0.1:8080 --address 10.0.0.2:8080 report --html report.html)";
+
+using Run = std::function<ExitCode(const Options &, const Surroundings &)>;
+
+namespace
+{
+
+struct Parser
+{
+    CLI::App app_ {"mimosapierctl, command line of the mimosapier scheduler"};
+    Options options_;
+    Run run_;
+};
+
+} // namespace
+
+static CLI::App *addCommand(Parser &parser, CLI::App &parent, const std::string &name, const std::string &text, Run run)
+{
+    CLI::App *command = parent.add_subcommand(name, text);
+    command->callback([&parser, run = std::move(run)] { parser.run_ = run; });
+    return command;
+}
+
+static void addTeam(Parser &parser, CLI::App *command)
+{
+    command->add_option("--team", parser.options_.job_.team_, "Team")->required()->envname("MIMOSAPIER_TEAM");
+}
+
+static void addJobCommands(Parser &parser)
+{
+    JobOptions &job = parser.options_.job_;
+    CLI::App *submit = addCommand(parser, parser.app_, "submit", "Submits a job", submitCmd);
+    addTeam(parser, submit);
+    submit->add_option("--class", job.class_, "Class of work")->required();
+    submit->add_option("--id", job.requestId_, "Request id; default: random. Repeats use the same id");
+    submit->add_option("--attempt", job.attempt_, "Higher for each repeat")->check(CLI::PositiveNumber);
+    submit->add_option("--region", job.region_, "Region of first contact, for repeats");
+    submit->add_option("--queue", job.queue_, "Open queue, instead of a key");
+    submit->add_option("--tasks", job.tasks_, "Number of tasks")->check(CLI::PositiveNumber);
+    submit->add_option("--milli-cpus", job.milliCpus_, "Thousandths of a processor per task");
+    submit->add_option("--memory-mb", job.memoryMb_, "Memory per task");
+    submit->add_option("--accelerators", job.accelerators_, "Accelerators per task");
+    submit->add_option("--run-ms", job.runMs_, "Estimated run time of a task");
+    submit->add_option("--deadline-ms", job.deadlineMs_, "Default: of the class");
+    submit->add_option("--payload", job.payload_, "Handed to the worker");
+    submit->add_flag("--once", job.once_, "Each task starts at most once");
+    submit->add_flag("--wait", job.wait_, "Waits for the outcome of an accepted job");
+    submit->add_option("--wait-ms", job.waitMs_, "Longest wait of --wait")->default_val(60'000);
+    const auto addOne = [&](const std::string &name, const std::string &text, Run run) {
+        CLI::App *command = addCommand(parser, parser.app_, name, text, std::move(run));
+        addTeam(parser, command);
+        command->add_option("id", job.requestId_, "Request id")->required();
+        return command;
+    };
+    addOne("explain", "Says why a job waits, runs where it runs, or was refused", explainCmd);
+    addOne("wait", "Waits for the outcome of a job", waitCmd)
+        ->add_option("--wait-ms", job.waitMs_, "Longest wait")
+        ->default_val(60'000);
+    CLI::App *cancel = addCommand(parser, parser.app_, "cancel", "Cancels jobs", cancelCmd);
+    addTeam(parser, cancel);
+    cancel->add_option("ids", job.requestIds_, "Request ids")->required();
+}
+
+static void addBundleCommands(Parser &parser)
+{
+    BundleOptions &bundle = parser.options_.bundle_;
+    CLI::App &group = *parser.app_.add_subcommand("bundle", "The configuration bundle")->require_subcommand(1);
+    addCommand(parser, group, "draft", "Checks a bundle and stores it as a draft", draftCmd)
+        ->add_option("file", bundle.file_, "YAML; - for standard input")
+        ->required();
+    CLI::App *sign = addCommand(parser, group, "sign", "Signs off a draft of another person", signCmd);
+    sign->add_option("draft", bundle.draft_, "Id of the draft")->required();
+    sign->add_option("--base", bundle.base_, "Version in force; default: the one the draft was made from");
+    addCommand(parser, group, "show", "Shows the bundle in force", showCmd);
+    CLI::App *diff = addCommand(parser, group, "diff", "Compares the bundle in force with a draft or file", diffCmd);
+    diff->add_option("draft", bundle.draft_, "Id of the draft");
+    diff->add_option("--file", bundle.file_, "YAML; - for standard input");
+    addCommand(parser, group, "drafts", "Lists the drafts", draftsCmd);
+    addCommand(parser, group, "status", "Shows the version of each daemon", bundleStatusCmd);
+}
+
+static CLI::App *addEdit(Parser &parser, CLI::App &group, const std::string &name, const std::string &text, Edit edit)
+{
+    CLI::App *command = addCommand(parser, group, name, text, [edit](const Options &options, const Surroundings &io) {
+        return editCmd(edit, options, io);
+    });
+    if (edit != Edit::SetPolicy) {
+        command->add_option("team", parser.options_.bundle_.team_, "Team")->required();
+    }
+    return command;
+}
+
+static void addEditCommands(Parser &parser)
+{
+    BundleOptions &bundle = parser.options_.bundle_;
+    CLI::App &team = *parser.app_.add_subcommand("team", "Drafts a change of teams")->require_subcommand(1);
+    CLI::App *add = addEdit(parser, team, "add", "Adds a team", Edit::AddTeam);
+    add->add_option("--share", bundle.number_, "Weight when the fleet is full")->default_val(1);
+    add->add_option("--limit", bundle.limit_, "Most tasks running")->required();
+    add->add_option("--home-region", bundle.homeRegion_, "Region of its journaled jobs")->required();
+    addEdit(parser, team, "remove", "Removes a team", Edit::RemoveTeam);
+    CLI::App &key = *parser.app_.add_subcommand("key", "Drafts a change of keys")->require_subcommand(1);
+    for (const bool grant : {true, false}) {
+        CLI::App *command = grant ? addEdit(parser, key, "grant", "Grants a key; default: a new one", Edit::GrantKey)
+                                  : addEdit(parser, key, "withdraw", "Withdraws a key", Edit::WithdrawKey);
+        command->add_option("--hash", bundle.hash_, "SHA-256 of the key, in hex");
+        command->add_flag("--key-from-input", bundle.keyFromInput_, "Reads the key from standard input");
+    }
+    addEdit(parser, parser.app_, "share", "Drafts a change of a team's share", Edit::SetShare)
+        ->add_option("share", bundle.number_, "Weight when the fleet is full")
+        ->required();
+    addEdit(parser, parser.app_, "limit", "Drafts a change of a team's limit", Edit::SetLimit)
+        ->add_option("limit", bundle.limit_, "Most tasks running")
+        ->required();
+    CLI::App *policy = addEdit(parser, parser.app_, "policy", "Drafts a change of a weight", Edit::SetPolicy);
+    policy->add_option("weight", bundle.policy_, "waiting, packing or crossing")
+        ->required()
+        ->check(CLI::IsMember({"waiting", "packing", "crossing"}));
+    policy->add_option("value", bundle.number_, "Number from 0")->required();
+}
+
+static void addOptions(Parser &parser)
+{
+    Options &options = parser.options_;
+    parser.app_.footer(Footer);
+    parser.app_.require_subcommand(1);
+    parser.app_.fallthrough();
+    parser.app_
+        .add_option("--address", options.addresses_,
+                    "\"ip:port\" of an entry instance; repeated: others are tried, and all are asked for a report")
+        ->envname("MIMOSAPIER_ADDRESS")
+        ->delimiter(',')
+        ->allow_extra_args(false)
+        ->required();
+    parser.app_.add_option("--key-file", options.keyFile_, "File with the team's key");
+    parser.app_.add_option("--as", options.bundle_.operator_, "Name of the operator")->envname("MIMOSAPIER_OPERATOR");
+    parser.app_.add_flag("--json", options.json_, "Prints JSON");
+    addJobCommands(parser);
+    addBundleCommands(parser);
+    addEditCommands(parser);
+    CLI::App *status
+        = addCommand(parser, parser.app_, "status",
+                     "Shows the state of a job; without id: members and shards as a daemon knows them",
+                     [](const Options &given, const Surroundings &io) {
+                         return given.job_.requestId_.empty() ? clusterStatusCmd(given, io) : statusCmd(given, io);
+                     });
+    CLI::Option *team = status->add_option("--team", options.job_.team_, "Team of the job")->envname("MIMOSAPIER_TEAM");
+    status->add_option("id", options.job_.requestId_, "Request id")->needs(team);
+    addCommand(parser, parser.app_, "instances", "Lists the workers", instancesCmd);
+    addCommand(parser, parser.app_, "report", "Service levels and how fast error budgets are used", reportCmd)
+        ->add_option("--html", options.html_, "Also writes a page to this file");
+}
+
+// The key comes from a file or the environment, because other users of the machine can see command lines.
+static bool readKey(Options &options, const Surroundings &io)
+{
+    if (options.keyFile_.empty()) {
+        const char *key = std::getenv("MIMOSAPIER_KEY");
+        options.key_ = key == nullptr ? "" : key;
+        return true;
+    }
+    std::ifstream file(options.keyFile_);
+    if (!std::getline(file, options.key_)) {
+        io.err_ << "The key file " << options.keyFile_ << " cannot be read.\n";
+        return false;
+    }
+    return true;
+}
+
+ExitCode runCtl(int argc, const char *const *argv, const Surroundings &surroundings)
+{
+    Parser parser;
+    addOptions(parser);
+    try {
+        parser.app_.parse(argc, argv);
+    } catch (const CLI::ParseError &error) {
+        return parser.app_.exit(error, surroundings.out_, surroundings.err_) == 0 ? ExitCode::Done : ExitCode::Usage;
+    }
+    if (!readKey(parser.options_, surroundings)) {
+        return ExitCode::Usage;
+    }
+    return parser.run_(parser.options_, surroundings);
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/ctl/report_html.cpp
@@ -0,0 +1,97 @@
+// The report as one self-contained page with inline SVG.
+#include "ctl/ctl_internal.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace mimosapier
+{
+
+static constexpr double BarWidth = 160; // pixels at full scale
+static constexpr double FullBurn = 10; // burn rate at full scale
+static constexpr double HistogramHeight = 40;
+static constexpr double BucketWidth = 9;
+
+static std::string escapeHtml(const std::string &text)
+{
+    std::string out;
+    for (const char c : text) {
+        switch (c) {
+        case '&':
+            out += "&amp;";
+            break;
+        case '<':
+            out += "&lt;";
+            break;
+        case '>':
+            out += "&gt;";
+            break;
+        case '"':
+            out += "&quot;";
+            break;
+        default:
+            out += c;
+        }
+    }
+    return out;
+}
+
+// A bar with a mark at burn rate 1, at which the budget is just used up.
+static std::string burnBar(double rate)
+{
+    const double length = std::min(rate, FullBurn) / FullBurn * BarWidth;
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(2) << "<svg width=\"" << BarWidth << "\" height=\"14\" role=\"img\"><title>"
+        << rate << "</title><rect width=\"" << BarWidth << "\" height=\"14\" fill=\"#eee\"/><rect width=\"" << length
+        << "\" height=\"14\" fill=\"" << (rate > 1 ? "#c33" : "#383") << "\"/><line x1=\"" << BarWidth / FullBurn
+        << "\" x2=\"" << BarWidth / FullBurn << "\" y2=\"14\" stroke=\"#000\"/></svg> " << rate;
+    return out.str();
+}
+
+static std::string histogram(const ReportData &data, const ReportRow &row)
+{
+    std::int64_t highest = 1;
+    for (const std::int64_t count : row.buckets_) {
+        highest = std::max(highest, count);
+    }
+    std::ostringstream out;
+    out << "<svg width=\"" << BucketWidth * static_cast<double>(row.buckets_.size()) << "\" height=\""
+        << HistogramHeight << "\" role=\"img\">";
+    for (std::size_t i = 0; i < row.buckets_.size(); ++i) {
+        const double height = static_cast<double>(row.buckets_[i]) / static_cast<double>(highest) * HistogramHeight;
+        const bool good = i < data.boundsMs_.size() && data.boundsMs_[i] <= row.objectiveMs_;
+        out << "<rect x=\"" << BucketWidth * static_cast<double>(i) << "\" y=\"" << HistogramHeight - height
+            << "\" width=\"" << BucketWidth - 1 << "\" height=\"" << height << "\" fill=\"" << (good ? "#383" : "#c83")
+            << "\"><title>";
+        out << (i < data.boundsMs_.size() ? "up to " + std::to_string(data.boundsMs_[i]) + " ms" : "longer") << ": "
+            << row.buckets_[i] << "</title></rect>";
+    }
+    out << "</svg>";
+    return out.str();
+}
+
+std::string reportPage(const ReportData &data)
+{
+    std::ostringstream out;
+    out << "<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>mimosapier report</title>\n"
+           "<style>body{font:14px sans-serif;margin:2em}table{border-collapse:collapse}"
+           "td,th{padding:4px 10px;border-bottom:1px solid #ccc;text-align:left}</style></head><body>\n"
+           "<h1>Service levels</h1>\n<p>"
+        << data.daemons_
+        << " daemons answered. A burn rate above 1 uses the error budget up before its window ends.</p>\n"
+           "<table><tr><th>class</th><th>team</th><th>objective</th><th>good</th><th>bad</th><th>burn rate, 5 min</th>"
+           "<th>burn rate, 1 h</th><th>budget left, 1 h</th><th>answers by time</th></tr>\n";
+    for (const ReportRow &row : data.rows_) {
+        out << "<tr><td>" << escapeHtml(row.class_) << "</td><td>" << escapeHtml(row.team_) << "</td><td>"
+            << row.objectiveRatio_ * 100 << "% in " << row.objectiveMs_ << " ms</td><td>" << row.long_.good_
+            << "</td><td>" << row.long_.bad_ << "</td><td>" << burnBar(burnRate(row.short_, row.objectiveRatio_))
+            << "</td><td>" << burnBar(burnRate(row.long_, row.objectiveRatio_)) << "</td><td>" << std::fixed
+            << std::setprecision(1) << budgetLeft(row.long_, row.objectiveRatio_) * 100 << "%</td><td>"
+            << std::defaultfloat << histogram(data, row) << "</td></tr>\n";
+    }
+    out << "</table></body></html>\n";
+    return out.str();
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/ctl/transport.cpp
@@ -0,0 +1,24 @@
+// Requests over HTTP, one at a time.
+#include "ctl/ctl_internal.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace mimosapier
+{
+
+Transport httpTransport(Milliseconds timeout)
+{
+    return [timeout](const std::string &address, const HttpRequest &request) {
+        boost::asio::io_context context;
+        HttpClient client(context, {});
+        HttpResult result;
+        client.send(address, request, timeout, [&](HttpResult answer) {
+            result = std::move(answer);
+            context.stop();
+        });
+        context.run();
+        return result;
+    };
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/ctl/view_cmd.cpp
@@ -0,0 +1,70 @@
+// Views of a daemon on the cluster: members, shards, workers.
+#include "ctl/ctl_internal.h"
+
+#include <iomanip>
+#include <ostream>
+
+namespace mimosapier
+{
+
+static const Json &listOf(const Json &json, const char *name)
+{
+    static const Json empty = Json::array();
+    if (!json.is_object()) {
+        return empty;
+    }
+    const auto found = json.find(name);
+    return found == json.end() || !found->is_array() ? empty : *found;
+}
+
+static bool flag(const Json &json, const char *name)
+{
+    bool value = false;
+    readField(json, name, value);
+    return value;
+}
+
+ExitCode clusterStatusCmd(const Options &options, const Surroundings &io)
+{
+    const Answer answer = ask(options, io, "GET", "/v1/admin/status");
+    if (options.json_ || exitCode(answer) != ExitCode::Done) {
+        return printAnswer(options, io, answer);
+    }
+    const Json member = answer.json_.value("member", Json::object());
+    io.out_ << textField(answer.json_, "daemon") << " in " << textField(answer.json_, "region") << ", version "
+            << numberField(answer.json_, "bundle_version")
+            << (flag(answer.json_, "config_fresh") ? "" : ", configuration not confirmed")
+            << (flag(member, "store_reached") ? "" : ", store not reached") << "\n\nmembers\n";
+    for (const Json &entry : listOf(member, "members")) {
+        io.out_ << "  " << std::left << std::setw(28) << textField(entry, "daemon") << std::setw(16)
+                << textField(entry, "region") << (flag(entry, "connected") ? "connected" : "not connected")
+                << (flag(entry, "leaving") ? ", leaving" : "") << "\n";
+    }
+    io.out_ << "\nshards\n";
+    for (const Json &entry : listOf(member, "shards")) {
+        const std::string holder = textField(entry, "holder");
+        io.out_ << "  " << std::left << std::setw(28) << textField(entry, "shard") << std::setw(28)
+                << (holder.empty() ? "vacant" : holder) << "epoch " << std::setw(6) << numberField(entry, "epoch")
+                << numberField(entry, "free") << "/" << numberField(entry, "capacity") << " slots free, "
+                << numberField(entry, "queued") << " queued" << (flag(entry, "reachable") ? "" : ", not reachable")
+                << "\n";
+    }
+    return ExitCode::Done;
+}
+
+ExitCode instancesCmd(const Options &options, const Surroundings &io)
+{
+    const Answer answer = ask(options, io, "GET", "/v1/admin/instances");
+    if (options.json_ || exitCode(answer) != ExitCode::Done) {
+        return printAnswer(options, io, answer);
+    }
+    for (const Json &worker : listOf(answer.json_, "workers")) {
+        io.out_ << std::left << std::setw(24) << textField(worker, "id") << std::setw(28) << textField(worker, "group")
+                << std::setw(24) << textField(worker, "address") << numberField(worker, "milli_cpus") / 1000
+                << " processors, " << numberField(worker, "memory_mb") << " MB, " << numberField(worker, "slots")
+                << " slots" << (flag(worker, "leaving") ? ", leaving" : "") << "\n";
+    }
+    return ExitCode::Done;
+}
+
+} // namespace mimosapier
