--- a/tests/entry/test_entry.cpp
+++ b/tests/entry/test_entry.cpp
@@ -124,6 +124,19 @@
     cr_assert(world.answer(call).outcome_ == Outcome::Done);
 }
 
+// Guards against a wait for a holder that was replaced while its connection stayed open.
+Test(entry, replacedHolderIsNotWaitedFor)
+{
+    EntryWorld world;
+    world.submit("1", "once");
+    world.take<JobSubmit>();
+    world.directory_.partitions_[0].holder_ = DaemonId("home#2");
+    world.directory_.partitions_[0].epoch_ = {2};
+    world.run(Milliseconds(300));
+    DaemonId to;
+    cr_assert(world.take<JobSubmit>(&to).has_value() && to == DaemonId("home#2"));
+}
+
 // Guards against "not run" when something was sent, and against "unknown" when nothing was.
 Test(entry, deadlineTellsTheTruth)
 {
@@ -220,6 +233,13 @@
     }
     cr_assert(openRequests(*world.entry_) <= 4096);
     cr_assert(taken["counter"] > taken["nightly"] && taken["nightly"] > 0);
+    EntryWorld batch;
+    for (int i = 0; i < 4096; ++i) {
+        SubmitRequest request = EntryWorld::request(std::to_string(i), "nightly");
+        request.team_ = TeamId(i % 2 == 0 ? "club" : "shop");
+        batch.submit(request);
+    }
+    cr_assert(!batch.answered(batch.submit("urgent", "counter")), "batch work leaves room for urgent work");
 }
 
 // Guards against a cancellation that misses jobs, sends one message per job, or forgets interactive work.
