--- a/src/core/config/bundle_parse.cpp
+++ b/src/core/config/bundle_parse.cpp
@@ -59,7 +59,9 @@
             names += names.empty() ? "" : ", ";
             names += name;
         }
-        const std::string prefix = path.empty() ? key : path + "." + key;
+        std::string prefix = path;
+        prefix += path.empty() ? "" : ".";
+        prefix += key;
         YamlNode at;
         at.kind_ = YamlKind::Scalar;
         at.line_ = line;
@@ -79,6 +81,12 @@
 {
     const YamlNode *map = findKey(root, section);
     const std::string path(section);
+    const auto pathOf = [&path](const std::string &name) {
+        std::string full = path;
+        full += '.';
+        full += name;
+        return full;
+    };
     if (map == nullptr || map->kind_ == YamlKind::Null) {
         return;
     }
@@ -94,11 +102,11 @@
         at.line_ = line;
         at.scalar_ = name;
         if (!isName(name)) {
-            report(problems, at, path + "." + describe(at), "a name of 1 to 64 characters of A-Za-z0-9._-");
+            report(problems, at, pathOf(describe(at)), "a name of 1 to 64 characters of A-Za-z0-9._-");
         } else if (!seen.insert(name).second) {
-            report(problems, at, path + "." + name, "each name once");
+            report(problems, at, pathOf(name), "each name once");
         } else {
-            visit(name, map->items_[i], path + "." + name);
+            visit(name, map->items_[i], pathOf(name));
         }
     }
 }
--- a/src/core/config/draft_cmd.cpp
+++ b/src/core/config/draft_cmd.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cinttypes>
 #include <cstdio>
 
 namespace mimosapier
@@ -29,11 +30,10 @@
 // Random, so that drafts of several daemons do not meet.
 static std::string newDraftId(const ConfigState &state, Context &context)
 {
-    std::array<char, 64> text {};
-    const int length = std::snprintf(text.data(), text.size(), "%llu-%016llx",
-                                     static_cast<unsigned long long>(state.head_.version_.value_ + 1),
-                                     static_cast<unsigned long long>(context.random_()));
-    return {text.data(), static_cast<std::size_t>(length)};
+    std::array<char, 20> hex {};
+    const std::uint64_t number = context.random_();
+    std::snprintf(hex.data(), hex.size(), "%016" PRIx64, number);
+    return std::to_string(state.head_.version_.value_ + 1) + "-" + hex.data();
 }
 
 static void writeDraft(DraftWrite &write, Context &context)
