--- a/src/core/group/gang.cpp
+++ b/src/core/group/gang.cpp
@@ -140,6 +140,7 @@
     }
     GroupGang &gang = *task.gang_;
     task.gang_ = nullptr;
+    gang.partial_ = true;
     const auto position = static_cast<std::size_t>(
         std::distance(gang.tasks_.begin(), std::find(gang.tasks_.begin(), gang.tasks_.end(), &task)));
     gang.tasks_.erase(gang.tasks_.begin() + static_cast<std::ptrdiff_t>(position));
@@ -150,9 +151,9 @@
     }
 }
 
-static bool canRestart(const Group &group, const GroupGang &gang)
+bool canRestartGang(const Group &group, const GroupGang &gang)
 {
-    return !group.fenced_ && !group.stopping_ && gang.tries_ < detail::StartTriesMax
+    return !gang.partial_ && !group.fenced_ && !group.stopping_ && gang.tries_ < detail::StartTriesMax
         && std::all_of(gang.tasks_.begin(), gang.tasks_.end(), [](const GroupTask *task) {
                return task->idempotent_ && task->job_ != nullptr && !task->cancelled_
                    && task->stage_ != TaskStage::Finished;
@@ -186,7 +187,7 @@
     if (!gang.failed_) {
         gang.failed_ = true;
         gang.error_ = error;
-        gang.restart_ = canRestart(group, gang);
+        gang.restart_ = canRestartGang(group, gang);
         const bool restart = gang.restart_;
         stopOthers(group, gang, task, context);
         if (!restart) {
--- a/src/core/group/group_base.h
+++ b/src/core/group/group_base.h
@@ -191,6 +191,7 @@
     TimePoint reservationEnds_;
     TimePoint pausedUntil_;
     bool failed_ = false; // a start was refused; the others are being stopped
+    bool partial_ = false; // a task has ended; the others are not started again with it
     bool restart_ = false; // started again as a whole when all its tasks are at rest
     ErrorKind error_ = ErrorKind::None;
     std::uint32_t tries_ = 0;
@@ -286,8 +287,7 @@
     CapacityIndex capacity_;
     Resources total_; // of acknowledged, listed workers
     std::int64_t freeSlots_ = 0; // shown in the index
-    std::vector<Resources> shapes_; // distinct capacities of listed workers
-    std::uint32_t listedSlots_ = 0;
+    std::vector<std::pair<Resources, std::uint32_t>> shapes_; // distinct capacities of listed workers, how many
     std::vector<WorkerIndex> touchedWorkers_;
     std::vector<WorkerIndex> freedWorkers_; // since the last placement round
     std::unordered_map<std::uint64_t, OpenCall> calls_; // by WorkerOpId
--- a/src/core/group/group_internal.h
+++ b/src/core/group/group_internal.h
@@ -87,6 +87,9 @@
 void leaveGang(Group &group, GroupTask &task);
 void releaseReservation(Group &group, GroupGang &gang, TimePoint now);
 
+// True when all tasks of the gang can be stopped and started again together.
+bool canRestartGang(const Group &group, const GroupGang &gang);
+
 // A member of a failed gang has ended and no worker knows it any more.
 void onGangMemberAtRest(Group &group, GroupTask &task, Context &context);
 
@@ -115,7 +118,9 @@
 // takeover.cpp
 void onHoldResult(Group &group, GroupWorker &worker, const OpenCall &call, const WorkerResult &result,
                   Context &context);
-bool couldHold(const Group &group, const Resources &size);
+
+// True when the listed workers could hold `tasks` tasks of the size at once if nothing else ran.
+bool couldHold(const Group &group, const Resources &size, std::uint32_t tasks);
 void releaseWaiting(Group &group, Context &context);
 void endTasksOf(Group &group, GroupWorker &worker, Context &context);
 void refreshTotals(Group &group);
--- a/src/core/group/offer_cmd.cpp
+++ b/src/core/group/offer_cmd.cpp
@@ -47,7 +47,8 @@
     }
     if (offer.replyTo_.part_ == ReplyPart::Home) {
         // Calls of a daemon are numbered upwards, so a later number is a new decision of the home.
-        return state.from_ == known.offeredBy_ && offer.replyTo_.call_ > known.call_;
+        // Work adopted from a worker was never offered here.
+        return known.offeredBy_.empty() || (state.from_ == known.offeredBy_ && offer.replyTo_.call_ > known.call_);
     }
     return offer.attempt_ > known.attempt_
         || (offer.forwarded_ && known.kind_ == MemoryKind::Refused && offer.replyTo_.call_ > known.call_);
@@ -111,12 +112,11 @@
     if (group.fenced_ || group.stopping_) {
         return ErrorKind::NotHolder;
     }
-    if (!couldHold(group, job.size_)
-        || (job.mode_ == WorkMode::Gang && group.listedSlots_ > 0 && offer.count_ > group.listedSlots_)) {
+    const std::uint32_t least = job.mode_ == WorkMode::Gang ? offer.count_ : 1;
+    if (!couldHold(group, job.size_, least)) {
         return ErrorKind::ImpossibleSize;
     }
     const Team *team = findTeam(context.bundle_, job.team_);
-    const std::uint32_t least = job.mode_ == WorkMode::Gang ? offer.count_ : 1;
     if (context.bundle_.version_.value_ != 0 && (team == nullptr || team->limit_ < least)) {
         return team == nullptr ? ErrorKind::UnknownTeam : ErrorKind::LimitReached;
     }
--- a/src/core/group/placement.cpp
+++ b/src/core/group/placement.cpp
@@ -32,6 +32,9 @@
     if (shown == worker.shown_) {
         return;
     }
+    if (!fits(shown, worker.shown_)) {
+        group.freedWorkers_.push_back(worker.index_);
+    }
     group.freeSlots_ += shown.slots_ - worker.shown_.slots_;
     worker.shown_ = shown;
     setFree(group.capacity_, worker.index_, shown);
--- a/src/core/group/preempt.cpp
+++ b/src/core/group/preempt.cpp
@@ -157,6 +157,12 @@
             ++stopping;
             const WorkClass *workClass = findClass(context.bundle_, task->class_);
             const bool checkpoint = workClass != nullptr && workClass->mayCheckpoint_;
+            if (task->idempotent_ && task->job_ != nullptr && task->gang_ == nullptr && !task->preempted_) {
+                // Waits until the limit allows it again.
+                unlistPreemptible(group, *task);
+                task->preempted_ = true;
+                ++group.preempting_;
+            }
             requestStop(group, *task, checkpoint ? StopMode::Checkpoint : StopMode::Stop, context);
         }
     }
--- a/src/core/group/report.cpp
+++ b/src/core/group/report.cpp
@@ -1,6 +1,8 @@
 // What workers report about tasks.
 #include "core/group/group_internal.h"
 
+#include "core/common/shard_func.h"
+
 #include <algorithm>
 
 namespace mimosapier
@@ -98,16 +100,21 @@
 void onTaskLost(Group &group, GroupTask &task, ErrorKind error, bool workerKnowsIt, Context &context)
 {
     const WorkerId lastWorker = task.lastWorker_;
-    if (task.gang_ != nullptr && onGangFailure(group, task, error, context)) {
-        return;
+    if (task.gang_ != nullptr) {
+        const GroupGang &gang = *task.gang_;
+        if ((gang.failed_ || canRestartGang(group, gang)) && onGangFailure(group, task, error, context)) {
+            return;
+        }
+        // Others have ended already, so the task goes on alone.
+        leaveGang(group, task);
     }
     if (task.idempotent_ && task.cancelled_) {
         finishTask(group, task, {0, Outcome::Cancelled, ErrorKind::Cancelled, lastWorker, {}}, context);
         return;
     }
     const bool late = task.mode_ == WorkMode::Interactive && context.now_ >= task.deadline_;
-    if (task.idempotent_ && task.job_ != nullptr && task.gang_ == nullptr && !late
-        && task.restarts_ < detail::RestartsMax && !group.fenced_ && !group.stopping_) {
+    if (task.idempotent_ && task.job_ != nullptr && !late && task.restarts_ < detail::RestartsMax && !group.fenced_
+        && !group.stopping_) {
         ++task.restarts_;
         restart(group, task, workerKnowsIt, context);
         return;
@@ -187,8 +194,31 @@
     } else if (report.outcome_ == Outcome::Cancelled && preempted && !task.cancelled_ && task.idempotent_
                && !group.fenced_ && !group.stopping_) {
         restart(group, task, true, context);
+    } else if (report.outcome_ == Outcome::Cancelled && !task.cancelled_ && task.idempotent_
+               && (task.gang_ == nullptr || !task.gang_->failed_)) {
+        // A stop of an earlier run of the task has arrived late.
+        onTaskLost(group, task, ErrorKind::Preempted, true, context);
     } else {
-        finishTask(group, task, resultOf(report, worker), context);
+        TaskResult result = resultOf(report, worker);
+        if (result.outcome_ == Outcome::Cancelled && !task.cancelled_) {
+            // Nobody asked for it: a gang that could not start, or a lowered limit.
+            const bool gangFailed = task.gang_ != nullptr && task.gang_->failed_;
+            result.outcome_ = gangFailed ? Outcome::Failed : Outcome::Cancelled;
+            result.error_ = gangFailed ? task.gang_->error_ : ErrorKind::LimitReached;
+        }
+        finishTask(group, task, std::move(result), context);
+    }
+}
+
+// Names the home partition of a job by the bundle.
+static void nameHome(GroupTask &task, const TeamId &team, Context &context)
+{
+    const Team *config = findTeam(context.bundle_, team);
+    for (const RegionConfig &region : context.bundle_.regions_) {
+        if (config != nullptr && region.id_ == config->homeRegion_ && region.partitions_ > 0) {
+            const ShardId home = homePartition(task.id_.job_, region.id_, region.partitions_);
+            task.homes_.push_back({ReplyPart::Home, home, CallId {}});
+        }
     }
 }
 
@@ -209,6 +239,10 @@
     task->mode_ = workClass == nullptr ? WorkMode::Journaled : workClass->mode_;
     task->priority_ = workClass == nullptr ? Priority::Normal : workClass->priority_;
     task->mayHaveRun_ = true;
+    if (needsJournal(*task)) {
+        // The home may have journaled the outcome already; it is told again, so that it acknowledges it.
+        nameHome(*task, report.team_, context);
+    }
     return *task;
 }
 
--- a/src/core/group/takeover.cpp
+++ b/src/core/group/takeover.cpp
@@ -26,15 +26,17 @@
 {
     group.total_ = {};
     group.shapes_.clear();
-    group.listedSlots_ = 0;
     for (const auto &worker : group.workers_) {
         if (!worker->listed_) {
             continue;
         }
         const Resources &capacity = worker->info_.capacity_;
-        group.listedSlots_ += static_cast<std::uint32_t>(capacity.slots_);
-        if (std::find(group.shapes_.begin(), group.shapes_.end(), capacity) == group.shapes_.end()) {
-            group.shapes_.push_back(capacity);
+        const auto shape = std::find_if(group.shapes_.begin(), group.shapes_.end(),
+                                        [&capacity](const auto &known) { return known.first == capacity; });
+        if (shape == group.shapes_.end()) {
+            group.shapes_.emplace_back(capacity, 1);
+        } else {
+            ++shape->second;
         }
         if (worker->acknowledged_) {
             group.total_ += capacity;
@@ -43,12 +45,29 @@
     group.scoresStale_ = true;
 }
 
-bool couldHold(const Group &group, const Resources &size)
+// How many tasks of a size fit on an empty worker.
+static std::int64_t tasksPerWorker(const Resources &capacity, const Resources &size)
+{
+    std::int64_t most = capacity.slots_;
+    const auto bound = [&most](std::int64_t available, std::int64_t each) {
+        if (each > 0) {
+            most = std::min(most, available / each);
+        }
+    };
+    bound(capacity.milliCpus_, size.milliCpus_);
+    bound(capacity.memoryMb_, size.memoryMb_);
+    bound(capacity.accelerators_, size.accelerators_);
+    return most;
+}
+
+bool couldHold(const Group &group, const Resources &size, std::uint32_t tasks)
 {
+    std::int64_t room = 0;
+    for (const auto &[capacity, workers] : group.shapes_) {
+        room += tasksPerWorker(capacity, size) * workers;
+    }
     // Without a worker in the list nothing is known about the sizes.
-    return group.shapes_.empty()
-        || std::any_of(group.shapes_.begin(), group.shapes_.end(),
-                       [&size](const Resources &capacity) { return fits(size, capacity); });
+    return group.shapes_.empty() || room >= tasks;
 }
 
 static void updateWorker(Group &group, GroupWorker &worker, const WorkerInfo &info, Context &context)
@@ -151,9 +170,16 @@
     for (const WorkerTaskReport &report : result.tasks_) {
         reported.insert(report.task_);
     }
-    const std::vector<GroupTask *> tasks = worker.tasks_;
-    for (GroupTask *task : tasks) {
-        if (reported.contains(task->id_)) {
+    std::vector<TaskId> missing;
+    for (const GroupTask *task : worker.tasks_) {
+        if (!reported.contains(task->id_)) {
+            missing.push_back(task->id_);
+        }
+    }
+    for (const TaskId &id : missing) {
+        // The loss of one task of a gang may have ended others.
+        GroupTask *task = findTask(group, id);
+        if (task == nullptr || task->worker_ != worker.index_) {
             continue;
         }
         if (task->stage_ == TaskStage::Running && task->confirmed_ < call.sent_) {
@@ -214,11 +240,11 @@
 void endTasksOf(Group &group, GroupWorker &worker, Context &context)
 {
     logLine(context, LogLevel::Warning, "[group] task lease of worker " + worker.info_.id_.value_ + " has ended");
-    const std::vector<GroupTask *> tasks = worker.tasks_;
-    for (GroupTask *task : tasks) {
-        takeOffWorker(group, *task, context);
-        task->worker_ = NoWorker;
-        onTaskLost(group, *task, ErrorKind::WorkerLost, false, context);
+    while (!worker.tasks_.empty()) {
+        GroupTask &task = *worker.tasks_.front();
+        takeOffWorker(group, task, context);
+        task.worker_ = NoWorker;
+        onTaskLost(group, task, ErrorKind::WorkerLost, false, context);
     }
     for (const auto &[id, size] : worker.strays_) {
         freeOn(group, worker, size, context.now_);
--- a/src/core/group/worker_cmd.cpp
+++ b/src/core/group/worker_cmd.cpp
@@ -222,10 +222,9 @@
         worker.silent_ = true;
     }
     showFree(group, worker, context.now_);
-    const std::vector<GroupTask *> unsent = std::move(worker.pending_);
-    worker.pending_.clear();
-    for (GroupTask *task : unsent) {
-        onStartRefused(group, *task, ErrorKind::WorkerLost, context);
+    // Refusing a task of a gang also takes off others, so the list is read anew each time.
+    while (!worker.pending_.empty()) {
+        onStartRefused(group, *worker.pending_.front(), ErrorKind::WorkerLost, context);
     }
     if (worker.contact_.value_ == 0 || !worker.extraOpen_) {
         const auto doubled = detail::WorkerRetryMin * (std::int64_t {1} << std::min(worker.errors_ - 1, 8U));
--- a/tests/group/group_world.cpp
+++ b/tests/group/group_world.cpp
@@ -14,6 +14,7 @@
     : random_(seed)
 {
     bundle_.version_ = BundleVersion {1};
+    bundle_.regions_.push_back({region_, 1});
 }
 
 void World::addTeam(const std::string &name, std::uint32_t limit, double share)
@@ -22,6 +23,7 @@
     team.id_ = TeamId(name);
     team.limit_ = limit;
     team.share_ = share;
+    team.homeRegion_ = region_;
     bundle_.teams_[team.id_] = team;
 }
 
