Fix: [scripts] Limits count from their sign-off; operators sign one state at a time

All of them lie between the sign-off of a raised limit (answered at .730 s) and the first look of the scripts at a daemon's bundle (.866 s): the checker let the new limit count only from the look. It counts from the moment the sign-off is sent now. Before that moment the lower limit holds as before; a test shows that a start 1 s before the sign-off is still flagged.

Two operators' actions also undid each other: a bundle of an older state was drafted on a newer version and granted withdrawn keys again. Bundles of one state are now signed off under a lock (the race of three operators stays inside it), and a team's key is replaced by one action at a time. The lowered limit now stays for longer than the checker's grace.

--- a/scripts/lib/check_journals.py
+++ b/scripts/lib/check_journals.py
@@ -3,8 +3,9 @@
 Shares no code with the daemon. Each check_*() returns a list of sentences, one for each violation.
 
 The events journal is written by the scripts:
-  {"t","event":"limit","team","limit"}           a team's limit, when the sign-off of it was answered
-  {"t","event":"key-withdrawn","team","key"}     likewise
+  {"t","event":"limit-asked","team","limit"}     a sign-off that sets the limit was about to be sent
+  {"t","event":"limit","team","limit"}           a team's limit, when a daemon first showed it
+  {"t","event":"key-withdrawn","team","key"}     likewise for a key that is missing
   {"t","event":"signed","version"}               a sign-off that was answered as in force
   {"t","event":"version","daemon","version"}     the version a daemon (name and incarnation) said is in force
   {"t","event":"stop-begin"|"stop-end","entry"}  a graceful stop from the signal to the exit of the process
@@ -70,35 +71,42 @@
 
 
 def check_limits(workers, events):
-    """Starts that took a team above every limit that was in force shortly before."""
-    limits = defaultdict(list)
-    for line in events:
-        if line["event"] == "limit":
-            limits[line["team"]].append((line["t"], line["limit"]))
+    """Starts that took a team above every limit that may have been applied."""
+    spans = limit_spans(events)
     changes = defaultdict(list)
     for run in workers.runs:
         changes[run.team].append((run.start, 1))
         if run.end is not None:
             changes[run.team].append((run.end, -1))
     found = []
-    for team, values in limits.items():
+    for team, values in spans.items():
         running = 0
         for time, change in sorted(changes[team]):
             running += change
-            allowed = allowed_limit(values, time)
+            allowed = max((limit for limit, begin, end in values if begin <= time < end), default=None)
             if change > 0 and allowed is not None and running > allowed:
                 found.append(f"{team} had {running} tasks running at {time}, limit {allowed}")
     return found
 
 
-def allowed_limit(values, time):
-    """Highest limit that may have been applied at a time: limits replaced less than CONFIG_GRACE ago still count."""
-    allowed = None
-    for position, (since, limit) in enumerate(values):
-        until = values[position + 1][0] if position + 1 < len(values) else None
-        if since <= time and (until is None or until + CONFIG_GRACE > time):
-            allowed = limit if allowed is None else max(allowed, limit)
-    return allowed
+def limit_spans(events):
+    """Limits by team with the time in which each may have been applied: (limit, begin, end).
+
+    A limit may be applied from the moment at which its sign-off was sent, and for CONFIG_GRACE after a daemon showed
+    the next one. A higher limit takes effect before any daemon can be seen to show it.
+    """
+    spans = defaultdict(list)
+    asked = defaultdict(dict)  # team -> limit -> first time asked for since the last change
+    for line in events:
+        if line["event"] == "limit-asked":
+            asked[line["team"]].setdefault(line["limit"], line["t"])
+        elif line["event"] == "limit":
+            team, limit, time = line["team"], line["limit"], line["t"]
+            if spans[team]:
+                spans[team][-1][2] = time + CONFIG_GRACE
+            spans[team].append([limit, asked[team].get(limit, time), float("inf")])
+            asked[team].clear()
+    return spans
 
 
 def check_keys(requests, events):
--- a/scripts/lib/operators.py
+++ b/scripts/lib/operators.py
@@ -111,19 +111,23 @@
         self.note = 0
         self.probe_number = 0
         self.lock = threading.Lock()
+        # Held while bundles of one state are signed off, so that no bundle of an older state is drafted on a newer one.
+        self.signing = threading.Lock()
+        self.replacing = set()  # teams whose key is being replaced
         for team, keys in self.keys.items():
             watcher.remember_key(team, keys[0])
 
-    def text(self, **changes):
+    def text(self):
+        """A bundle of the wanted state, different from all others."""
         with self.lock:
             self.note += 1
-            note = self.note
-        limits = {**self.limits, **changes.get("limits", {})}
-        keys = {**self.keys, **changes.get("keys", {})}
-        return bundle(self.cluster.deployment, limits, keys, note)
+            return bundle(self.cluster.deployment, self.limits, self.keys, self.note)
 
     def sign(self, entry, text, author="ana", signer="ben"):
         """True when the sign-off was answered as in force."""
+        for team, settings in text["teams"].items():
+            if settings["limit"] != self.watcher.limits.get(team):
+                self.events.add("limit-asked", team=team, limit=settings["limit"])
         try:
             status, answer = sign_bundle(entry, text, author, signer)
         except (OSError, http.client.HTTPException):
@@ -136,45 +140,54 @@
             self.events.add("signed", version=int(number))
         return True
 
-    def sign_anywhere(self, text, random, seconds=15):
-        """Tries daemons until one signs the text off."""
+    def sign_anywhere(self, random, seconds=15):
+        """Tries daemons until one signs the wanted state off."""
         def attempt():
-            return self.sign(random.choice(self.cluster.entries), text)
+            with self.signing:
+                return self.sign(random.choice(self.cluster.entries), self.text())
 
         return wait_until(attempt, seconds, 1.0)
 
     def race(self, random, sleep):
-        """Several operators sign different bundles off at once; then the limits are restored."""
+        """Several operators lower a team's limit at once by different bundles; later it is restored."""
         team = random.choice(self.cluster.deployment["large"])
-        texts = [self.text(limits={team: LOWERED_LIMIT + i}) for i in range(3)]
         entries = random.sample(self.cluster.entries, min(3, len(self.cluster.entries)))
-        threads = [
-            threading.Thread(target=self.sign, args=(entry, text, f"author-{i}", f"signer-{i}"))
-            for i, (entry, text) in enumerate(zip(entries, texts))
-        ]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-        sleep(random.uniform(4, 20))
-        self.sign_anywhere(self.text(), random)
+        with self.signing:
+            self.limits[team] = LOWERED_LIMIT
+            threads = [
+                threading.Thread(target=self.sign, args=(entry, self.text(), f"author-{i}", f"signer-{i}"))
+                for i, entry in enumerate(entries)
+            ]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+        sleep(random.uniform(16, 25))  # longer than the checker's grace for the old limit
+        self.limits.pop(team, None)
+        self.sign_anywhere(random)
 
     def replace_key(self, random, sleep):
         """Grants a new key, moves the callers to it, withdraws the old one and probes with it."""
-        team = random.choice(self.cluster.deployment["teams"])
         with self.lock:
+            free = [team for team in self.cluster.deployment["teams"] if team not in self.replacing]
+            if not free:
+                return
+            team = random.choice(free)
+            self.replacing.add(team)
             self.generation[team] += 1
             old, new = self.keys[team], team_key(team, self.generation[team])
         self.watcher.remember_key(team, new)
         self.keys[team] = old + [new]
-        if not self.sign_anywhere(self.text(), random):
-            return
+        if not self.sign_anywhere(random):
+            return  # both keys stay granted, and the team stays reserved
         self._wait_in_force()
         try_call(self.cluster.load_control, "/v1/control", {"team": team, "key": new})
         self.keys[team] = [new]
-        if not self.sign_anywhere(self.text(), random):
-            self.keys[team] = old + [new]
-            return
+        withdrawn = self.sign_anywhere(random)
+        with self.lock:
+            self.replacing.discard(team)
+        if not withdrawn:
+            return  # the next bundle withdraws the key
         sleep(KEY_DELAY)
         for entry in self.cluster.entries:
             self.probe(entry, team, old[0])
--- a/tests/standin/test_check_journals.py
+++ b/tests/standin/test_check_journals.py
@@ -108,6 +108,17 @@
         draining = [start("x", 2 * S), start("y", 3 * S), end("y", 30 * S)]
         self.assertEqual(self.violations(workers=draining, events=lowered), set())
 
+    def test_raised_limit(self):
+        """A raised limit counts from its sign-off, not from the first look at it, and not before its sign-off."""
+        events = [{"t": 1, "event": "limit", "team": "a", "limit": 1},
+                  {"t": 30 * S, "event": "limit-asked", "team": "a", "limit": 3},
+                  {"t": 32 * S, "event": "limit", "team": "a", "limit": 3}]
+        after = [start("x", 20 * S), start("y", 31 * S)]
+        self.assertEqual(self.violations(workers=after, events=events), set())
+        before = [start("x", 20 * S), start("y", 29 * S)]
+        self.assertEqual(self.violations(workers=before, events=events), {"limit_exceeded"})
+        self.assertEqual(self.violations(workers=after, events=events[:1]), {"limit_exceeded"})
+
     def test_key(self):
         events = [{"t": S, "event": "key-withdrawn", "team": "a", "key": "old"}]
         late = [send("x", t=30 * S, key="old"), answer("x", "accepted", t=31 * S),
