Fix: [limit] A former holder gives nothing back; groups keep a base of each team's limit

Cause 1 (safety): a holder that had lost its group, but did not know it yet, gave back allowance under which the new holder's adopted tasks ran, as long as the new holder had not written the part with its epoch; the pool then served other groups, and the team ran above its limit. Allowances now change in the store only while the directory confirms the holder and its epoch, which it does not after a pause until the table was read; the same holds for tasks that a group ends because their lease elapsed.

Cause 2 (waiting time): a group held only what it used, so each rise of demand waited for a store write. A group that lacks allowance asks the holders of the other parts (AllowanceWanted), which give back what they have not used for 200 ms; without that message the base starved groups of a team at its limit (loweredLimitIsReached failed).

--- a/src/core/config/draft_cmd.cpp
+++ b/src/core/config/draft_cmd.cpp
@@ -112,6 +112,7 @@
             return true;
         }
         break;
+    case StoreStatus::Unchanged: // of watches only
     case StoreStatus::Unknown:
         break;
     }
--- a/src/core/config/sign_cmd.cpp
+++ b/src/core/config/sign_cmd.cpp
@@ -173,6 +173,7 @@
     case StoreStatus::Conflict:
         settle(state, result, context);
         return;
+    case StoreStatus::Unchanged: // of watches only
     case StoreStatus::Unknown:
         advance(state, "answer-lost", context);
         return;
--- a/src/core/group/worker_cmd.cpp
+++ b/src/core/group/worker_cmd.cpp
@@ -1,6 +1,8 @@
 // Calls to workers and their results.
 #include "core/group/group_internal.h"
 
+#include "core/message/directory_func.h"
+
 #include <algorithm>
 
 namespace mimosapier
@@ -102,7 +104,7 @@
         return;
     }
     if (hasTasks(worker) && worker.openRenewals_ == 0 && worker.acknowledged_ && !worker.held_) {
-        if (context.now_ >= worker.leaseEnd_) {
+        if (context.now_ >= worker.leaseEnd_ && isConfirmedHolder(context, group.id_, group.epoch_)) {
             endTasksOf(group, worker, context);
             worker.silent_ = false;
         } else if (worker.silent_) {
--- a/src/core/limit/limit_cmd.cpp
+++ b/src/core/limit/limit_cmd.cpp
@@ -73,6 +73,7 @@
     }
     if (added) {
         demand.busySince_ = context.now_;
+        demand.usedAt_ = context.now_;
         demand.limit_ = limitOf(context.bundle_, team);
     }
     demand.inUse_ = inUse;
@@ -91,6 +92,12 @@
     }
 }
 
+void onAllowanceWanted(AllowanceState &state, const AllowanceWanted &message, Context &context)
+{
+    state.wantedUntil_[message.team_] = context.now_ + detail::AllowanceWantedHold;
+    state.keys_.at(allowanceKeyOf(message.team_)).dirty_ = true;
+}
+
 // Notes since when groups that hold a part are missing from the directory.
 static void noteMissingGroups(AllowanceState &state, Context &context)
 {
--- a/src/core/limit/limit_func.h
+++ b/src/core/limit/limit_func.h
@@ -33,6 +33,9 @@
 void reportDemand(AllowanceState &state, const ShardId &group, const TeamId &team, std::uint32_t inUse,
                   std::uint32_t wanted, Context &context);
 
+// Another daemon needs more of a team's limit: unused allowance of the team is given back soon.
+void onAllowanceWanted(AllowanceState &state, const AllowanceWanted &message, Context &context);
+
 void tickAllowances(AllowanceState &state, Context &context);
 void onLimitStoreResult(AllowanceState &state, const StoreResult &result, Context &context);
 
--- a/src/core/limit/limit_internal.h
+++ b/src/core/limit/limit_internal.h
@@ -17,11 +17,15 @@
 
 constexpr std::uint32_t AllowanceKeys = 8; // teams are spread over this many keys of the store
 constexpr Milliseconds AllowanceWriteGap {200}; // least time between two writes of one key by one daemon
-constexpr Milliseconds AllowanceIdle {4000}; // unused allowance is given back after this time
+constexpr Milliseconds AllowanceIdle {4000}; // unused allowance above the base is given back after this time
+constexpr Milliseconds AllowanceBaseIdle {60'000}; // the same for the base, so that rare work finds it without a write
 constexpr Milliseconds AllowanceScarceIdle {1500}; // the same, when the limit of the team is used up
+constexpr Milliseconds AllowanceWantedIdle {200}; // the same, when another group needs it
+constexpr Milliseconds AllowanceWantedHold {10'000}; // a request of another group counts for this time
+constexpr Milliseconds AllowanceAskInterval {1000}; // between requests to the holders of a team's other parts
 constexpr Milliseconds AllowanceRetryMin {20}; // wait after a conflict or an error, before jitter
 constexpr Milliseconds AllowanceRetryMax {2000};
-constexpr Milliseconds AllowanceUnmetRead {1000}; // time between reads while a demand is not met
+constexpr Milliseconds AllowanceUnmetRead {500}; // time between reads while a demand is not met
 constexpr Milliseconds AllowanceUnmetReadMax {8000};
 // Rows in use are read again at least this often: another daemon may have raised the sum under an older bundle.
 constexpr Milliseconds AllowanceRefresh {10'000};
@@ -30,6 +34,9 @@
 // none of its tasks runs.
 constexpr Milliseconds AllowanceVanished {600'000};
 constexpr std::uint32_t AllowanceChunkParts = 32; // a chunk is this part of a team's limit
+// The groups that work for a team share this part of its limit as their base. The other half stays free for groups
+// whose demand grows, so that they need not wait until others give back.
+constexpr std::uint32_t AllowanceBaseParts = 2;
 
 } // namespace detail
 
@@ -58,6 +65,7 @@
     // of other groups may still run above their part.
     bool frozen_ = false;
     TimePoint busySince_; // last time at which everything held was wanted
+    TimePoint usedAt_; // last time at which anything was wanted
 };
 
 struct AllowanceGroup
@@ -94,6 +102,7 @@
     TimePoint lastApplied_; // usable amounts compared with idle times
     Milliseconds backoff_ {0};
     Milliseconds unmetWait_ {detail::AllowanceUnmetRead};
+    TimePoint nextAsk_; // of the holders of other parts, while a demand is not met
     bool dirty_ = true; // something changed since the targets were last compared with rows_
 };
 
@@ -103,6 +112,7 @@
     std::array<AllowanceKey, detail::AllowanceKeys> keys_;
     std::uint64_t lastNumber_ = 0; // of reads and writes
     std::unordered_map<ShardId, TimePoint> missingSince_; // groups in rows_ that the directory does not have
+    std::unordered_map<TeamId, TimePoint> wantedUntil_; // teams of which other groups need more, and until when
     BundleVersion bundle_; // for which limits were last applied
     TimePoint nextVanishCheck_;
 };
@@ -126,10 +136,10 @@
 // what the store shows where that is allowed.
 void applyUsable(AllowanceState &state, std::uint32_t index, Context &context);
 
-// Rows as this daemon wants them; `changed` tells whether they differ from those of the store, `unmet` whether a
-// demand stays unmet.
+// Rows as this daemon wants them; `changed` tells whether they differ from those of the store, `unmet` names the teams
+// whose demand stays unmet.
 std::map<TeamId, std::vector<AllowancePart>> targetRows(AllowanceState &state, std::uint32_t index, Context &context,
-                                                        bool &changed, bool &unmet);
+                                                        bool &changed, std::vector<TeamId> &unmet);
 
 // Stops starts of teams whose limit was lowered until the rows have been read again.
 void applyLoweredLimits(AllowanceState &state, Context &context);
--- a/src/core/limit/limit_store.cpp
+++ b/src/core/limit/limit_store.cpp
@@ -2,6 +2,8 @@
 #include "core/limit/limit_internal.h"
 
 #include <algorithm>
+#include <set>
+#include <span>
 
 namespace mimosapier
 {
@@ -68,6 +70,28 @@
            });
 }
 
+// Asks the holders of the other parts of teams whose demand is not met to give back what they do not use.
+static void askHolders(AllowanceKey &key, std::span<const TeamId> teams, Context &context)
+{
+    if (teams.empty() || context.now_ < key.nextAsk_) {
+        return;
+    }
+    key.nextAsk_ = context.now_ + detail::AllowanceAskInterval;
+    for (const TeamId &team : teams) {
+        const auto row = key.rows_.find(team);
+        if (row == key.rows_.end()) {
+            continue;
+        }
+        std::set<DaemonId> asked;
+        for (const AllowancePart &part : row->second) {
+            const ShardEntry *entry = findGroup(context.directory_, part.group_);
+            if (entry != nullptr && entry->reachable_ && asked.insert(entry->holder_).second) {
+                sendPeer(context, entry->holder_, AllowanceWanted {team});
+            }
+        }
+    }
+}
+
 void advanceKey(AllowanceState &state, std::uint32_t index, Context &context)
 {
     AllowanceKey &key = state.keys_.at(index);
@@ -89,8 +113,9 @@
         return;
     }
     bool changed = false;
-    bool unmet = false;
+    std::vector<TeamId> unmet;
     std::map<TeamId, std::vector<AllowancePart>> rows = targetRows(state, index, context, changed, unmet);
+    askHolders(key, unmet, context);
     // After a lost write only a change of the revision allows usable amounts to rise, so the rows are written again.
     if (changed || key.lostWrite_) {
         key.lastWrite_ = context.now_;
@@ -99,13 +124,13 @@
         startCall(state, key, true, StoreCas {keyName(index), std::move(value), key.revision_, {}}, context);
         return;
     }
-    if (unmet && context.now_ - key.lastRead_ >= key.unmetWait_) {
+    if (!unmet.empty() && context.now_ - key.lastRead_ >= key.unmetWait_) {
         key.unmetWait_ = std::min(key.unmetWait_ * 2, detail::AllowanceUnmetReadMax);
         key.lastRead_ = context.now_ + jittered(Milliseconds(100), context);
         startCall(state, key, false, StoreGet {keyName(index)}, context);
         return;
     }
-    if (!unmet) {
+    if (unmet.empty()) {
         key.dirty_ = false;
         key.unmetWait_ = detail::AllowanceUnmetRead;
     }
--- a/src/core/limit/limit_target.cpp
+++ b/src/core/limit/limit_target.cpp
@@ -1,6 +1,8 @@
 // What each group should hold: usable amounts in memory and the rows to write.
 #include "core/limit/limit_internal.h"
 
+#include "core/message/directory_func.h"
+
 #include <algorithm>
 
 namespace mimosapier
@@ -23,22 +25,69 @@
     return std::max<std::uint32_t>(1, limit / detail::AllowanceChunkParts);
 }
 
-// What the group should keep of `amount`, from its demand alone.
-static std::uint32_t keptAmount(AllowanceDemand &demand, std::uint32_t amount, bool scarce, std::uint32_t limit,
-                                TimePoint now)
+// Amount that each of `groups` groups may hold without present demand. During a store outage it is what a group can
+// still use for a demand that rises.
+static std::uint32_t baseOf(std::uint32_t limit, std::size_t groups)
+{
+    return limit / detail::AllowanceBaseParts / static_cast<std::uint32_t>(std::max<std::size_t>(groups, 1));
+}
+
+// Amount for a demand of `needed` while the limit is not used up.
+static std::uint32_t comfortableAmount(std::uint32_t needed, std::uint32_t limit, std::size_t groups)
+{
+    return std::max(needed + chunkOf(limit), baseOf(limit, groups));
+}
+
+namespace
+{
+
+enum class Scarcity : std::uint8_t {
+    None,
+    LimitReached, // the parts of all groups add up to the limit
+    WantedElsewhere, // and another group has asked for more
+};
+
+} // namespace
+
+static Milliseconds idleTime(Scarcity scarcity)
+{
+    switch (scarcity) {
+    case Scarcity::None:
+        return detail::AllowanceIdle;
+    case Scarcity::LimitReached:
+        return detail::AllowanceScarceIdle;
+    case Scarcity::WantedElsewhere:
+        return detail::AllowanceWantedIdle;
+    }
+    return detail::AllowanceIdle;
+}
+
+static Scarcity scarcityOf(const AllowanceState &state, const TeamId &team, bool limitReached, TimePoint now)
+{
+    const auto wanted = state.wantedUntil_.find(team);
+    if (wanted != state.wantedUntil_.end() && now < wanted->second) {
+        return Scarcity::WantedElsewhere;
+    }
+    return limitReached ? Scarcity::LimitReached : Scarcity::None;
+}
+
+// What the group should keep of `amount`, from its demand alone. `groups` is the number of groups with a part.
+static std::uint32_t keptAmount(AllowanceDemand &demand, std::uint32_t amount, Scarcity scarcity, std::uint32_t limit,
+                                std::size_t groups, TimePoint now)
 {
     const std::uint32_t needed = std::max(demand.inUse_, demand.wanted_);
+    if (needed > 0) {
+        demand.usedAt_ = now;
+    }
     if (needed >= amount) {
         demand.busySince_ = now;
         return amount;
     }
-    const Milliseconds idle = scarce ? detail::AllowanceScarceIdle : detail::AllowanceIdle;
-    if (now - demand.busySince_ < idle) {
+    if (now - demand.busySince_ < idleTime(scarcity)) {
         return amount;
     }
-    // A group that still works keeps a chunk in reserve, so that its demand does not write at each change.
-    const std::uint32_t reserve = needed > 0 && !scarce ? chunkOf(limit) : 0;
-    return std::min(amount, needed + reserve);
+    const bool keepsBase = scarcity == Scarcity::None && now - demand.usedAt_ < detail::AllowanceBaseIdle;
+    return std::min(amount, keepsBase ? comfortableAmount(needed, limit, groups) : needed);
 }
 
 void applyUsable(AllowanceState &state, std::uint32_t index, Context &context)
@@ -60,14 +109,15 @@
             AllowanceDemand &demand = known == group.teams_.end() ? group.teams_[team] : known->second;
             if (known == group.teams_.end()) {
                 demand.busySince_ = context.now_;
+                demand.usedAt_ = context.now_;
             }
             // A part written by a later holder is not ours any more; one of an earlier holder is ours after a write.
             const bool own = part != nullptr && part->epoch_ == group.epoch_;
             const std::uint32_t amount = own ? part->amount_ : 0;
             const std::uint64_t sum = sumOfParts(parts);
             const std::uint32_t limit = limitOf(context.bundle_, team);
-            const bool scarce = sum >= limit;
-            const std::uint32_t kept = keptAmount(demand, amount, scarce, limit, context.now_);
+            const Scarcity scarce = scarcityOf(state, team, sum >= limit, context.now_);
+            const std::uint32_t kept = keptAmount(demand, amount, scarce, limit, parts.size(), context.now_);
             const std::uint32_t target = std::min(kept, proportionalPart(amount, sum, limit));
             demand.frozen_ = sum > limit || key.shownRead_ < key.riseFrom_;
             const bool mayRise = !key.writing_ && !key.lostWrite_ && !demand.frozen_;
@@ -133,13 +183,12 @@
     const std::uint32_t floor = std::min(part.amount_, std::max(demand.usable_, demand.inUse_));
     if (floor < part.amount_ && mayLower) {
         part.amount_ = floor;
-    } else if (needed > part.amount_) {
+    } else if (needed > 0 && needed >= part.amount_) {
+        // Raised before the last task is in use, so that the next one does not wait for the store.
         const std::uint64_t available = sum < limit ? limit - sum : 0;
-        const std::uint64_t missing = std::uint64_t {needed} - part.amount_;
-        const std::uint64_t chunk = chunkOf(limit);
-        const std::uint64_t rounded = (missing + chunk - 1) / chunk * chunk;
-        part.amount_ += static_cast<std::uint32_t>(std::min(rounded, available));
-        unmet = unmet || available < missing;
+        const std::uint64_t wanted = comfortableAmount(needed, limit, parts.size());
+        part.amount_ += static_cast<std::uint32_t>(std::min(wanted - part.amount_, available));
+        unmet = unmet || needed > part.amount_;
     }
     part.epoch_ = group.epoch_;
     return part.amount_ != before.amount_;
@@ -159,12 +208,12 @@
 }
 
 std::map<TeamId, std::vector<AllowancePart>> targetRows(AllowanceState &state, std::uint32_t index, Context &context,
-                                                        bool &changed, bool &unmet)
+                                                        bool &changed, std::vector<TeamId> &unmet)
 {
     AllowanceKey &key = state.keys_.at(index);
     std::map<TeamId, std::vector<AllowancePart>> rows = key.rows_;
     changed = false;
-    unmet = false;
+    unmet.clear();
     for (auto &[team, parts] : rows) {
         changed = removeVanished(state, parts, context.now_) || changed;
     }
@@ -172,7 +221,8 @@
         return rows;
     }
     for (auto &[groupId, group] : state.groups_) {
-        if (!isOpen(key, index, group)) {
+        // A former holder that does not know yet must not give back what the new holder has adopted but not written.
+        if (!isOpen(key, index, group) || !isConfirmedHolder(context, groupId, group.epoch_)) {
             continue;
         }
         for (auto &[team, demand] : group.teams_) {
@@ -180,7 +230,11 @@
                 const std::uint32_t limit = limitOf(context.bundle_, team);
                 // After a lost write usable amounts stay low until the next write; that is no reason to give back.
                 const bool mayLower = !key.lostWrite_;
-                changed = adjustPart(group, demand, rows[team], groupId, limit, mayLower, unmet) || changed;
+                bool missing = false;
+                changed = adjustPart(group, demand, rows[team], groupId, limit, mayLower, missing) || changed;
+                if (missing) {
+                    unmet.push_back(team);
+                }
             }
         }
     }
--- a/src/core/member/member_record.cpp
+++ b/src/core/member/member_record.cpp
@@ -96,6 +96,7 @@
         onLeaseLost(m, context);
         return;
     case StoreStatus::Unavailable:
+    case StoreStatus::Unchanged: // of watches only
     case StoreStatus::Unknown:
         m.recordAt_ = context.now_ + StoreRetry;
         return;
--- a/src/core/member/ownership_table.cpp
+++ b/src/core/member/ownership_table.cpp
@@ -121,6 +121,7 @@
     case StoreStatus::Ok:
         applyTable(m, region, {"", op.value_, result.revision_});
         return;
+    case StoreStatus::Unchanged: // of watches only
     case StoreStatus::Unknown:
         table.mustRead_ = true;
         return;
--- a/src/core/message/fields.h
+++ b/src/core/message/fields.h
@@ -42,5 +42,6 @@
 MIMOSAPIER_FIELDS(ConfigAnnounceAck, s.call_, s.version_)
 MIMOSAPIER_FIELDS(ConfigPush, s.version_, s.record_)
 MIMOSAPIER_FIELDS(Handover, s.shard_, s.epoch_)
+MIMOSAPIER_FIELDS(AllowanceWanted, s.team_)
 
 } // namespace mimosapier
--- a/src/core/message/peer_type.h
+++ b/src/core/message/peer_type.h
@@ -193,7 +193,14 @@
     bool operator==(const Handover &) const = default;
 };
 
+// A group of the sender needs more of the team's limit, which is used up: the receiver gives back what it does not use.
+struct AllowanceWanted
+{
+    TeamId team_;
+    bool operator==(const AllowanceWanted &) const = default;
+};
+
 using PeerMessage = std::variant<Heartbeat, TaskOffer, TaskAnswer, TaskAck, TaskCancel, JobSubmit, JobQuery, JobCancel,
-                                 JobAnswer, ConfigAnnounce, ConfigAnnounceAck, ConfigPush, Handover>;
+                                 JobAnswer, ConfigAnnounce, ConfigAnnounceAck, ConfigPush, Handover, AllowanceWanted>;
 
 } // namespace mimosapier
