Change: [node] Ready only once the region was served

Cause: the demo's load began as soon as a bundle was in force, before the first claims; 24 of 1,930 slot confirmations were refused as peer-unavailable and the first second had a median of 570 ms.

Change: readiness also waits until all shards of the region have had reachable holders once.

--- a/src/core/node/dispatch.cpp
+++ b/src/core/node/dispatch.cpp
@@ -129,10 +129,7 @@
 
     void operator()(const ConfigPush &message) const { onConfigPush(*node_.config_, from_, message, context_); }
 
-    void operator()(const AllowanceWanted &message) const
-    {
-        onAllowanceWanted(*node_.allowances_, message, context_);
-    }
+    void operator()(const AllowanceWanted &message) const { onAllowanceWanted(*node_.allowances_, message, context_); }
 
     void operator()(const Handover &message) const { onHandover(*node_.member_, from_, message, context_); }
 };
--- a/src/core/node/node.cpp
+++ b/src/core/node/node.cpp
@@ -1,7 +1,7 @@
 // Entry points of the decision logic: routes events to the parts and runs their ticks.
 #include "core/node/node_internal.h"
 
-#include <iterator>
+#include <algorithm>
 #include <utility>
 
 namespace mimosapier
@@ -79,10 +79,21 @@
     setHeadAge(config, headAge(member, now));
 }
 
+// True when all shards of the own region have holders that this daemon reaches.
+static bool regionIsServed(const Node &node)
+{
+    const RegionId &region = node.settings_.member_.region_;
+    const Directory &current = directory(*node.member_);
+    const auto isServed = [&region](const ShardEntry &entry) { return entry.region_ != region || entry.reachable_; };
+    return !current.partitions_.empty() && std::all_of(current.groups_.begin(), current.groups_.end(), isServed)
+        && std::all_of(current.partitions_.begin(), current.partitions_.end(), isServed);
+}
+
 static void tick(Node &node, TimePoint now, Actions &actions)
 {
     if (now - node.lastLoads_ >= LoadInterval) {
         node.lastLoads_ = now;
+        node.started_ = node.started_ || regionIsServed(node);
         linkConfig(node, now);
         publishLoads(node);
     }
@@ -227,7 +238,7 @@
 
 bool isReady(const Node &node)
 {
-    return node.leave_ == LeavePhase::None && currentBundle(*node.config_).version_.value_ != 0;
+    return node.leave_ == LeavePhase::None && node.started_ && currentBundle(*node.config_).version_.value_ != 0;
 }
 
 } // namespace mimosapier
--- a/src/core/node/node_base.h
+++ b/src/core/node/node_base.h
@@ -41,6 +41,9 @@
     std::uint64_t directoryPrint_ = 0; // fingerprint of holders and epochs when the homes last saw the directory
     TimePoint lastFenceCheck_ {};
     TimePoint lastLoads_ {};
+    // Set for good when the region was served once: a request before that would wait for the first claims, while a
+    // shard that is vacant later is no reason for the load balancer to turn to other entries.
+    bool started_ = false;
     LeavePhase leave_ = LeavePhase::None;
     TimePoint leaveStarted_ {};
 };
--- a/src/core/node/node_func.h
+++ b/src/core/node/node_func.h
@@ -30,7 +30,8 @@
 
 constexpr Milliseconds TickInterval {20};
 
-// True while new requests of callers are admitted, for the readiness check.
+// True while new requests of callers are admitted, for the readiness check: a bundle is in force, the region was served
+// once, and the daemon is not leaving.
 bool isReady(const Node &node);
 
 } // namespace mimosapier
