Feature: [replay] Traces with stated outcomes, replayed on whole nodes

A trace in tests/traces states its initial state, its events with times and the outcomes. tests/replay drives the real step() of one to three nodes with a fake store and fake workers; nothing is drawn at random. At all times it checks that no task runs in two places, that no worker is sent more than fits, that no version goes back and that each call has one answer. The fakes of tests/member and tests/group move to tests/support.

Not done: the fakes of tests/home and tests/limit stay, since they fail in other ways (writes that take effect late, counted calls).

--- a/tests/group/group_world.h
+++ b/tests/group/group_world.h
@@ -5,8 +5,8 @@
 #include "core/config/bundle_base.h"
 #include "core/group/group_func.h"
 #include "core/limit/limit_func.h"
-#include "group/fake_worker.h"
 #include "limit/fake_store.h"
+#include "support/fake_worker.h"
 
 #include <memory>
 #include <random>
--- a/tests/member/cluster.h
+++ b/tests/member/cluster.h
@@ -4,7 +4,7 @@
 
 #include "core/config/config_func.h"
 #include "core/member/member_func.h"
-#include "member/fake_store.h"
+#include "support/fake_store.h"
 
 #include <deque>
 #include <functional>
--- /dev/null
+++ b/tests/replay/replay_expect.cpp
@@ -0,0 +1,127 @@
+// Stated outcomes: compares them with what the callers were told, what the workers ran and what the store holds.
+#include "core/limit/limit_internal.h"
+#include "replay/replay_run.h"
+
+#include <stdexcept>
+
+namespace mimosapier::test
+{
+
+using Facts = std::map<std::string, std::string>;
+
+static Facts callFacts(Replay &replay, const std::string &label)
+{
+    const CallerAnswer *answer = replay.answer(label);
+    if (answer == nullptr) {
+        return {{"answered", "false"}};
+    }
+    Facts facts {
+        {"answered", "true"},
+        {"outcome", answer->outcome_ == Outcome::Pending ? "accepted" : std::string(outcomeName(answer->outcome_))},
+        {"error", std::string(errorName(answer->error_))},
+        {"results", std::to_string(answer->results_.size())},
+        {"id", answer->requestId_}};
+    std::size_t done = 0;
+    std::string texts;
+    for (const TaskResult &result : answer->results_) {
+        done += result.outcome_ == Outcome::Done ? 1 : 0;
+        texts += (texts.empty() ? "" : " ") + result.result_.substr(0, result.result_.find(' '));
+    }
+    facts["done"] = std::to_string(done);
+    facts["texts"] = texts;
+    facts["detail"] = answer->detail_;
+    return facts;
+}
+
+static Facts taskFacts(Replay &replay, const std::string &label)
+{
+    const std::size_t slash = label.rfind('/');
+    const TaskId id {JobId(label.substr(0, slash)), static_cast<std::uint32_t>(std::stoul(label.substr(slash + 1)))};
+    const TaskTruth &truth = replay.world_.truth_[id];
+    return {{"starts", std::to_string(truth.starts_)},
+            {"running", std::to_string(truth.running_.size())},
+            {"worker", truth.running_.empty() ? "none" : *truth.running_.begin()}};
+}
+
+static Facts workerFacts(Replay &replay, const std::string &name)
+{
+    const ReplayWorker &worker = replay.world_.workers_.at(name);
+    return {{"running", std::to_string(worker.worker_.used().slots_)}, {"starts", std::to_string(worker.starts_)}};
+}
+
+static Facts teamFacts(Replay &replay, const std::string &name)
+{
+    const TeamId team(name);
+    std::map<TeamId, std::vector<AllowancePart>> rows;
+    const auto &keys = replay.world_.store_.keys_;
+    const auto found = keys.find("allowance/" + std::to_string(allowanceKeyOf(team)));
+    if (found != keys.end()) {
+        decodeAllowances(found->second.value_, rows);
+    }
+    int starts = 0;
+    for (const auto &[id, truth] : replay.world_.truth_) {
+        starts += truth.team_ == team ? truth.starts_ : 0;
+    }
+    return {{"running", std::to_string(replay.world_.running_[team])},
+            {"most", std::to_string(replay.world_.most_[team])},
+            {"starts", std::to_string(starts)},
+            {"allowances", std::to_string(sumOfParts(rows[team]))}};
+}
+
+static Facts daemonFacts(Replay &replay, const std::string &label)
+{
+    const ReplayDaemon &daemon = *replay.world_.daemons_.at(replay.daemon(label));
+    Facts facts {{"left", daemon.left_ ? "true" : "false"}, {"alive", daemon.node_ != nullptr ? "true" : "false"}};
+    if (daemon.node_ != nullptr) {
+        Node &node = *daemon.node_;
+        facts["version"] = std::to_string(currentBundle(*node.config_).version_.value_);
+        facts["fresh"] = configIsFresh(*node.member_, replay.world_.now_) ? "true" : "false";
+        facts["ready"] = isReady(node) ? "true" : "false";
+        facts["shards"] = std::to_string(node.groups_.size() + node.homes_.size());
+    }
+    return facts;
+}
+
+// A number with a sign of comparison, "<= 4" or ">= 1"; otherwise texts are compared, "~ text" for a part.
+static bool agrees(const std::string &wanted, const std::string &found)
+{
+    if (wanted.starts_with("<= ")) {
+        return std::stol(found) <= std::stol(wanted.substr(3));
+    }
+    if (wanted.starts_with(">= ")) {
+        return std::stol(found) >= std::stol(wanted.substr(3));
+    }
+    if (wanted.starts_with("~ ")) {
+        return found.find(wanted.substr(2)) != std::string::npos;
+    }
+    return wanted == found;
+}
+
+void checkExpect(Replay &replay, const YAML::Node &expect, std::vector<std::string> &problems)
+{
+    static const std::map<std::string, Facts (*)(Replay &, const std::string &)> Subjects {{"call", callFacts},
+                                                                                           {"task", taskFacts},
+                                                                                           {"worker", workerFacts},
+                                                                                           {"team", teamFacts},
+                                                                                           {"daemon", daemonFacts}};
+    const auto subject = expect.begin()->first.as<std::string>();
+    const auto name = expect.begin()->second.as<std::string>();
+    if (!Subjects.contains(subject) || expect.size() < 2) {
+        throw std::runtime_error("an expectation states nothing: " + subject + " " + name);
+    }
+    const Facts facts = Subjects.at(subject)(replay, name);
+    const auto now = (replay.world_.now_ - replay.world_.start_) / Milliseconds(1);
+    for (auto item = std::next(expect.begin()); item != expect.end(); ++item) {
+        const auto key = item->first.as<std::string>();
+        const auto wanted = item->second.as<std::string>();
+        const auto found = facts.find(key);
+        const std::string value = found == facts.end() ? "nothing" : found->second;
+        const bool known = found != facts.end();
+        if (!known || !agrees(wanted, value)) {
+            problems.push_back("at " + std::to_string(now) + " ms: " + subject + " " + name + ": " + key + " is "
+                               + value + ", expected " + wanted);
+        }
+    }
+}
+
+} // namespace mimosapier::test
--- /dev/null
+++ b/tests/replay/replay_world.cpp
@@ -0,0 +1,442 @@
+// Delivery of events and actions between the nodes and the fakes.
+#include "replay/replay_world.h"
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+
+namespace mimosapier::test
+{
+
+static constexpr Milliseconds StoreLatency {2};
+static constexpr Milliseconds WorkerLatency {1};
+static constexpr Milliseconds PeerLatency {1};
+static constexpr Milliseconds CallTimeout {1000}; // of a call whose answer is lost
+static constexpr Milliseconds SilenceLimit {1500}; // of a peer connection
+
+static constexpr std::array<const char *, 8> StoreOps {"get",   "list",  "cas",    "delete",
+                                                       "grant", "renew", "revoke", "watch"};
+static constexpr std::array<const char *, 4> WorkerOps {"hold", "start", "poll", "stop"};
+static constexpr std::array<const char *, 13> PeerKinds {
+    "heartbeat",  "offer",      "answer",   "ack",          "cancel",      "submit",  "query",
+    "job-cancel", "job-answer", "announce", "announce-ack", "config-push", "handover"};
+
+static std::string keyOf(const StoreOp &op)
+{
+    if (const auto *get = std::get_if<StoreGet>(&op)) {
+        return get->key_;
+    }
+    if (const auto *cas = std::get_if<StoreCas>(&op)) {
+        return cas->key_;
+    }
+    if (const auto *del = std::get_if<StoreDelete>(&op)) {
+        return del->key_;
+    }
+    if (const auto *list = std::get_if<StoreList>(&op)) {
+        return list->prefix_;
+    }
+    const auto *watch = std::get_if<StoreWatch>(&op);
+    return watch == nullptr ? std::string() : watch->prefix_;
+}
+
+const Rule *ReplayWorld::match(const std::string &kind, const std::string &from, const std::string &to,
+                               const std::string &op)
+{
+    for (Rule &rule : rules_) {
+        const bool target = kind == "store" ? to.starts_with(rule.to_) : rule.to_.empty() || rule.to_ == to;
+        if (rule.times_ != 0 && rule.kind_ == kind && (rule.from_.empty() || rule.from_ == from) && target
+            && (rule.op_.empty() || rule.op_ == op)) {
+            rule.times_ -= rule.times_ > 0 ? 1 : 0;
+            matched_ = rule;
+            return &matched_;
+        }
+    }
+    return nullptr;
+}
+
+ReplayDaemon *ReplayWorld::byId(const DaemonId &id)
+{
+    for (auto &[name, daemon] : daemons_) {
+        if (daemon->settings_.member_.self_ == id && daemon->node_ != nullptr) {
+            return daemon.get();
+        }
+    }
+    return nullptr;
+}
+
+void ReplayWorld::addDaemon(const std::string &name, const std::string &region)
+{
+    auto daemon = std::make_unique<ReplayDaemon>();
+    daemon->name_ = name;
+    daemon->settings_.member_
+        = {DaemonId(name + "#1"), RegionId(region), ZoneId(region + "-a"), "10.0.0.1:" + std::to_string(7000)};
+    daemon->node_ = makeNode(daemon->settings_);
+    ReplayDaemon &added = *daemons_.emplace(name, std::move(daemon)).first->second;
+    startNode(*added.node_, now_, added.actions_);
+    carryOut(added);
+    publishInstances();
+}
+
+void ReplayWorld::addWorker(const std::string &name, const WorkerInfo &info)
+{
+    ReplayWorker &added = workers_[name];
+    added.info_ = info;
+    added.worker_.name_ = name;
+    added.worker_.capacity_ = info.capacity_;
+    added.worker_.observer_ = [this, name, &added](const TaskId &id, bool starts) {
+        TaskTruth &task = truth_[id];
+        const std::string label = id.job_.value_ + "/" + std::to_string(id.index_);
+        if (!starts) {
+            task.running_.erase(task.running_.find(name));
+            --running_[task.team_];
+            return;
+        }
+        ++added.starts_;
+        ++task.starts_;
+        task.running_.insert(name);
+        task.team_ = TeamId(id.job_.value_.substr(0, id.job_.value_.find(':')));
+        most_[task.team_] = std::max(most_[task.team_], ++running_[task.team_]);
+        if (log_) {
+            std::cerr << (now_ - start_) / Milliseconds(1) << " " << name << " starts " << label << "\n";
+        }
+        if (task.running_.size() > 1) {
+            violations_.push_back(label + " runs in two places");
+        }
+    };
+}
+
+void ReplayWorld::workerDies(ReplayWorker &worker)
+{
+    worker.silent_ = true;
+    for (auto &[id, run] : worker.worker_.runs_) {
+        if (run.outcome_ == Outcome::Running) {
+            worker.worker_.end(run, Outcome::Failed, ErrorKind::WorkerLost);
+        }
+    }
+    worker.worker_.runs_.clear();
+}
+
+void ReplayWorld::publishInstances()
+{
+    InstanceSnapshot snapshot;
+    for (const auto &[name, worker] : workers_) {
+        if (worker.listed_) {
+            snapshot.workers_.push_back(worker.info_);
+        }
+    }
+    for (auto &[name, daemon] : daemons_) {
+        deliver(name, snapshot);
+    }
+}
+
+void ReplayWorld::deliver(const std::string &name, Event event)
+{
+    ReplayDaemon &daemon = *daemons_.at(name);
+    if (daemon.node_ == nullptr) {
+        return;
+    }
+    if (daemon.paused_) {
+        daemon.inbox_.push_back(std::move(event));
+        return;
+    }
+    step(*daemon.node_, event, now_, daemon.actions_);
+    carryOut(daemon);
+}
+
+void ReplayWorld::carryOut(ReplayDaemon &daemon)
+{
+    const std::vector<Action> actions = std::exchange(daemon.actions_.list_, {});
+    for (const Action &action : actions) {
+        if (const auto *message = std::get_if<PeerSend>(&action)) {
+            send(daemon, *message);
+        } else if (const auto *peers = std::get_if<PeerSet>(&action)) {
+            daemon.wanted_.clear();
+            for (const PeerAddress &peer : peers->peers_) {
+                daemon.wanted_.insert(peer.daemon_);
+            }
+        } else if (const auto *store = std::get_if<StoreRequest>(&action)) {
+            request(daemon, *store);
+        } else if (const auto *worker = std::get_if<WorkerRequest>(&action)) {
+            request(daemon, *worker);
+        } else if (const auto *answer = std::get_if<CallerAnswer>(&action)) {
+            answers_[answer->call_].push_back(*answer);
+            if (answers_[answer->call_].size() > 1) {
+                violations_.push_back("two answers to " + answer->requestId_);
+            }
+        } else if (const auto *line = std::get_if<LogLine>(&action); line != nullptr && log_) {
+            std::cerr << (now_ - start_) / Milliseconds(1) << " " << daemon.name_ << " " << line->text_ << "\n";
+        } else if (std::holds_alternative<LeaveFinished>(action)) {
+            daemon.left_ = true;
+        }
+    }
+}
+
+void ReplayWorld::send(ReplayDaemon &from, const PeerSend &message)
+{
+    ReplayDaemon *to = byId(message.to_);
+    const std::string sender = from.name_;
+    if (to == nullptr || !up_.contains(std::minmax(sender, to->name_))
+        || cuts_.contains(std::minmax(sender, to->name_))) {
+        return;
+    }
+    if (log_ && message.message_.index() != 0) {
+        std::cerr << (now_ - start_) / Milliseconds(1) << " " << sender << " sends " << to->name_ << " "
+                  << PeerKinds.at(message.message_.index()) << "\n";
+    }
+    Milliseconds delay = PeerLatency;
+    if (from.settings_.member_.region_ != to->settings_.member_.region_) {
+        delay = Milliseconds(20);
+    }
+    if (const Rule *rule = match("peer", sender, to->name_, PeerKinds.at(message.message_.index()))) {
+        if (rule->action_ == "drop") {
+            // The connection breaks with the message under way.
+            later(Milliseconds(0), [this, sender, peer = to->name_] { disconnect(sender, peer); });
+            return;
+        }
+        delay += rule->time_;
+    }
+    later(delay, [this, peer = to->name_, event = PeerReceived {from.settings_.member_.self_, message.message_}] {
+        deliver(peer, event);
+    });
+}
+
+void ReplayWorld::request(ReplayDaemon &from, const StoreRequest &request)
+{
+    StoreResult lost;
+    lost.id_ = request.id_;
+    lost.part_ = request.part_;
+    lost.shard_ = request.shard_;
+    const auto answer = [this, name = from.name_, lost](Milliseconds delay, StoreResult result) {
+        result.id_ = lost.id_;
+        result.part_ = lost.part_;
+        result.shard_ = lost.shard_;
+        later(delay, [this, name, result = std::move(result)] { deliver(name, result); });
+    };
+    if (storeDown_ || from.storeCut_) {
+        answer(Milliseconds(20), lost);
+        return;
+    }
+    Milliseconds effect = StoreLatency;
+    Milliseconds late = StoreLatency;
+    bool lose = false;
+    if (const Rule *rule = match("store", from.name_, keyOf(request.op_), StoreOps.at(request.op_.index()))) {
+        if (rule->action_ == "refuse") {
+            StoreResult refused;
+            refused.status_ = StoreStatus::Unavailable;
+            answer(StoreLatency, refused);
+            return;
+        }
+        lose = rule->action_ != "delay";
+        if (rule->action_ == "lose-request") {
+            answer(CallTimeout, lost);
+            return;
+        }
+        effect += rule->action_ == "apply-late" ? rule->time_ : Milliseconds(0);
+        late += rule->action_ == "delay" ? rule->time_ : Milliseconds(0);
+    }
+    if (lose) {
+        answer(CallTimeout, lost);
+    }
+    if (const auto *watch = std::get_if<StoreWatch>(&request.op_)) {
+        store_.watch(*watch, now_, [this, answer, lost, daemon = &from](StoreResult result) {
+            answer(StoreLatency, storeDown_ || daemon->storeCut_ ? lost : std::move(result));
+        });
+        return;
+    }
+    later(effect, [this, answer, lose, late, op = request.op_] {
+        StoreResult result = store_.apply(op, now_);
+        if (!lose) {
+            answer(late, std::move(result));
+        }
+    });
+}
+
+void ReplayWorld::request(ReplayDaemon &from, const WorkerRequest &request)
+{
+    Milliseconds delay = WorkerLatency;
+    Milliseconds late = WorkerLatency;
+    bool lose = false;
+    if (log_) {
+        std::cerr << (now_ - start_) / Milliseconds(1) << " " << from.name_ << " calls " << request.worker_.value_
+                  << " " << WorkerOps.at(request.op_.index()) << " at epoch " << request.epoch_.value_ << "\n";
+    }
+    if (const Rule *rule = match("worker", from.name_, request.worker_.value_, WorkerOps.at(request.op_.index()))) {
+        if (rule->action_ == "lose-request") {
+            later(CallTimeout, [this, name = from.name_, request] {
+                deliver(
+                    name,
+                    WorkerResult {request.id_, request.group_, request.worker_, WorkerStatus::Unknown, {}, false, {}});
+            });
+            return;
+        }
+        lose = rule->action_ == "lose-answer";
+        delay += rule->action_ == "delay" ? rule->time_ : Milliseconds(0);
+        late += rule->action_ == "delay-answer" ? rule->time_ : Milliseconds(0);
+    }
+    later(delay, [this, name = from.name_, request, lose, late] { reachWorker(name, request, lose, late); });
+}
+
+void ReplayWorld::reachWorker(const std::string &daemon, const WorkerRequest &request, bool loseAnswer,
+                              Milliseconds late)
+{
+    ReplayWorker &worker = workers_.at(request.worker_.value_);
+    const WorkerResult unknown {request.id_, request.group_, request.worker_, WorkerStatus::Unknown, {}, false, {}};
+    if (worker.silent_) {
+        later(CallTimeout, [this, daemon, unknown] { deliver(daemon, unknown); });
+        return;
+    }
+    const auto *poll = std::get_if<WorkerPoll>(&request.op_);
+    WorkerResult result = worker.worker_.handle(request, now_);
+    if (poll != nullptr && result.status_ == WorkerStatus::Ok && result.tasks_.empty() && poll->wait_.count() > 0) {
+        worker.polls_.push_back({request, daemon, now_ + poll->wait_});
+        return;
+    }
+    later(loseAnswer ? CallTimeout : late,
+          [this, daemon, answer = loseAnswer ? unknown : std::move(result)] { deliver(daemon, answer); });
+}
+
+void ReplayWorld::settlePolls()
+{
+    for (auto &[name, worker] : workers_) {
+        worker.worker_.advance(now_);
+        std::vector<ReplayWorker::Poll> due;
+        std::erase_if(worker.polls_, [&](const ReplayWorker::Poll &poll) {
+            const bool ready = worker.worker_.hasNews() || now_ >= poll.until_ || worker.silent_;
+            if (ready) {
+                due.push_back(poll);
+            }
+            return ready;
+        });
+        for (const ReplayWorker::Poll &poll : due) {
+            WorkerResult result {poll.request_.id_,
+                                 poll.request_.group_,
+                                 poll.request_.worker_,
+                                 WorkerStatus::Ok,
+                                 worker.worker_.highest_,
+                                 worker.worker_.leaving_,
+                                 {}};
+            if (worker.silent_) {
+                result.status_ = WorkerStatus::Unknown;
+            } else if (poll.request_.epoch_ < worker.worker_.highest_) {
+                result.status_ = WorkerStatus::StaleEpoch;
+            } else {
+                worker.worker_.collectPoll(result);
+            }
+            later(WorkerLatency, [this, daemon = poll.daemon_, result] { deliver(daemon, result); });
+        }
+    }
+}
+
+void ReplayWorld::disconnect(const std::string &left, const std::string &right)
+{
+    if (up_.erase(std::minmax(left, right)) == 0) {
+        return;
+    }
+    deliver(left, PeerDown {daemons_.at(right)->settings_.member_.self_});
+    deliver(right, PeerDown {daemons_.at(left)->settings_.member_.self_});
+}
+
+void ReplayWorld::connect()
+{
+    for (auto &[left, a] : daemons_) {
+        for (auto &[right, b] : daemons_) {
+            if (left >= right) {
+                continue;
+            }
+            const bool alive = a->node_ != nullptr && b->node_ != nullptr;
+            const bool running = alive && !a->paused_ && !b->paused_ && !cuts_.contains({left, right});
+            const bool wanted = running && a->wanted_.contains(b->settings_.member_.self_)
+                && b->wanted_.contains(a->settings_.member_.self_);
+            if (!alive) {
+                disconnect(left, right);
+            } else if (wanted && up_.insert({left, right}).second) {
+                deliver(left, PeerUp {b->settings_.member_.self_});
+                deliver(right, PeerUp {a->settings_.member_.self_});
+            }
+        }
+    }
+}
+
+void ReplayWorld::cut(const std::string &left, const std::string &right)
+{
+    cuts_.insert(std::minmax(left, right));
+    later(SilenceLimit, [this, left, right] {
+        if (cuts_.contains(std::minmax(left, right))) {
+            disconnect(left, right);
+        }
+    });
+}
+
+void ReplayWorld::kill(ReplayDaemon &daemon)
+{
+    daemon.node_.reset();
+    daemon.inbox_.clear();
+}
+
+void ReplayWorld::pause(ReplayDaemon &daemon)
+{
+    daemon.paused_ = true;
+    daemon.pausedAt_ = now_;
+    later(SilenceLimit, [this, &daemon, at = now_] {
+        if (daemon.paused_ && daemon.pausedAt_ == at) {
+            for (const auto &[name, other] : daemons_) {
+                disconnect(daemon.name_, name);
+            }
+        }
+    });
+}
+
+void ReplayWorld::resume(ReplayDaemon &daemon)
+{
+    daemon.paused_ = false;
+    for (Event &event : std::exchange(daemon.inbox_, {})) {
+        deliver(daemon.name_, std::move(event));
+    }
+}
+
+void ReplayWorld::tick()
+{
+    connect();
+    for (auto &[name, daemon] : daemons_) {
+        if (daemon->node_ == nullptr || daemon->paused_) {
+            continue;
+        }
+        deliver(name, Tick {});
+        const BundleVersion version = currentBundle(*daemon->node_->config_).version_;
+        if (version < daemon->highest_) {
+            violations_.push_back(name + " went back to an older version");
+        }
+        daemon->highest_ = version;
+        if (daemon->left_) {
+            kill(*daemon);
+        }
+    }
+    for (const auto &[name, worker] : workers_) {
+        if (worker.worker_.misfits_ > 0) {
+            violations_.push_back(name + " was sent more than fits");
+        }
+    }
+}
+
+void ReplayWorld::run(TimePoint until)
+{
+    while (violations_.empty()) {
+        const TimePoint next = queue_.empty() ? nextTick_ : std::min(nextTick_, queue_.begin()->first);
+        if (next > until) {
+            break;
+        }
+        now_ = next;
+        if (!queue_.empty() && queue_.begin()->first <= nextTick_) {
+            const auto call = std::move(queue_.extract(queue_.begin()).mapped());
+            call();
+        } else {
+            tick();
+            nextTick_ += TickInterval;
+        }
+        store_.settle(now_);
+        settlePolls();
+    }
+    now_ = until;
+}
+
+} // namespace mimosapier::test
