Fix: [group] A lost run or a failed service no longer answers the home's next offer

Cause: a group remembers the outcome of a finished task for 60 s, and only an outcome "unknown" let a later offer of the home start the task again. The home also offers a task again after a failure by a lost lease, worker or pre-emption, and after the failure of a service. The group answered these offers with the remembered failure and started nothing, and the home counted each answer as a further loss, up to the limit at which the job is given up.

Ruled out: the home acknowledges and offers correctly.

Change: these failures of idempotent work are remembered against copies of the same offer only. A result "done" still answers every later offer.

--- a/src/core/group/offer_cmd.cpp
+++ b/src/core/group/offer_cmd.cpp
@@ -22,6 +22,18 @@
     return job.mode_ == WorkMode::Interactive && job.idempotent_;
 }
 
+// True for an outcome after which the home offers the task again: the run was lost, or a service has failed.
+static bool mayRunAgain(const JobSpec &job, const TaskResult &result)
+{
+    if (!job.idempotent_) {
+        return false;
+    }
+    const bool lost = result.error_ == ErrorKind::WorkerLost || result.error_ == ErrorKind::TaskLeaseLapsed
+        || result.error_ == ErrorKind::WorkerLeaving || result.error_ == ErrorKind::Preempted;
+    return result.outcome_ == Outcome::Unknown
+        || (result.outcome_ == Outcome::Failed && (lost || job.mode_ == WorkMode::Service));
+}
+
 // True when the offer is newer than the remembered outcome, so that the outcome does not answer it.
 static bool isNewer(const OfferState &state, const Remembered &known)
 {
@@ -31,7 +43,7 @@
     }
     switch (known.kind_) {
     case MemoryKind::Final:
-        if (known.result_.outcome_ != Outcome::Unknown || !offer.job_.idempotent_) {
+        if (!mayRunAgain(offer.job_, known.result_)) {
             return false;
         }
         break;
