--- a/tests/replay/replay_expect.cpp
+++ b/tests/replay/replay_expect.cpp
@@ -72,6 +72,8 @@
 {
     const ReplayDaemon &daemon = *replay.world_.daemons_.at(replay.daemon(label));
     Facts facts {{"left", daemon.left_ ? "true" : "false"}, {"alive", daemon.node_ != nullptr ? "true" : "false"}};
+    facts["refused_starts"] = std::to_string(daemon.refusedStarts_);
+    facts["starts_sent"] = std::to_string(daemon.startsSent_);
     if (daemon.node_ != nullptr) {
         Node &node = *daemon.node_;
         facts["version"] = std::to_string(currentBundle(*node.config_).version_.value_);
--- a/tests/replay/replay_run.cpp
+++ b/tests/replay/replay_run.cpp
@@ -188,7 +188,9 @@
             replay.alias_[item.first.as<std::string>()] = replay.daemon(item.second.as<std::string>());
         }
     } else if (kind == "store_down") {
-        world.storeDown_ = e.as<bool>();
+        const auto state = e.as<std::string>();
+        world.storeRefuses_ = state == "refuses";
+        world.storeDown_ = world.storeRefuses_ || e.as<bool>();
     } else if (kind == "store_cut" || kind == "store_heal") {
         world.daemons_.at(named())->storeCut_ = kind == "store_cut";
     } else if (kind == "cut") {
--- a/tests/replay/replay_world.h
+++ b/tests/replay/replay_world.h
@@ -38,6 +38,8 @@
     TimePoint pausedAt_;
     bool left_ = false; // LeaveFinished was emitted
     bool storeCut_ = false;
+    std::size_t refusedStarts_ = 0; // by a worker that is leaving
+    std::size_t startsSent_ = 0;
     std::vector<Event> inbox_; // arrived while paused
     std::set<DaemonId> wanted_; // peers
     BundleVersion highest_;
@@ -76,6 +78,7 @@
     std::multimap<TimePoint, std::function<void()>> queue_;
     FakeStore store_;
     bool storeDown_ = false;
+    bool storeRefuses_ = false; // while down, its answers are certain refusals
     std::map<std::string, std::unique_ptr<ReplayDaemon>> daemons_;
     std::map<std::string, ReplayWorker> workers_;
     std::map<TaskId, TaskTruth> truth_;
