Codechange: [tests] One fake store for the tests of members, groups, limits, homes and traces

Three fake stores did the same compare-and-swap with small differences. tests/support/fake_store.h now has what each of them had (counts of calls and writes, the largest value, the current entry with a conflict of a delete), and tests/support/faulty_store.h adds the failures that the tests of homes need.

--- a/tests/group/group_world.cpp
+++ b/tests/group/group_world.cpp
@@ -208,7 +208,7 @@
         at(LinkDelay, [this, &holder, copy = *store] {
             StoreResult result {copy.id_, copy.part_, {}, StoreStatus::Unavailable, {}, {}, {}};
             if (!storeDown_) {
-                result = store_.apply(copy);
+                result = store_.answer(copy, now_);
             }
             deliver(holder, [this, &holder, result] {
                 call(holder, [&](Context &context) {
--- a/tests/group/group_world.h
+++ b/tests/group/group_world.h
@@ -5,7 +5,7 @@
 #include "core/config/bundle_base.h"
 #include "core/group/group_func.h"
 #include "core/limit/limit_func.h"
-#include "limit/fake_store.h"
+#include "support/fake_store.h"
 #include "support/fake_worker.h"
 
 #include <memory>
--- a/tests/home/home_world.h
+++ b/tests/home/home_world.h
@@ -4,7 +4,7 @@
 #include "core/config/bundle_base.h"
 #include "core/home/home_func.h"
 #include "home/fake_group.h"
-#include "home/fake_store.h"
+#include "support/faulty_store.h"
 
 #include <memory>
 
@@ -27,7 +27,7 @@
     RegionId region_ {"hobart"};
     Bundle bundle_;
     Directory directory_;
-    FakeStore store_;
+    FaultyStore store_;
     Ledger ledger_;
     std::vector<std::unique_ptr<FakeGroup>> groups_;
     std::vector<std::unique_ptr<HomeDaemon>> daemons_;
@@ -268,7 +268,7 @@
         return answers_.contains(call) ? answers_[call] : JobAnswer {};
     }
 
-    void setFault(FakeStore::Fault fault, int operations = -1)
+    void setFault(FaultyStore::Fault fault, int operations = -1)
     {
         store_.fault_ = fault;
         store_.faults_ = operations;
--- a/tests/home/test_dispatch.cpp
+++ b/tests/home/test_dispatch.cpp
@@ -100,12 +100,12 @@
     world.submit(world.holder(), world.job("1", WorkMode::Journaled, false));
     world.run(Milliseconds(20'000));
     const std::size_t offers = world.offers_.size();
-    world.setFault(FakeStore::Fault::Refuses);
+    world.setFault(FaultyStore::Fault::Refuses);
     world.groups_[0]->changeHolder(DaemonId("group0#2"), world.now_);
     world.updateDirectory();
     world.run(Milliseconds(3000));
     cr_assert_eq(world.offers_.size(), offers);
-    world.setFault(FakeStore::Fault::None);
+    world.setFault(FaultyStore::Fault::None);
     world.run(Milliseconds(3000));
     cr_assert_eq(world.offers_.size(), offers + 1);
 }
--- a/tests/home/test_journal.cpp
+++ b/tests/home/test_journal.cpp
@@ -7,7 +7,7 @@
 using namespace mimosapier;
 using namespace mimosapier::test;
 
-using Fault = FakeStore::Fault;
+using Fault = FaultyStore::Fault;
 
 static std::size_t logEntries(const HomeWorld &world)
 {
--- a/tests/home/test_schedules.cpp
+++ b/tests/home/test_schedules.cpp
@@ -10,7 +10,7 @@
 using namespace mimosapier;
 using namespace mimosapier::test;
 
-using Fault = FakeStore::Fault;
+using Fault = FaultyStore::Fault;
 
 enum class Trouble : std::uint8_t {
     None,
--- a/tests/limit/test_limit.cpp
+++ b/tests/limit/test_limit.cpp
@@ -1,7 +1,7 @@
 // Guards allowances: whatever conflicts, lost answers, outages, lowered limits and changes of holders come together,
 // a team never gets more than its limit.
 #include "core/limit/limit_internal.h"
-#include "limit/fake_store.h"
+#include "support/fake_store.h"
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
@@ -89,7 +89,7 @@
     {
         const auto *cas = std::get_if<StoreCas>(&request.op_);
         const Rows before = cas == nullptr ? Rows {} : rows(cas->key_);
-        StoreResult result = store_.apply(request);
+        StoreResult result = store_.answer(request, now_);
         if (cas != nullptr && result.status_ == StoreStatus::Ok) {
             for (const auto &[team, parts] : rows(cas->key_)) {
                 const auto old = before.find(team);
@@ -132,8 +132,8 @@
     Rows rows(const std::string &key) const
     {
         Rows result;
-        const auto found = store_.entries_.find(key);
-        if (found != store_.entries_.end()) {
+        const auto found = store_.keys_.find(key);
+        if (found != store_.keys_.end()) {
             decodeAllowances(found->second.value_, result);
         }
         return result;
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -1,8 +1,10 @@
 // The platform's key-value service in memory, for tests of the decision logic: revisions, leases and waiting watches.
 #pragma once
 
+#include "core/common/time_type.h"
 #include "core/message/store_type.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
@@ -34,6 +36,8 @@
     std::vector<Waiting> waiting_;
     std::uint64_t revision_ = 1;
     std::uint64_t calls_ = 0;
+    std::uint64_t writes_ = 0; // compare-and-swaps, successful or not
+    std::size_t largestValue_ = 0; // bytes
     std::function<void(const std::string &key, const std::string &value)> onWrite_; // after each write
 
     std::vector<StoreEntry> list(const std::string &prefix) const
@@ -59,6 +63,16 @@
         return result;
     }
 
+    // Result of a request that is answered at once.
+    StoreResult answer(const StoreRequest &request, TimePoint now)
+    {
+        StoreResult result = apply(request.op_, now);
+        result.id_ = request.id_;
+        result.part_ = request.part_;
+        result.shard_ = request.shard_;
+        return result;
+    }
+
     void watch(const StoreWatch &watch, TimePoint now, std::function<void(StoreResult)> answer)
     {
         ++calls_;
@@ -136,6 +150,7 @@
 
     void run(const StoreCas &op, TimePoint /*now*/, StoreResult &result)
     {
+        ++writes_;
         if (op.lease_.value_ != 0 && !leases_.contains(op.lease_.value_)) {
             result.status_ = StoreStatus::NotFound;
             return;
@@ -151,6 +166,7 @@
         }
         ++revision_;
         changed(op.key_);
+        largestValue_ = std::max(largestValue_, op.value_.size());
         keys_[op.key_] = {op.value_, revision_, op.lease_.value_};
         result.revision_ = Revision {revision_};
         if (onWrite_) {
@@ -163,6 +179,9 @@
         const auto found = keys_.find(op.key_);
         if (found == keys_.end() || found->second.revision_ != op.expected_.value_) {
             result.status_ = found == keys_.end() ? StoreStatus::NotFound : StoreStatus::Conflict;
+            if (found != keys_.end()) {
+                result.entries_.push_back({op.key_, found->second.value_, Revision {found->second.revision_}});
+            }
             return;
         }
         ++revision_;
--- /dev/null
+++ b/tests/support/faulty_store.h
@@ -0,0 +1,55 @@
+// The store with outages, answers that are lost after the write, and writes that take effect late.
+#pragma once
+
+#include "support/fake_store.h"
+
+#include <deque>
+#include <utility>
+
+namespace mimosapier::test
+{
+
+struct FaultyStore : FakeStore
+{
+    enum class Fault { None, Refuses, LosesRequest, LosesAnswer, AppliesLate };
+
+    Fault fault_ = Fault::None;
+    int faults_ = 0; // operations that the fault still concerns; -1: all
+    std::deque<std::pair<TimePoint, StoreOp>> late_;
+
+    StoreResult handle(const StoreRequest &request, TimePoint now)
+    {
+        Fault fault = Fault::None;
+        if (faults_ != 0) {
+            fault = fault_;
+            faults_ -= faults_ > 0 ? 1 : 0;
+        }
+        if (fault == Fault::None) {
+            return answer(request, now);
+        }
+        StoreResult result;
+        result.status_ = fault == Fault::Refuses ? StoreStatus::Unavailable : StoreStatus::Unknown;
+        result.id_ = request.id_;
+        result.part_ = request.part_;
+        result.shard_ = request.shard_;
+        if (fault == Fault::LosesAnswer) {
+            apply(request.op_, now);
+        } else {
+            ++calls_;
+        }
+        if (fault == Fault::AppliesLate) {
+            late_.emplace_back(now + Milliseconds(400), request.op_);
+        }
+        return result;
+    }
+
+    void applyLate(TimePoint now)
+    {
+        while (!late_.empty() && late_.front().first <= now) {
+            apply(late_.front().second, now);
+            late_.pop_front();
+        }
+    }
+};
+
+} // namespace mimosapier::test
