--- a/tests/replay/replay_run.cpp
+++ b/tests/replay/replay_run.cpp
@@ -181,8 +181,6 @@
         world.deliver(replay.daemon(e["on"].as<std::string>()), CallerRequest {call, callBody(replay, kind, e)});
     } else if (kind == "store" || kind == "worker" || kind == "peer") {
         addRule(replay, kind, e);
-    } else if (kind == "clear") {
-        world.rules_.clear();
     } else if (kind == "alias") {
         for (const auto &item : e) {
             replay.alias_[item.first.as<std::string>()] = replay.daemon(item.second.as<std::string>());
@@ -296,6 +294,11 @@
     if (expects == 0) {
         throw std::runtime_error("no outcome is stated");
     }
+    for (const Rule &rule : replay.world_.rules_) {
+        if (rule.used_ == 0) {
+            problems.push_back("a stated failure never happened: " + rule.kind_ + " " + rule.op_ + " " + rule.action_);
+        }
+    }
     for (const std::string &violation : replay.world_.violations_) {
         problems.push_back(violation);
     }
--- a/tests/replay/replay_world.cpp
+++ b/tests/replay/replay_world.cpp
@@ -23,6 +23,7 @@
         if (rule.times_ != 0 && rule.kind_ == kind && (rule.from_.empty() || rule.from_ == from) && target
             && (rule.op_.empty() || rule.op_ == op)) {
             rule.times_ -= rule.times_ > 0 ? 1 : 0;
+            ++rule.used_;
             matched_ = rule;
             return &matched_;
         }
--- a/tests/replay/replay_world.h
+++ b/tests/replay/replay_world.h
@@ -26,6 +26,7 @@
     std::string action_; // see docs/PROOFS.md
     Milliseconds time_ {0}; // of a delay
     int times_ = 1; // left; -1: no bound
+    int used_ = 0;
 };
 
 struct ReplayDaemon
