Change: [daemon] The instance list is sent only when it has changed

Each daemon read the whole list each second and passed it to the decisions, which set the workers of all groups anew. The list dominated the bytes that grow with the workers of a daemon.

The stand-in's answer carries an ETag and answers 304 to a request whose If-None-Match names it. The poller keeps the tag of the last list that it could decode, makes no event for 304, and reads every 2 s. A server without tags is read as before. A longer interval alone was ruled out: it would still send the whole list, and would delay a leaving worker.

--- a/src/daemon/instance_poller.cpp
+++ b/src/daemon/instance_poller.cpp
@@ -85,6 +85,9 @@
         HttpRequest request;
         request.method_ = "GET";
         request.target_ = "/v1/instances";
+        if (!entityTag_.empty()) {
+            request.headers_.push_back({"If-None-Match", entityTag_});
+        }
         client_.send(address_, std::move(request), ListTimeout, [weak = weak_from_this()](const HttpResult &answer) {
             const auto self = weak.lock();
             if (!self) {
@@ -93,6 +96,7 @@
             InstanceSnapshot snapshot;
             if (answer.delivery_ == HttpDelivery::Answered && answer.status_ == HttpOk
                 && decodeInstances(answer.body_, snapshot)) {
+                self->entityTag_ = answer.entityTag_;
                 self->sink_(std::move(snapshot));
             }
             self->thread_.after(self->interval_, [weak] {
@@ -108,6 +112,7 @@
     IoThread &thread_;
     SnapshotSink sink_;
     HttpClient client_;
+    std::string entityTag_; // of the list given to sink_ last; empty when the server sent none
 };
 
 InstancePoller::InstancePoller(std::string address, Milliseconds interval, IoThread &thread, SnapshotSink sink)
--- a/src/daemon/instance_poller_base.h
+++ b/src/daemon/instance_poller_base.h
@@ -1,4 +1,5 @@
-// Reads the platform's instance list at a fixed interval.
+// Reads the platform's instance list at a fixed interval. The server answers 304 while the list has the entity tag of
+// the last one read; the receiver is then not called.
 #pragma once
 
 #include "core/common/instance_type.h"
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -19,7 +19,7 @@
 namespace mimosapier
 {
 
-static constexpr Milliseconds InstanceInterval {1000};
+static constexpr Milliseconds InstanceInterval {2000};
 static constexpr Milliseconds StopMargin {1000}; // kept of the shutdown limit for closing the connections
 
 // Id of this process: a restarted daemon is another daemon.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -228,11 +228,14 @@
                 return;
             }
             auto message = call->connection_->parser_->release();
+            std::string entityTag(message[http::field::etag]);
             if (message.keep_alive() && call->connection_->buffer_.size() == 0) {
                 self->keep(call->address_, call->connection_);
                 call->connection_.reset();
             }
-            self->finish(call, {HttpDelivery::Answered, message.result_int(), std::move(message.body()), {}});
+            self->finish(
+                call,
+                {HttpDelivery::Answered, message.result_int(), std::move(message.body()), {}, std::move(entityTag)});
         });
 }
 
@@ -290,7 +293,7 @@
 
 void ClientState::fail(const std::shared_ptr<Call> &call, HttpDelivery delivery, std::error_code error)
 {
-    finish(call, {delivery, 0, {}, error});
+    finish(call, {delivery, 0, {}, error, {}});
 }
 
 void ClientState::finish(const std::shared_ptr<Call> &call, HttpResult result)
--- a/src/http/client_base.h
+++ b/src/http/client_base.h
@@ -45,6 +45,7 @@
     unsigned status_ = 0;
     std::string body_;
     std::error_code error_; // std::errc::timed_out after a timeout; none when answered
+    std::string entityTag_ {}; // of the answer; empty when it has none
 };
 
 using HttpCallback = std::function<void(HttpResult result)>;
--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -195,6 +195,9 @@
     using Message = http::response<http::string_body>;
     auto message = std::make_shared<Message>(static_cast<http::status>(response.status_), 11);
     message->set(http::field::content_type, response.contentType_);
+    if (!response.entityTag_.empty()) {
+        message->set(http::field::etag, response.entityTag_);
+    }
     message->body() = std::move(response.body_);
     if (server_->draining_) {
         exchange->keepAlive_ = false;
--- a/src/standin/instances.cpp
+++ b/src/standin/instances.cpp
@@ -1,11 +1,14 @@
 // The platform's list of instances, with a lag.
 #include "standin/instances_service.h"
 
+#include <random>
+
 namespace mimosapier::standin
 {
 
 InstanceService::InstanceService(boost::asio::io_context &context, const Json &settings)
-    : configuredAddress_(textOr(settings, "address", "127.0.0.1:0"))
+    : instanceSeed_(std::random_device {}())
+    , configuredAddress_(textOr(settings, "address", "127.0.0.1:0"))
     , lag_(numberOr(settings, "lag_ms", 2'000))
     , server_(context, {},
               [this](const HttpRequest &request, const HttpResponder &respond) { handle(request, respond); })
@@ -30,7 +33,12 @@
 {
     const std::string path = splitTarget(request.target_).path_;
     if (path == "/v1/instances") {
-        respondJson(respond, listing());
+        updateList();
+        if (headerValue(request, "If-None-Match") == entityTag_) {
+            respond({304, "", "application/json", entityTag_});
+        } else {
+            respond({200, body_, "application/json", entityTag_});
+        }
         return;
     }
     Json body;
@@ -51,23 +59,29 @@
     respondJson(respond, {{"ok", true}});
 }
 
-Json InstanceService::listing()
+// Makes the text of the list anew when a change has become visible.
+void InstanceService::updateList()
 {
     const TimePoint now = SystemClock().now();
-    std::erase_if(pending_, [&](const Change &change) {
+    const std::size_t changed = std::erase_if(pending_, [&](const Change &change) {
         if (change.visible_ > now) {
             return false;
         }
         instances_[change.id_]["state"] = change.state_;
         return true;
     });
+    if (changed == 0 && !body_.empty()) {
+        return;
+    }
     Json list = Json::array();
     for (const auto &[id, instance] : instances_) {
         if (instance["state"] != "gone") {
             list.push_back(instance);
         }
     }
-    return {{"instances", std::move(list)}};
+    body_ = dumpJson({{"instances", std::move(list)}});
+    // The random part distinguishes the lists of a restarted process.
+    entityTag_ = '"' + std::to_string(instanceSeed_) + '-' + std::to_string(++version_) + '"';
 }
 
 } // namespace mimosapier::standin
--- a/src/standin/instances_service.h
+++ b/src/standin/instances_service.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -32,8 +33,12 @@
     };
 
     void handle(const HttpRequest &request, const HttpResponder &respond);
-    [[nodiscard]] Json listing();
+    void updateList();
 
+    std::uint64_t instanceSeed_; // differs between processes
+    std::uint64_t version_ = 0; // of body_
+    std::string body_; // answer of GET /v1/instances; empty before the first
+    std::string entityTag_; // of body_
     std::string configuredAddress_;
     Milliseconds lag_ {2'000};
     std::map<std::string, Json> instances_; // by id; state as the list shows it
--- a/tests/daemon/test_worker_client.cpp
+++ b/tests/daemon/test_worker_client.cpp
@@ -8,6 +8,8 @@
 
 #include <criterion/criterion.h>
 
+#include <atomic>
+#include <mutex>
 #include <random>
 
 using namespace mimosapier;
@@ -120,3 +122,51 @@
         (void)decodeWorkerAnswer(makeRequest(AllOps[1]), text, result);
     }
 }
+
+// Guards against events for a list that has not changed, against a change that is missed, and against the tag of a
+// malformed list being remembered, after which the list would never be read.
+Test(instances, onlyChangedListsAreDelivered, .timeout = 20)
+{
+    std::atomic<int> version {0};
+    std::atomic<int> unchanged {0};
+    const TestServer server([&](const HttpRequest &request, const HttpResponder &respond) {
+        const int now = version;
+        const std::string tag = '"' + std::to_string(now) + '"';
+        if (headerValue(request, "If-None-Match") == tag) {
+            ++unchanged;
+            respond({304, "", "", tag});
+        } else if (now == 1) {
+            respond({200, R"({"instances":[{"id":"w","kind":"worker"}]})", "", tag});
+        } else {
+            respond({200,
+                     R"({"instances":[{"id":"w)" + std::to_string(now)
+                         + R"(","kind":"worker","region":"hobart","zone":"z","rack":"r1","address":"10.0.0.1:80",)"
+                         + R"("state":"live","slots":8}]})",
+                     "", tag});
+        }
+    });
+    IoThread thread;
+    std::mutex mutex;
+    std::vector<std::string> seen;
+    InstancePoller poller(server.address(), Milliseconds(10), thread, [&](const InstanceSnapshot &snapshot) {
+        const std::lock_guard lock(mutex);
+        seen.push_back(snapshot.workers_.at(0).id_.value_);
+    });
+    const auto count = [&] {
+        const std::lock_guard lock(mutex);
+        return seen.size();
+    };
+    thread.start();
+    thread.post([&] { poller.start(); });
+    cr_assert(eventually([&] { return unchanged >= 3; }));
+    cr_assert_eq(count(), 1U);
+    version = 1;
+    const int before = unchanged;
+    std::this_thread::sleep_for(Milliseconds(100));
+    cr_assert(unchanged <= before + 1);
+    version = 2;
+    cr_assert(eventually([&] { return count() == 2; }));
+    cr_assert(eventually([&] { return unchanged >= before + 3; }));
+    thread.stop();
+    cr_assert(seen == std::vector<std::string>({"w0", "w2"}));
+}
--- a/tests/standin/http_fixture.h
+++ b/tests/standin/http_fixture.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <string>
+#include <vector>
 
 namespace mimosapier::standin
 {
@@ -19,14 +20,24 @@
     // Result of a POST, or of a GET when there is no body.
     HttpResult call(const std::string &address, const std::string &target, const std::string &body = "",
                     int timeoutMs = 2000)
+    {
+        return send(address, {body.empty() ? "GET" : "POST", target, {}, body}, timeoutMs);
+    }
+
+    // Result of a GET with the given headers.
+    HttpResult get(const std::string &address, const std::string &target, std::vector<HttpHeader> headers)
+    {
+        return send(address, {"GET", target, std::move(headers), ""}, 2000);
+    }
+
+    HttpResult send(const std::string &address, HttpRequest request, int timeoutMs)
     {
         HttpResult answer;
         bool done = false;
-        client_.send(address, {body.empty() ? "GET" : "POST", target, {}, body}, Milliseconds(timeoutMs),
-                     [&](HttpResult result) {
-                         answer = std::move(result);
-                         done = true;
-                     });
+        client_.send(address, std::move(request), Milliseconds(timeoutMs), [&](HttpResult result) {
+            answer = std::move(result);
+            done = true;
+        });
         while (!done) {
             context_.run_one();
         }
--- a/tests/standin/test_link.cpp
+++ b/tests/standin/test_link.cpp
@@ -59,3 +59,20 @@
     cr_assert_eq(after.size(), 1U);
     cr_assert_eq(after[0]["state"], "leaving");
 }
+
+// Guards against an unchanged list that is sent again, and against a change that hides behind an old tag.
+Test(link, instanceListSendsChangesOnly)
+{
+    HttpFixture http;
+    InstanceService list(http.context_, {{"lag_ms", 0}, {"instances", {{{"id", "w1"}}, {{"id", "w2"}}}}});
+    cr_assert(list.listen());
+    const HttpResult first = http.call(list.address(), "/v1/instances");
+    cr_assert(!first.entityTag_.empty() && !first.body_.empty());
+    const HttpResult same = http.get(list.address(), "/v1/instances", {{"If-None-Match", first.entityTag_}});
+    cr_assert_eq(same.status_, 304U);
+    cr_assert(same.body_.empty() && same.entityTag_ == first.entityTag_);
+    http.call(list.address(), "/v1/control", R"({"id":"w1","state":"gone"})");
+    const HttpResult changed = http.get(list.address(), "/v1/instances", {{"If-None-Match", first.entityTag_}});
+    cr_assert_eq(changed.status_, 200U);
+    cr_assert(!changed.body_.empty() && changed.entityTag_ != first.entityTag_);
+}
