Change: [member] Heartbeats carry changes only and go to one connection

All daemons of a region send heartbeats to each other, twice a second, on both connections and with all shards and loads. With 32 daemons in a region this was most of the control traffic.

A heartbeat now carries the sender's freshness and, besides, the shards and loads that have changed since the last heartbeat that the peer echoed, and all of them every 5 s. What a lost heartbeat carried is thus in the next one that arrives. The sender's region, zone and own id are left out; nothing read them. A load of an older epoch no longer replaces that of the present holder, which is not sent again all the time any more. Heartbeats take turns on the connections of a peer; one on which nothing was sent for half the silence limit gets an extra one. The intervals are unchanged, so the bounds of freshness are as before. Longer intervals were ruled out: loads in the directory would be older. The version of the peer protocol rises to 2.

--- a/src/core/member/freshness.cpp
+++ b/src/core/member/freshness.cpp
@@ -53,11 +53,12 @@
         if (freshness.daemon_ == m.settings_.self_) {
             continue;
         }
-        const bool direct = freshness.daemon_ == from;
+        const bool direct = freshness.daemon_.empty();
         const TimePoint said = direct ? saidAt : saidAt - Milliseconds(freshness.heardAgeMs_);
-        Statement &known = m.statements_[freshness.daemon_];
+        Statement &known = m.statements_[direct ? from : freshness.daemon_];
         if (known.freshness_.daemon_.empty() || said > known.saidAt_) {
             known = {freshness, said, said - Milliseconds(freshness.headAgeMs_), freshness.headAgeMs_ != UnknownAge};
+            known.freshness_.daemon_ = direct ? from : freshness.daemon_;
         }
     }
 }
--- a/src/core/member/heartbeat.cpp
+++ b/src/core/member/heartbeat.cpp
@@ -14,23 +14,54 @@
     return member != m.members_.end() && member->second.record_.region_ == m.settings_.region_;
 }
 
-static Heartbeat makeHeartbeat(const Membership &m, bool toOwnRegion)
+template <typename T>
+static void noteChange(std::map<ShardId, Changing<T>> &shared, const ShardId &shard, const T &value, TimePoint now)
+{
+    const auto [entry, added] = shared.try_emplace(shard, Changing<T> {value, now});
+    if (!added && !(entry->second.value_ == value)) {
+        entry->second = {value, now};
+    }
+}
+
+// Brings what heartbeats carry up to date. Nothing while this daemon does not know whether it still holds its shards;
+// all of it counts as changed afterwards.
+static void updateShared(Membership &m)
+{
+    if (m.suspect_) {
+        m.sharedShards_.clear();
+        m.sharedLoads_.clear();
+        return;
+    }
+    const auto isNotHeld = [&m](const auto &entry) { return !m.held_.contains(entry.first); };
+    std::erase_if(m.sharedShards_, isNotHeld);
+    std::erase_if(m.sharedLoads_, isNotHeld);
+    for (const auto &[shard, epoch] : m.held_) {
+        noteChange(m.sharedShards_, shard, epoch, m.now_);
+    }
+    for (const GroupLoad &load : m.localLoads_) {
+        if (m.held_.contains(load.group_)) {
+            noteChange(m.sharedLoads_, load.group_, load, m.now_);
+        }
+    }
+}
+
+// Heartbeat with what has changed since `since`.
+static Heartbeat makeHeartbeat(const Membership &m, bool toOwnRegion, TimePoint since)
 {
     Heartbeat heartbeat;
-    heartbeat.region_ = m.settings_.region_;
-    heartbeat.zone_ = m.settings_.zone_;
     heartbeat.leaving_ = m.leaving_;
-    if (!m.suspect_) {
-        for (const auto &[shard, epoch] : m.held_) {
-            heartbeat.shards_.push_back({shard, epoch});
+    for (const auto &[shard, epoch] : m.sharedShards_) {
+        if (epoch.changedAt_ >= since) {
+            heartbeat.shards_.push_back({shard, epoch.value_});
         }
-        for (const GroupLoad &load : m.localLoads_) {
-            if (m.held_.contains(load.group_)) {
-                heartbeat.loads_.push_back(load);
-            }
+    }
+    for (const auto &[group, load] : m.sharedLoads_) {
+        if (load.changedAt_ >= since) {
+            heartbeat.loads_.push_back(load.value_);
         }
     }
     heartbeat.freshness_.push_back(ownStatement(m));
+    heartbeat.freshness_.front().daemon_ = {};
     if (isRelay(m)) {
         for (PeerFreshness &freshness : relayedStatements(m, toOwnRegion)) {
             heartbeat.freshness_.push_back(std::move(freshness));
@@ -41,29 +72,30 @@
 
 void tickHeartbeats(Membership &m, Context &context)
 {
-    Heartbeat near;
-    Heartbeat far;
-    bool nearMade = false;
-    bool farMade = false;
+    bool updated = false;
     for (auto &[daemon, peer] : m.peers_) {
         if (!peer.up_ || context.now_ < peer.nextSend_) {
             continue;
         }
-        const bool own = isOwnRegion(m, daemon);
-        bool &made = own ? nearMade : farMade;
-        Heartbeat &heartbeat = own ? near : far;
-        if (!made) {
-            heartbeat = makeHeartbeat(m, own);
-            made = true;
+        if (!updated) {
+            updateShared(m);
+            updated = true;
         }
+        const bool own = isOwnRegion(m, daemon);
         peer.nextSend_ = context.now_ + (own ? HeartbeatInterval : RemoteHeartbeatInterval);
+        const bool all = context.now_ >= peer.nextState_;
+        if (all) {
+            peer.nextState_ = context.now_ + StateInterval;
+        }
+        // A heartbeat repeats what the peer has not echoed yet, so that a lost one loses no change.
+        Heartbeat heartbeat = makeHeartbeat(m, own, all ? TimePoint {} : peer.echoedAt_);
         heartbeat.sequence_ = ++peer.sent_;
         heartbeat.echo_ = peer.received_;
         peer.sentTimes_.emplace_back(peer.sent_, context.now_);
         if (peer.sentTimes_.size() > SentTimesKept) {
             peer.sentTimes_.pop_front();
         }
-        sendPeer(context, daemon, heartbeat);
+        sendPeer(context, daemon, std::move(heartbeat));
     }
 }
 
@@ -91,6 +123,10 @@
 static void takeLoads(Membership &m, const Heartbeat &message)
 {
     for (const GroupLoad &load : message.loads_) {
+        const auto known = m.loads_.find(load.group_);
+        if (known != m.loads_.end() && known->second.epoch_ > load.epoch_) {
+            continue; // of a former holder; the present one sends its load only when it changes
+        }
         m.loads_[load.group_] = load;
         auto &groups = m.directory_.groups_;
         const auto entry
@@ -134,6 +170,7 @@
     }
     TimePoint saidAt;
     if (sentNotBefore(peer, message.echo_, saidAt)) {
+        peer.echoedAt_ = std::max(peer.echoedAt_, saidAt);
         takeStatements(m, from, message, saidAt);
     }
     if (m.directoryDirty_) {
@@ -148,6 +185,8 @@
     PeerState &state = m.peers_[peer];
     state.up_ = true;
     state.nextSend_ = context.now_;
+    state.nextState_ = context.now_;
+    state.echoedAt_ = {};
     rebuildDirectory(m);
     tickHeartbeats(m, context);
 }
--- a/src/core/member/member_internal.h
+++ b/src/core/member/member_internal.h
@@ -34,6 +34,7 @@
 constexpr Milliseconds LeaveBound {5000}; // wait for new holders before the record is removed
 constexpr Milliseconds HeartbeatInterval {500};
 constexpr Milliseconds RemoteHeartbeatInterval {1000};
+constexpr Milliseconds StateInterval {5000}; // between heartbeats with all loads and shards
 constexpr Milliseconds StoreReachAge {3000}; // without an answer for this time the store counts as unreachable
 constexpr Milliseconds FreshFor {5000}; // section 6 of docs/design.md
 
@@ -93,7 +94,16 @@
     std::deque<std::pair<std::uint64_t, TimePoint>> sentTimes_; // newest last
     std::uint64_t received_ = 0; // highest sequence got
     TimePoint nextSend_;
-    std::vector<HeldShard> shards_;
+    TimePoint nextState_; // of a heartbeat with all loads and shards
+    TimePoint echoedAt_; // when the newest heartbeat that the peer echoed was sent
+};
+
+// A value that heartbeats carry, and when it last changed.
+template <typename T>
+struct Changing
+{
+    T value_;
+    TimePoint changedAt_;
 };
 
 // What a daemon said about its knowledge of the head.
@@ -182,6 +192,8 @@
     std::map<DaemonId, PeerState> peers_;
     std::vector<PeerAddress> peerSet_;
     std::vector<GroupLoad> localLoads_;
+    std::map<ShardId, Changing<Epoch>> sharedShards_; // held shards as heartbeats carry them
+    std::map<ShardId, Changing<GroupLoad>> sharedLoads_; // of the groups among them
     std::map<ShardId, GroupLoad> loads_; // of other holders
 
     // Freshness
--- a/src/core/message/fields.h
+++ b/src/core/message/fields.h
@@ -28,7 +28,7 @@
 MIMOSAPIER_FIELDS(GroupLoad, s.group_, s.epoch_, s.capacitySlots_, s.freeSlots_, s.queued_, s.waitMs_, s.largestFree_)
 MIMOSAPIER_FIELDS(HeldShard, s.shard_, s.epoch_)
 MIMOSAPIER_FIELDS(PeerFreshness, s.daemon_, s.version_, s.reach_, s.headAgeMs_, s.heardAgeMs_, s.announced_)
-MIMOSAPIER_FIELDS(Heartbeat, s.region_, s.zone_, s.sequence_, s.leaving_, s.shards_, s.loads_, s.freshness_, s.echo_)
+MIMOSAPIER_FIELDS(Heartbeat, s.sequence_, s.leaving_, s.shards_, s.loads_, s.freshness_, s.echo_)
 MIMOSAPIER_FIELDS(TaskOffer, s.replyTo_, s.group_, s.job_, s.firstIndex_, s.count_, s.attempt_, s.remaining_,
                   s.mayHaveRun_, s.lookupOnly_, s.forwarded_)
 MIMOSAPIER_FIELDS(TaskAnswer, s.replyTo_, s.group_, s.job_, s.results_)
--- a/src/core/message/peer_type.h
+++ b/src/core/message/peer_type.h
@@ -61,16 +61,14 @@
     bool operator==(const PeerFreshness &) const = default;
 };
 
-// Sent on each peer connection at a fixed interval.
+// Sent to each connected peer at a fixed interval. What the receiver is known to have got is left out.
 struct Heartbeat
 {
-    RegionId region_;
-    ZoneId zone_;
     std::uint64_t sequence_ = 0; // rises by one for each heartbeat of the sender
     bool leaving_ = false;
-    std::vector<HeldShard> shards_;
-    std::vector<GroupLoad> loads_;
-    std::vector<PeerFreshness> freshness_; // first the sender's own; further ones only from relays
+    std::vector<HeldShard> shards_; // taken since the last heartbeat that the receiver echoed; at times all
+    std::vector<GroupLoad> loads_; // changed since then; at times all
+    std::vector<PeerFreshness> freshness_; // first the sender's own, without daemon_; further ones only from relays
     std::uint64_t echo_ = 0; // highest sequence_ got from the receiver; bounds the age of what the heartbeat says
     bool operator==(const Heartbeat &) const = default;
 };
--- a/src/net/connection_internal.h
+++ b/src/net/connection_internal.h
@@ -87,6 +87,8 @@
     [[nodiscard]] bool dialled() const { return dialled_; }
     [[nodiscard]] TimePoint lastReceived() const { return lastReceived_; }
     void setLastReceived(TimePoint now) { lastReceived_ = now; }
+    [[nodiscard]] TimePoint lastSent() const { return lastSent_; }
+    void setLastSent(TimePoint now) { lastSent_ = now; }
     [[nodiscard]] bool receivedSinceCheck() const { return received_; }
     void clearReceived() { received_ = false; }
 
@@ -110,6 +112,7 @@
     bool dialled_ = false;
     bool received_ = false; // bytes arrived since the last clearReceived()
     TimePoint lastReceived_; // or creation; advanced by the transport's check
+    TimePoint lastSent_; // of a heartbeat or the first sending of a message; the epoch before that
     FrameDecoder decoder_;
     std::array<char, 16384> input_ {};
     std::deque<SharedFrame> queue_; // not handed to the socket yet
--- a/src/net/frame_func.h
+++ b/src/net/frame_func.h
@@ -16,7 +16,7 @@
 constexpr std::size_t FrameNumbersBytes = 16;
 constexpr std::size_t MaxFrameBytes = 4'000'000; // of a body
 constexpr std::size_t MaxHelloBytes = 1024; // of a hello's body; bounds what an unknown sender can make us buffer
-constexpr std::uint32_t PeerProtocolVersion = 1;
+constexpr std::uint32_t PeerProtocolVersion = 2;
 
 // First frame of a connection in each direction.
 struct Hello
--- a/src/net/transport.cpp
+++ b/src/net/transport.cpp
@@ -239,9 +239,23 @@
         state.sendNumbered(to, peer, bytes);
         return;
     }
+    state.sendHeartbeat(peer, bytes);
+}
+
+// Sends on the connection that has sent nothing for longest, and on each other one that the peer could otherwise find
+// silent before the next heartbeat.
+void PeerTransport::State::sendHeartbeat(Peer &peer, std::string_view bytes)
+{
+    const TimePoint now = clock_.now();
     const SharedFrame frame = unnumberedFrame(peer.link_, bytes);
+    const auto longest = *std::min_element(
+        peer.established_.begin(), peer.established_.end(),
+        [](const ConnectionPtr &left, const ConnectionPtr &right) { return left->lastSent() < right->lastSent(); });
     for (const ConnectionPtr &connection : peer.established_) {
-        connection->send(frame);
+        if (connection == longest || now - connection->lastSent() > settings_.silenceLimit_ / 2) {
+            connection->setLastSent(now);
+            connection->send(frame);
+        }
     }
 }
 
@@ -251,6 +265,7 @@
         resetPeer(daemon, CloseCause::QueueFull);
         return;
     }
+    peer.established_.front()->setLastSent(clock_.now());
     peer.established_.front()->send(numberedFrame(peer.link_, bytes));
 }
 
--- a/src/net/transport_base.h
+++ b/src/net/transport_base.h
@@ -2,7 +2,8 @@
 //
 // One thread runs the transport. The daemon with the lower id dials. A connection that has received nothing for the
 // silence limit is closed and replaced; PeerUp follows the first connection, PeerDown the loss of the last. Heartbeats
-// go to every connection of a peer. Other messages are delivered in order and once, as long as the peer is up.
+// take turns on the connections of a peer, and go to more of them when they are rare. Other messages are delivered in
+// order and once, as long as the peer is up.
 #pragma once
 
 #include "core/common/time_type.h"
--- a/src/net/transport_internal.h
+++ b/src/net/transport_internal.h
@@ -60,6 +60,7 @@
     void removePeer(const DaemonId &daemon);
     void dial(const DaemonId &daemon, Peer &peer, DialSlot &slot);
     void scheduleDial(const DaemonId &daemon, DialSlot &slot);
+    void sendHeartbeat(Peer &peer, std::string_view bytes);
     void sendNumbered(const DaemonId &daemon, Peer &peer, std::string_view bytes);
     // Closes all connections of the peer; the link begins anew.
     void resetPeer(const DaemonId &daemon, CloseCause cause);
--- a/tests/member/cluster.cpp
+++ b/tests/member/cluster.cpp
@@ -352,6 +352,10 @@
     if (to == nullptr || !up_.contains(ordered(from.settings_.self_, message.to_))) {
         return;
     }
+    const auto *beat = std::get_if<Heartbeat>(&message.message_);
+    if (beat != nullptr && onBeat_ && !onBeat_(from.settings_.self_, message.to_, *beat)) {
+        return;
+    }
     const bool near = to->settings_.region_ == from.settings_.region_;
     const Milliseconds delay(near ? 1 + random_() % 3 : 20 + random_() % 10);
     later(delay, [this, to, sender = from.settings_.self_, body = message.message_] {
--- a/tests/member/cluster.h
+++ b/tests/member/cluster.h
@@ -82,6 +82,8 @@
 
     FakeStore store_;
     bool storeDown_ = false;
+    // Sees each heartbeat between connected daemons; false loses it. May be empty.
+    std::function<bool(const DaemonId &from, const DaemonId &to, const Heartbeat &)> onBeat_;
     int lostPerMille_ = 0; // answers lost after the effect, or effects after the lost answer
     std::vector<std::string> violations_;
     TimePoint now_ {std::chrono::seconds(1000)};
--- a/tests/net/test_transport.cpp
+++ b/tests/net/test_transport.cpp
@@ -273,6 +273,31 @@
     checkDeliveryThroughDisturbedRelay([](Relay &relay) { relay.silenced_ = 1; }, CloseCause::Silent);
 }
 
+// Guards against a connection that is found silent because heartbeats go to the other one, and against heartbeats that
+// are all sent twice.
+Test(transport, heartbeatsTakeTurnsAndKeepBothConnections, .timeout = 20)
+{
+    Station low("a#1");
+    Station high("b#1");
+    low.setPeers({high.address()});
+    high.setPeers({low.address()});
+    cr_assert(low.eventuallyCounted([&] { return low.transport_.counters().established_ == 2; }));
+    cr_assert(high.eventuallyCounted([&] { return high.transport_.counters().established_ == 2; }));
+    std::this_thread::sleep_for(Silence);
+    const std::uint64_t sentBefore = low.transport_.counters().messagesSent_;
+    const std::uint64_t receivedBefore = high.transport_.counters().messagesReceived_;
+    std::this_thread::sleep_for(4 * Silence);
+    const std::uint64_t received = high.transport_.counters().messagesReceived_ - receivedBefore;
+    const std::uint64_t sent = low.transport_.counters().messagesSent_ - sentBefore;
+    cr_assert_geq(sent, 8);
+    // A pause of this process makes single heartbeats go to both connections.
+    cr_assert(received + 2 >= sent && received <= sent * 3 / 2, "%d of %d", static_cast<int>(received),
+              static_cast<int>(sent));
+    cr_assert_eq(low.transport_.counters().established_, 2);
+    cr_assert_eq(high.transport_.counters().established_, 2);
+    cr_assert(low.downs_ == 0 && high.downs_ == 0);
+}
+
 // Guards against a peer that stays up although nothing is received from it, and a lasting loss after it resumes.
 Test(transport, silentPeerGoesDownAndComesBack, .timeout = 20)
 {
