Fix: [ctl] Objectives, drafts and differences that people can read

Seen on a live demo (6 daemons, 48 workers): the HTML report showed the objective of every row but the first as "1e+02%", because the precision set for one row was kept for the next. A bundle given as JSON stayed on one line after an edit, so a difference was two lines of the whole bundle. "bundle sign" and "bundle diff" said "There is no draft" with exit code 3 when no daemon was reached. Partitions were shown with 0/0 slots. A budget of -1841% said no more than the burn rate.

The report formats each number on its own, says "used up" for a budget below 0 and explains its columns; edits write one value per line; a draft that cannot be looked up ends with the exit code of the answer; a diff without draft and file is wrong usage; "bundle draft" names the draft and the command that signs it off. JSON output is as before.

Looked at in a headless browser before and after.

--- a/src/ctl/bundle_cmd.cpp
+++ b/src/ctl/bundle_cmd.cpp
@@ -36,7 +36,15 @@
 static ExitCode sendDraft(const Options &options, const Surroundings &io, const std::string &text)
 {
     const Json body {{"author", options.bundle_.operator_}, {"text", text}};
-    return printAnswer(options, io, ask(options, io, "POST", "/v1/admin/draft", body));
+    const Answer answer = ask(options, io, "POST", "/v1/admin/draft", body);
+    Json detail;
+    if (options.json_ || exitCode(answer) != ExitCode::Done || !parseJson(textField(answer.json_, "detail"), detail)) {
+        return printAnswer(options, io, answer);
+    }
+    const std::string draft = textField(detail, "draft");
+    io.out_ << "Draft " << draft << ", made from version " << numberField(detail, "base_version")
+            << ". Another operator signs it off with: mimosapierctl --as NAME bundle sign " << draft << "\n";
+    return ExitCode::Done;
 }
 
 ExitCode draftCmd(const Options &options, const Surroundings &io)
@@ -54,18 +62,24 @@
     return sendDraft(options, io, text);
 }
 
-// Finds a draft in the list; null when it is not there.
-static Json findDraft(const Options &options, const Surroundings &io, const std::string &draft)
+// Finds a draft in the list. Returns Done, or tells the user why there is none.
+static ExitCode findDraft(const Options &options, const Surroundings &io, const std::string &draft, Json &found)
 {
     const Answer answer = ask(options, io, "GET", "/v1/admin/drafts");
-    if (answer.json_.is_object() && answer.json_.contains("drafts")) {
-        for (const Json &candidate : answer.json_["drafts"]) {
+    if (exitCode(answer) != ExitCode::Done) {
+        return printAnswer(options, io, answer);
+    }
+    const auto list = answer.json_.find("drafts");
+    if (list != answer.json_.end() && list->is_array()) {
+        for (const Json &candidate : *list) {
             if (textField(candidate, "draft") == draft) {
-                return candidate;
+                found = candidate;
+                return ExitCode::Done;
             }
         }
     }
-    return nullptr;
+    io.err_ << "There is no draft " << draft << ".\n";
+    return ExitCode::Refused;
 }
 
 ExitCode signCmd(const Options &options, const Surroundings &io)
@@ -75,10 +89,9 @@
     }
     std::int64_t base = options.bundle_.base_;
     if (base < 0) {
-        const Json draft = findDraft(options, io, options.bundle_.draft_);
-        if (draft.is_null()) {
-            io.err_ << "There is no draft " << options.bundle_.draft_ << ".\n";
-            return ExitCode::Refused;
+        Json draft;
+        if (const ExitCode code = findDraft(options, io, options.bundle_.draft_, draft); code != ExitCode::Done) {
+            return code;
         }
         base = numberField(draft, "base_version");
     }
@@ -95,11 +108,18 @@
     io.out_ << "# version " << numberField(answer.json_, "version") << ", by " << textField(answer.json_, "author")
             << ", signed off by " << textField(answer.json_, "signer") << "\n"
             << textField(answer.json_, "text");
+    if (!textField(answer.json_, "text").ends_with('\n')) {
+        io.out_ << "\n";
+    }
     return ExitCode::Done;
 }
 
 ExitCode diffCmd(const Options &options, const Surroundings &io)
 {
+    if (options.bundle_.file_.empty() == options.bundle_.draft_.empty()) {
+        io.err_ << "Name either a draft or --file.\n";
+        return ExitCode::Usage;
+    }
     const Answer head = ask(options, io, "GET", "/v1/admin/bundle");
     if (exitCode(head) != ExitCode::Done) {
         return printAnswer(options, io, head);
@@ -110,10 +130,9 @@
             return ExitCode::Usage;
         }
     } else {
-        const Json draft = findDraft(options, io, options.bundle_.draft_);
-        if (draft.is_null()) {
-            io.err_ << "There is no draft " << options.bundle_.draft_ << ".\n";
-            return ExitCode::Refused;
+        Json draft;
+        if (const ExitCode code = findDraft(options, io, options.bundle_.draft_, draft); code != ExitCode::Done) {
+            return code;
         }
         text = textField(draft, "text");
     }
--- a/src/ctl/bundle_edit.cpp
+++ b/src/ctl/bundle_edit.cpp
@@ -95,6 +95,23 @@
     return false;
 }
 
+// One line per value, so that differences can be read; a bundle given as JSON would stay on one line.
+static void setBlockStyle(YAML::Node node)
+{
+    if (node.IsMap()) {
+        for (const auto &entry : node) {
+            setBlockStyle(entry.second);
+        }
+    } else if (node.IsSequence()) {
+        for (const auto &item : node) {
+            setBlockStyle(item);
+        }
+    } else {
+        return;
+    }
+    node.SetStyle(YAML::EmitterStyle::Block);
+}
+
 bool editBundle(Edit edit, const BundleOptions &options, const std::string &text, std::string &edited,
                 std::string &reason)
 {
@@ -109,6 +126,7 @@
             applied = editTeam(edit, root, options, reason);
         }
         if (applied) {
+            setBlockStyle(root);
             edited = YAML::Dump(root) + "\n";
         }
         return applied;
--- a/src/ctl/ctl_internal.h
+++ b/src/ctl/ctl_internal.h
@@ -94,6 +94,7 @@
 
 // Part of the error budget of the window that is left; negative when it is overspent.
 double budgetLeft(const Window &window, double objectiveRatio);
+std::string budgetText(const ReportRow &row); // of the hour, for people
 
 // Adds a daemon's document (GET /v1/admin/report).
 void addReport(ReportData &data, const Json &document);
--- a/src/ctl/report.cpp
+++ b/src/ctl/report.cpp
@@ -27,6 +27,17 @@
     return 1.0 - burnRate(window, objectiveRatio);
 }
 
+std::string budgetText(const ReportRow &row)
+{
+    const double left = budgetLeft(row.long_, row.objectiveRatio_);
+    if (left <= 0) {
+        return "used up"; // the burn rate says by how much
+    }
+    char text[16];
+    std::snprintf(text, sizeof(text), "%.1f%%", left * 100);
+    return text;
+}
+
 static Window windowOf(const Json &series, const char *name)
 {
     const auto found = series.find(name);
@@ -116,7 +127,7 @@
         out << std::left << std::setw(24) << row.class_ << std::setw(20) << row.team_ << std::setw(20) << objective
             << std::right << std::setw(9) << row.long_.good_ << std::setw(8) << row.long_.bad_ << std::setw(11)
             << burnRate(row.short_, row.objectiveRatio_) << std::setw(9) << burnRate(row.long_, row.objectiveRatio_)
-            << std::setw(12) << budgetLeft(row.long_, row.objectiveRatio_) * 100 << "%\n";
+            << std::setw(13) << budgetText(row) << "\n";
     }
     out << data.daemons_ << " daemons answered.\n";
 }
--- a/src/ctl/report_html.cpp
+++ b/src/ctl/report_html.cpp
@@ -71,24 +71,46 @@
     return out.str();
 }
 
+static std::string legend(const ReportData &data)
+{
+    std::ostringstream out;
+    out << data.daemons_
+        << " daemons answered. A burn rate above 1, the mark in the bars, uses the error budget up before its window "
+           "ends.";
+    if (!data.boundsMs_.empty()) {
+        out << " Answers by time: the leftmost column counts answers within " << data.boundsMs_.front()
+            << " ms, the rightmost those after " << data.boundsMs_.back()
+            << " ms; columns within the objective are green.";
+    }
+    return out.str();
+}
+
+// Fixed digits would round a ratio such as 0.999.
+static std::string percentText(double ratio)
+{
+    std::ostringstream out;
+    out << std::setprecision(6) << ratio * 100 << "%";
+    return out.str();
+}
+
 std::string reportPage(const ReportData &data)
 {
     std::ostringstream out;
     out << "<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>mimosapier report</title>\n"
            "<style>body{font:14px sans-serif;margin:2em}table{border-collapse:collapse}"
-           "td,th{padding:4px 10px;border-bottom:1px solid #ccc;text-align:left}</style></head><body>\n"
+           "td,th{padding:4px 10px;border-bottom:1px solid #ccc;text-align:left;white-space:nowrap}"
+           "p{max-width:60em}</style></head><body>\n"
            "<h1>Service levels</h1>\n<p>"
-        << data.daemons_
-        << " daemons answered. A burn rate above 1 uses the error budget up before its window ends.</p>\n"
+        << legend(data)
+        << "</p>\n"
            "<table><tr><th>class</th><th>team</th><th>objective</th><th>good</th><th>bad</th><th>burn rate, 5 min</th>"
            "<th>burn rate, 1 h</th><th>budget left, 1 h</th><th>answers by time</th></tr>\n";
     for (const ReportRow &row : data.rows_) {
         out << "<tr><td>" << escapeHtml(row.class_) << "</td><td>" << escapeHtml(row.team_) << "</td><td>"
-            << row.objectiveRatio_ * 100 << "% in " << row.objectiveMs_ << " ms</td><td>" << row.long_.good_
+            << percentText(row.objectiveRatio_) << " in " << row.objectiveMs_ << " ms</td><td>" << row.long_.good_
             << "</td><td>" << row.long_.bad_ << "</td><td>" << burnBar(burnRate(row.short_, row.objectiveRatio_))
-            << "</td><td>" << burnBar(burnRate(row.long_, row.objectiveRatio_)) << "</td><td>" << std::fixed
-            << std::setprecision(1) << budgetLeft(row.long_, row.objectiveRatio_) * 100 << "%</td><td>"
-            << std::defaultfloat << histogram(data, row) << "</td></tr>\n";
+            << "</td><td>" << burnBar(burnRate(row.long_, row.objectiveRatio_)) << "</td><td>" << budgetText(row)
+            << "</td><td>" << histogram(data, row) << "</td></tr>\n";
     }
     out << "</table></body></html>\n";
     return out.str();
--- a/src/ctl/view_cmd.cpp
+++ b/src/ctl/view_cmd.cpp
@@ -44,10 +44,12 @@
     for (const Json &entry : listOf(member, "shards")) {
         const std::string holder = textField(entry, "holder");
         io.out_ << "  " << std::left << std::setw(28) << textField(entry, "shard") << std::setw(28)
-                << (holder.empty() ? "vacant" : holder) << "epoch " << std::setw(6) << numberField(entry, "epoch")
-                << numberField(entry, "free") << "/" << numberField(entry, "capacity") << " slots free, "
-                << numberField(entry, "queued") << " queued" << (flag(entry, "reachable") ? "" : ", not reachable")
-                << "\n";
+                << (holder.empty() ? "vacant" : holder) << "epoch " << numberField(entry, "epoch");
+        if (textField(entry, "shard").starts_with("g/")) { // partitions have no slots
+            io.out_ << ", " << numberField(entry, "free") << "/" << numberField(entry, "capacity") << " slots free, "
+                    << numberField(entry, "queued") << " queued";
+        }
+        io.out_ << (flag(entry, "reachable") ? "" : ", not reachable") << "\n";
     }
     return ExitCode::Done;
 }
