--- a/src/core/limit/limit_internal.h
+++ b/src/core/limit/limit_internal.h
@@ -22,7 +22,6 @@
 constexpr Milliseconds AllowanceScarceIdle {1500}; // the same, when the limit of the team is used up
 constexpr Milliseconds AllowanceWantedIdle {200}; // the same, when another group needs it
 constexpr Milliseconds AllowanceWantedHold {10'000}; // a request of another group counts for this time
-constexpr Milliseconds AllowanceAskInterval {1000}; // between requests to the holders of a team's other parts
 constexpr Milliseconds AllowanceRetryMin {20}; // wait after a conflict or an error, before jitter
 constexpr Milliseconds AllowanceRetryMax {2000};
 constexpr Milliseconds AllowanceUnmetRead {500}; // time between reads while a demand is not met
@@ -102,7 +101,7 @@
     TimePoint lastApplied_; // usable amounts compared with idle times
     Milliseconds backoff_ {0};
     Milliseconds unmetWait_ {detail::AllowanceUnmetRead};
-    TimePoint nextAsk_; // of the holders of other parts, while a demand is not met
+    bool unmet_ = false; // a demand was not met when the targets were last computed
     bool dirty_ = true; // something changed since the targets were last compared with rows_
 };
 
--- a/src/core/limit/limit_store.cpp
+++ b/src/core/limit/limit_store.cpp
@@ -71,12 +71,8 @@
 }
 
 // Asks the holders of the other parts of teams whose demand is not met to give back what they do not use.
-static void askHolders(AllowanceKey &key, std::span<const TeamId> teams, Context &context)
+static void askHolders(const AllowanceKey &key, std::span<const TeamId> teams, Context &context)
 {
-    if (teams.empty() || context.now_ < key.nextAsk_) {
-        return;
-    }
-    key.nextAsk_ = context.now_ + detail::AllowanceAskInterval;
     for (const TeamId &team : teams) {
         const auto row = key.rows_.find(team);
         if (row == key.rows_.end()) {
@@ -115,7 +111,12 @@
     bool changed = false;
     std::vector<TeamId> unmet;
     std::map<TeamId, std::vector<AllowancePart>> rows = targetRows(state, index, context, changed, unmet);
-    askHolders(key, unmet, context);
+    if (!unmet.empty() && !key.unmet_) {
+        // The holders need a moment to give back; the read follows after unmetWait_.
+        askHolders(key, unmet, context);
+        key.lastRead_ = context.now_;
+    }
+    key.unmet_ = !unmet.empty();
     // After a lost write only a change of the revision allows usable amounts to rise, so the rows are written again.
     if (changed || key.lostWrite_) {
         key.lastWrite_ = context.now_;
@@ -127,6 +128,7 @@
     if (!unmet.empty() && context.now_ - key.lastRead_ >= key.unmetWait_) {
         key.unmetWait_ = std::min(key.unmetWait_ * 2, detail::AllowanceUnmetReadMax);
         key.lastRead_ = context.now_ + jittered(Milliseconds(100), context);
+        askHolders(key, unmet, context);
         startCall(state, key, false, StoreGet {keyName(index)}, context);
         return;
     }
--- a/src/core/limit/limit_target.cpp
+++ b/src/core/limit/limit_target.cpp
@@ -163,9 +163,22 @@
     return parts.back();
 }
 
+namespace
+{
+
+// What holds for all parts of a team at the moment.
+struct TeamRule
+{
+    std::uint32_t limit_ = 0;
+    bool mayLower_ = true;
+    bool mayReserve_ = true; // take more than is needed now
+};
+
+} // namespace
+
 // Adjusts the group's part of one team; returns whether the row changes.
 static bool adjustPart(const AllowanceGroup &group, AllowanceDemand &demand, std::vector<AllowancePart> &parts,
-                       const ShardId &groupId, std::uint32_t limit, bool mayLower, bool &unmet)
+                       const ShardId &groupId, const TeamRule &rule, bool &unmet)
 {
     AllowancePart &part = partOf(parts, groupId);
     if (part.epoch_ > group.epoch_) {
@@ -181,12 +194,15 @@
     const std::uint32_t needed = std::max(demand.inUse_, demand.wanted_);
     // Never below what runs: the part bounds the running tasks of the group even while they drain.
     const std::uint32_t floor = std::min(part.amount_, std::max(demand.usable_, demand.inUse_));
-    if (floor < part.amount_ && mayLower) {
+    // With a reserve the part is raised before the last task is in use, so that the next one does not wait for the
+    // store.
+    const bool tooSmall = rule.mayReserve_ ? needed > 0 && needed >= part.amount_ : needed > part.amount_;
+    if (floor < part.amount_ && rule.mayLower_) {
         part.amount_ = floor;
-    } else if (needed > 0 && needed >= part.amount_) {
-        // Raised before the last task is in use, so that the next one does not wait for the store.
-        const std::uint64_t available = sum < limit ? limit - sum : 0;
-        const std::uint64_t wanted = comfortableAmount(needed, limit, parts.size());
+    } else if (tooSmall) {
+        const std::uint64_t available = sum < rule.limit_ ? rule.limit_ - sum : 0;
+        const std::uint64_t wanted
+            = rule.mayReserve_ ? comfortableAmount(needed, rule.limit_, parts.size()) : std::uint64_t {needed};
         part.amount_ += static_cast<std::uint32_t>(std::min(wanted - part.amount_, available));
         unmet = unmet || needed > part.amount_;
     }
@@ -227,11 +243,11 @@
         }
         for (auto &[team, demand] : group.teams_) {
             if (allowanceKeyOf(team) == index) {
-                const std::uint32_t limit = limitOf(context.bundle_, team);
+                const Scarcity scarcity = scarcityOf(state, team, false, context.now_);
                 // After a lost write usable amounts stay low until the next write; that is no reason to give back.
-                const bool mayLower = !key.lostWrite_;
+                const TeamRule rule {limitOf(context.bundle_, team), !key.lostWrite_, scarcity == Scarcity::None};
                 bool missing = false;
-                changed = adjustPart(group, demand, rows[team], groupId, limit, mayLower, missing) || changed;
+                changed = adjustPart(group, demand, rows[team], groupId, rule, missing) || changed;
                 if (missing) {
                     unmet.push_back(team);
                 }
--- a/src/core/node/node_base.h
+++ b/src/core/node/node_base.h
@@ -20,6 +20,7 @@
 
 enum class LeavePhase : std::uint8_t {
     None,
+    Announced, // not ready any more, but still admits what the load balancer sends until it has noticed
     FinishRequests, // waits for the answers of open requests
     HandOver, // hands shards over
     Gone, // LeaveFinished was emitted
--- a/src/core/node/ownership.cpp
+++ b/src/core/node/ownership.cpp
@@ -10,6 +10,9 @@
 // answered by the next holders.
 static constexpr Milliseconds FinishRequestsLimit {10'000};
 
+// A load balancer probes readiness about once a second; requests that it sends before it has noticed are still served.
+static constexpr Milliseconds AdmitAfterLeave {2500};
+
 // A holder that was fenced reads the ownership table again at this interval until it sees the later epoch.
 static constexpr Milliseconds FenceCheckInterval {500};
 
@@ -105,11 +108,10 @@
     if (node.leave_ != LeavePhase::None) {
         return;
     }
-    node.leave_ = LeavePhase::FinishRequests;
+    node.leave_ = LeavePhase::Announced;
     node.leaveStarted_ = now;
-    stopAdmitting(*node.entry_);
     Context context = makeContext(node, now, actions);
-    logLine(context, LogLevel::Info, "[node] Shutting down; no new requests are admitted.");
+    logLine(context, LogLevel::Info, "[node] Shutting down; the readiness check fails from now on.");
     beginLeave(*node.member_, context);
 }
 
@@ -139,7 +141,7 @@
 
 void handOverShards(Node &node, TimePoint now, Actions &actions)
 {
-    if (node.leave_ == LeavePhase::FinishRequests) {
+    if (node.leave_ == LeavePhase::Announced || node.leave_ == LeavePhase::FinishRequests) {
         return;
     }
     for (const ShardId &shard : shardsToRelease(*node.member_)) {
@@ -161,6 +163,10 @@
 
 void advanceLeave(Node &node, TimePoint now, Actions &actions)
 {
+    if (node.leave_ == LeavePhase::Announced && now - node.leaveStarted_ >= AdmitAfterLeave) {
+        node.leave_ = LeavePhase::FinishRequests;
+        stopAdmitting(*node.entry_);
+    }
     const bool waitedLongEnough = now - node.leaveStarted_ >= FinishRequestsLimit;
     if (node.leave_ == LeavePhase::FinishRequests && (openRequests(*node.entry_) == 0 || waitedLongEnough)) {
         node.leave_ = LeavePhase::HandOver;
