Fix: [group] Interactive work survives three lost starts until its deadline

Change: starts lost with a worker count towards the limit of tries only for work without a deadline of its own.

--- a/src/core/group/report.cpp
+++ b/src/core/group/report.cpp
@@ -126,7 +126,9 @@
 {
     takeOffWorker(group, task, context);
     task.worker_ = NoWorker;
-    ++task.startTries_;
+    // An interactive task has a deadline, so lost workers need no other bound.
+    const bool counts = error != ErrorKind::WorkerLost || needsJournal(task);
+    task.startTries_ += counts ? 1 : 0;
     if (task.gang_ != nullptr && onGangFailure(group, task, error, context)) {
         return;
     }
