--- a/src/core/group/worker_cmd.cpp
+++ b/src/core/group/worker_cmd.cpp
@@ -1,6 +1,8 @@
 // Calls to workers and their results.
 #include "core/group/group_internal.h"
 
+#include "core/message/directory_func.h"
+
 #include <algorithm>
 
 namespace mimosapier
@@ -102,7 +104,7 @@
         return;
     }
     if (hasTasks(worker) && worker.openRenewals_ == 0 && worker.acknowledged_ && !worker.held_) {
-        if (context.now_ >= worker.leaseEnd_) {
+        if (context.now_ >= worker.leaseEnd_ && isConfirmedHolder(context, group.id_, group.epoch_)) {
             endTasksOf(group, worker, context);
             worker.silent_ = false;
         } else if (worker.silent_) {
@@ -222,10 +224,9 @@
         worker.silent_ = true;
     }
     showFree(group, worker, context.now_);
-    const std::vector<GroupTask *> unsent = std::move(worker.pending_);
-    worker.pending_.clear();
-    for (GroupTask *task : unsent) {
-        onStartRefused(group, *task, ErrorKind::WorkerLost, context);
+    // Refusing a task of a gang also takes off others, so the list is read anew each time.
+    while (!worker.pending_.empty()) {
+        onStartRefused(group, *worker.pending_.front(), ErrorKind::WorkerLost, context);
     }
     if (worker.contact_.value_ == 0 || !worker.extraOpen_) {
         const auto doubled = detail::WorkerRetryMin * (std::int64_t {1} << std::min(worker.errors_ - 1, 8U));
