--- a/tests/bench/bench_group.cpp
+++ b/tests/bench/bench_group.cpp
@@ -1,7 +1,7 @@
 // Cost of the decisions of a group: placement and finish, cancellation of a wave, take-over, by number of workers.
 #include "core/config/bundle_base.h"
 #include "core/group/group_func.h"
-#include "limit/fake_store.h"
+#include "support/fake_store.h"
 
 #include <benchmark/benchmark.h>
 
@@ -80,7 +80,7 @@
                 requests_.push_back(std::move(*request));
             } else if (const auto *store = std::get_if<StoreRequest>(&action)) {
                 Context c = context();
-                onLimitStoreResult(*allowances_, store_.apply(*store), c);
+                onLimitStoreResult(*allowances_, store_.answer(*store, now_), c);
             }
         }
     }
@@ -237,7 +237,7 @@
             if (request != nullptr && std::holds_alternative<WorkerPoll>(request->op_)) {
                 polls[request->worker_] = std::move(*request);
             } else if (store != nullptr) {
-                const StoreResult result = bench.store_.apply(*store);
+                const StoreResult result = bench.store_.answer(*store, bench.now_);
                 Context c = bench.context();
                 onLimitStoreResult(*bench.allowances_, result, c);
             }
--- a/tests/replay/replay_world.cpp
+++ b/tests/replay/replay_world.cpp
@@ -11,9 +11,9 @@
 static constexpr Milliseconds PeerLatency {1};
 static constexpr Milliseconds SilenceLimit {1500}; // of a peer connection
 
-static constexpr std::array<const char *, 13> PeerKinds {
-    "heartbeat",  "offer",      "answer",   "ack",          "cancel",      "submit",  "query",
-    "job-cancel", "job-answer", "announce", "announce-ack", "config-push", "handover"};
+static constexpr std::array<const char *, std::variant_size_v<PeerMessage>> PeerKinds {
+    "heartbeat",  "offer",      "answer",   "ack",          "cancel",      "submit",   "query",
+    "job-cancel", "job-answer", "announce", "announce-ack", "config-push", "handover", "allowance-wanted"};
 
 const Rule *ReplayWorld::match(const std::string &kind, const std::string &from, const std::string &to,
                                const std::string &op)
