Fix: [limit] A group does not take back the reserve that another group has asked for

Cause: a group with 8 of 9 in use gave its reserve back on AllowanceWanted, and its next pass took it again as a reserve, because the sum was below the limit for a moment. The group that had asked stayed without it: 9 of 10 allowed tasks ran for as long as both groups were busy. Upper limits were never exceeded.

Change: while another group asks, a group raises its part to its demand only.

--- a/src/core/limit/limit_target.cpp
+++ b/src/core/limit/limit_target.cpp
@@ -165,7 +165,7 @@
 
 // Adjusts the group's part of one team; returns whether the row changes.
 static bool adjustPart(const AllowanceGroup &group, AllowanceDemand &demand, std::vector<AllowancePart> &parts,
-                       const ShardId &groupId, std::uint32_t limit, bool mayLower, bool &unmet)
+                       const ShardId &groupId, std::uint32_t limit, bool wantedElsewhere, bool mayLower, bool &unmet)
 {
     AllowancePart &part = partOf(parts, groupId);
     if (part.epoch_ > group.epoch_) {
@@ -186,7 +186,8 @@
     } else if (needed > 0 && needed >= part.amount_) {
         // Raised before the last task is in use, so that the next one does not wait for the store.
         const std::uint64_t available = sum < limit ? limit - sum : 0;
-        const std::uint64_t wanted = comfortableAmount(needed, limit, parts.size());
+        // A reserve taken here would be the part that was just given back for the group that asked.
+        const std::uint64_t wanted = wantedElsewhere ? needed : comfortableAmount(needed, limit, parts.size());
         part.amount_ += static_cast<std::uint32_t>(std::min(wanted - part.amount_, available));
         unmet = unmet || needed > part.amount_;
     }
@@ -230,8 +231,10 @@
                 const std::uint32_t limit = limitOf(context.bundle_, team);
                 // After a lost write usable amounts stay low until the next write; that is no reason to give back.
                 const bool mayLower = !key.lostWrite_;
+                const bool elsewhere = scarcityOf(state, team, false, context.now_) == Scarcity::WantedElsewhere;
                 bool missing = false;
-                changed = adjustPart(group, demand, rows[team], groupId, limit, mayLower, missing) || changed;
+                changed
+                    = adjustPart(group, demand, rows[team], groupId, limit, elsewhere, mayLower, missing) || changed;
                 if (missing) {
                     unmet.push_back(team);
                 }
