Change: [group] Polls name the results that wait for the home

A worker reports a finished task in each poll until it is acknowledged, and a poll does not wait while there is one.

A poll now names in `known` the finished tasks that the group keeps until the home has them; the worker does not report them and waits for others. A worker may ignore the field and then behaves as before. A hold still reports everything. A longer pause between polls was ruled out: results of interactive tasks on the same worker would be late. An acknowledgement now waits for the open poll to end, at most 3 s. Polls of workers without tasks wait 5 s, others 3 s as before, because a worker counts as silent after 6 s. Empty lists are left out of the request.

Tests: the fake worker of the group tests honours `known` at every second worker; resultIsKeptUntilTheHomeAcknowledges also checks the polls; knownResultsAreNotReported is new.

--- a/src/core/group/answer.cpp
+++ b/src/core/group/answer.cpp
@@ -132,6 +132,7 @@
         leaveGang(group, task);
         setStage(group, task, TaskStage::Finished);
         task.result_ = std::move(result);
+        group.workers_[task.worker_]->finished_.push_back(task.id_);
         task.nextRepeat_ = context.now_ + detail::HomeRepeat;
         group.repeats_.insert({task.nextRepeat_, task.sequence_, &task});
         return;
--- a/src/core/group/group_base.h
+++ b/src/core/group/group_base.h
@@ -23,6 +23,7 @@
 constexpr Milliseconds TaskLease {15'000}; // renewed by hold, start and poll
 constexpr Milliseconds LeaseMargin {2000}; // delivery of a call that may still be under way
 constexpr Milliseconds PollWait {3000};
+constexpr Milliseconds IdlePollWait {5000}; // for a worker without tasks
 constexpr Milliseconds WorkerRetryMin {50}; // wait after the first error of a worker; doubles
 constexpr Milliseconds WorkerRetryMax {1000};
 constexpr Milliseconds SilenceLimit {6000}; // a worker that is silent for longer gets no renewal any more
@@ -212,6 +213,7 @@
     std::vector<GroupTask *> pending_; // Placed
     std::unordered_map<TaskId, Resources> strays_; // tasks to be stopped because they are known elsewhere
     std::vector<TaskId> acks_;
+    std::vector<TaskId> finished_; // may include tasks that are acknowledged or gone; cleaned by each poll
     bool urgentAcks_ = false; // a task waits to be queued again until an acknowledgement has arrived
     Resources used_; // measured
     std::uint32_t uncertain_ = 0; // tasks in stage Uncertain
--- a/src/core/group/worker_cmd.cpp
+++ b/src/core/group/worker_cmd.cpp
@@ -46,9 +46,19 @@
     return sendCall(group, worker, CallKind::Hold, WorkerHold {context.self_, detail::TaskLease}, {}, context);
 }
 
+// Only tasks whose final result this group keeps until the home has it may be left out of the worker's answers.
+static void cleanFinished(Group &group, GroupWorker &worker)
+{
+    std::erase_if(worker.finished_, [&](const TaskId &id) {
+        const GroupTask *task = findTask(group, id);
+        return task == nullptr || task->stage_ != TaskStage::Finished || task->worker_ != worker.index_;
+    });
+}
+
 static WorkerOpId sendPoll(Group &group, GroupWorker &worker, Milliseconds wait, Context &context)
 {
-    WorkerPoll poll {std::move(worker.acks_), detail::TaskLease, wait};
+    cleanFinished(group, worker);
+    WorkerPoll poll {std::move(worker.acks_), detail::TaskLease, wait, worker.finished_};
     worker.acks_.clear();
     worker.urgentAcks_ = false;
     std::vector<TaskId> acks = poll.acks_;
@@ -93,7 +103,9 @@
         return;
     }
     if (!needsHold) {
-        worker.contact_ = sendPoll(group, worker, detail::PollWait, context);
+        const bool idle = !hasTasks(worker) && worker.finished_.empty();
+        const Milliseconds wait = idle ? detail::IdlePollWait : detail::PollWait;
+        worker.contact_ = sendPoll(group, worker, wait, context);
         return;
     }
     if (open) {
--- a/src/daemon/worker_codec.cpp
+++ b/src/daemon/worker_codec.cpp
@@ -52,7 +52,12 @@
 
 static void fill(Json &json, const WorkerPoll &op)
 {
-    json["ack"] = taskIds(op.acks_);
+    if (!op.acks_.empty()) {
+        json["ack"] = taskIds(op.acks_);
+    }
+    if (!op.known_.empty()) {
+        json["known"] = taskIds(op.known_);
+    }
     json["lease_ms"] = op.lease_.count();
     json["wait_ms"] = op.wait_.count();
 }
--- a/src/standin/worker.cpp
+++ b/src/standin/worker.cpp
@@ -161,21 +161,30 @@
     }
 }
 
-bool SimulatedWorker::hasNews() const
+std::set<TaskKey> SimulatedWorker::knownTasks(const Json &request)
 {
-    return (leaving_ && !leavingReported_) || std::any_of(tasks_.begin(), tasks_.end(), [](const auto &item) {
-               return item.second.outcome_ != "running";
+    std::set<TaskKey> known;
+    for (const auto &item : listOf(request, "known")) {
+        known.insert(readKey(item));
+    }
+    return known;
+}
+
+bool SimulatedWorker::hasNews(const std::set<TaskKey> &known) const
+{
+    return (leaving_ && !leavingReported_) || std::any_of(tasks_.begin(), tasks_.end(), [&known](const auto &item) {
+               return item.second.outcome_ != "running" && !known.contains(item.first);
            });
 }
 
-WorkerAnswer SimulatedWorker::pollAnswer(TimePoint now)
+WorkerAnswer SimulatedWorker::pollAnswer(TimePoint now, const std::set<TaskKey> &known)
 {
     Json tasks = Json::array();
     for (auto &[key, task] : tasks_) {
         const bool running = task.outcome_ == "running";
         const bool usageIsNew = running && !task.usageReported_ && now - task.started_ >= UsageLag;
         task.usageReported_ = task.usageReported_ || usageIsNew;
-        if (!running || usageIsNew) {
+        if (usageIsNew || (!running && !known.contains(key))) {
             tasks.push_back(report(key, task));
         }
     }
--- a/src/standin/worker_base.h
+++ b/src/standin/worker_base.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -68,8 +69,12 @@
     void acknowledge(const Json &request, TimePoint now);
 
     // Second part of a poll: the answer, due when hasNews() or when the poll has waited long enough.
-    WorkerAnswer pollAnswer(TimePoint now);
-    [[nodiscard]] bool hasNews() const;
+    // `known`: tasks that have ended and are not reported again.
+    WorkerAnswer pollAnswer(TimePoint now, const std::set<TaskKey> &known = {});
+    [[nodiscard]] bool hasNews(const std::set<TaskKey> &known = {}) const;
+
+    // Tasks named by the field `known` of a poll.
+    static std::set<TaskKey> knownTasks(const Json &request);
 
     // Finishes tasks that have run their time and stops all when the lease has lapsed.
     void advance(TimePoint now);
--- a/src/standin/worker_service.cpp
+++ b/src/standin/worker_service.cpp
@@ -65,7 +65,8 @@
     if (known && worker.admit(body, answer)) {
         if (path == "/v1/poll") {
             worker.acknowledge(body, now);
-            entry.polls_.push_back({worker.epoch(), now + Milliseconds(numberOr(body, "wait_ms", 0)), respond});
+            entry.polls_.push_back({worker.epoch(), now + Milliseconds(numberOr(body, "wait_ms", 0)), respond,
+                                    SimulatedWorker::knownTasks(body)});
             answerPolls(entry, now);
             return;
         }
@@ -84,13 +85,12 @@
 void WorkerService::answerPolls(Entry &entry, TimePoint now)
 {
     const std::uint64_t epoch = entry.worker_->epoch();
-    const bool news = entry.worker_->hasNews();
     for (auto it = entry.polls_.begin(); it != entry.polls_.end();) {
         if (it->epoch_ < epoch) {
             respondJson(it->respond_, {{"epoch", epoch}}, 409);
             it = entry.polls_.erase(it);
-        } else if (news || now >= it->until_) {
-            const WorkerAnswer answer = entry.worker_->pollAnswer(now);
+        } else if (now >= it->until_ || entry.worker_->hasNews(it->known_)) {
+            const WorkerAnswer answer = entry.worker_->pollAnswer(now, it->known_);
             respondJson(it->respond_, answer.body_, answer.status_);
             it = entry.polls_.erase(it);
         } else {
--- a/src/standin/worker_service.h
+++ b/src/standin/worker_service.h
@@ -10,6 +10,7 @@
 
 #include <list>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,7 @@
         std::uint64_t epoch_ = 0;
         TimePoint until_;
         HttpResponder respond_;
+        std::set<TaskKey> known_; // not reported again
     };
 
     struct Entry
--- a/tests/group/fake_worker.h
+++ b/tests/group/fake_worker.h
@@ -4,6 +4,7 @@
 
 #include "core/message/worker_type.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
@@ -29,6 +30,8 @@
     TimePoint leaseEnd_;
     bool leaving_ = false;
     bool failsAll_ = false;
+    WorkerPoll lastPoll_;
+    bool honoursKnown_ = true; // workers may also report tasks that a poll names as known
     std::map<TaskId, Run> runs_;
     int misfits_ = 0; // starts that did not fit: the group overcommitted
     std::function<void(const TaskId &, bool)> observer_ = [](const TaskId &, bool) {}; // (task, starts)
@@ -106,6 +109,7 @@
 
     void beginPoll(const WorkerPoll &poll, TimePoint now)
     {
+        lastPoll_ = poll;
         leaseEnd_ = now + poll.lease_;
         for (const TaskId &id : poll.acks_) {
             const auto run = runs_.find(id);
@@ -115,10 +119,12 @@
         }
     }
 
-    void collectPoll(WorkerResult &result)
+    void collectPoll(const WorkerPoll &poll, WorkerResult &result)
     {
         for (auto &[id, run] : runs_) {
-            if (run.outcome_ != Outcome::Running || !run.told_) {
+            const bool known
+                = honoursKnown_ && std::find(poll.known_.begin(), poll.known_.end(), id) != poll.known_.end();
+            if (run.outcome_ != Outcome::Running ? !known : !run.told_) {
                 run.told_ = true;
                 result.tasks_.push_back(report(run));
             }
@@ -152,7 +158,7 @@
             }
         } else if (const auto *poll = std::get_if<WorkerPoll>(&request.op_)) {
             beginPoll(*poll, now);
-            collectPoll(result);
+            collectPoll(*poll, result);
         } else if (const auto *stop = std::get_if<WorkerStop>(&request.op_)) {
             for (const TaskId &id : stop->tasks_) {
                 const auto run = runs_.find(id);
--- a/tests/group/group_world.cpp
+++ b/tests/group/group_world.cpp
@@ -37,6 +37,7 @@
 FakeWorker &World::addWorker(const std::string &name, const ShardId &group, const Resources &capacity)
 {
     FakeWorker &worker = workers_[WorkerId(name)];
+    worker.honoursKnown_ = workers_.size() % 2 == 0;
     worker.name_ = name;
     worker.capacity_ = capacity;
     workerGroup_[WorkerId(name)] = group;
@@ -285,7 +286,7 @@
         if (request.epoch_ < worker.highest_) {
             result.status_ = WorkerStatus::StaleEpoch;
         } else {
-            worker.collectPoll(result);
+            worker.collectPoll(std::get<WorkerPoll>(request.op_), result);
         }
         at(LinkDelay, [this, &holder, result] { answer(holder, result); });
         return;
--- a/tests/group/test_offer.cpp
+++ b/tests/group/test_offer.cpp
@@ -247,7 +247,8 @@
     cr_assert(groupDocument(*holder.state_, world.now_).find("\"team\":\"school\"") != std::string::npos);
 }
 
-// Guards against results that are acknowledged to the worker before the home has journaled them.
+// Guards against results that are acknowledged to the worker before the home has journaled them, and against polls that
+// ask for them again meanwhile, or leave them out after that.
 Test(offer, resultIsKeptUntilTheHomeAcknowledges)
 {
     World world = makeWorld();
@@ -260,7 +261,10 @@
     cr_assert_eq(world.workers_.at(WorkerId("w1")).runs_.size(), 1U);
     const int answers = world.answers_.at({job.id_, 0});
     cr_assert_gt(answers, 1, "the result is repeated to the home");
+    const WorkerPoll &poll = world.workers_.at(WorkerId("w1")).lastPoll_;
+    cr_assert(poll.acks_.empty() && poll.known_ == std::vector<TaskId>({{job.id_, 0}}));
     world.acknowledges_ = true;
     world.run(std::chrono::seconds(6));
+    cr_assert(poll.known_.empty());
     cr_assert_eq(world.workers_.at(WorkerId("w1")).runs_.size(), 0U);
 }
--- a/tests/standin/test_worker.cpp
+++ b/tests/standin/test_worker.cpp
@@ -78,6 +78,27 @@
     cr_assert_eq(bench.journal_.size(), 5U);
 }
 
+// Guards against results that are reported over and over while they cannot be acknowledged, and against new results
+// that are held back with them.
+Test(worker, knownResultsAreNotReported)
+{
+    Bench bench;
+    bench.start("a:1", "run_ms=100");
+    bench.start("a:2", "run_ms=300");
+    bench.now_ += Milliseconds(150);
+    const Json request {{"known", {{{"job", "a:1"}, {"index", 0}}}}};
+    const auto known = SimulatedWorker::knownTasks(request);
+    cr_assert_eq(bench.poll().size(), 1U);
+    cr_assert(bench.worker_.hasNews() && !bench.worker_.hasNews(known));
+    cr_assert(bench.worker_.pollAnswer(bench.now_, known).body_["tasks"].empty());
+    bench.now_ += Milliseconds(200);
+    bench.worker_.advance(bench.now_);
+    cr_assert(bench.worker_.hasNews(known));
+    const Json tasks = bench.worker_.pollAnswer(bench.now_, known).body_["tasks"];
+    cr_assert(tasks.size() == 1 && tasks[0]["job"] == "a:2");
+    cr_assert_eq(bench.poll().size(), 2U);
+}
+
 // Guards against tasks that outlive the lease, and against a late renewal that brings them back.
 Test(worker, leaseStopsTasks)
 {
