Codechange: [worker] Answers of workers are read without a document in memory

Reading the answers of workers was the largest single cost of a daemon under load. The answers are now read in one pass by the parser's events; the checks of types, ranges and required fields are as before, except that a field given twice must be valid both times. Numbers of reports and their fields are few, so another JSON library was not considered.

--- a/src/daemon/worker_codec.cpp
+++ b/src/daemon/worker_codec.cpp
@@ -1,9 +1,8 @@
-// JSON of the workers' protocol.
+// JSON of the workers' protocol: requests, and answers with status 409.
 #include "daemon/worker_codec_func.h"
 
 #include "http/json_func.h"
 
-#include <algorithm>
 #include <array>
 
 namespace mimosapier
@@ -80,88 +79,6 @@
     return http;
 }
 
-static bool readOutcome(const Json &json, Outcome &outcome)
-{
-    constexpr std::array Allowed {Outcome::Running, Outcome::Done, Outcome::Failed, Outcome::Cancelled,
-                                  Outcome::NotRun};
-    std::string name;
-    if (!readField(json, "outcome", name)) {
-        return false;
-    }
-    const auto found = std::find_if(Allowed.begin(), Allowed.end(),
-                                    [&name](Outcome candidate) { return outcomeName(candidate) == name; });
-    if (found == Allowed.end()) {
-        return false;
-    }
-    outcome = *found;
-    return true;
-}
-
-static bool readReport(const Json &json, WorkerTaskReport &report)
-{
-    std::string error;
-    const bool valid = readField(json, "job", report.task_.job_.value_) && readField(json, "index", report.task_.index_)
-        && readField(json, "team", report.team_.value_) && readField(json, "class", report.class_.value_)
-        && readField(json, "milli_cpus", report.size_.milliCpus_)
-        && readField(json, "memory_mb", report.size_.memoryMb_)
-        && readField(json, "accelerators", report.size_.accelerators_)
-        && readField(json, "used_milli_cpus", report.used_.milliCpus_)
-        && readField(json, "used_memory_mb", report.used_.memoryMb_) && readField(json, "error", error)
-        && readField(json, "idempotent", report.idempotent_) && readField(json, "result", report.result_)
-        && readOutcome(json, report.outcome_);
-    report.error_ = error.empty() ? ErrorKind::None : errorFromName(error);
-    report.size_.slots_ = 1;
-    return valid && !report.task_.job_.empty();
-}
-
-static bool readReports(const Json &json, std::vector<WorkerTaskReport> &reports)
-{
-    const auto tasks = json.find("tasks");
-    if (tasks == json.end() || !tasks->is_array()) {
-        return false;
-    }
-    reports.resize(tasks->size());
-    for (std::size_t i = 0; i < reports.size(); ++i) {
-        if (!readReport((*tasks)[i], reports[i])) {
-            return false;
-        }
-    }
-    return true;
-}
-
-// True when there is one report per started task, in any order.
-static bool coversStart(const WorkerStart &start, const std::vector<WorkerTaskReport> &reports)
-{
-    std::vector<TaskId> asked;
-    std::vector<TaskId> reported;
-    asked.reserve(start.tasks_.size());
-    reported.reserve(reports.size());
-    for (const WorkerTask &task : start.tasks_) {
-        asked.push_back(task.task_);
-    }
-    for (const WorkerTaskReport &report : reports) {
-        reported.push_back(report.task_);
-    }
-    std::sort(asked.begin(), asked.end());
-    std::sort(reported.begin(), reported.end());
-    return asked == reported;
-}
-
-bool decodeWorkerAnswer(const WorkerRequest &request, std::string_view body, WorkerResult &result)
-{
-    Json json;
-    if (!parseJson(body, json) || !json.is_object()) {
-        return false;
-    }
-    result.highestEpoch_ = request.epoch_;
-    if (!readField(json, "epoch", result.highestEpoch_.value_) || !readField(json, "leaving", result.leaving_)
-        || !readReports(json, result.tasks_)) {
-        return false;
-    }
-    const auto *start = std::get_if<WorkerStart>(&request.op_);
-    return start == nullptr || coversStart(*start, result.tasks_);
-}
-
 bool decodeStaleEpoch(std::string_view body, Epoch &epoch)
 {
     Json json;
--- a/tests/daemon/test_worker_client.cpp
+++ b/tests/daemon/test_worker_client.cpp
@@ -102,6 +102,57 @@
     cr_assert(results[5].status_ == WorkerStatus::Ok);
 }
 
+// Guards against answers that are taken although a field has the wrong type or place, and against fields that are lost.
+Test(worker, answersAreReadInFull)
+{
+    const WorkerRequest poll = makeRequest(AllOps[2]);
+    const std::string report
+        = R"({"job":"school:1","index":2,"team":"school","class":"c","milli_cpus":100,"memory_mb":64,"accelerators":1,)"
+          R"("used_milli_cpus":50,"used_memory_mb":32,"outcome":"failed","error":"task-failed","idempotent":false,)"
+          R"("result":"r","later":{"job":[1,{"index":"x"}]}})";
+    WorkerResult result;
+    cr_assert(decodeWorkerAnswer(
+        poll, R"({"other":[{"tasks":[7]}],"tasks":[)" + report + R"(,{"job":"a:1","outcome":"done"}],"epoch":7})",
+        result));
+    cr_assert_eq(result.highestEpoch_.value_, 7U);
+    cr_assert(!result.leaving_);
+    cr_assert_eq(result.tasks_.size(), 2U);
+    const WorkerTaskReport &first = result.tasks_[0];
+    cr_assert(first.task_ == Task && first.team_.value_ == "school" && first.class_.value_ == "c");
+    cr_assert(first.size_.milliCpus_ == 100 && first.size_.memoryMb_ == 64 && first.size_.accelerators_ == 1);
+    cr_assert(first.size_.slots_ == 1 && first.used_.milliCpus_ == 50 && first.used_.memoryMb_ == 32);
+    cr_assert(first.outcome_ == Outcome::Failed && first.error_ == ErrorKind::TaskFailed && !first.idempotent_);
+    cr_assert_eq(first.result_, "r");
+    const WorkerTaskReport &second = result.tasks_[1];
+    cr_assert(second.outcome_ == Outcome::Done && second.error_ == ErrorKind::None && second.idempotent_);
+    const std::string good = R"({"job":"a:1","outcome":"done")";
+    for (const std::string &bad : {std::string("7"),
+                                   std::string("[]"),
+                                   std::string("{}"),
+                                   std::string(R"({"tasks":{}})"),
+                                   std::string(R"({"tasks":null})"),
+                                   std::string(R"({"tasks":[7]})"),
+                                   std::string(R"({"tasks":[[]]})"),
+                                   std::string(R"({"tasks":[],"epoch":"7"})"),
+                                   std::string(R"({"tasks":[],"epoch":-1})"),
+                                   std::string(R"({"tasks":[],"leaving":1})"),
+                                   std::string(R"({"tasks":[]} x)"),
+                                   std::string(R"({"tasks":[{"job":"a:1"}]})"),
+                                   std::string(R"({"tasks":[{"outcome":"done"}]})"),
+                                   std::string(R"({"tasks":[{"job":"a:1","outcome":"accepted"}]})"),
+                                   R"({"tasks":[)" + good + R"(},"x"]})",
+                                   R"({"tasks":[)" + good + R"(,"index":-1}]})",
+                                   R"({"tasks":[)" + good + R"(,"index":4294967296}]})",
+                                   R"({"tasks":[)" + good + R"(,"milli_cpus":1.5}]})",
+                                   R"({"tasks":[)" + good + R"(,"result":null}]})",
+                                   R"({"tasks":[)" + good + R"(,"idempotent":{}}]})",
+                                   R"({"tasks":[)" + good + R"(,"job":[]}]})",
+                                   R"({"tasks":[)" + good + R"(,"memory_mb":9223372036854775808}]})"}) {
+        WorkerResult refused;
+        cr_expect(!decodeWorkerAnswer(poll, bad, refused), "%s", bad.c_str());
+    }
+}
+
 // Guards against crashes of the decoders on corrupted answers, and against a part of a list being taken for the whole.
 Test(worker, decodersSurviveAnyInput)
 {
