Codechange: [node] The directory is compared only after it was made anew

After each event and tick the node hashed the holders of all shards to find out whether the homes have to see a changed directory. This grows with the shards of the fleet: about 2,250 groups at the target, for each event.

Membership counts how often it makes the directory anew. Holders, epochs and reach change only then, so the node compares no more often; loads are updated in place and do not count.

No run with thousands of shards was made.

Tests: directoryBuildsFollowChanges is new.

--- a/src/core/member/member_func.h
+++ b/src/core/member/member_func.h
@@ -6,6 +6,7 @@
 #include "core/common/instance_type.h"
 #include "core/message/context_type.h"
 
+#include <cstdint>
 #include <span>
 #include <string>
 #include <vector>
@@ -59,6 +60,9 @@
 // The directory, current after each of the calls above.
 const Directory &directory(const Membership &membership);
 
+// Number of times the directory was made anew; until it rises, only loads in the directory change.
+std::uint64_t directoryBuilds(const Membership &membership);
+
 // Shards that this daemon should stop working on and then release: all while it leaves, otherwise at most one at a time
 // that belongs to another daemon. The node calls releaseShard for each when its work there has stopped.
 std::vector<ShardId> shardsToRelease(const Membership &membership);
--- a/src/core/member/member_internal.h
+++ b/src/core/member/member_internal.h
@@ -187,6 +187,7 @@
     StoreOpId suspectOp_;
     Directory directory_;
     bool directoryDirty_ = false;
+    std::uint64_t directoryBuilds_ = 0;
 
     // Peers
     std::map<DaemonId, PeerState> peers_;
--- a/src/core/member/membership.cpp
+++ b/src/core/member/membership.cpp
@@ -162,6 +162,11 @@
     return std::exchange(membership.changes_, {});
 }
 
+std::uint64_t directoryBuilds(const Membership &membership)
+{
+    return membership.directoryBuilds_;
+}
+
 const Directory &directory(const Membership &membership)
 {
     return membership.directory_;
--- a/src/core/member/ownership_table.cpp
+++ b/src/core/member/ownership_table.cpp
@@ -181,6 +181,7 @@
 void rebuildDirectory(Membership &m)
 {
     m.directoryDirty_ = false;
+    ++m.directoryBuilds_;
     m.directory_.groups_.clear();
     m.directory_.partitions_.clear();
     std::set<ShardId> unheld; // wanted, but in no table yet
--- a/src/core/node/node_base.h
+++ b/src/core/node/node_base.h
@@ -38,6 +38,7 @@
     std::mt19937_64 random_;
     std::set<ShardId> stopping_; // held, but released as soon as nothing is under way
     std::deque<PeerReceived> loopback_; // messages of this daemon to itself, in order
+    std::uint64_t directoryBuilds_ = 0; // directoryBuilds() when the directory was last compared
     std::uint64_t directoryPrint_ = 0; // fingerprint of holders and epochs when the homes last saw the directory
     TimePoint lastFenceCheck_ {};
     TimePoint lastLoads_ {};
--- a/src/core/node/ownership.cpp
+++ b/src/core/node/ownership.cpp
@@ -69,6 +69,11 @@
 
 void propagateDirectory(Node &node, TimePoint now, Actions &actions)
 {
+    const std::uint64_t builds = directoryBuilds(*node.member_);
+    if (builds == node.directoryBuilds_) {
+        return;
+    }
+    node.directoryBuilds_ = builds;
     const Directory &current = directory(*node.member_);
     const std::uint64_t print = fingerprint(current.partitions_, fingerprint(current.groups_, 1));
     if (print == node.directoryPrint_) {
--- a/tests/member/test_heartbeat.cpp
+++ b/tests/member/test_heartbeat.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <random>
+#include <tuple>
 
 using namespace mimosapier;
 using namespace mimosapier::test;
@@ -142,3 +143,44 @@
         cr_expect(entry.holder_ != cluster.at(0).settings_.self_ || entry.load_.queued_ == 5);
     }
 }
+
+// Guards against a change of a holder, an epoch or a reach that does not count as a new directory, and against one that
+// is counted for each load.
+Test(heartbeat, directoryBuildsFollowChanges)
+{
+    Cluster cluster(3);
+    addPair(cluster);
+    TestDaemon &daemon = cluster.at(1);
+    const auto entries = [&daemon] {
+        std::vector<std::tuple<ShardId, DaemonId, Epoch, bool>> list;
+        for (const auto *shards : {&directory(*daemon.member_).groups_, &directory(*daemon.member_).partitions_}) {
+            for (const ShardEntry &entry : *shards) {
+                list.emplace_back(entry.shard_, entry.holder_, entry.epoch_, entry.reachable_);
+            }
+        }
+        return list;
+    };
+    const std::uint64_t before = directoryBuilds(*daemon.member_);
+    for (std::uint32_t queued = 1; queued <= 10; ++queued) {
+        setQueues(cluster, cluster.at(0), queued);
+        setQueues(cluster, daemon, queued);
+        cluster.run(Milliseconds(600));
+        cr_assert(showsQueues(daemon, cluster.at(0), queued));
+    }
+    cr_expect_eq(directoryBuilds(*daemon.member_), before);
+    cluster.kill(cluster.at(0));
+    auto last = entries();
+    std::uint64_t builds = before;
+    int changes = 0;
+    for (int i = 0; i < 1000; ++i) {
+        cluster.run(Milliseconds(20));
+        const auto now = entries();
+        if (now != last) {
+            cr_assert_gt(directoryBuilds(*daemon.member_), builds);
+            ++changes;
+        }
+        last = now;
+        builds = directoryBuilds(*daemon.member_);
+    }
+    cr_expect_geq(changes, 2);
+}
