--- a/src/core/node/node_base.h
+++ b/src/core/node/node_base.h
@@ -20,6 +20,7 @@
 
 enum class LeavePhase : std::uint8_t {
     None,
+    Announced, // not ready any more, but still admits what the load balancer sends until it has noticed
     FinishRequests, // waits for the answers of open requests
     HandOver, // hands shards over
     Gone, // LeaveFinished was emitted
@@ -38,6 +39,7 @@
     std::mt19937_64 random_;
     std::set<ShardId> stopping_; // held, but released as soon as nothing is under way
     std::deque<PeerReceived> loopback_; // messages of this daemon to itself, in order
+    std::uint64_t directoryBuilds_ = 0; // directoryBuilds() when the directory was last compared
     std::uint64_t directoryPrint_ = 0; // fingerprint of holders and epochs when the homes last saw the directory
     TimePoint lastFenceCheck_ {};
     TimePoint lastLoads_ {};
