--- a/tests/replay/replay_calls.cpp
+++ b/tests/replay/replay_calls.cpp
@@ -156,7 +156,7 @@
             } else if (poll.request_.epoch_ < worker.worker_.highest_) {
                 result.status_ = WorkerStatus::StaleEpoch;
             } else {
-                worker.worker_.collectPoll(result);
+                worker.worker_.collectPoll(std::get<WorkerPoll>(poll.request_.op_), result);
             }
             later(WorkerLatency, [this, daemon = poll.daemon_, result] { deliver(daemon, result); });
         }
