--- a/src/core/group/stop_cmd.cpp
+++ b/src/core/group/stop_cmd.cpp
@@ -78,6 +78,12 @@
             continue;
         }
         acknowledge(group, task->worker_, id);
+        if (task->result_.outcome_ != Outcome::Done) {
+            // The home may offer the task again, and the worker starts it only after it has forgotten the earlier run.
+            GroupWorker &worker = *group.workers_[task->worker_];
+            worker.urgentAcks_ = true;
+            touchWorker(group, worker);
+        }
         rememberTask(group, *task, task->result_, context);
         eraseTask(group, *task);
     }
