--- a/examples/embed_group.cpp
+++ b/examples/embed_group.cpp
@@ -11,7 +11,7 @@
 static Bundle makeBundle()
 {
     Bundle bundle;
-    bundle.version_ = BundleVersion {1};
+    bundle.version_ = BundleVersion{1};
     bundle.regions_.push_back({RegionId("north"), 1});
     Team team;
     team.id_ = TeamId("school");
@@ -82,7 +82,7 @@
         result.id_ = request.id_;
         result.part_ = request.part_;
         result.status_ = std::holds_alternative<StoreGet>(request.op_) ? StoreStatus::NotFound : StoreStatus::Ok;
-        result.revision_ = Revision {++revision_};
+        result.revision_ = Revision{++revision_};
         onLimitStoreResult(allowances_, result, context_);
     }
 
@@ -110,17 +110,17 @@
     const ShardId groupId = groupShard(region, "rack-1");
     const Bundle bundle = makeBundle();
     Directory directory;
-    directory.groups_.push_back({groupId, region, self, Epoch {1}, true, {}});
+    directory.groups_.push_back({groupId, region, self, Epoch{1}, true, {}});
     Actions actions;
     std::mt19937_64 random(1);
-    TimePoint now {};
+    TimePoint now{};
 
     Handle<AllowanceState> allowances = makeAllowances();
-    Handle<Group> group = makeGroup(groupId, Epoch {1}, *allowances);
-    Context context {now, self, region, bundle, directory, actions, random};
-    Environment environment {*group, *allowances, context};
+    Handle<Group> group = makeGroup(groupId, Epoch{1}, *allowances);
+    Context context{now, self, region, bundle, directory, actions, random};
+    Environment environment{*group, *allowances, context};
     openGroupAllowances(*allowances, groupId, context);
-    const std::vector<WorkerInfo> workers {
+    const std::vector<WorkerInfo> workers{
         {WorkerId("worker-1"), region, ZoneId("north-1"), groupId, "10.0.0.1:7000", {64'000, 256'000, 0, 8}, false}};
     setGroupWorkers(*group, workers, context);
     onTaskOffer(*group, self, makeOffer(groupId), context);
--- a/src/core/chart/chart_parse.cpp
+++ b/src/core/chart/chart_parse.cpp
@@ -138,7 +138,7 @@
 {
     const Chart &chart = reading.chart_;
     std::vector<bool> reached(chart.states_.size(), false);
-    std::vector<std::size_t> open {chart.initial_};
+    std::vector<std::size_t> open{chart.initial_};
     reached[chart.initial_] = true;
     while (!open.empty()) {
         const std::size_t state = open.back();
@@ -206,7 +206,7 @@
     problems.clear();
     YamlNode root;
     YamlProblem broken;
-    Reading reading {{}, problems, {}, {}};
+    Reading reading{{}, problems, {}, {}};
     if (!parseYaml(text, root, broken)) {
         report(reading, broken.line_, broken.text_);
         return ErrorKind::BadSetting;
--- a/src/core/common/id_type.h
+++ b/src/core/common/id_type.h
@@ -70,7 +70,7 @@
 {
     std::size_t operator()(const mimosapier::NamedId<Tag> &id) const noexcept
     {
-        return std::hash<std::string> {}(id.value_);
+        return std::hash<std::string>{}(id.value_);
     }
 };
 
@@ -79,7 +79,7 @@
 {
     std::size_t operator()(const mimosapier::NumberId<Tag> &id) const noexcept
     {
-        return std::hash<std::uint64_t> {}(id.value_);
+        return std::hash<std::uint64_t>{}(id.value_);
     }
 };
 
@@ -89,6 +89,6 @@
     std::size_t operator()(const mimosapier::TaskId &id) const noexcept
     {
         constexpr std::size_t GoldenRatio = 0x9e3779b97f4a7c15ULL; // spreads consecutive indices over the buckets
-        return std::hash<std::string> {}(id.job_.value_) ^ (id.index_ * GoldenRatio);
+        return std::hash<std::string>{}(id.job_.value_) ^ (id.index_ * GoldenRatio);
     }
 };
--- a/src/core/common/json.cpp
+++ b/src/core/common/json.cpp
@@ -18,7 +18,7 @@
         } else if (c == '\n') {
             out += "\\n";
         } else if (static_cast<unsigned char>(c) < 0x20) {
-            std::array<char, 8> escape {};
+            std::array<char, 8> escape{};
             std::snprintf(escape.data(), escape.size(), "\\u%04x", static_cast<unsigned>(c));
             out += escape.data();
         } else {
@@ -58,7 +58,7 @@
         out_ += "null";
         return *this;
     }
-    std::array<char, 32> number {};
+    std::array<char, 32> number{};
     std::snprintf(number.data(), number.size(), "%.6g", value);
     out_ += number.data();
     return *this;
--- a/src/core/common/table/error_table.h
+++ b/src/core/common/table/error_table.h
@@ -17,7 +17,7 @@
 };
 
 // Indexed by the value of ErrorKind.
-inline constexpr std::array<ErrorRow, static_cast<std::size_t>(ErrorKind::Count)> ErrorTable {{
+inline constexpr std::array<ErrorRow, static_cast<std::size_t>(ErrorKind::Count)> ErrorTable{{
     {ErrorKind::None, "none", 200, "No error."},
     {ErrorKind::MalformedRequest, "malformed-request", 400, "The request could not be parsed."},
     {ErrorKind::MalformedFrame, "malformed-frame", 400, "The frame could not be decoded."},
--- a/src/core/common/work.cpp
+++ b/src/core/common/work.cpp
@@ -6,10 +6,10 @@
 namespace mimosapier
 {
 
-static constexpr std::array<std::string_view, 7> OutcomeNames {"pending", "running",   "done",   "failed",
-                                                               "not-run", "cancelled", "unknown"};
-static constexpr std::array<std::string_view, 4> ModeNames {"interactive", "journaled", "service", "gang"};
-static constexpr std::array<std::string_view, 3> PriorityNames {"urgent", "normal", "batch"};
+static constexpr std::array<std::string_view, 7> OutcomeNames{"pending", "running",   "done",   "failed",
+                                                              "not-run", "cancelled", "unknown"};
+static constexpr std::array<std::string_view, 4> ModeNames{"interactive", "journaled", "service", "gang"};
+static constexpr std::array<std::string_view, 3> PriorityNames{"urgent", "normal", "batch"};
 
 std::string_view outcomeName(Outcome outcome)
 {
--- a/src/core/common/work_type.h
+++ b/src/core/common/work_type.h
@@ -51,7 +51,7 @@
     RegionId homeRegion_; // region whose groups or partitions decide for this job
     std::uint32_t tasks_ = 1; // >= 1
     Resources size_; // of one task; slots_ is 1
-    Milliseconds declaredRun_ {0}; // caller's estimate for one task; may be off by a factor of ten
+    Milliseconds declaredRun_{0}; // caller's estimate for one task; may be off by a factor of ten
     bool idempotent_ = true; // false: each task starts at most once
     std::string payload_; // opaque; handed to the worker
 
--- a/src/core/config/announce.cpp
+++ b/src/core/config/announce.cpp
@@ -20,7 +20,7 @@
 static void sendAnnouncement(ConfigState &state, SignOff &sign, Context &context)
 {
     sign.announceRepeatAt_ = context.now_ + WithdrawRepeat;
-    const ConfigAnnounce message {sign.announce_, sign.head_.version_, false};
+    const ConfigAnnounce message{sign.announce_, sign.head_.version_, false};
     for (const DaemonId &daemon : sign.quorum_) {
         if (daemon == context.self_) {
             state.announced_[daemon] = message;
@@ -35,7 +35,7 @@
 void announce(ConfigState &state, SignOff &sign, Context &context)
 {
     if (sign.announce_.value_ == 0) {
-        sign.announce_ = CallId {context.actions_.nextId()};
+        sign.announce_ = CallId{context.actions_.nextId()};
         sign.announceUntil_ = context.now_ + AnnounceWait;
         sign.quorum_ = quorum(state, sign.head_);
         sendAnnouncement(state, sign, context);
@@ -103,7 +103,7 @@
         && (known == state.announced_.end() || known->second.call_ <= message.call_)) {
         state.announced_[from] = message;
     }
-    sendPeer(context, from, ConfigAnnounceAck {message.call_, message.version_});
+    sendPeer(context, from, ConfigAnnounceAck{message.call_, message.version_});
 }
 
 void onConfigAnnounceAck(ConfigState &state, const DaemonId &from, const ConfigAnnounceAck &message, Context &context)
--- a/src/core/config/bundle_base.h
+++ b/src/core/config/bundle_base.h
@@ -34,8 +34,8 @@
     WorkMode mode_ = WorkMode::Interactive;
     Priority priority_ = Priority::Normal;
     bool idempotent_ = true;
-    Milliseconds deadline_ {1000}; // default time to start (interactive) or to be accepted (others)
-    Milliseconds objective_ {1000}; // waiting time that counts as good in the report
+    Milliseconds deadline_{1000}; // default time to start (interactive) or to be accepted (others)
+    Milliseconds objective_{1000}; // waiting time that counts as good in the report
     double objectiveRatio_ = 0.99; // part of the work that has to be good, in (0, 1)
     bool mayThrottle_ = false; // in favour of urgent work
     bool mayCheckpoint_ = false;
--- a/src/core/config/bundle_parse.cpp
+++ b/src/core/config/bundle_parse.cpp
@@ -116,7 +116,7 @@
 {
     const std::string &text = node.scalar_;
     const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
-    return node.kind_ == YamlKind::Scalar && result.ec == std::errc {} && result.ptr == text.data() + text.size();
+    return node.kind_ == YamlKind::Scalar && result.ec == std::errc{} && result.ptr == text.data() + text.size();
 }
 
 template <typename T>
@@ -201,7 +201,7 @@
 static void readRegions(Problems &problems, const YamlNode &root, Bundle &bundle)
 {
     visitNames(problems, root, "regions", [&](const std::string &name, const YamlNode &node, const std::string &path) {
-        RegionConfig region {RegionId(name), 1};
+        RegionConfig region{RegionId(name), 1};
         if (node.kind_ != YamlKind::Null && checkMap(problems, node, path, {"partitions"})) {
             readInteger(problems, node, "partitions", path, 1, MaxPartitions, region.partitions_);
         }
@@ -283,7 +283,7 @@
 std::error_code parseBundle(std::string_view text, Bundle &bundle, std::vector<BundleProblem> &problems)
 {
     problems.clear();
-    Problems found {problems};
+    Problems found{problems};
     if (text.size() > MaxBundleText) {
         problems.push_back({0, "", std::to_string(text.size()) + " bytes", "at most 900000 bytes"});
         return ErrorKind::BadBundle;
--- a/src/core/config/config_internal.h
+++ b/src/core/config/config_internal.h
@@ -21,16 +21,16 @@
 
 // The age of what a relay knows is at most HeadWait plus the call's time until the next answer; heartbeats add up to
 // about 1 s. Together this stays below the 5 s of condition (a).
-constexpr Milliseconds HeadWait {1000};
-constexpr Milliseconds HeadRetry {500}; // between tries that failed
-constexpr Milliseconds HeadPause {20}; // bounds the calls of the watch while the head changes all the time
-constexpr Milliseconds ReadAge {3000}; // knowledge of the head older than this makes a daemon read the head itself
-constexpr Milliseconds PushWait {2000}; // for the relay's push after a heartbeat told of a higher version
-constexpr Milliseconds ConfigOpTimeout {5000}; // an operation without a result counts as Unknown after this time
-constexpr Milliseconds AnnounceWait {3000}; // for a majority of acknowledgements
-constexpr Milliseconds SignWait {10'000}; // for a certain result of a sign-off; then the answer is Unknown
-constexpr Milliseconds SignRetry {200};
-constexpr Milliseconds WithdrawRepeat {1000};
+constexpr Milliseconds HeadWait{1000};
+constexpr Milliseconds HeadRetry{500}; // between tries that failed
+constexpr Milliseconds HeadPause{20}; // bounds the calls of the watch while the head changes all the time
+constexpr Milliseconds ReadAge{3000}; // knowledge of the head older than this makes a daemon read the head itself
+constexpr Milliseconds PushWait{2000}; // for the relay's push after a heartbeat told of a higher version
+constexpr Milliseconds ConfigOpTimeout{5000}; // an operation without a result counts as Unknown after this time
+constexpr Milliseconds AnnounceWait{3000}; // for a majority of acknowledgements
+constexpr Milliseconds SignWait{10'000}; // for a certain result of a sign-off; then the answer is Unknown
+constexpr Milliseconds SignRetry{200};
+constexpr Milliseconds WithdrawRepeat{1000};
 constexpr int WithdrawTimes = 10; // a lost withdrawal would keep a daemon from condition (b)
 constexpr std::size_t MaxSignOffs = 64; // waiting at one daemon
 constexpr std::size_t MaxDraftsKept = 256; // listed at one daemon
--- a/src/core/config/digest.cpp
+++ b/src/core/config/digest.cpp
@@ -12,7 +12,7 @@
 std::string sha256Hex(std::string_view text)
 {
     constexpr std::string_view HexDigits = "0123456789abcdef";
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned int length = 0;
     if (EVP_Digest(text.data(), text.size(), digest.data(), &length, EVP_sha256(), nullptr) != 1) {
         return {}; // an empty digest equals no digest in a bundle
--- a/src/core/config/draft_cmd.cpp
+++ b/src/core/config/draft_cmd.cpp
@@ -30,7 +30,7 @@
 // Random, so that drafts of several daemons do not meet.
 static std::string newDraftId(const ConfigState &state, Context &context)
 {
-    std::array<char, 20> hex {};
+    std::array<char, 20> hex{};
     const std::uint64_t number = context.random_();
     std::snprintf(hex.data(), hex.size(), "%016" PRIx64, number);
     return std::to_string(state.head_.version_.value_ + 1) + "-" + hex.data();
@@ -41,14 +41,14 @@
     write.readBack_ = false;
     write.opGiveUpAt_ = context.now_ + ConfigOpTimeout;
     write.op_ = sendStore(context, StorePart::Config, {},
-                          StoreCas {std::string(DraftPrefix) + write.id_, packToString(write.record_), {}, {}});
+                          StoreCas{std::string(DraftPrefix) + write.id_, packToString(write.record_), {}, {}});
 }
 
 static void readDraftBack(DraftWrite &write, Context &context)
 {
     write.readBack_ = true;
     write.opGiveUpAt_ = context.now_ + ConfigOpTimeout;
-    write.op_ = sendStore(context, StorePart::Config, {}, StoreGet {std::string(DraftPrefix) + write.id_});
+    write.op_ = sendStore(context, StorePart::Config, {}, StoreGet{std::string(DraftPrefix) + write.id_});
 }
 
 void onDraft(ConfigState &state, CallId call, const DraftRequest &request, Context &context)
@@ -184,7 +184,7 @@
 {
     state.draftsCalls_.push_back(call);
     if (state.draftsOp_.value_ == 0) {
-        state.draftsOp_ = sendStore(context, StorePart::Config, {}, StoreList {std::string(DraftPrefix)});
+        state.draftsOp_ = sendStore(context, StorePart::Config, {}, StoreList{std::string(DraftPrefix)});
         state.draftsGiveUpAt_ = context.now_ + ConfigOpTimeout;
     }
 }
--- a/src/core/config/head.cpp
+++ b/src/core/config/head.cpp
@@ -12,7 +12,7 @@
 {
     for (const DaemonId &daemon : state.ownRegion_) {
         if (daemon != context.self_) {
-            sendPeer(context, daemon, ConfigPush {state.head_.version_, value});
+            sendPeer(context, daemon, ConfigPush{state.head_.version_, value});
         }
     }
 }
@@ -79,10 +79,10 @@
         return;
     }
     if (state.relay_ && state.watchAfter_.value_ != 0) {
-        sendHeadOp(state, StoreWatch {std::string(HeadKey), state.watchAfter_, HeadWait}, HeadWait + HeadWait, context);
+        sendHeadOp(state, StoreWatch{std::string(HeadKey), state.watchAfter_, HeadWait}, HeadWait + HeadWait, context);
     } else if (state.relay_ || mustRead(state, context)) {
         // The answer to a list names the revision of the store from which to watch.
-        sendHeadOp(state, StoreList {std::string(HeadKey)}, ConfigOpTimeout, context);
+        sendHeadOp(state, StoreList{std::string(HeadKey)}, ConfigOpTimeout, context);
     }
 }
 
@@ -100,7 +100,7 @@
     }
     state.storeReached_ = true;
     state.nextHeadAt_ = context.now_ + HeadPause;
-    state.watchAfter_ = state.relay_ ? result.revision_ : Revision {};
+    state.watchAfter_ = state.relay_ ? result.revision_ : Revision{};
     const auto entry = std::find_if(result.entries_.begin(), result.entries_.end(),
                                     [](const StoreEntry &candidate) { return candidate.key_ == HeadKey; });
     BundleVersion shown; // 0: there is no head yet
--- a/src/core/config/sign_cmd.cpp
+++ b/src/core/config/sign_cmd.cpp
@@ -20,7 +20,7 @@
         sign.head_.voters_ = state.members_;
         sign.value_ = packToString(sign.head_);
     }
-    sendSignOp(sign, StoreCas {std::string(HeadKey), sign.value_, sign.headRevision_, {}}, context);
+    sendSignOp(sign, StoreCas{std::string(HeadKey), sign.value_, sign.headRevision_, {}}, context);
 }
 
 // Answers the first sign-off and removes it.
@@ -36,7 +36,7 @@
     applyHead(state, sign.value_, sign.winningRevision_, context);
     // The draft has served; a lost delete leaves an entry in the list of drafts.
     sendStore(context, StorePart::Config, {},
-              StoreDelete {std::string(DraftPrefix) + sign.request_.draft_, sign.draftRevision_});
+              StoreDelete{std::string(DraftPrefix) + sign.request_.draft_, sign.draftRevision_});
     state.drafts_.erase(sign.request_.draft_);
     finish(state, Outcome::Done, ErrorKind::None, "version " + std::to_string(sign.head_.version_.value_), context);
 }
@@ -48,7 +48,7 @@
     SignOff &sign = state.signOffs_.front();
     const std::string_view action = advanceChart(sign.chart_, event);
     if (action == "read-head" || action == "read-back") {
-        sendSignOp(sign, StoreGet {std::string(HeadKey)}, context);
+        sendSignOp(sign, StoreGet{std::string(HeadKey)}, context);
     } else if (action == "announce") {
         announce(state, sign, context);
     } else if (action == "write") {
@@ -125,7 +125,7 @@
         advance(state, "refused", context, ErrorKind::BadBundle, std::move(problem));
         return;
     }
-    sign.head_ = {BundleVersion {head.version_.value_ + 1},
+    sign.head_ = {BundleVersion{head.version_.value_ + 1},
                   sha256Hex(sign.draft_.text_),
                   sign.draft_.author_,
                   sign.request_.signer_,
@@ -196,11 +196,11 @@
         return;
     }
     if (isInState(sign.chart_, "reading-draft")) {
-        sendSignOp(sign, StoreGet {std::string(DraftPrefix) + sign.request_.draft_}, context);
+        sendSignOp(sign, StoreGet{std::string(DraftPrefix) + sign.request_.draft_}, context);
     } else if (isWriting(sign)) {
         write(state, sign, context);
     } else if (!isInState(sign.chart_, "announcing")) {
-        sendSignOp(sign, StoreGet {std::string(HeadKey)}, context);
+        sendSignOp(sign, StoreGet{std::string(HeadKey)}, context);
     } else if (hasMajority(sign)) {
         advance(state, "majority", context);
     } else if (context.now_ >= sign.announceUntil_) {
--- a/src/core/entry/admission.cpp
+++ b/src/core/entry/admission.cpp
@@ -12,7 +12,7 @@
 constexpr std::int64_t MaxMilliCpus = 1'000'000;
 constexpr std::int64_t MaxMemoryMb = 100'000'000;
 constexpr std::int64_t MaxAccelerators = 1024;
-constexpr Milliseconds MaxDeadline {60 * 60'000};
+constexpr Milliseconds MaxDeadline{60 * 60'000};
 constexpr std::size_t MaxSubmits = 4096; // open at once
 constexpr std::size_t MaxSubmitsOfTeam = MaxSubmits / 2;
 // Parts of the room that a priority may fill, in percent: less urgent work is refused first.
--- a/src/core/entry/answers.cpp
+++ b/src/core/entry/answers.cpp
@@ -8,7 +8,7 @@
 namespace mimosapier
 {
 
-constexpr Milliseconds PollInterval {200}; // of look-ups while a task still runs
+constexpr Milliseconds PollInterval{200}; // of look-ups while a task still runs
 
 void dropRequest(Entry &entry, CallId id)
 {
@@ -30,7 +30,7 @@
 void finish(Entry &entry, CallId id, Outcome outcome, ErrorKind error, Context &context)
 {
     OpenRequest &request = entry.open_.at(id);
-    if (request.parent_ != CallId {}) {
+    if (request.parent_ != CallId{}) {
         const OpenRequest part = std::move(request);
         entry.timers_.erase({part.timer_, id});
         entry.byMessage_.erase(part.message_);
@@ -59,7 +59,7 @@
 void finishLate(Entry &entry, CallId id, Context &context)
 {
     OpenRequest &request = entry.open_.at(id);
-    const bool mayRun = request.message_ != CallId {} && !request.lookup_;
+    const bool mayRun = request.message_ != CallId{} && !request.lookup_;
     if (request.accepted_) {
         finish(entry, id, Outcome::Pending, ErrorKind::None, context);
     } else if (request.kind_ != RequestKind::Submit) {
--- a/src/core/entry/bulk_cancel.cpp
+++ b/src/core/entry/bulk_cancel.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t MaxOpenCancels = 1000;
 constexpr std::size_t JobsPerMessage = 1000;
 constexpr std::size_t MaxNamed = 20; // jobs named in the answer's detail
-constexpr Milliseconds CancelDeadline {10'000};
+constexpr Milliseconds CancelDeadline{10'000};
 
 static void answerCancel(Entry &entry, CallId id, Context &context)
 {
@@ -40,7 +40,7 @@
         answer.error_ = ErrorKind::UnknownJob;
     }
     answer.results_ = std::move(cancel.results_);
-    const bool wanted = cancel.caller_ != CallId {};
+    const bool wanted = cancel.caller_ != CallId{};
     entry.byCaller_.erase(cancel.caller_);
     entry.cancels_.erase(found);
     if (wanted) {
@@ -105,7 +105,7 @@
     for (auto &[group, tasks] : stops) {
         const ShardEntry *found = findGroup(context.directory_, group);
         if (found != nullptr && !found->holder_.empty()) {
-            sendPeer(context, found->holder_, TaskCancel {group, std::move(tasks)});
+            sendPeer(context, found->holder_, TaskCancel{group, std::move(tasks)});
         }
     }
     cancel.parts_ += lookups.size();
@@ -160,7 +160,7 @@
         refuseCancel(call, ErrorKind::Overloaded, context);
         return;
     }
-    const CallId parent {++entry.lastId_};
+    const CallId parent{++entry.lastId_};
     BulkCancel &cancel = entry.cancels_[parent];
     cancel.caller_ = call;
     cancel.requestIds_ = request.requestIds_;
--- a/src/core/entry/entry.cpp
+++ b/src/core/entry/entry.cpp
@@ -8,8 +8,8 @@
 namespace mimosapier
 {
 
-constexpr Milliseconds MaxWait {10 * 60'000};
-constexpr Milliseconds StatusSlack {2000}; // for the answer after the wait
+constexpr Milliseconds MaxWait{10 * 60'000};
+constexpr Milliseconds StatusSlack{2000}; // for the answer after the wait
 constexpr std::size_t MaxOpen = 16'384; // requests of all kinds
 
 template <>
@@ -76,7 +76,7 @@
 {
     std::vector<CallId> lost;
     for (const auto &[id, request] : entry.open_) {
-        if (request.message_ != CallId {} && request.sentTo_ == peer) {
+        if (request.message_ != CallId{} && request.sentTo_ == peer) {
             lost.push_back(id);
         }
     }
--- a/src/core/entry/entry_base.h
+++ b/src/core/entry/entry_base.h
@@ -60,7 +60,7 @@
     bool partial_ = false; // the group has told about some of the tasks
     bool accepted_ = false; // the home has accepted the job
     std::uint32_t sends_ = 0;
-    Milliseconds backoff_ {0};
+    Milliseconds backoff_{0};
     TimePoint sendAfter_;
     TimePoint timer_ = TimePoint::max(); // entry in Entry::timers_
     std::vector<TaskResult> results_;
--- a/src/core/entry/report_base.h
+++ b/src/core/entry/report_base.h
@@ -16,8 +16,8 @@
 {
 
 // Upper bounds in milliseconds; one more bucket counts what is above.
-inline constexpr std::array<std::int64_t, 15> BucketBounds {1,   2,    5,    10,   20,    50,    100,  200,
-                                                            500, 1000, 2000, 5000, 10000, 30000, 60000};
+inline constexpr std::array<std::int64_t, 15> BucketBounds{1,   2,    5,    10,   20,    50,    100,  200,
+                                                           500, 1000, 2000, 5000, 10000, 30000, 60000};
 
 struct GoodBad
 {
@@ -29,22 +29,22 @@
 template <std::size_t Slots>
 struct SlidingCount
 {
-    std::array<GoodBad, Slots> slots_ {};
+    std::array<GoodBad, Slots> slots_{};
     std::int64_t newest_ = 0; // number of the interval that was counted last
 };
 
-constexpr Milliseconds ShortSlot {10'000};
-constexpr Milliseconds LongSlot {60'000};
+constexpr Milliseconds ShortSlot{10'000};
+constexpr Milliseconds LongSlot{60'000};
 
 struct Series
 {
     std::uint64_t requests_ = 0; // admitted
-    std::array<std::uint64_t, 7> outcomes_ {}; // by Outcome; Pending counts accepted jobs
-    std::array<std::uint64_t, BucketBounds.size() + 1> buckets_ {}; // time from receipt to answer
+    std::array<std::uint64_t, 7> outcomes_{}; // by Outcome; Pending counts accepted jobs
+    std::array<std::uint64_t, BucketBounds.size() + 1> buckets_{}; // time from receipt to answer
     std::uint64_t sumMs_ = 0;
     SlidingCount<30> shortWindow_; // 5 min
     SlidingCount<60> longWindow_; // 1 h
-    Milliseconds objective_ {0};
+    Milliseconds objective_{0};
     double objectiveRatio_ = 0;
 };
 
--- a/src/core/entry/routing.cpp
+++ b/src/core/entry/routing.cpp
@@ -8,10 +8,10 @@
 namespace mimosapier
 {
 
-constexpr Milliseconds CheckInterval {100}; // of messages under way and of vacant shards
-constexpr Milliseconds FirstDelay {20};
-constexpr Milliseconds MaxDelay {500};
-constexpr Milliseconds FollowMargin {20}; // a wait at the home ends this long before the deadline
+constexpr Milliseconds CheckInterval{100}; // of messages under way and of vacant shards
+constexpr Milliseconds FirstDelay{20};
+constexpr Milliseconds MaxDelay{500};
+constexpr Milliseconds FollowMargin{20}; // a wait at the home ends this long before the deadline
 constexpr double RetryPart = 0.1; // of a request, added to the budget by each
 constexpr double MaxRetries = 100.0; // that may be saved up
 
@@ -55,8 +55,8 @@
 
 CallId openRequest(Entry &entry, OpenRequest request, Context &context)
 {
-    const CallId id {++entry.lastId_};
-    if (request.caller_ != CallId {}) {
+    const CallId id{++entry.lastId_};
+    if (request.caller_ != CallId{}) {
         entry.byCaller_[request.caller_] = id;
     }
     entry.open_.emplace(id, std::move(request));
@@ -67,7 +67,7 @@
 
 void loseMessage(Entry &entry, OpenRequest &request)
 {
-    if (request.message_ == CallId {}) {
+    if (request.message_ == CallId{}) {
         return;
     }
     entry.byMessage_.erase(request.message_);
@@ -112,17 +112,17 @@
 static PeerMessage makeHomeMessage(const OpenRequest &request, const ReplyTo &replyTo, const Context &context)
 {
     if (request.kind_ == RequestKind::Cancel) {
-        return JobCancel {replyTo, request.target_, request.jobs_};
+        return JobCancel{replyTo, request.target_, request.jobs_};
     }
     if (request.kind_ == RequestKind::Status) {
-        return JobQuery {replyTo, request.target_, request.spec_.id_, until(request.waitUntil_, context),
-                         request.explain_};
+        return JobQuery{replyTo, request.target_, request.spec_.id_, until(request.waitUntil_, context),
+                        request.explain_};
     }
     if (request.route_ == Route::Follow) {
         const Milliseconds wait = std::max(Milliseconds(0), until(request.deadline_, context) - FollowMargin);
-        return JobQuery {replyTo, request.target_, request.spec_.id_, wait, false};
+        return JobQuery{replyTo, request.target_, request.spec_.id_, wait, false};
     }
-    return JobSubmit {replyTo, request.target_, request.spec_, request.attempt_, until(request.deadline_, context)};
+    return JobSubmit{replyTo, request.target_, request.spec_, request.attempt_, until(request.deadline_, context)};
 }
 
 // Takes a retry from the budget; false when it is used up.
@@ -144,13 +144,13 @@
         return;
     }
     request.sends_ += lookup ? 0 : 1;
-    request.message_ = CallId {context.actions_.nextId()};
+    request.message_ = CallId{context.actions_.nextId()};
     request.target_ = shard.shard_;
     request.sentTo_ = shard.holder_;
     request.sentEpoch_ = shard.epoch_;
     request.lookup_ = lookup;
     entry.byMessage_[request.message_] = id;
-    const ReplyTo replyTo {ReplyPart::Entry, {}, request.message_};
+    const ReplyTo replyTo{ReplyPart::Entry, {}, request.message_};
     const bool toHome = request.route_ == Route::Home || request.route_ == Route::Follow;
     sendPeer(context, shard.holder_,
              toHome ? makeHomeMessage(request, replyTo, context) : makeOffer(request, replyTo, context));
@@ -207,11 +207,11 @@
         finish(entry, id, Outcome::Pending, ErrorKind::None, context);
         return;
     }
-    if (request.message_ != CallId {} && !isUnderWay(request, context)) {
+    if (request.message_ != CallId{} && !isUnderWay(request, context)) {
         loseMessage(entry, request);
         delayNext(request, context);
     }
-    if (request.message_ == CallId {} && context.now_ >= request.sendAfter_) {
+    if (request.message_ == CallId{} && context.now_ >= request.sendAfter_) {
         if (request.route_ == Route::Home || request.route_ == Route::Follow) {
             if (const ShardEntry *home = reachable(request.first_, context)) {
                 send(entry, id, request, *home, request.route_ == Route::Follow, context);
@@ -221,7 +221,7 @@
         }
     }
     TimePoint next = context.now_ + CheckInterval;
-    if (request.message_ == CallId {} && request.sendAfter_ > context.now_) {
+    if (request.message_ == CallId{} && request.sendAfter_ > context.now_) {
         next = std::min(next, request.sendAfter_);
     }
     if (waits) {
--- a/src/core/group/answer.cpp
+++ b/src/core/group/answer.cpp
@@ -91,7 +91,7 @@
         // An entry gets one complete answer; homes and groups take results as they come.
         const bool due = asker.awaited_ == 0 || asker.replyTo_.part_ != ReplyPart::Entry;
         if (due && !asker.results_.empty()) {
-            TaskAnswer answer {asker.replyTo_, group.id_, asker.job_, std::move(asker.results_)};
+            TaskAnswer answer{asker.replyTo_, group.id_, asker.job_, std::move(asker.results_)};
             asker.results_.clear();
             sendPeer(context, receiver(asker.replyTo_, asker.from_, context), std::move(answer));
         }
@@ -163,7 +163,7 @@
         task.nextRepeat_ = context.now_ + detail::HomeRepeat;
         group.repeats_.insert({task.nextRepeat_, task.sequence_, &task});
         for (const ReplyTo &home : task.homes_) {
-            TaskAnswer answer {home, group.id_, task.id_.job_, {task.result_}};
+            TaskAnswer answer{home, group.id_, task.id_.job_, {task.result_}};
             sendPeer(context, receiver(home, task.offeredBy_, context), std::move(answer));
         }
     }
--- a/src/core/group/capacity.cpp
+++ b/src/core/group/capacity.cpp
@@ -33,7 +33,7 @@
     index.places_[bucket.back()].position_ = place.position_;
     bucket.pop_back();
     if (bucket.empty()) {
-        index.masks_.at(place.kind_) &= ~(std::uint64_t {1} << place.bucket_);
+        index.masks_.at(place.kind_) &= ~(std::uint64_t{1} << place.bucket_);
     }
     place.kind_ = CapacityIndex::Kinds;
 }
@@ -50,19 +50,19 @@
     std::vector<WorkerIndex> &bucket = index.buckets_.at(place.kind_).at(place.bucket_);
     place.position_ = static_cast<std::uint32_t>(bucket.size());
     bucket.push_back(worker);
-    index.masks_.at(place.kind_) |= std::uint64_t {1} << place.bucket_;
+    index.masks_.at(place.kind_) |= std::uint64_t{1} << place.bucket_;
 }
 
 // Builds the tree and the buckets anew, for more workers or wider buckets.
 static void rebuild(CapacityIndex &index)
 {
     index.leaves_ = std::bit_ceil(std::max<std::uint32_t>(8, static_cast<std::uint32_t>(index.free_.size())));
-    index.tree_.assign(std::size_t {2} * index.leaves_, Resources {});
+    index.tree_.assign(std::size_t{2} * index.leaves_, Resources{});
     for (std::size_t worker = 0; worker < index.free_.size(); ++worker) {
         index.tree_[index.leaves_ + worker] = index.free_[worker];
     }
     for (std::uint32_t node = index.leaves_ - 1; node > 0; --node) {
-        index.tree_[node] = larger(index.tree_[std::size_t {2} * node], index.tree_[std::size_t {2} * node + 1]);
+        index.tree_[node] = larger(index.tree_[std::size_t{2} * node], index.tree_[std::size_t{2} * node + 1]);
     }
     for (WorkerIndex worker = 0; worker < index.free_.size(); ++worker) {
         removeFromBucket(index, worker);
@@ -95,7 +95,7 @@
     index.tree_[node] = free;
     while (node > 1) {
         node /= 2;
-        const Resources maximum = larger(index.tree_[std::size_t {2} * node], index.tree_[std::size_t {2} * node + 1]);
+        const Resources maximum = larger(index.tree_[std::size_t{2} * node], index.tree_[std::size_t{2} * node + 1]);
         if (maximum == index.tree_[node]) {
             return;
         }
@@ -108,13 +108,13 @@
                                   std::span<WorkerIndex> candidates, std::uint32_t &found)
 {
     const std::uint32_t lowest = bucketOf(index, size.milliCpus_);
-    std::uint64_t mask = index.masks_.at(kind) & (~std::uint64_t {0} << lowest);
+    std::uint64_t mask = index.masks_.at(kind) & (~std::uint64_t{0} << lowest);
     std::uint32_t probes = 0;
     while (mask != 0 && probes < ProbesPerSearch && found < candidates.size()) {
         const auto bit = static_cast<std::uint32_t>(policy == FitPolicy::Tightest
                                                         ? std::countr_zero(mask)
                                                         : CapacityIndex::Buckets - 1 - std::countl_zero(mask));
-        mask &= ~(std::uint64_t {1} << bit);
+        mask &= ~(std::uint64_t{1} << bit);
         const std::vector<WorkerIndex> &bucket = index.buckets_.at(kind).at(bit);
         const auto count = static_cast<std::uint32_t>(bucket.size());
         const std::uint32_t start = index.rotation_++ % count;
@@ -178,7 +178,7 @@
 
 Resources largestFree(const CapacityIndex &index)
 {
-    return index.leaves_ == 0 ? Resources {} : index.tree_[1];
+    return index.leaves_ == 0 ? Resources{} : index.tree_[1];
 }
 
 } // namespace mimosapier
--- a/src/core/group/capacity_internal.h
+++ b/src/core/group/capacity_internal.h
@@ -40,7 +40,7 @@
     std::vector<Resources> free_; // by worker; zero for workers that take nothing
     std::vector<Place> places_; // by worker
     std::array<std::array<std::vector<WorkerIndex>, Buckets>, Kinds> buckets_;
-    std::array<std::uint64_t, Kinds> masks_ {}; // bit set: bucket is not empty
+    std::array<std::uint64_t, Kinds> masks_{}; // bit set: bucket is not empty
     std::vector<Resources> tree_; // node i has the children 2i and 2i+1; leaves start at leaves_
     std::uint32_t leaves_ = 0; // power of two
     std::int64_t bucketWidth_ = 1; // free milliCpus_ per bucket
--- a/src/core/group/document.cpp
+++ b/src/core/group/document.cpp
@@ -8,7 +8,7 @@
 namespace mimosapier
 {
 
-static constexpr std::array<std::string_view, 9> StageTexts {
+static constexpr std::array<std::string_view, 9> StageTexts{
     "waits for checks before it may start",
     "waits in the queue",
     "was forwarded to the second candidate group",
@@ -83,7 +83,7 @@
             result += '\\';
             result += c;
         } else if (static_cast<unsigned char>(c) < ' ') {
-            std::array<char, 8> code {};
+            std::array<char, 8> code{};
             std::snprintf(code.data(), code.size(), "\\u%04x", static_cast<unsigned>(c));
             result += code.data();
         } else {
--- a/src/core/group/fairness.cpp
+++ b/src/core/group/fairness.cpp
@@ -104,7 +104,7 @@
 
 bool hasAllowance(const Group &group, const GroupTeam &team, std::uint32_t tasks)
 {
-    const std::uint64_t wanted = std::uint64_t {team.running_} + group.unacknowledgedSlots_ + tasks;
+    const std::uint64_t wanted = std::uint64_t{team.running_} + group.unacknowledgedSlots_ + tasks;
     return wanted <= usableAllowance(*group.allowances_, group.id_, team.id_);
 }
 
--- a/src/core/group/forward.cpp
+++ b/src/core/group/forward.cpp
@@ -12,7 +12,7 @@
 // Rereads the groups of the region when the directory may have changed.
 static void refreshCandidates(Group &group, Context &context)
 {
-    constexpr Milliseconds Interval {1000};
+    constexpr Milliseconds Interval{1000};
     if (!group.candidates_.empty() && context.now_ - group.candidatesRead_ < Interval) {
         return;
     }
@@ -54,7 +54,7 @@
     if (entry == nullptr || entry->holder_.empty() || !entry->reachable_ || task.job_ == nullptr) {
         return false;
     }
-    task.peerCall_ = CallId {context.actions_.nextId()};
+    task.peerCall_ = CallId{context.actions_.nextId()};
     TaskOffer offer;
     offer.replyTo_ = {ReplyPart::Group, group.id_, task.peerCall_};
     offer.group_ = task.second_;
--- a/src/core/group/group_base.h
+++ b/src/core/group/group_base.h
@@ -20,36 +20,36 @@
 namespace detail
 {
 
-constexpr Milliseconds TaskLease {15'000}; // renewed by hold, start and poll
-constexpr Milliseconds LeaseMargin {2000}; // delivery of a call that may still be under way
-constexpr Milliseconds PollWait {3000};
-constexpr Milliseconds IdlePollWait {5000}; // for a worker without tasks
-constexpr Milliseconds WorkerRetryMin {50}; // wait after the first error of a worker; doubles
-constexpr Milliseconds WorkerRetryMax {1000};
-constexpr Milliseconds SilenceLimit {6000}; // a worker that is silent for longer gets no renewal any more
-constexpr Milliseconds AfterTakeover {20'000}; // repeats are checked with the second candidate for this time
-constexpr Milliseconds RememberTime {60'000};
+constexpr Milliseconds TaskLease{15'000}; // renewed by hold, start and poll
+constexpr Milliseconds LeaseMargin{2000}; // delivery of a call that may still be under way
+constexpr Milliseconds PollWait{3000};
+constexpr Milliseconds IdlePollWait{5000}; // for a worker without tasks
+constexpr Milliseconds WorkerRetryMin{50}; // wait after the first error of a worker; doubles
+constexpr Milliseconds WorkerRetryMax{1000};
+constexpr Milliseconds SilenceLimit{6000}; // a worker that is silent for longer gets no renewal any more
+constexpr Milliseconds AfterTakeover{20'000}; // repeats are checked with the second candidate for this time
+constexpr Milliseconds RememberTime{60'000};
 constexpr std::size_t RememberMax = 8192; // outcomes remembered per group
 constexpr std::uint32_t QueuedMax = 20'000; // tasks waiting in one group
 constexpr std::uint32_t PriorityCount = 3;
 constexpr std::uint32_t StarvationLimit = 16; // placements of higher priority in a row while a lower one waits
 constexpr std::uint32_t HeadsTried = 4; // tasks of one queue that are tried when the first does not fit
-constexpr Milliseconds GangReservation {10'000};
-constexpr Milliseconds GangPause {10'000}; // between two reservations of the same gang
+constexpr Milliseconds GangReservation{10'000};
+constexpr Milliseconds GangPause{10'000}; // between two reservations of the same gang
 constexpr std::uint32_t StartTriesMax = 3; // refused starts of a task before it is refused
 constexpr std::uint32_t RestartsMax = 3; // after losses of the worker
 constexpr std::uint32_t QuarantineAfter = 4; // failures in a row
-constexpr Milliseconds QuarantineMin {1000}; // time to the first probe; doubles
-constexpr Milliseconds QuarantineMax {60'000};
+constexpr Milliseconds QuarantineMin{1000}; // time to the first probe; doubles
+constexpr Milliseconds QuarantineMax{60'000};
 constexpr double OpenStartsMin = 1;
 constexpr double OpenStartsMax = 8;
 constexpr std::size_t StartBatchMax = 64; // tasks of one start call
-constexpr Milliseconds ForwardMargin {50}; // round trip to the second candidate and error of the estimates
-constexpr Milliseconds SecondRetry {200}; // between two questions to the second candidate
-constexpr Milliseconds ForwardedCheck {1000}; // a forwarded task is looked up again after this time
-constexpr Milliseconds HomeRepeat {2000}; // results that are not acknowledged are sent again after this time
-constexpr Milliseconds StopRepeat {1000};
-constexpr Milliseconds HandOverWait {8000}; // for answers to interactive work before a hand-over
+constexpr Milliseconds ForwardMargin{50}; // round trip to the second candidate and error of the estimates
+constexpr Milliseconds SecondRetry{200}; // between two questions to the second candidate
+constexpr Milliseconds ForwardedCheck{1000}; // a forwarded task is looked up again after this time
+constexpr Milliseconds HomeRepeat{2000}; // results that are not acknowledged are sent again after this time
+constexpr Milliseconds StopRepeat{1000};
+constexpr Milliseconds HandOverWait{8000}; // for answers to interactive work before a hand-over
 
 } // namespace detail
 
@@ -110,8 +110,8 @@
     Resources used_; // declared sizes of tasks that hold resources
     std::uint32_t running_ = 0; // tasks that hold resources
     std::array<TaskQueue, detail::PriorityCount> queues_;
-    std::array<bool, detail::PriorityCount> ready_ {}; // listed in Group::ready_
-    std::array<bool, detail::PriorityCount> noRoom_ {}; // listed in Group::noRoom_
+    std::array<bool, detail::PriorityCount> ready_{}; // listed in Group::ready_
+    std::array<bool, detail::PriorityCount> noRoom_{}; // listed in Group::noRoom_
     double score_ = 0; // dominant share by weight; key in Group::ready_
     bool limited_ = false; // listed in Group::limited_
     bool demandChanged_ = false; // listed in Group::demandChanged_
@@ -232,7 +232,7 @@
     std::uint32_t failures_ = 0; // in a row
     bool quarantined_ = false;
     TimePoint nextProbe_;
-    Milliseconds probeWait_ {0};
+    Milliseconds probeWait_{0};
     std::vector<TaskId> stops_; // to be sent
     std::vector<TaskId> checkpoints_;
     std::vector<TaskId> throttles_;
@@ -302,8 +302,8 @@
     std::vector<GroupTeam *> noRoom_[detail::PriorityCount]; // teams whose first tasks fit nowhere
     std::vector<GroupTeam *> limited_; // teams at their allowance
     std::vector<GroupTeam *> demandChanged_;
-    std::array<std::uint32_t, detail::PriorityCount> passedOver_ {};
-    std::array<std::uint32_t, detail::PriorityCount> queued_ {};
+    std::array<std::uint32_t, detail::PriorityCount> passedOver_{};
+    std::array<std::uint32_t, detail::PriorityCount> queued_{};
     bool scoresStale_ = true;
     BundleVersion scoredBundle_;
 
--- a/src/core/group/group_cmd.cpp
+++ b/src/core/group/group_cmd.cpp
@@ -66,7 +66,7 @@
 
 void tickGroup(Group &group, Context &context)
 {
-    constexpr Milliseconds LimitCheck {200};
+    constexpr Milliseconds LimitCheck{200};
     beginStep(group, context);
     dropExpired(group, context);
     askAgain(group, context);
--- a/src/core/group/memory.cpp
+++ b/src/core/group/memory.cpp
@@ -55,7 +55,7 @@
 {
     // The first holder of a group has no predecessor whose work it could have missed.
     const bool sawAll = group.epoch_.value_ <= 1 || now - group.openedAt_ >= detail::RememberTime;
-    const bool forgot = group.forgotAt_ != TimePoint {} && now - group.forgotAt_ < detail::RememberTime;
+    const bool forgot = group.forgotAt_ != TimePoint{} && now - group.forgotAt_ < detail::RememberTime;
     return sawAll && !forgot && group.unacknowledged_ == 0;
 }
 
--- a/src/core/group/offer_cmd.cpp
+++ b/src/core/group/offer_cmd.cpp
@@ -112,7 +112,7 @@
         TaskResult result;
         result.index_ = task.id_.index_;
         result.outcome_ = started ? Outcome::Running : Outcome::Pending;
-        result.worker_ = started ? task.lastWorker_ : WorkerId {};
+        result.worker_ = started ? task.lastWorker_ : WorkerId{};
         answerAsker(group, state.asker_, result);
     }
 }
@@ -227,7 +227,7 @@
 static void offerTask(Group &group, OfferState &state, std::uint32_t index, Context &context)
 {
     const TaskOffer &offer = state.offer_;
-    const TaskId id {offer.job_.id_, index};
+    const TaskId id{offer.job_.id_, index};
     if (GroupTask *task = findTask(group, id)) {
         answerKnown(group, state, *task);
         return;
@@ -266,7 +266,7 @@
 void onTaskOffer(Group &group, const DaemonId &from, const TaskOffer &message, Context &context)
 {
     beginStep(group, context);
-    OfferState state {
+    OfferState state{
         message, from,           addAsker(group, from, message), std::make_shared<const JobSpec>(message.job_),
         {},      ErrorKind::None};
     if (!message.lookupOnly_) {
--- a/src/core/group/placement.cpp
+++ b/src/core/group/placement.cpp
@@ -132,7 +132,7 @@
     if (task.mode_ == WorkMode::Journaled || task.mode_ == WorkMode::Gang) {
         return findFit(group.capacity_, task.size_, FitPolicy::Tightest);
     }
-    std::array<WorkerIndex, 6> candidates {};
+    std::array<WorkerIndex, 6> candidates{};
     // Interactive work compares two, which already avoids the worst of the measured loads.
     const std::size_t wanted = task.mode_ == WorkMode::Service ? candidates.size() : 2;
     const std::uint32_t count
@@ -142,7 +142,7 @@
     for (std::uint32_t i = 0; i < count; ++i) {
         const GroupWorker &worker = *group.workers_[candidates.at(i)];
         const std::size_t same = task.mode_ == WorkMode::Service ? sameJob(worker, task) : 0;
-        const std::pair<std::size_t, std::int64_t> cost {same, worker.used_.milliCpus_};
+        const std::pair<std::size_t, std::int64_t> cost{same, worker.used_.milliCpus_};
         if (best == NoWorker || cost < bestCost) {
             best = candidates.at(i);
             bestCost = cost;
--- a/src/core/group/preempt.cpp
+++ b/src/core/group/preempt.cpp
@@ -140,7 +140,7 @@
                 if (task->team_ != team || task->stage_ != TaskStage::Running) {
                     continue;
                 }
-                if (task->stopSent_ != TimePoint {} && !task->throttled_) {
+                if (task->stopSent_ != TimePoint{} && !task->throttled_) {
                     ++stopping;
                 } else {
                     running.push_back(task);
--- a/src/core/group/report.cpp
+++ b/src/core/group/report.cpp
@@ -23,7 +23,7 @@
         const double ratio = static_cast<double>(task.used_.milliCpus_) / static_cast<double>(task.size_.milliCpus_);
         estimate.cpuRatio_ += Weight * (ratio - estimate.cpuRatio_);
     }
-    if (group.lastFinish_ != TimePoint {}) {
+    if (group.lastFinish_ != TimePoint{}) {
         constexpr double LongestGap = 60'000;
         const double gap
             = std::min(LongestGap, std::chrono::duration<double, std::milli>(now - group.lastFinish_).count());
@@ -156,7 +156,7 @@
         if (task.cancelled_ || gangFailed) {
             requestStop(group, task, StopMode::Stop, context);
         }
-    } else if (task.stopSent_ != TimePoint {} && !task.throttled_
+    } else if (task.stopSent_ != TimePoint{} && !task.throttled_
                && context.now_ - task.stopSent_ >= detail::StopRepeat) {
         requestStop(group, task, task.preempted_ && task.mayCheckpoint_ ? StopMode::Checkpoint : StopMode::Stop,
                     context);
@@ -219,7 +219,7 @@
     for (const RegionConfig &region : context.bundle_.regions_) {
         if (config != nullptr && region.id_ == config->homeRegion_ && region.partitions_ > 0) {
             const ShardId home = homePartition(task.id_.job_, region.id_, region.partitions_);
-            task.homes_.push_back({ReplyPart::Home, home, CallId {}});
+            task.homes_.push_back({ReplyPart::Home, home, CallId{}});
         }
     }
 }
@@ -313,7 +313,7 @@
 static void onForeignTask(Group &group, GroupWorker &worker, GroupTask &task, const WorkerTaskReport &report,
                           TimePoint sent, Context &context)
 {
-    if (sent <= task.takenOff_ && task.takenOff_ != TimePoint {}) {
+    if (sent <= task.takenOff_ && task.takenOff_ != TimePoint{}) {
         return; // told before the task left its last worker
     }
     const bool placedElsewhere = holdsResources(task.stage_) || task.stage_ == TaskStage::Finished
@@ -357,7 +357,7 @@
         return;
     } else if (report.outcome_ == Outcome::Running) {
         onRunning(group, worker, *task, report, context);
-    } else if (isFinal(report.outcome_) && !(sent <= task->takenOff_ && task->takenOff_ != TimePoint {})) {
+    } else if (isFinal(report.outcome_) && !(sent <= task->takenOff_ && task->takenOff_ != TimePoint{})) {
         onEnded(group, worker, *task, report, context);
     }
 }
--- a/src/core/group/takeover.cpp
+++ b/src/core/group/takeover.cpp
@@ -188,7 +188,7 @@
             task->worker_ = NoWorker;
             onTaskLost(group, *task, ErrorKind::WorkerLost, false, context);
         } else if (task->stage_ == TaskStage::Uncertain) {
-            if (task->settleAfter_ == TimePoint {}) {
+            if (task->settleAfter_ == TimePoint{}) {
                 // The worker answers again; a start that it still has to read arrives within the margin.
                 task->settleAfter_ = context.now_ + detail::LeaseMargin;
             } else if (call.sent_ >= task->settleAfter_) {
--- a/src/core/group/worker_cmd.cpp
+++ b/src/core/group/worker_cmd.cpp
@@ -33,19 +33,19 @@
 static WorkerOpId sendCall(Group &group, GroupWorker &worker, CallKind kind, WorkerOp op, std::vector<TaskId> tasks,
                            Context &context)
 {
-    const WorkerOpId id {context.actions_.nextId()};
-    group.calls_.emplace(id.value_, OpenCall {kind, worker.index_, context.now_, std::move(tasks)});
+    const WorkerOpId id{context.actions_.nextId()};
+    group.calls_.emplace(id.value_, OpenCall{kind, worker.index_, context.now_, std::move(tasks)});
     if (kind != CallKind::Stop) {
         ++worker.openRenewals_;
     }
     context.actions_.push(
-        WorkerRequest {id, group.id_, worker.info_.id_, worker.info_.address_, group.epoch_, std::move(op)});
+        WorkerRequest{id, group.id_, worker.info_.id_, worker.info_.address_, group.epoch_, std::move(op)});
     return id;
 }
 
 static WorkerOpId sendHold(Group &group, GroupWorker &worker, Context &context)
 {
-    return sendCall(group, worker, CallKind::Hold, WorkerHold {context.self_, detail::TaskLease}, {}, context);
+    return sendCall(group, worker, CallKind::Hold, WorkerHold{context.self_, detail::TaskLease}, {}, context);
 }
 
 // Only tasks whose final result this group keeps until the home has it may be left out of the worker's answers.
@@ -60,7 +60,7 @@
 static WorkerOpId sendPoll(Group &group, GroupWorker &worker, Milliseconds wait, Context &context)
 {
     cleanFinished(group, worker);
-    WorkerPoll poll {std::move(worker.acks_), detail::TaskLease, wait, worker.finished_};
+    WorkerPoll poll{std::move(worker.acks_), detail::TaskLease, wait, worker.finished_};
     worker.acks_.clear();
     worker.urgentAcks_ = false;
     std::vector<TaskId> acks = poll.acks_;
@@ -121,7 +121,7 @@
             worker.silent_ = false;
         } else if (worker.silent_) {
             // Asks without renewing, so that the lease can end.
-            worker.contact_ = sendCall(group, worker, CallKind::Stop, WorkerStop {}, {}, context);
+            worker.contact_ = sendCall(group, worker, CallKind::Stop, WorkerStop{}, {}, context);
             return;
         }
     }
@@ -170,7 +170,7 @@
 static void sendStops(Group &group, GroupWorker &worker, std::vector<TaskId> &tasks, StopMode mode, Context &context)
 {
     if (!tasks.empty()) {
-        WorkerStop stop {std::move(tasks), mode};
+        WorkerStop stop{std::move(tasks), mode};
         tasks.clear();
         std::vector<TaskId> sent = stop.tasks_;
         sendCall(group, worker, CallKind::Stop, std::move(stop), std::move(sent), context);
@@ -188,9 +188,9 @@
     std::size_t next = 0;
     while (next < worker.pending_.size() && worker.openStarts_ < static_cast<std::uint32_t>(worker.startLimit_)) {
         const std::size_t end = std::min(worker.pending_.size(), next + detail::StartBatchMax);
-        WorkerStart start {{}, detail::TaskLease};
+        WorkerStart start{{}, detail::TaskLease};
         std::vector<TaskId> ids;
-        const WorkerOpId expected {context.actions_.lastId_ + 1};
+        const WorkerOpId expected{context.actions_.lastId_ + 1};
         for (; next < end; ++next) {
             GroupTask &task = *worker.pending_[next];
             task.startCall_ = expected;
@@ -241,7 +241,7 @@
         onStartRefused(group, *worker.pending_.front(), ErrorKind::WorkerLost, context);
     }
     if (worker.contact_.value_ == 0 || !worker.extraOpen_) {
-        const auto doubled = detail::WorkerRetryMin * (std::int64_t {1} << std::min(worker.errors_ - 1, 8U));
+        const auto doubled = detail::WorkerRetryMin * (std::int64_t{1} << std::min(worker.errors_ - 1, 8U));
         const Milliseconds wait = std::min<Milliseconds>(doubled, detail::WorkerRetryMax);
         const auto jitter = Milliseconds(context.random_() % static_cast<std::uint64_t>(wait.count() / 4 + 1));
         setDue(group, worker, context.now_ + wait + jitter);
@@ -310,9 +310,9 @@
 // Plans the next contact after a hold, poll or ping has ended well.
 static void planContact(Group &group, GroupWorker &worker, const OpenCall &call, Context &context)
 {
-    constexpr Milliseconds UncertainWait {500};
-    constexpr Milliseconds QuickPoll {5}; // a poll that returned sooner is not repeated at once
-    constexpr Milliseconds QuickWait {20};
+    constexpr Milliseconds UncertainWait{500};
+    constexpr Milliseconds QuickPoll{5}; // a poll that returned sooner is not repeated at once
+    constexpr Milliseconds QuickWait{20};
     if (worker.uncertain_ > 0) {
         setDue(group, worker, context.now_ + UncertainWait);
     } else if (call.kind_ == CallKind::Poll && context.now_ - call.sent_ < QuickPoll) {
--- a/src/core/home/answers.cpp
+++ b/src/core/home/answers.cpp
@@ -12,8 +12,8 @@
 constexpr std::size_t MaxOpenJobs = 50'000; // not finished
 constexpr std::size_t MaxPendingBytes = 4 * 1024 * 1024; // of records that wait for the store
 constexpr std::size_t MaxRefused = 50'000;
-constexpr Milliseconds MaxQueryWait {10 * 60'000};
-constexpr Milliseconds AnswerMargin {100}; // a refusal is sent this long before the deadline, at most a fifth of it
+constexpr Milliseconds MaxQueryWait{10 * 60'000};
+constexpr Milliseconds AnswerMargin{100}; // a refusal is sent this long before the deadline, at most a fifth of it
 
 void sendJobAnswer(const Asker &asker, JobAnswer answer, Context &context)
 {
@@ -160,7 +160,7 @@
 static void submit(Home &home, const DaemonId &from, const JobSubmit &message, TimePoint until, Context &context)
 {
     const JobId &id = message.job_.id_;
-    const Asker asker {from, message.replyTo_, until, false};
+    const Asker asker{from, message.replyTo_, until, false};
     if (const auto found = home.jobs_.find(id); found != home.jobs_.end()) {
         HomeJob &job = found->second;
         job.attempt_ = std::max(job.attempt_, message.attempt_);
@@ -229,7 +229,7 @@
 {
     const Milliseconds margin = std::min(AnswerMargin, message.remaining_ / 5);
     const TimePoint until = context.now_ + message.remaining_ - margin;
-    const Asker asker {from, message.replyTo_, until, false};
+    const Asker asker{from, message.replyTo_, until, false};
     if (isElsewhere(home) || (home.stopping_ && !home.jobs_.contains(message.job_.id_))) {
         sendJobAnswer(asker, plainAnswer(message.job_.id_, Outcome::NotRun, ErrorKind::NotHolder), context);
     } else if (home.phase_ == HomePhase::Active) {
@@ -245,7 +245,7 @@
 
 void onJobQuery(Home &home, const DaemonId &from, const JobQuery &message, Context &context)
 {
-    const Asker asker {from, message.replyTo_, context.now_ + std::min(message.wait_, MaxQueryWait), message.explain_};
+    const Asker asker{from, message.replyTo_, context.now_ + std::min(message.wait_, MaxQueryWait), message.explain_};
     if (isElsewhere(home)) {
         sendJobAnswer(asker, plainAnswer(message.job_, Outcome::Unknown, ErrorKind::NotHolder), context);
     } else if (home.phase_ == HomePhase::Active) {
--- a/src/core/home/cancel.cpp
+++ b/src/core/home/cancel.cpp
@@ -6,8 +6,8 @@
 namespace mimosapier
 {
 
-constexpr Milliseconds StopRepeat {2000}; // stops are repeated until the group tells the end
-constexpr Milliseconds CancelWaitLimit {5000}; // a cancellation is then answered as accepted
+constexpr Milliseconds StopRepeat{2000}; // stops are repeated until the group tells the end
+constexpr Milliseconds CancelWaitLimit{5000}; // a cancellation is then answered as accepted
 
 void stopTasks(Home &home, HomeJob &job, Context &context)
 {
@@ -32,7 +32,7 @@
         open = true;
         if (repeat) {
             home.stops_[task.group_].push_back({job.spec_.id_, task.result_.index_});
-            if (job.stopAt_ != TimePoint {}) {
+            if (job.stopAt_ != TimePoint{}) {
                 task.offered_ = false; // asks for the state as well, because a stop has no answer
             }
         }
@@ -134,7 +134,7 @@
 
 void onJobCancel(Home &home, const DaemonId &from, const JobCancel &message, Context &context)
 {
-    const Asker asker {from, message.replyTo_, context.now_ + CancelWaitLimit, false};
+    const Asker asker{from, message.replyTo_, context.now_ + CancelWaitLimit, false};
     if (home.phase_ == HomePhase::Fenced) {
         JobAnswer answer;
         answer.outcome_ = Outcome::Unknown;
--- a/src/core/home/choice.cpp
+++ b/src/core/home/choice.cpp
@@ -43,7 +43,7 @@
     const ShardEntry *first = entries[pick(context.random_)];
     const ShardEntry *second = entries[pick(context.random_)];
     const auto balance = [&home](const ShardEntry &entry) {
-        return std::int64_t {freeSlots(home, entry)} - std::int64_t {entry.load_.queued_};
+        return std::int64_t{freeSlots(home, entry)} - std::int64_t{entry.load_.queued_};
     };
     return balance(*second) > balance(*first) ? second : first;
 }
--- a/src/core/home/dispatch.cpp
+++ b/src/core/home/dispatch.cpp
@@ -6,12 +6,12 @@
 namespace mimosapier
 {
 
-constexpr Milliseconds OfferWindow {5 * 60'000}; // a group that has not started a task then gives it back
-constexpr Milliseconds FirstRepeat {30'000}; // of an offer without an end
-constexpr Milliseconds MaxRepeat {10 * 60'000};
-constexpr Milliseconds AssignRetry {200}; // when no group can be asked
-constexpr Milliseconds TenureRetry {100}; // while the proof that this is the newest holder is awaited
-constexpr Milliseconds StartWindow {24 * 60 * 60'000}; // for accepted work that no caller waits for
+constexpr Milliseconds OfferWindow{5 * 60'000}; // a group that has not started a task then gives it back
+constexpr Milliseconds FirstRepeat{30'000}; // of an offer without an end
+constexpr Milliseconds MaxRepeat{10 * 60'000};
+constexpr Milliseconds AssignRetry{200}; // when no group can be asked
+constexpr Milliseconds TenureRetry{100}; // while the proof that this is the newest holder is awaited
+constexpr Milliseconds StartWindow{24 * 60 * 60'000}; // for accepted work that no caller waits for
 
 Milliseconds startWindow(const JobSpec &spec)
 {
@@ -47,8 +47,8 @@
     TaskOffer offer;
     // To a group, a higher call number is a new decision that overrides its earlier refusal, so that a repeat keeps
     // the number: a holder that was replaced must not override what its successor was told.
-    const bool repeats = task.call_ != CallId {} && !lookup;
-    const CallId call = repeats ? task.call_ : CallId {context.actions_.nextId()};
+    const bool repeats = task.call_ != CallId{} && !lookup;
+    const CallId call = repeats ? task.call_ : CallId{context.actions_.nextId()};
     offer.replyTo_ = {ReplyPart::Home, home.partition_, call};
     offer.group_ = task.group_;
     offer.job_ = job.spec_;
@@ -97,7 +97,7 @@
         const bool reachable = entry != nullptr && !entry->holder_.empty() && entry->reachable_;
         // An older entry is left to onHomeDirectory, which repeats all offers to the group when it differs.
         if (!home.groups_.contains(task.group_)) {
-            home.groups_[task.group_] = reachable ? GroupSeen {entry->holder_, entry->epoch_, true} : GroupSeen {};
+            home.groups_[task.group_] = reachable ? GroupSeen{entry->holder_, entry->epoch_, true} : GroupSeen{};
         }
         // Without proof of being the newest holder nothing may be started; work that is being stopped is looked up.
         if (reachable && (stopping ? task.mayHaveRun_ : tenure)) {
@@ -215,7 +215,7 @@
         reviewSubmitted(home, job, context);
         return;
     }
-    if (job.startBy_ == TimePoint {}) {
+    if (job.startBy_ == TimePoint{}) {
         // Accepted by an earlier holder, whose clock does not count here.
         job.startBy_ = context.now_ + startWindow(job.spec_);
     }
@@ -276,19 +276,19 @@
 {
     const auto holder = [&context](const ShardId &group) {
         const ShardEntry *entry = findGroup(context.directory_, group);
-        return entry != nullptr && entry->reachable_ ? entry->holder_ : DaemonId {};
+        return entry != nullptr && entry->reachable_ ? entry->holder_ : DaemonId{};
     };
     // Acknowledgements wait for a holder; stops are repeated in any case.
     std::erase_if(home.acks_, [&](auto &batch) {
         const DaemonId to = holder(batch.first);
         if (!to.empty()) {
-            sendPeer(context, to, TaskAck {batch.first, std::move(batch.second)});
+            sendPeer(context, to, TaskAck{batch.first, std::move(batch.second)});
         }
         return !to.empty() || findGroup(context.directory_, batch.first) == nullptr;
     });
     for (auto &[group, tasks] : home.stops_) {
         if (const DaemonId to = holder(group); !to.empty()) {
-            sendPeer(context, to, TaskCancel {group, std::move(tasks)});
+            sendPeer(context, to, TaskCancel{group, std::move(tasks)});
         }
     }
     home.stops_.clear();
--- a/src/core/home/home_base.h
+++ b/src/core/home/home_base.h
@@ -58,7 +58,7 @@
     TimePoint offerAfter_; // back-off after an answer of a daemon that is not the holder
     TimePoint stopAt_; // stops are repeated then; zero: none was sent
     TimePoint repeatAt_; // open offers are repeated then
-    Milliseconds repeatDelay_ {0};
+    Milliseconds repeatDelay_{0};
     TimePoint timer_ = TimePoint::max(); // entry in Home::timers_
     std::vector<Asker> submitters_; // wait for acceptance
     std::vector<Asker> queries_; // wait for the end
@@ -127,8 +127,8 @@
     std::size_t pendingBytes_ = 0; // estimate
     TimePoint pendingSince_; // of the first pending record
     JournalWrite write_;
-    Milliseconds interval_ {0}; // between flushes
-    Milliseconds backoff_ {0}; // before the next try while the store does not answer; 0 after a success
+    Milliseconds interval_{0}; // between flushes
+    Milliseconds backoff_{0}; // before the next try while the store does not answer; 0 after a success
     TimePoint flushAfter_; // no new write before
     TimePoint provenAt_; // this holder was certainly the newest at this time
     TimePoint activeSince_;
@@ -163,7 +163,7 @@
     std::uint64_t readEnd_ = 1; // sequences below were requested
     std::uint32_t partsRead_ = 0;
     TimePoint retryAt_; // no read before
-    Milliseconds backoff_ {0};
+    Milliseconds backoff_{0};
 };
 
 struct RefusedId
--- a/src/core/home/home_internal.h
+++ b/src/core/home/home_internal.h
@@ -9,7 +9,7 @@
 namespace mimosapier
 {
 
-constexpr Milliseconds RefusalMemory {60'000}; // ids refused are remembered this long, by groups as well
+constexpr Milliseconds RefusalMemory{60'000}; // ids refused are remembered this long, by groups as well
 
 // journal.cpp
 void appendRecord(Home &home, JournalRecord record, Context &context);
--- a/src/core/home/journal.cpp
+++ b/src/core/home/journal.cpp
@@ -10,17 +10,17 @@
 namespace mimosapier
 {
 
-constexpr Milliseconds FlushInterval {250};
-constexpr Milliseconds MaxFlushInterval {2000};
+constexpr Milliseconds FlushInterval{250};
+constexpr Milliseconds MaxFlushInterval{2000};
 constexpr std::size_t FlushBytes = 256 * 1024;
-constexpr Milliseconds FirstBackoff {100};
-constexpr Milliseconds MaxBackoff {2000};
+constexpr Milliseconds FirstBackoff{100};
+constexpr Milliseconds MaxBackoff{2000};
 // A later holder keeps opening entries for OpeningKeep (snapshot.cpp), so that a create on that key fails for as long.
 // A create that succeeds later than this after the last proof is confirmed by reading the head of the snapshot.
-constexpr Milliseconds ProofAge {9 * 60'000};
+constexpr Milliseconds ProofAge{9 * 60'000};
 // Groups remember refused ids for RefusalMemory, so that offers sent within this time of a proof cannot start again
 // what a later holder has moved to another group.
-constexpr Milliseconds TenureAge {10'000};
+constexpr Milliseconds TenureAge{10'000};
 
 std::string headKey(const Home &home)
 {
@@ -29,7 +29,7 @@
 
 std::string logKey(const Home &home, std::uint64_t sequence)
 {
-    std::array<char, 24> digits {};
+    std::array<char, 24> digits{};
     std::snprintf(digits.data(), digits.size(), "%012llu", static_cast<unsigned long long>(sequence));
     return "journal/" + home.partition_.value_ + '/' + digits.data();
 }
@@ -100,16 +100,16 @@
 {
     Journal &journal = home.journal_;
     journal.write_.retryAt_ = TimePoint::max();
-    HomeOp op {journal.write_.next_, journal.next_, {}, {}, {}};
+    HomeOp op{journal.write_.next_, journal.next_, {}, {}, {}};
     switch (journal.write_.next_) {
     case HomeOpKind::ReadBack:
-        sendHomeOp(home, std::move(op), StoreGet {logKey(home, journal.next_)}, context);
+        sendHomeOp(home, std::move(op), StoreGet{logKey(home, journal.next_)}, context);
         break;
     case HomeOpKind::CheckHead:
-        sendHomeOp(home, std::move(op), StoreGet {headKey(home)}, context);
+        sendHomeOp(home, std::move(op), StoreGet{headKey(home)}, context);
         break;
     default:
-        sendHomeOp(home, std::move(op), StoreCas {logKey(home, journal.next_), journal.write_.value_, {}, {}}, context);
+        sendHomeOp(home, std::move(op), StoreCas{logKey(home, journal.next_), journal.write_.value_, {}, {}}, context);
         break;
     }
 }
@@ -129,13 +129,13 @@
 void startOpening(Home &home, Context &context)
 {
     home.phase_ = HomePhase::Open;
-    startWrite(home, JournalEntry {home.epoch_, true, {}}, context);
+    startWrite(home, JournalEntry{home.epoch_, true, {}}, context);
 }
 
 static void flushPending(Home &home, Context &context)
 {
     Journal &journal = home.journal_;
-    JournalEntry entry {home.epoch_, false, {}};
+    JournalEntry entry{home.epoch_, false, {}};
     std::size_t bytes = 0;
     while (!journal.pending_.empty()) {
         const std::size_t next = recordBytes(journal.pending_.front());
@@ -317,7 +317,7 @@
         return;
     }
     journal.probing_ = true;
-    sendHomeOp(home, {HomeOpKind::Probe, journal.next_, {}, {}, {}}, StoreGet {logKey(home, journal.next_)}, context);
+    sendHomeOp(home, {HomeOpKind::Probe, journal.next_, {}, {}, {}}, StoreGet{logKey(home, journal.next_)}, context);
 }
 
 void onProbeResult(Home &home, const HomeOp &op, const StoreResult &result, Context &context)
@@ -347,7 +347,7 @@
         // A later holder may have deleted its opening entry again; then the head of the snapshot is beyond the key.
         journal.probing_ = true;
         journal.probeSentAt_ = op.sentAt_;
-        sendHomeOp(home, {HomeOpKind::ProbeHead, op.number_, {}, {}, {}}, StoreGet {headKey(home)}, context);
+        sendHomeOp(home, {HomeOpKind::ProbeHead, op.number_, {}, {}, {}}, StoreGet{headKey(home)}, context);
         return;
     }
     JournalEntry entry;
--- a/src/core/home/outcome.cpp
+++ b/src/core/home/outcome.cpp
@@ -8,8 +8,8 @@
 
 JobOutcome combineOutcomes(std::span<const TaskResult> results)
 {
-    std::array<std::size_t, 7> counts {};
-    std::array<ErrorKind, 7> errors {};
+    std::array<std::size_t, 7> counts{};
+    std::array<ErrorKind, 7> errors{};
     for (const TaskResult &result : results) {
         const auto outcome = static_cast<std::size_t>(result.outcome_);
         ++counts.at(outcome);
@@ -19,7 +19,7 @@
     }
     const auto count = [&counts](Outcome outcome) { return counts.at(static_cast<std::size_t>(outcome)); };
     const auto with = [&errors](Outcome outcome, Outcome source) {
-        return JobOutcome {outcome, errors.at(static_cast<std::size_t>(source))};
+        return JobOutcome{outcome, errors.at(static_cast<std::size_t>(source))};
     };
     if (count(Outcome::Pending) + count(Outcome::Running) > 0 || results.empty()) {
         return {};
--- a/src/core/home/recovery.cpp
+++ b/src/core/home/recovery.cpp
@@ -9,8 +9,8 @@
 {
 
 constexpr std::uint64_t ReadWindow = 16; // reads of the log under way at once
-constexpr Milliseconds FirstBackoff {100};
-constexpr Milliseconds MaxBackoff {2000};
+constexpr Milliseconds FirstBackoff{100};
+constexpr Milliseconds MaxBackoff{2000};
 
 static std::string partKey(const SnapshotHead &head, std::uint64_t part)
 {
@@ -30,7 +30,7 @@
     home.journal_ = {};
     home.snapshot_ = {};
     home.recovery_ = {};
-    sendHomeOp(home, {HomeOpKind::ReadHead, 0, {}, {}, {}}, StoreGet {headKey(home)}, context);
+    sendHomeOp(home, {HomeOpKind::ReadHead, 0, {}, {}, {}}, StoreGet{headKey(home)}, context);
 }
 
 static void restartLater(Home &home, Context &context)
@@ -46,7 +46,7 @@
     for (const std::uint64_t number : recovery.toRead_) {
         const HomeOpKind kind = parts ? HomeOpKind::ReadPart : HomeOpKind::ReadEntry;
         sendHomeOp(home, {kind, number, {}, {}, {}},
-                   StoreGet {parts ? partKey(home.snapshot_.head_, number) : logKey(home, number)}, context);
+                   StoreGet{parts ? partKey(home.snapshot_.head_, number) : logKey(home, number)}, context);
     }
     recovery.toRead_.clear();
 }
@@ -168,7 +168,7 @@
         return;
     }
     if (home.phase_ == HomePhase::ReadHead && home.ops_.empty()) {
-        sendHomeOp(home, {HomeOpKind::ReadHead, 0, {}, {}, {}}, StoreGet {headKey(home)}, context);
+        sendHomeOp(home, {HomeOpKind::ReadHead, 0, {}, {}, {}}, StoreGet{headKey(home)}, context);
     } else if (home.phase_ == HomePhase::ReadParts || home.phase_ == HomePhase::ReadLog) {
         sendReads(home, context);
     }
@@ -186,7 +186,7 @@
 
 static void applyAssigned(Home &home, HomeJob &job, const TaskRange &range)
 {
-    const std::size_t end = std::min<std::size_t>(job.tasks_.size(), std::size_t {range.first_} + range.count_);
+    const std::size_t end = std::min<std::size_t>(job.tasks_.size(), std::size_t{range.first_} + range.count_);
     for (std::size_t index = range.first_; index < end; ++index) {
         HomeTask &task = job.tasks_[index];
         if (home.phase_ != HomePhase::Active) {
--- a/src/core/home/results.cpp
+++ b/src/core/home/results.cpp
@@ -8,17 +8,17 @@
 
 constexpr std::uint32_t MaxLosses = 10; // a task that was lost this often has failed
 constexpr std::uint32_t MaxServiceFailures = 10; // a service that failed this often by itself has failed
-constexpr Milliseconds RefusalBackoff {50};
-constexpr Milliseconds MaxRefusalBackoff {5000};
-constexpr Milliseconds LossBackoff {200};
-constexpr Milliseconds MaxLossBackoff {30'000};
-constexpr Milliseconds WrongHolderDelay {300};
+constexpr Milliseconds RefusalBackoff{50};
+constexpr Milliseconds MaxRefusalBackoff{5000};
+constexpr Milliseconds LossBackoff{200};
+constexpr Milliseconds MaxLossBackoff{30'000};
+constexpr Milliseconds WrongHolderDelay{300};
 constexpr std::uint32_t MaxBackoffSteps = 10; // doublings
 constexpr std::size_t RecordResultBytes = 64 * 1024; // results in one record
 constexpr std::size_t MaxResultBytes = 256 * 1024; // of one task; values in the store are limited
-constexpr Milliseconds KeepFinished {10 * 60'000};
+constexpr Milliseconds KeepFinished{10 * 60'000};
 constexpr std::size_t MaxFinished = 50'000;
-constexpr std::chrono::hours KeepEnded {24}; // outcomes of non-idempotent jobs
+constexpr std::chrono::hours KeepEnded{24}; // outcomes of non-idempotent jobs
 constexpr std::size_t MaxEnded = 100'000;
 constexpr std::size_t MaxFinishedBytes = 8 * 1024 * 1024;
 
@@ -30,7 +30,7 @@
 
 void finishTasks(Home &home, HomeJob &job, std::vector<TaskResult> results, Context &context)
 {
-    JournalRecord record {RecordKind::Finished, job.spec_.id_, {}, {}, {}};
+    JournalRecord record{RecordKind::Finished, job.spec_.id_, {}, {}, {}};
     std::size_t bytes = 0;
     for (TaskResult &result : results) {
         if (result.result_.size() > MaxResultBytes) {
@@ -223,7 +223,7 @@
     const auto found = home.jobs_.find(message.job_);
     if (found == home.jobs_.end()) {
         // The job ended long ago; the group may forget it.
-        TaskAck ack {message.group_, {}};
+        TaskAck ack{message.group_, {}};
         for (const TaskResult &result : message.results_) {
             if (isFinal(result.outcome_) && result.outcome_ != Outcome::NotRun) {
                 ack.tasks_.push_back({message.job_, result.index_});
@@ -238,7 +238,7 @@
     std::vector<TaskResult> ended;
     for (const TaskResult &result : message.results_) {
         if (result.index_ < job.tasks_.size()) {
-            ResultContext at {home, job, job.tasks_[result.index_], from, message, ended, context};
+            ResultContext at{home, job, job.tasks_[result.index_], from, message, ended, context};
             onTaskResult(at, result);
         }
     }
--- a/src/core/home/snapshot.cpp
+++ b/src/core/home/snapshot.cpp
@@ -14,17 +14,17 @@
 constexpr std::size_t MaxDeletes = 4; // under way at once
 // A replaced holder that was paused may create the key of a deleted opening entry and take that for success, so that
 // opening entries stay for a time that is longer than the age of the proof it accepts (journal.cpp).
-constexpr Milliseconds OpeningKeep {10 * 60'000};
-constexpr Milliseconds RetryDelay {500};
+constexpr Milliseconds OpeningKeep{10 * 60'000};
+constexpr Milliseconds RetryDelay{500};
 
 // Durable state of a job as records.
 static void addRecords(const HomeJob &job, std::vector<JournalRecord> &records)
 {
-    JournalRecord accepted {RecordKind::Accepted, job.spec_.id_, {job.spec_}, {}, {}};
+    JournalRecord accepted{RecordKind::Accepted, job.spec_.id_, {job.spec_}, {}, {}};
     if (job.unfinished_ == 0) {
         accepted.spec_.front().payload_.clear();
     }
-    JournalRecord finished {RecordKind::Finished, job.spec_.id_, {}, {}, {}};
+    JournalRecord finished{RecordKind::Finished, job.spec_.id_, {}, {}, {}};
     for (std::uint32_t index = 0; index < job.tasks_.size(); ++index) {
         const HomeTask &task = job.tasks_[index];
         if (task.finished_) {
@@ -55,7 +55,7 @@
     const std::size_t size = packToString(record).size();
     if (size > PartBytes && record.results_.size() > 1) {
         const auto middle = record.results_.begin() + static_cast<std::ptrdiff_t>(record.results_.size() / 2);
-        JournalRecord half {record.kind_, record.job_, {}, {}, {record.results_.begin(), middle}};
+        JournalRecord half{record.kind_, record.job_, {}, {}, {record.results_.begin(), middle}};
         addToParts(home, half, part, bytes);
         half.results_.assign(middle, record.results_.end());
         addToParts(home, half, part, bytes);
@@ -78,7 +78,7 @@
     snapshot.parts_.clear();
     snapshot.nextPart_ = 0;
     snapshot.draftRevisions_.clear();
-    JournalEntry part {home.epoch_, false, {}};
+    JournalEntry part{home.epoch_, false, {}};
     std::size_t bytes = 0;
     std::vector<JournalRecord> records;
     for (const auto &[id, job] : home.jobs_) {
@@ -117,11 +117,11 @@
     if (snapshot.nextPart_ < snapshot.parts_.size()) {
         const std::string key = snapshot.draft_.prefix_ + std::to_string(snapshot.nextPart_);
         sendHomeOp(home, {HomeOpKind::PutPart, snapshot.nextPart_, {}, {}, {}},
-                   StoreCas {key, snapshot.parts_[snapshot.nextPart_], {}, {}}, context);
+                   StoreCas{key, snapshot.parts_[snapshot.nextPart_], {}, {}}, context);
         return;
     }
     sendHomeOp(home, {HomeOpKind::PutHead, 0, {}, {}, {}},
-               StoreCas {headKey(home), packToString(snapshot.draft_), snapshot.revision_, {}}, context);
+               StoreCas{headKey(home), packToString(snapshot.draft_), snapshot.revision_, {}}, context);
 }
 
 // The head is in the store: what it replaces and covers may go.
@@ -167,7 +167,7 @@
     // The previous holder stored a snapshot after this one had read the journal; it covers less.
     snapshot.revision_ = result.entries_.front().revision_;
     for (std::uint32_t part = 0; part < head.parts_; ++part) {
-        snapshot.garbage_.emplace_back(head.prefix_ + std::to_string(part), Revision {});
+        snapshot.garbage_.emplace_back(head.prefix_ + std::to_string(part), Revision{});
     }
     snapshot.retryAt_ = context.now_;
 }
@@ -179,7 +179,7 @@
     if (result.status_ == StoreStatus::Unavailable || result.status_ == StoreStatus::Unknown) {
         snapshot.garbage_.emplace_back(op.key_, op.revision_);
         snapshot.deleteAfter_ = context.now_ + RetryDelay;
-    } else if (result.status_ == StoreStatus::Conflict && op.revision_ == Revision {} && !result.entries_.empty()) {
+    } else if (result.status_ == StoreStatus::Conflict && op.revision_ == Revision{} && !result.entries_.empty()) {
         snapshot.garbage_.emplace_back(op.key_, result.entries_.front().revision_); // its revision was not known
     }
 }
@@ -242,8 +242,8 @@
         auto [key, revision] = std::move(snapshot.garbage_.front());
         snapshot.garbage_.pop_front();
         ++snapshot.deletes_;
-        HomeOp op {HomeOpKind::Delete, 0, {}, key, revision};
-        sendHomeOp(home, std::move(op), StoreDelete {std::move(key), revision}, context);
+        HomeOp op{HomeOpKind::Delete, 0, {}, key, revision};
+        sendHomeOp(home, std::move(op), StoreDelete{std::move(key), revision}, context);
     }
 }
 
--- a/src/core/limit/limit_cmd.cpp
+++ b/src/core/limit/limit_cmd.cpp
@@ -22,7 +22,7 @@
     AllowanceGroup &opened = state.groups_[group];
     opened = {};
     const ShardEntry *entry = findGroup(context.directory_, group);
-    opened.epoch_ = entry == nullptr ? Epoch {} : entry->epoch_;
+    opened.epoch_ = entry == nullptr ? Epoch{} : entry->epoch_;
     opened.firstRead_.fill(state.lastNumber_ + 1);
     state.missingSince_.erase(group);
     for (std::uint32_t index = 0; index < detail::AllowanceKeys; ++index) {
@@ -101,7 +101,7 @@
 // Notes since when groups that hold a part are missing from the directory.
 static void noteMissingGroups(AllowanceState &state, Context &context)
 {
-    constexpr Milliseconds CheckInterval {5000};
+    constexpr Milliseconds CheckInterval{5000};
     if (context.now_ < state.nextVanishCheck_ || context.directory_.groups_.empty()) {
         return;
     }
@@ -122,7 +122,7 @@
 
 void tickAllowances(AllowanceState &state, Context &context)
 {
-    constexpr Milliseconds IdleCheck {100};
+    constexpr Milliseconds IdleCheck{100};
     noteMissingGroups(state, context);
     const bool newBundle = state.bundle_ != context.bundle_.version_;
     state.bundle_ = context.bundle_.version_;
--- a/src/core/limit/limit_internal.h
+++ b/src/core/limit/limit_internal.h
@@ -16,22 +16,22 @@
 {
 
 constexpr std::uint32_t AllowanceKeys = 8; // teams are spread over this many keys of the store
-constexpr Milliseconds AllowanceWriteGap {200}; // least time between two writes of one key by one daemon
-constexpr Milliseconds AllowanceIdle {4000}; // unused allowance above the base is given back after this time
-constexpr Milliseconds AllowanceBaseIdle {60'000}; // the same for the base, so that rare work finds it without a write
-constexpr Milliseconds AllowanceScarceIdle {1500}; // the same, when the limit of the team is used up
-constexpr Milliseconds AllowanceWantedIdle {200}; // the same, when another group needs it
-constexpr Milliseconds AllowanceWantedHold {10'000}; // a request of another group counts for this time
-constexpr Milliseconds AllowanceRetryMin {20}; // wait after a conflict or an error, before jitter
-constexpr Milliseconds AllowanceRetryMax {2000};
-constexpr Milliseconds AllowanceUnmetRead {500}; // time between reads while a demand is not met
-constexpr Milliseconds AllowanceUnmetReadMax {8000};
+constexpr Milliseconds AllowanceWriteGap{200}; // least time between two writes of one key by one daemon
+constexpr Milliseconds AllowanceIdle{4000}; // unused allowance above the base is given back after this time
+constexpr Milliseconds AllowanceBaseIdle{60'000}; // the same for the base, so that rare work finds it without a write
+constexpr Milliseconds AllowanceScarceIdle{1500}; // the same, when the limit of the team is used up
+constexpr Milliseconds AllowanceWantedIdle{200}; // the same, when another group needs it
+constexpr Milliseconds AllowanceWantedHold{10'000}; // a request of another group counts for this time
+constexpr Milliseconds AllowanceRetryMin{20}; // wait after a conflict or an error, before jitter
+constexpr Milliseconds AllowanceRetryMax{2000};
+constexpr Milliseconds AllowanceUnmetRead{500}; // time between reads while a demand is not met
+constexpr Milliseconds AllowanceUnmetReadMax{8000};
 // Rows in use are read again at least this often: another daemon may have raised the sum under an older bundle.
-constexpr Milliseconds AllowanceRefresh {10'000};
-constexpr Milliseconds AllowanceCallTimeout {10'000}; // a store call without result counts as lost after this time
+constexpr Milliseconds AllowanceRefresh{10'000};
+constexpr Milliseconds AllowanceCallTimeout{10'000}; // a store call without result counts as lost after this time
 // A group that is missing from the directory for this long is gone: far longer than the task lease, after which
 // none of its tasks runs.
-constexpr Milliseconds AllowanceVanished {600'000};
+constexpr Milliseconds AllowanceVanished{600'000};
 constexpr std::uint32_t AllowanceChunkParts = 32; // a chunk is this part of a team's limit
 // The groups that work for a team share this part of its limit as their base. The other half stays free for groups
 // whose demand grows, so that they need not wait until others give back.
@@ -72,7 +72,7 @@
     Epoch epoch_;
     std::unordered_map<TeamId, AllowanceDemand> teams_;
     // Number of the first read of each key that may count: reads with a lower number started before the gain.
-    std::array<std::uint64_t, detail::AllowanceKeys> firstRead_ {};
+    std::array<std::uint64_t, detail::AllowanceKeys> firstRead_{};
 };
 
 // One key of the store.
@@ -99,8 +99,8 @@
     TimePoint lastRead_;
     TimePoint nextRefresh_; // read that is due although nothing has changed here
     TimePoint lastApplied_; // usable amounts compared with idle times
-    Milliseconds backoff_ {0};
-    Milliseconds unmetWait_ {detail::AllowanceUnmetRead};
+    Milliseconds backoff_{0};
+    Milliseconds unmetWait_{detail::AllowanceUnmetRead};
     bool unmet_ = false; // a demand was not met when the targets were last computed
     bool dirty_ = true; // something changed since the targets were last compared with rows_
 };
--- a/src/core/limit/limit_store.cpp
+++ b/src/core/limit/limit_store.cpp
@@ -82,7 +82,7 @@
         for (const AllowancePart &part : row->second) {
             const ShardEntry *entry = findGroup(context.directory_, part.group_);
             if (entry != nullptr && entry->reachable_ && asked.insert(entry->holder_).second) {
-                sendPeer(context, entry->holder_, AllowanceWanted {team});
+                sendPeer(context, entry->holder_, AllowanceWanted{team});
             }
         }
     }
@@ -102,7 +102,7 @@
     }
     if (needsRead(state, key, index, context)) {
         key.lastRead_ = context.now_;
-        startCall(state, key, false, StoreGet {keyName(index)}, context);
+        startCall(state, key, false, StoreGet{keyName(index)}, context);
         return;
     }
     if (!key.dirty_ || context.now_ - key.lastWrite_ < detail::AllowanceWriteGap) {
@@ -122,14 +122,14 @@
         key.lastWrite_ = context.now_;
         std::string value = encodeAllowances(rows);
         key.written_ = std::move(rows);
-        startCall(state, key, true, StoreCas {keyName(index), std::move(value), key.revision_, {}}, context);
+        startCall(state, key, true, StoreCas{keyName(index), std::move(value), key.revision_, {}}, context);
         return;
     }
     if (!unmet.empty() && context.now_ - key.lastRead_ >= key.unmetWait_) {
         key.unmetWait_ = std::min(key.unmetWait_ * 2, detail::AllowanceUnmetReadMax);
         key.lastRead_ = context.now_ + jittered(Milliseconds(100), context);
         askHolders(key, unmet, context);
-        startCall(state, key, false, StoreGet {keyName(index)}, context);
+        startCall(state, key, false, StoreGet{keyName(index)}, context);
         return;
     }
     if (unmet.empty()) {
--- a/src/core/limit/limit_target.cpp
+++ b/src/core/limit/limit_target.cpp
@@ -202,7 +202,7 @@
     } else if (tooSmall) {
         const std::uint64_t available = sum < rule.limit_ ? rule.limit_ - sum : 0;
         const std::uint64_t wanted
-            = rule.mayReserve_ ? comfortableAmount(needed, rule.limit_, parts.size()) : std::uint64_t {needed};
+            = rule.mayReserve_ ? comfortableAmount(needed, rule.limit_, parts.size()) : std::uint64_t{needed};
         part.amount_ += static_cast<std::uint32_t>(std::min(wanted - part.amount_, available));
         unmet = unmet || needed > part.amount_;
     }
@@ -245,7 +245,7 @@
             if (allowanceKeyOf(team) == index) {
                 const Scarcity scarcity = scarcityOf(state, team, false, context.now_);
                 // After a lost write usable amounts stay low until the next write; that is no reason to give back.
-                const TeamRule rule {limitOf(context.bundle_, team), !key.lostWrite_, scarcity == Scarcity::None};
+                const TeamRule rule{limitOf(context.bundle_, team), !key.lostWrite_, scarcity == Scarcity::None};
                 bool missing = false;
                 changed = adjustPart(group, demand, rows[team], groupId, rule, missing) || changed;
                 if (missing) {
--- a/src/core/member/claim_cmd.cpp
+++ b/src/core/member/claim_cmd.cpp
@@ -118,7 +118,7 @@
     std::map<ShardId, OwnerRow> rows = table.rows_;
     for (const ShardId &shard : shards) {
         OwnerRow &row = rows[shard];
-        row = {shard, m.settings_.self_, Epoch {row.epoch_.value_ + 1}};
+        row = {shard, m.settings_.self_, Epoch{row.epoch_.value_ + 1}};
     }
     std::vector<OwnerRow> list;
     for (auto &[shard, row] : rows) {
@@ -128,7 +128,7 @@
             "[member] Claims " + std::to_string(shards.size()) + " shards of region " + region.value_ + ".");
     const std::string value = packToString(list);
     table.pending_ = sendMemberOp(m, context, {OpKind::Claim, region, {}, {}, false, value},
-                                  StoreCas {"owners/" + region.value_, value, table.revision_, {}});
+                                  StoreCas{"owners/" + region.value_, value, table.revision_, {}});
 }
 
 static void claimRegion(Membership &m, const RegionId &region, Context &context)
@@ -158,7 +158,7 @@
 
 static std::set<RegionId> regions(const Membership &m, const Bundle &bundle)
 {
-    std::set<RegionId> all {m.settings_.region_};
+    std::set<RegionId> all{m.settings_.region_};
     for (const RegionConfig &region : bundle.regions_) {
         all.insert(region.id_);
     }
--- a/src/core/member/handover_cmd.cpp
+++ b/src/core/member/handover_cmd.cpp
@@ -71,7 +71,7 @@
         released.repeatAt_ = context.now_ + HandoverRepeat;
         const DaemonId next = nextHolder(m, shard, false);
         if (!next.empty()) {
-            sendPeer(context, next, Handover {shard, released.epoch_});
+            sendPeer(context, next, Handover{shard, released.epoch_});
         }
     }
     if (!m.leaving_) {
@@ -160,7 +160,7 @@
     }
     m.revokeRetryAt_ = context.now_ + StoreRetry;
     m.revoking_ = true;
-    sendMemberOp(m, context, {OpKind::Revoke, {}, {}, {}, false, {}}, StoreLeaseRevoke {m.lease_});
+    sendMemberOp(m, context, {OpKind::Revoke, {}, {}, {}, false, {}}, StoreLeaseRevoke{m.lease_});
 }
 
 bool hasLeft(const Membership &membership)
--- a/src/core/member/heartbeat.cpp
+++ b/src/core/member/heartbeat.cpp
@@ -17,7 +17,7 @@
 template <typename T>
 static void noteChange(std::map<ShardId, Changing<T>> &shared, const ShardId &shard, const T &value, TimePoint now)
 {
-    const auto [entry, added] = shared.try_emplace(shard, Changing<T> {value, now});
+    const auto [entry, added] = shared.try_emplace(shard, Changing<T>{value, now});
     if (!added && !(entry->second.value_ == value)) {
         entry->second = {value, now};
     }
@@ -88,7 +88,7 @@
             peer.nextState_ = context.now_ + StateInterval;
         }
         // A heartbeat repeats what the peer has not echoed yet, so that a lost one loses no change.
-        Heartbeat heartbeat = makeHeartbeat(m, own, all ? TimePoint {} : peer.echoedAt_);
+        Heartbeat heartbeat = makeHeartbeat(m, own, all ? TimePoint{} : peer.echoedAt_);
         heartbeat.sequence_ = ++peer.sent_;
         heartbeat.echo_ = peer.received_;
         peer.sentTimes_.emplace_back(peer.sent_, context.now_);
--- a/src/core/member/member_internal.h
+++ b/src/core/member/member_internal.h
@@ -15,34 +15,34 @@
 namespace mimosapier
 {
 
-constexpr Milliseconds MemberLease {4000};
-constexpr Milliseconds RenewInterval {1000};
-constexpr Milliseconds StoreRetry {200}; // between tries of a write that failed
-constexpr Milliseconds WatchRetry {500}; // between tries of a watch that failed
-constexpr Milliseconds WatchWait {10'000};
-constexpr Milliseconds WatchPause {50}; // bounds the calls of a watch while its prefix changes all the time
-constexpr Milliseconds OpTimeout {5000}; // an operation without a result counts as Unknown after this time
-constexpr Milliseconds PauseGap {1000}; // between two calls; ticks come every 20 ms, so a longer gap is a pause
-constexpr Milliseconds VacancyGrace {1000}; // time without a record after which a holder's shards are vacant
-constexpr Milliseconds OutageGrace {3000}; // no claims so soon after an outage: all records are written again then
-constexpr Milliseconds RegionGrace {3000}; // time without members after which other regions claim
-constexpr Milliseconds ClaimStep {5000}; // the next daemon in rank claims when the one before has not for this time
-constexpr Milliseconds ClaimInterval {100}; // between evaluations of vacancies
-constexpr Milliseconds BalanceInterval {3000}; // between shards that are moved to even out the load
-constexpr Milliseconds BalanceAge {5000}; // time for which a daemon is a member before shards are moved to it
-constexpr Milliseconds HandoverRepeat {1000}; // until the table shows the new holder
-constexpr Milliseconds LeaveBound {5000}; // wait for new holders before the record is removed
-constexpr Milliseconds HeartbeatInterval {500};
-constexpr Milliseconds RemoteHeartbeatInterval {1000};
-constexpr Milliseconds StateInterval {5000}; // between heartbeats with all loads and shards
-constexpr Milliseconds StoreReachAge {3000}; // without an answer for this time the store counts as unreachable
-constexpr Milliseconds FreshFor {5000}; // section 6 of docs/design.md
+constexpr Milliseconds MemberLease{4000};
+constexpr Milliseconds RenewInterval{1000};
+constexpr Milliseconds StoreRetry{200}; // between tries of a write that failed
+constexpr Milliseconds WatchRetry{500}; // between tries of a watch that failed
+constexpr Milliseconds WatchWait{10'000};
+constexpr Milliseconds WatchPause{50}; // bounds the calls of a watch while its prefix changes all the time
+constexpr Milliseconds OpTimeout{5000}; // an operation without a result counts as Unknown after this time
+constexpr Milliseconds PauseGap{1000}; // between two calls; ticks come every 20 ms, so a longer gap is a pause
+constexpr Milliseconds VacancyGrace{1000}; // time without a record after which a holder's shards are vacant
+constexpr Milliseconds OutageGrace{3000}; // no claims so soon after an outage: all records are written again then
+constexpr Milliseconds RegionGrace{3000}; // time without members after which other regions claim
+constexpr Milliseconds ClaimStep{5000}; // the next daemon in rank claims when the one before has not for this time
+constexpr Milliseconds ClaimInterval{100}; // between evaluations of vacancies
+constexpr Milliseconds BalanceInterval{3000}; // between shards that are moved to even out the load
+constexpr Milliseconds BalanceAge{5000}; // time for which a daemon is a member before shards are moved to it
+constexpr Milliseconds HandoverRepeat{1000}; // until the table shows the new holder
+constexpr Milliseconds LeaveBound{5000}; // wait for new holders before the record is removed
+constexpr Milliseconds HeartbeatInterval{500};
+constexpr Milliseconds RemoteHeartbeatInterval{1000};
+constexpr Milliseconds StateInterval{5000}; // between heartbeats with all loads and shards
+constexpr Milliseconds StoreReachAge{3000}; // without an answer for this time the store counts as unreachable
+constexpr Milliseconds FreshFor{5000}; // section 6 of docs/design.md
 
 // A daemon without store contact for QuietFor does not count as quiet for condition (b), and a voter without a record
 // for VoterRetention need not be asked before a sign-off. The difference covers the lease and clock drift; together
 // they let sign-offs go on after a majority of the daemons is lost for good.
-constexpr Milliseconds QuietFor {540'000};
-constexpr Milliseconds VoterRetention {600'000};
+constexpr Milliseconds QuietFor{540'000};
+constexpr Milliseconds VoterRetention{600'000};
 
 // With more members than this in another region, only its relay and holders of shards are connected to.
 constexpr std::size_t MaxRemotePeers = 16;
--- a/src/core/member/member_record.cpp
+++ b/src/core/member/member_record.cpp
@@ -24,11 +24,11 @@
 
 static void writeRecord(Membership &m, Context &context)
 {
-    const MemberRecord record {m.settings_.region_, m.settings_.zone_, m.settings_.peerAddress_, m.startOrder_,
-                               m.leaving_};
-    PendingOp op {OpKind::Record, {}, {}, {}, m.leaving_, {}};
+    const MemberRecord record{m.settings_.region_, m.settings_.zone_, m.settings_.peerAddress_, m.startOrder_,
+                              m.leaving_};
+    PendingOp op{OpKind::Record, {}, {}, {}, m.leaving_, {}};
     m.recordOp_ = sendMemberOp(m, context, std::move(op),
-                               StoreCas {recordKey(m), packToString(record), m.recordRevision_, m.lease_});
+                               StoreCas{recordKey(m), packToString(record), m.recordRevision_, m.lease_});
 }
 
 void tickRecord(Membership &m, Context &context)
@@ -39,10 +39,9 @@
     if (m.leaseOp_.value_ == 0 && context.now_ >= m.renewAt_) {
         m.renewAt_ = context.now_ + RenewInterval;
         if (m.lease_.value_ == 0) {
-            m.leaseOp_
-                = sendMemberOp(m, context, {OpKind::Grant, {}, {}, {}, false, {}}, StoreLeaseGrant {MemberLease});
+            m.leaseOp_ = sendMemberOp(m, context, {OpKind::Grant, {}, {}, {}, false, {}}, StoreLeaseGrant{MemberLease});
         } else {
-            m.leaseOp_ = sendMemberOp(m, context, {OpKind::Renew, {}, {}, {}, false, {}}, StoreLeaseRenew {m.lease_});
+            m.leaseOp_ = sendMemberOp(m, context, {OpKind::Renew, {}, {}, {}, false, {}}, StoreLeaseRenew{m.lease_});
         }
     }
     const bool stale = m.recordRevision_.value_ == 0 || m.recordLeaving_ != m.leaving_;
@@ -89,7 +88,7 @@
         return;
     case StoreStatus::Conflict:
         // An earlier write whose answer was lost, or one under a former lease: it is written over under this lease.
-        m.recordRevision_ = result.entries_.empty() ? Revision {} : result.entries_.front().revision_;
+        m.recordRevision_ = result.entries_.empty() ? Revision{} : result.entries_.front().revision_;
         m.recordLeaving_ = !m.leaving_;
         return;
     case StoreStatus::NotFound:
--- a/src/core/member/member_watch.cpp
+++ b/src/core/member/member_watch.cpp
@@ -16,12 +16,12 @@
     if (watch.pending_.value_ != 0 || context.now_ < watch.nextAt_) {
         return;
     }
-    PendingOp op {kind, {}, {}, {}, false, {}};
+    PendingOp op{kind, {}, {}, {}, false, {}};
     if (watch.known_) {
         watch.pending_ = sendMemberOp(m, context, std::move(op),
-                                      StoreWatch {std::string(prefix), watch.after_, WatchWait}, WatchWait + OpTimeout);
+                                      StoreWatch{std::string(prefix), watch.after_, WatchWait}, WatchWait + OpTimeout);
     } else {
-        watch.pending_ = sendMemberOp(m, context, std::move(op), StoreList {std::string(prefix)});
+        watch.pending_ = sendMemberOp(m, context, std::move(op), StoreList{std::string(prefix)});
     }
 }
 
@@ -31,7 +31,7 @@
     tickWatch(m, m.ownerWatch_, OpKind::Owners, OwnerPrefix, context);
     if (m.suspect_ && m.suspectOp_.value_ == 0) {
         m.suspectOp_ = sendMemberOp(m, context, {OpKind::ReadOwners, {}, {}, {}, false, {}},
-                                    StoreList {std::string(OwnerPrefix)});
+                                    StoreList{std::string(OwnerPrefix)});
     }
 }
 
@@ -53,7 +53,7 @@
         const DaemonId daemon(entry.key_.substr(slash + 1));
         const auto known = m.members_.find(daemon);
         const TimePoint since = known == m.members_.end() ? context.now_ : known->second.since_;
-        members.emplace(daemon, MemberEntry {std::move(record), since});
+        members.emplace(daemon, MemberEntry{std::move(record), since});
     }
     for (const auto &[daemon, entry] : m.members_) {
         if (!members.contains(daemon) && isLeavingMember(m, daemon)) {
@@ -148,7 +148,7 @@
               [](const PeerAddress &left, const PeerAddress &right) { return left.daemon_ < right.daemon_; });
     if (peers != m.peerSet_) {
         m.peerSet_ = peers;
-        context.actions_.push(PeerSet {std::move(peers)});
+        context.actions_.push(PeerSet{std::move(peers)});
     }
 }
 
--- a/src/core/member/ownership_table.cpp
+++ b/src/core/member/ownership_table.cpp
@@ -97,8 +97,8 @@
         return;
     }
     table.mustRead_ = true;
-    table.pending_ = sendMemberOp(m, context, {OpKind::ReadTable, region, {}, {}, false, {}},
-                                  StoreGet {"owners/" + region.value_});
+    table.pending_
+        = sendMemberOp(m, context, {OpKind::ReadTable, region, {}, {}, false, {}}, StoreGet{"owners/" + region.value_});
 }
 
 static void onTableRead(Membership &m, OwnerTable &table, const RegionId &region, const StoreResult &result)
--- a/src/core/message/caller_type.h
+++ b/src/core/message/caller_type.h
@@ -23,8 +23,8 @@
     std::uint32_t attempt_ = 1;
     std::uint32_t tasks_ = 1;
     Resources size_;
-    Milliseconds declaredRun_ {0};
-    Milliseconds deadline_ {0}; // 0: the default of the class
+    Milliseconds declaredRun_{0};
+    Milliseconds deadline_{0}; // 0: the default of the class
     bool idempotent_ = true;
     bool idempotentGiven_ = false; // false: the class decides
     std::string payload_;
@@ -36,7 +36,7 @@
     std::string requestId_;
     TeamId team_;
     std::string key_;
-    Milliseconds wait_ {0};
+    Milliseconds wait_{0};
     bool explain_ = false;
 };
 
--- a/src/core/message/codec.cpp
+++ b/src/core/message/codec.cpp
@@ -63,7 +63,7 @@
 
 std::error_code decodeMessage(std::string_view bytes, PeerMessage &message)
 {
-    Envelope envelope {message};
+    Envelope envelope{message};
     if (!unpackFromString(bytes, envelope)) {
         return ErrorKind::MalformedFrame;
     }
--- a/src/core/message/context.cpp
+++ b/src/core/message/context.cpp
@@ -28,19 +28,19 @@
 
 void sendPeer(Context &context, const DaemonId &to, PeerMessage message)
 {
-    context.actions_.push(PeerSend {to, std::move(message)});
+    context.actions_.push(PeerSend{to, std::move(message)});
 }
 
 StoreOpId sendStore(Context &context, StorePart part, const ShardId &shard, StoreOp op)
 {
-    const StoreOpId id {context.actions_.nextId()};
-    context.actions_.push(StoreRequest {id, part, shard, std::move(op)});
+    const StoreOpId id{context.actions_.nextId()};
+    context.actions_.push(StoreRequest{id, part, shard, std::move(op)});
     return id;
 }
 
 void logLine(Context &context, LogLevel level, std::string text)
 {
-    context.actions_.push(LogLine {level, std::move(text)});
+    context.actions_.push(LogLine{level, std::move(text)});
 }
 
 } // namespace mimosapier
--- a/src/core/message/pack_func.h
+++ b/src/core/message/pack_func.h
@@ -37,7 +37,7 @@
 };
 
 template <typename T>
-struct HasFields<T, std::void_t<decltype(visitFields(std::declval<T &>(), NoVisit {}))>> : std::true_type
+struct HasFields<T, std::void_t<decltype(visitFields(std::declval<T &>(), NoVisit{}))>> : std::true_type
 {
 };
 
@@ -118,7 +118,7 @@
     }
     values.clear();
     for (std::uint32_t i = 0; i < object.via.array.size; ++i) {
-        T value {};
+        T value{};
         if (!unpackValue(object.via.array.ptr[i], value)) {
             return false;
         }
--- a/src/core/message/peer_type.h
+++ b/src/core/message/peer_type.h
@@ -82,7 +82,7 @@
     std::uint32_t firstIndex_ = 0;
     std::uint32_t count_ = 1;
     std::uint32_t attempt_ = 1; // of the caller, for interactive work
-    Milliseconds remaining_ {0}; // time to the deadline for starting, from sending
+    Milliseconds remaining_{0}; // time to the deadline for starting, from sending
     bool mayHaveRun_ = false; // an earlier offer of these tasks may have reached this group
     bool lookupOnly_ = false; // answer what is known; start nothing
     bool forwarded_ = false; // sent by the first candidate group to the second
@@ -122,7 +122,7 @@
     ShardId partition_;
     JobSpec job_;
     std::uint32_t attempt_ = 1;
-    Milliseconds remaining_ {0}; // time to the deadline for being accepted, from sending
+    Milliseconds remaining_{0}; // time to the deadline for being accepted, from sending
     bool operator==(const JobSubmit &) const = default;
 };
 
@@ -132,7 +132,7 @@
     ReplyTo replyTo_;
     ShardId partition_;
     JobId job_;
-    Milliseconds wait_ {0};
+    Milliseconds wait_{0};
     bool explain_ = false; // fill JobAnswer::detail_ with reasons
     bool operator==(const JobQuery &) const = default;
 };
--- a/src/core/message/store_type.h
+++ b/src/core/message/store_type.h
@@ -43,7 +43,7 @@
 
 struct StoreLeaseGrant
 {
-    Milliseconds ttl_ {0};
+    Milliseconds ttl_{0};
 };
 
 struct StoreLeaseRenew
@@ -62,7 +62,7 @@
 {
     std::string prefix_;
     Revision after_;
-    Milliseconds wait_ {0};
+    Milliseconds wait_{0};
 };
 
 using StoreOp = std::variant<StoreGet, StoreList, StoreCas, StoreDelete, StoreLeaseGrant, StoreLeaseRenew,
--- a/src/core/message/worker_type.h
+++ b/src/core/message/worker_type.h
@@ -16,7 +16,7 @@
 struct WorkerHold
 {
     DaemonId holder_;
-    Milliseconds lease_ {0};
+    Milliseconds lease_{0};
 };
 
 struct WorkerTask
@@ -33,16 +33,16 @@
 struct WorkerStart
 {
     std::vector<WorkerTask> tasks_;
-    Milliseconds lease_ {0};
+    Milliseconds lease_{0};
 };
 
 // Renews the lease of all tasks of the worker and waits for news.
 struct WorkerPoll
 {
     std::vector<TaskId> acks_; // results that the worker may forget
-    Milliseconds lease_ {0};
-    Milliseconds wait_ {0};
-    std::vector<TaskId> known_ {}; // tasks that have ended, as the caller knows; not reported again
+    Milliseconds lease_{0};
+    Milliseconds wait_{0};
+    std::vector<TaskId> known_{}; // tasks that have ended, as the caller knows; not reported again
 };
 
 enum class StopMode : std::uint8_t { Stop, Checkpoint, Throttle };
--- a/src/core/node/dispatch.cpp
+++ b/src/core/node/dispatch.cpp
@@ -20,7 +20,7 @@
 
 static void refuseOffer(const DaemonId &from, const TaskOffer &offer, Context &context)
 {
-    TaskAnswer answer {offer.replyTo_, offer.group_, offer.job_.id_, {}};
+    TaskAnswer answer{offer.replyTo_, offer.group_, offer.job_.id_, {}};
     for (std::uint32_t i = 0; i < offer.count_; ++i) {
         answer.results_.push_back({offer.firstIndex_ + i, Outcome::NotRun, ErrorKind::NotHolder, {}, {}});
     }
@@ -29,7 +29,7 @@
 
 static void refuseJob(const DaemonId &from, const ReplyTo &replyTo, const JobId &job, Context &context)
 {
-    sendPeer(context, from, JobAnswer {replyTo, job, Outcome::NotRun, ErrorKind::NotHolder, {}, {}});
+    sendPeer(context, from, JobAnswer{replyTo, job, Outcome::NotRun, ErrorKind::NotHolder, {}, {}});
 }
 
 namespace
@@ -184,7 +184,7 @@
 void dispatchPeer(Node &node, const PeerReceived &event, TimePoint now, Actions &actions)
 {
     Context context = makeContext(node, now, actions);
-    std::visit(PeerDispatcher {node, event.from_, context}, event.message_);
+    std::visit(PeerDispatcher{node, event.from_, context}, event.message_);
 }
 
 void dispatchStore(Node &node, const StoreResult &result, TimePoint now, Actions &actions)
@@ -211,7 +211,7 @@
 void dispatchCaller(Node &node, const CallerRequest &request, TimePoint now, Actions &actions)
 {
     Context context = makeContext(node, now, actions);
-    std::visit(CallerDispatcher {node, request.call_, context}, request.body_);
+    std::visit(CallerDispatcher{node, request.call_, context}, request.body_);
 }
 
 } // namespace mimosapier::detail
--- a/src/core/node/node.cpp
+++ b/src/core/node/node.cpp
@@ -10,7 +10,7 @@
 using namespace detail;
 
 // Loads and freshness change all the time; the directory and the heartbeats need them at this rate only.
-static constexpr Milliseconds LoadInterval {100};
+static constexpr Milliseconds LoadInterval{100};
 
 template <>
 void Destroy<Node>::operator()(Node *state) const
@@ -232,7 +232,7 @@
 void step(Node &node, const Event &event, TimePoint now, Actions &actions)
 {
     const std::size_t first = actions.list_.size();
-    std::visit(Dispatcher {node, now, actions}, event);
+    std::visit(Dispatcher{node, now, actions}, event);
     settle(node, first, now, actions);
 }
 
--- a/src/core/node/node_base.h
+++ b/src/core/node/node_base.h
@@ -41,13 +41,13 @@
     std::deque<PeerReceived> loopback_; // messages of this daemon to itself, in order
     std::uint64_t directoryBuilds_ = 0; // directoryBuilds() when the directory was last compared
     std::uint64_t directoryPrint_ = 0; // fingerprint of holders and epochs when the homes last saw the directory
-    TimePoint lastFenceCheck_ {};
-    TimePoint lastLoads_ {};
+    TimePoint lastFenceCheck_{};
+    TimePoint lastLoads_{};
     // Set for good when the region was served once: a request before that would wait for the first claims, while a
     // shard that is vacant later is no reason for the load balancer to turn to other entries.
     bool started_ = false;
     LeavePhase leave_ = LeavePhase::None;
-    TimePoint leaveStarted_ {};
+    TimePoint leaveStarted_{};
 };
 
 } // namespace mimosapier
--- a/src/core/node/node_func.h
+++ b/src/core/node/node_func.h
@@ -28,7 +28,7 @@
 // Handles one event. A Tick is due every TickInterval.
 void step(Node &node, const Event &event, TimePoint now, Actions &actions);
 
-constexpr Milliseconds TickInterval {20};
+constexpr Milliseconds TickInterval{20};
 
 // True while new requests of callers are admitted, for the readiness check: a bundle is in force, the region was served
 // once, and the daemon is not leaving.
--- a/src/core/node/ownership.cpp
+++ b/src/core/node/ownership.cpp
@@ -8,13 +8,13 @@
 
 // Longest wait for answers of open requests before shards are handed over. Callers' requests that still wait then are
 // answered by the next holders.
-static constexpr Milliseconds FinishRequestsLimit {10'000};
+static constexpr Milliseconds FinishRequestsLimit{10'000};
 
 // A load balancer probes readiness about once a second; requests that it sends before it has noticed are still served.
-static constexpr Milliseconds AdmitAfterLeave {2500};
+static constexpr Milliseconds AdmitAfterLeave{2500};
 
 // A holder that was fenced reads the ownership table again at this interval until it sees the later epoch.
-static constexpr Milliseconds FenceCheckInterval {500};
+static constexpr Milliseconds FenceCheckInterval{500};
 
 std::vector<WorkerInfo> workersOfGroup(const InstanceSnapshot &snapshot, const ShardId &group)
 {
@@ -182,7 +182,7 @@
     const bool idle = node.groups_.empty() && node.homes_.empty() && openRequests(*node.entry_) == 0;
     if (idle && hasLeft(*node.member_)) {
         node.leave_ = LeavePhase::Gone;
-        actions.push(LeaveFinished {});
+        actions.push(LeaveFinished{});
     }
 }
 
--- a/src/ctl/bundle_cmd.cpp
+++ b/src/ctl/bundle_cmd.cpp
@@ -35,7 +35,7 @@
 
 static ExitCode sendDraft(const Options &options, const Surroundings &io, const std::string &text)
 {
-    const Json body {{"author", options.bundle_.operator_}, {"text", text}};
+    const Json body{{"author", options.bundle_.operator_}, {"text", text}};
     const Answer answer = ask(options, io, "POST", "/v1/admin/draft", body);
     Json detail;
     if (options.json_ || exitCode(answer) != ExitCode::Done || !parseJson(textField(answer.json_, "detail"), detail)) {
@@ -95,7 +95,7 @@
         }
         base = numberField(draft, "base_version");
     }
-    const Json body {{"signer", options.bundle_.operator_}, {"draft", options.bundle_.draft_}, {"base_version", base}};
+    const Json body{{"signer", options.bundle_.operator_}, {"draft", options.bundle_.draft_}, {"base_version", base}};
     return printAnswer(options, io, ask(options, io, "POST", "/v1/admin/sign", body));
 }
 
--- a/src/ctl/bundle_edit.cpp
+++ b/src/ctl/bundle_edit.cpp
@@ -13,7 +13,7 @@
 // Shortest text that reads back as the same number.
 static std::string numberText(double number)
 {
-    std::array<char, 32> text {};
+    std::array<char, 32> text{};
     const auto result = std::to_chars(text.data(), text.data() + text.size(), number);
     return {text.data(), result.ptr};
 }
--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -30,7 +30,7 @@
 
 struct Parser
 {
-    CLI::App app_ {"mimosapierctl, command line of the mimosapier scheduler"};
+    CLI::App app_{"mimosapierctl, command line of the mimosapier scheduler"};
     Options options_;
     Run run_;
 };
--- a/src/ctl/job_cmd.cpp
+++ b/src/ctl/job_cmd.cpp
@@ -23,9 +23,9 @@
     if (job.requestId_.empty()) {
         job.requestId_ = io.randomHex_();
     }
-    Json body {{"request_id", job.requestId_}, {"team", job.team_},     {"class", job.class_},
-               {"attempt", job.attempt_},      {"tasks", job.tasks_},   {"run_ms", job.runMs_},
-               {"payload", job.payload_},      {"region", job.region_}, {"queue", job.queue_}};
+    Json body{{"request_id", job.requestId_}, {"team", job.team_},     {"class", job.class_},
+              {"attempt", job.attempt_},      {"tasks", job.tasks_},   {"run_ms", job.runMs_},
+              {"payload", job.payload_},      {"region", job.region_}, {"queue", job.queue_}};
     body["size"] = {{"milli_cpus", job.milliCpus_}, {"memory_mb", job.memoryMb_}, {"accelerators", job.accelerators_}};
     if (job.deadlineMs_ > 0) {
         body["deadline_ms"] = job.deadlineMs_;
@@ -73,7 +73,7 @@
 
 ExitCode cancelCmd(const Options &options, const Surroundings &io)
 {
-    const Json body {{"team", options.job_.team_}, {"request_ids", options.job_.requestIds_}};
+    const Json body{{"team", options.job_.team_}, {"request_ids", options.job_.requestIds_}};
     return printAnswer(options, io, ask(options, io, "POST", "/v1/cancel", body));
 }
 
--- a/src/daemon/base64.cpp
+++ b/src/daemon/base64.cpp
@@ -13,7 +13,7 @@
 
 static consteval std::array<std::uint8_t, 256> digitValues()
 {
-    std::array<std::uint8_t, 256> values {};
+    std::array<std::uint8_t, 256> values{};
     values.fill(NoDigit);
     for (std::size_t i = 0; i < Digits.size(); ++i) {
         values[static_cast<unsigned char>(Digits[i])] = static_cast<std::uint8_t>(i);
--- a/src/daemon/caller_codec.cpp
+++ b/src/daemon/caller_codec.cpp
@@ -133,7 +133,7 @@
     const std::string_view wait = queryValue(target, "wait_ms");
     std::int64_t count = 0;
     const auto [end, error] = std::from_chars(wait.data(), wait.data() + wait.size(), count);
-    const bool valid = wait.empty() || (error == std::errc {} && end == wait.data() + wait.size());
+    const bool valid = wait.empty() || (error == std::errc{} && end == wait.data() + wait.size());
     if (!valid || count < 0 || count > MaxWaitMs) {
         return malformed(detail, "wait_ms must be an integer from 0 to 60000");
     }
@@ -165,7 +165,7 @@
 static std::error_code parsePost(const HttpRequest &request, std::string_view path, CallerBody &body,
                                  std::string &detail)
 {
-    constexpr std::array<std::string_view, 4> Paths {"/v1/jobs", "/v1/cancel", "/v1/admin/draft", "/v1/admin/sign"};
+    constexpr std::array<std::string_view, 4> Paths{"/v1/jobs", "/v1/cancel", "/v1/admin/draft", "/v1/admin/sign"};
     if (std::find(Paths.begin(), Paths.end(), path) == Paths.end()) {
         return ErrorKind::UnknownPath;
     }
@@ -188,7 +188,7 @@
 
 static std::error_code parseGet(const HttpRequest &request, CallerBody &body, std::string &detail)
 {
-    constexpr std::array<std::pair<std::string_view, AdminView>, 5> Views {
+    constexpr std::array<std::pair<std::string_view, AdminView>, 5> Views{
         {{"/v1/admin/status", AdminView::Status},
          {"/v1/admin/bundle", AdminView::Bundle},
          {"/v1/admin/drafts", AdminView::Drafts},
@@ -200,7 +200,7 @@
     const std::string_view path = target.path_;
     for (const auto &[name, view] : Views) {
         if (path == name) {
-            body = AdminViewRequest {view};
+            body = AdminViewRequest{view};
             return {};
         }
     }
@@ -215,7 +215,7 @@
 
 std::error_code parseCallerRequest(const HttpRequest &request, CallerBody &body, std::string &detail)
 {
-    body = AdminViewRequest {};
+    body = AdminViewRequest{};
     if (request.method_ == "GET") {
         return parseGet(request, body, detail);
     }
@@ -239,11 +239,11 @@
         response.body_ = answer.document_;
         return response;
     }
-    Json json {{"request_id", answer.requestId_},
-               {"outcome", jobOutcomeName(answer.outcome_)},
-               {"error", errorName(answer.error_)},
-               {"detail", answer.detail_},
-               {"home_region", answer.homeRegion_.value_}};
+    Json json{{"request_id", answer.requestId_},
+              {"outcome", jobOutcomeName(answer.outcome_)},
+              {"error", errorName(answer.error_)},
+              {"detail", answer.detail_},
+              {"home_region", answer.homeRegion_.value_}};
     Json &results = json["results"] = Json::array();
     for (const TaskResult &task : answer.results_) {
         results.push_back({{"index", task.index_},
@@ -275,8 +275,8 @@
 
 std::string_view callerBodyName(const CallerBody &body)
 {
-    constexpr std::array<std::string_view, std::variant_size_v<CallerBody>> Names {"submit", "status", "cancel",
-                                                                                   "draft",  "sign",   "view"};
+    constexpr std::array<std::string_view, std::variant_size_v<CallerBody>> Names{"submit", "status", "cancel",
+                                                                                  "draft",  "sign",   "view"};
     return Names.at(body.index());
 }
 
--- a/src/daemon/caller_front.cpp
+++ b/src/daemon/caller_front.cpp
@@ -12,7 +12,7 @@
 {
 
 // A request may be under way on an idle connection when the server stops; it is still answered within this time.
-static constexpr Milliseconds IdleGrace {500};
+static constexpr Milliseconds IdleGrace{500};
 
 struct CallerFront::State : std::enable_shared_from_this<CallerFront::State>
 {
@@ -35,7 +35,7 @@
     Metrics *metrics_; // may be null
     std::unique_ptr<HttpServer> server_;
     std::unordered_map<CallId, HttpResponder> openCalls_; // requests without an answer
-    std::atomic<std::size_t> open_ {0}; // size of openCalls_
+    std::atomic<std::size_t> open_{0}; // size of openCalls_
     std::uint64_t lastCall_ = 0;
 };
 
@@ -76,7 +76,7 @@
         refuse(respond, refusal(call.body_, errorKind(error), std::move(detail)));
         return;
     }
-    call.call_ = CallId {++lastCall_};
+    call.call_ = CallId{++lastCall_};
     const CallId id = call.call_;
     if (openCalls_.size() >= settings_.maxOpenRequests_ || !links_.submit_(call)) {
         refuse(respond, refusal(call.body_, ErrorKind::Overloaded, {}));
@@ -95,7 +95,7 @@
 {
     // The entry stays until the decisions answer, which bounds the requests they have open.
     if (openCalls_.contains(call)) {
-        links_.gone_(CallerGone {call});
+        links_.gone_(CallerGone{call});
     }
 }
 
--- a/src/daemon/decisions.cpp
+++ b/src/daemon/decisions.cpp
@@ -65,7 +65,7 @@
     bool left = false;
     while (!stopping_) {
         if (clock_.now() >= nextTick) {
-            handle(Tick {});
+            handle(Tick{});
             nextTick = clock_.now() + TickInterval;
         }
         if (!left) {
@@ -118,7 +118,7 @@
         resets_.clear();
     } else if (!heartbeat && resets_.insert(to).second) {
         // A peer that is up gets every message, so one that misses a message must go down.
-        peerCommands_.force(PeerReset {to});
+        peerCommands_.force(PeerReset{to});
     }
 }
 
--- a/src/daemon/decisions_base.h
+++ b/src/daemon/decisions_base.h
@@ -61,7 +61,7 @@
     void callerGone(CallerGone event) { callers_.force(event); } // bounded by the open requests
     void peerEvent(Event event) { peerEvents_.put(std::move(event)); } // waits while the ring is full
     void result(Event event) { results_.force(std::move(event)); } // bounded by the operations under way
-    void leave() { results_.force(LeaveRequested {}); }
+    void leave() { results_.force(LeaveRequested{}); }
 
     [[nodiscard]] bool ready() const { return ready_; }
 
@@ -106,8 +106,8 @@
     Actions actions_;
     std::vector<Event> batch_;
     std::set<DaemonId> resets_; // peers whose reset is in the ring since it was last empty
-    std::atomic<bool> ready_ {false};
-    std::atomic<bool> stopping_ {false};
+    std::atomic<bool> ready_{false};
+    std::atomic<bool> stopping_{false};
     bool hasLeft_ = false;
     std::thread thread_;
 };
--- a/src/daemon/instance_poller.cpp
+++ b/src/daemon/instance_poller.cpp
@@ -11,7 +11,7 @@
 {
 
 static constexpr unsigned HttpOk = 200;
-static constexpr Milliseconds ListTimeout {2000};
+static constexpr Milliseconds ListTimeout{2000};
 
 // Reads one row. Returns false when it is malformed; rows of other kinds than workers leave `worker` without id.
 static bool readInstance(const Json &row, WorkerInfo &worker)
@@ -76,7 +76,7 @@
         , interval_(interval)
         , thread_(thread)
         , sink_(std::move(sink))
-        , client_(thread.context(), HttpClientOptions {.maxConnections_ = 1})
+        , client_(thread.context(), HttpClientOptions{.maxConnections_ = 1})
     {
     }
 
--- a/src/daemon/io_thread.cpp
+++ b/src/daemon/io_thread.cpp
@@ -15,7 +15,7 @@
 
 struct IoThread::State
 {
-    asio::io_context context_ {1};
+    asio::io_context context_{1};
     asio::executor_work_guard<asio::io_context::executor_type> work_ = asio::make_work_guard(context_);
     std::thread thread_;
 };
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -20,9 +20,9 @@
 using prometheus::MetricFamily;
 using prometheus::MetricType;
 
-static constexpr std::array<std::string_view, 6> StoreStatusNames {"ok",        "unchanged",   "conflict",
-                                                                   "not-found", "unavailable", "unknown"};
-static constexpr std::array<std::string_view, 4> WorkerStatusNames {"ok", "stale-epoch", "refused", "unknown"};
+static constexpr std::array<std::string_view, 6> StoreStatusNames{"ok",        "unchanged",   "conflict",
+                                                                  "not-found", "unavailable", "unknown"};
+static constexpr std::array<std::string_view, 4> WorkerStatusNames{"ok", "stale-epoch", "refused", "unknown"};
 
 static ClientMetric sample(prometheus::MetricType type, double value, std::vector<ClientMetric::Label> labels)
 {
@@ -46,7 +46,7 @@
     [[nodiscard]] std::vector<MetricFamily> Collect() const override
     {
         std::vector<MetricFamily> families;
-        MetricFamily rings {"mimosapier_ring_depth", "Items waiting in a ring.", MetricType::Gauge, {}};
+        MetricFamily rings{"mimosapier_ring_depth", "Items waiting in a ring.", MetricType::Gauge, {}};
         for (const auto &[name, depth] : rings_) {
             rings.metric.push_back(sample(MetricType::Gauge, static_cast<double>(depth()), {{"ring", name}}));
         }
@@ -64,7 +64,7 @@
     static void collectTransport(const TransportCounters &counters, std::vector<MetricFamily> &families)
     {
         const auto add = [&families](std::string name, std::string help) -> MetricFamily & {
-            return families.emplace_back(MetricFamily {std::move(name), std::move(help), MetricType::Counter, {}});
+            return families.emplace_back(MetricFamily{std::move(name), std::move(help), MetricType::Counter, {}});
         };
         const auto put = [](MetricFamily &family, std::uint64_t value, std::vector<ClientMetric::Label> labels) {
             family.metric.push_back(sample(MetricType::Counter, static_cast<double>(value), std::move(labels)));
@@ -106,7 +106,7 @@
               .Name("mimosapier_step_seconds")
               .Help("Duration of one step of the decision logic.")
               .Register(*registry_)
-              .Add({}, prometheus::Histogram::BucketBoundaries {1e-5, 1e-4, 1e-3, 1e-2, 0.1, 1});
+              .Add({}, prometheus::Histogram::BucketBoundaries{1e-5, 1e-4, 1e-3, 1e-2, 0.1, 1});
 
 private:
     CounterFamily &counter(const char *name, const char *help)
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -19,15 +19,15 @@
 namespace mimosapier
 {
 
-static constexpr Milliseconds InstanceInterval {2000};
-static constexpr Milliseconds StopMargin {1000}; // kept of the shutdown limit for closing the connections
+static constexpr Milliseconds InstanceInterval{2000};
+static constexpr Milliseconds StopMargin{1000}; // kept of the shutdown limit for closing the connections
 
 // Id of this process: a restarted daemon is another daemon.
 static DaemonId newDaemonId(const std::string &name)
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
     const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(now).count();
-    const std::uint32_t random = std::random_device {}() & 0xffffU; // in case the wall clock was set back
+    const std::uint32_t random = std::random_device{}() & 0xffffU; // in case the wall clock was set back
     return DaemonId(name + "#" + std::to_string(micros) + "-" + std::to_string(random));
 }
 
@@ -75,25 +75,25 @@
     std::optional<StoreClient> store_;
     std::optional<WorkerClient> workers_;
     std::optional<InstancePoller> instances_; // on the store's thread
-    std::atomic<bool> leaving_ {false};
+    std::atomic<bool> leaving_{false};
     TimePoint drained_; // connections are accepted until then
     TimePoint deadline_; // of the shutdown
     std::mutex mutex_; // guards finished_
     std::condition_variable ended_;
     bool finished_ = false;
-    std::atomic<bool> inTime_ {true}; // false when open requests were given up
+    std::atomic<bool> inTime_{true}; // false when open requests were given up
 };
 
 Process::State::State(const Settings &settings)
     : settings_(settings)
     , self_(newDaemonId(settings.name_))
-    , seed_(settings.seed_ ? *settings.seed_ : std::random_device {}())
+    , seed_(settings.seed_ ? *settings.seed_ : std::random_device{}())
     , decisions_(nodeSettings(), capacities(), wakeups(), clock_, &metrics_, [this] { onLeft(); })
     , transport_(
           transportSettings(), [this](Event event) { onPeerEvent(std::move(event)); }, clock_)
 {
-    front_.emplace(CallerFrontSettings {settings_.callerAddress_, settings_.limits_.maxBodyBytes_,
-                                        settings_.limits_.maxOpenRequests_},
+    front_.emplace(CallerFrontSettings{settings_.callerAddress_, settings_.limits_.maxBodyBytes_,
+                                       settings_.limits_.maxOpenRequests_},
                    callerThread_, callerLinks(), &metrics_);
     StoreClientSettings store;
     store.address_ = settings_.storeAddress_;
@@ -296,7 +296,7 @@
         return;
     }
     writeLog(LogLevel::Info, "[daemon] Leaving.");
-    const Milliseconds limit {state.settings_.limits_.shutdownMs_};
+    const Milliseconds limit{state.settings_.limits_.shutdownMs_};
     state.drained_ = state.clock_.now() + Milliseconds(state.settings_.limits_.drainMs_);
     state.deadline_ = state.clock_.now() + limit;
     state.callerThread_.post([&state] { state.front_->drain(); });
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -13,7 +13,7 @@
 {
 
 static constexpr std::size_t MaxNameLength = 64;
-static constexpr std::array<std::string_view, 4> Levels {"debug", "info", "warning", "error"};
+static constexpr std::array<std::string_view, 4> Levels{"debug", "info", "warning", "error"};
 
 static bool isName(std::string_view text)
 {
@@ -24,7 +24,7 @@
 static bool readCount(std::string_view text, std::uint64_t &count)
 {
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
-    return error == std::errc {} && end == text.data() + text.size() && !text.empty();
+    return error == std::errc{} && end == text.data() + text.size() && !text.empty();
 }
 
 static std::string allowedText(const SettingRow &row)
--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -18,9 +18,9 @@
         : settings_(std::move(settings))
         , sink_(std::move(sink))
         , metrics_(metrics)
-        , calls_(thread.context(), HttpClientOptions {.maxConnections_ = settings_.maxConnections_})
-        , leases_(thread.context(), HttpClientOptions {.maxConnections_ = settings_.maxLeaseConnections_})
-        , watches_(thread.context(), HttpClientOptions {.maxConnections_ = settings_.maxWatches_})
+        , calls_(thread.context(), HttpClientOptions{.maxConnections_ = settings_.maxConnections_})
+        , leases_(thread.context(), HttpClientOptions{.maxConnections_ = settings_.maxLeaseConnections_})
+        , watches_(thread.context(), HttpClientOptions{.maxConnections_ = settings_.maxWatches_})
     {
     }
 
--- a/src/daemon/store_client_base.h
+++ b/src/daemon/store_client_base.h
@@ -17,7 +17,7 @@
 struct StoreClientSettings
 {
     std::string address_; // "ip:port"
-    Milliseconds timeout_ {2000}; // of an operation; added to the wait of a watch
+    Milliseconds timeout_{2000}; // of an operation; added to the wait of a watch
     std::size_t maxConnections_ = 8; // for operations other than those on leases and watches
     std::size_t maxLeaseConnections_ = 2;
     std::size_t maxWatches_ = 64; // each watch has a connection of its own while it waits
--- a/src/daemon/store_codec.cpp
+++ b/src/daemon/store_codec.cpp
@@ -18,7 +18,7 @@
     bool changes_;
 };
 
-static constexpr std::array<OpRow, std::variant_size_v<StoreOp>> OpTable {{
+static constexpr std::array<OpRow, std::variant_size_v<StoreOp>> OpTable{{
     {"get", "/v1/get", false},
     {"list", "/v1/list", false},
     {"cas", "/v1/cas", true},
@@ -101,7 +101,7 @@
     std::string text;
     if (!readField(json, "key", entry.key_) || !readField(json, "value", text)
         || !readField(json, "revision", entry.revision_.value_) || !decodeStoreValue(text, entry.value_)
-        || entry.key_.empty() || entry.revision_ == Revision {}) {
+        || entry.key_.empty() || entry.revision_ == Revision{}) {
         return false;
     }
     entries.push_back(std::move(entry));
@@ -164,7 +164,7 @@
     }
     if (ok) {
         result.status_ = StoreStatus::Ok;
-        return result.revision_ != Revision {};
+        return result.revision_ != Revision{};
     }
     return readCurrent(json, StoreStatus::Conflict, StoreStatus::NotFound, result);
 }
@@ -185,7 +185,7 @@
 static bool decode(const StoreLeaseGrant &, const Json &json, StoreResult &result)
 {
     result.status_ = StoreStatus::Ok;
-    return readField(json, "lease", result.lease_.value_) && result.lease_ != StoreLeaseId {};
+    return readField(json, "lease", result.lease_.value_) && result.lease_ != StoreLeaseId{};
 }
 
 static bool decodeLease(const Json &json, StoreResult &result)
--- a/src/daemon/table/settings_table.h
+++ b/src/daemon/table/settings_table.h
@@ -40,30 +40,30 @@
 
 inline constexpr std::uint64_t MaxRing = 1'000'000;
 
-inline constexpr std::array SettingTable {
-    SettingRow {"name", SettingRule::Name, true, &Settings::name_},
-    SettingRow {"region", SettingRule::Name, true, &Settings::region_},
-    SettingRow {"zone", SettingRule::Name, true, &Settings::zone_},
-    SettingRow {"caller_address", SettingRule::ListenAddress, true, &Settings::callerAddress_},
-    SettingRow {"peer_address", SettingRule::Address, true, &Settings::peerAddress_},
-    SettingRow {"metrics_address", SettingRule::OptionalListenAddress, false, &Settings::metricsAddress_},
-    SettingRow {"store_address", SettingRule::Address, true, &Settings::storeAddress_},
-    SettingRow {"instance_list_address", SettingRule::Address, true, &Settings::instanceListAddress_},
-    SettingRow {"log_level", SettingRule::Level, false, &Settings::logLevel_},
-    SettingRow {"seed", SettingRule::Seed, false},
-    SettingRow {"limits.max_body_bytes", SettingRule::Count, false, nullptr, &Limits::maxBodyBytes_, 1024, 16'777'216},
-    SettingRow {"limits.max_open_requests", SettingRule::Count, false, nullptr, &Limits::maxOpenRequests_, 1, MaxRing},
-    SettingRow {"limits.caller_ring", SettingRule::Count, false, nullptr, &Limits::callerRing_, 1, MaxRing},
-    SettingRow {"limits.peer_ring", SettingRule::Count, false, nullptr, &Limits::peerRing_, 16, MaxRing},
-    SettingRow {"limits.store_ring", SettingRule::Count, false, nullptr, &Limits::storeRing_, 16, MaxRing},
-    SettingRow {"limits.worker_ring", SettingRule::Count, false, nullptr, &Limits::workerRing_, 16, MaxRing},
-    SettingRow {"limits.drain_ms", SettingRule::Count, false, nullptr, &Limits::drainMs_, 0, 30'000},
-    SettingRow {"limits.shutdown_ms", SettingRule::Count, false, nullptr, &Limits::shutdownMs_, 0, 30'000},
+inline constexpr std::array SettingTable{
+    SettingRow{"name", SettingRule::Name, true, &Settings::name_},
+    SettingRow{"region", SettingRule::Name, true, &Settings::region_},
+    SettingRow{"zone", SettingRule::Name, true, &Settings::zone_},
+    SettingRow{"caller_address", SettingRule::ListenAddress, true, &Settings::callerAddress_},
+    SettingRow{"peer_address", SettingRule::Address, true, &Settings::peerAddress_},
+    SettingRow{"metrics_address", SettingRule::OptionalListenAddress, false, &Settings::metricsAddress_},
+    SettingRow{"store_address", SettingRule::Address, true, &Settings::storeAddress_},
+    SettingRow{"instance_list_address", SettingRule::Address, true, &Settings::instanceListAddress_},
+    SettingRow{"log_level", SettingRule::Level, false, &Settings::logLevel_},
+    SettingRow{"seed", SettingRule::Seed, false},
+    SettingRow{"limits.max_body_bytes", SettingRule::Count, false, nullptr, &Limits::maxBodyBytes_, 1024, 16'777'216},
+    SettingRow{"limits.max_open_requests", SettingRule::Count, false, nullptr, &Limits::maxOpenRequests_, 1, MaxRing},
+    SettingRow{"limits.caller_ring", SettingRule::Count, false, nullptr, &Limits::callerRing_, 1, MaxRing},
+    SettingRow{"limits.peer_ring", SettingRule::Count, false, nullptr, &Limits::peerRing_, 16, MaxRing},
+    SettingRow{"limits.store_ring", SettingRule::Count, false, nullptr, &Limits::storeRing_, 16, MaxRing},
+    SettingRow{"limits.worker_ring", SettingRule::Count, false, nullptr, &Limits::workerRing_, 16, MaxRing},
+    SettingRow{"limits.drain_ms", SettingRule::Count, false, nullptr, &Limits::drainMs_, 0, 30'000},
+    SettingRow{"limits.shutdown_ms", SettingRule::Count, false, nullptr, &Limits::shutdownMs_, 0, 30'000},
 };
 
-inline constexpr std::array MapSettingTable {
-    MapSettingRow {"peer_address_overrides", SettingRule::Name, &Settings::peerAddressOverrides_},
-    MapSettingRow {"worker_address_overrides", SettingRule::Address, &Settings::workerAddressOverrides_},
+inline constexpr std::array MapSettingTable{
+    MapSettingRow{"peer_address_overrides", SettingRule::Name, &Settings::peerAddressOverrides_},
+    MapSettingRow{"worker_address_overrides", SettingRule::Address, &Settings::workerAddressOverrides_},
 };
 
 } // namespace mimosapier
--- a/src/daemon/worker_answer.cpp
+++ b/src/daemon/worker_answer.cpp
@@ -136,7 +136,7 @@
         tasksNext_ = false;
         hasTasks_ = true;
         result_.tasks_.clear();
-        target_ = std::monostate {};
+        target_ = std::monostate{};
         place_ = Place::Tasks;
         return true;
     }
@@ -151,7 +151,7 @@
     }
     if (place_ == Place::Report) {
         place_ = Place::Tasks;
-        target_ = std::monostate {};
+        target_ = std::monostate{};
         return endReport();
     }
     place_ = Place::End;
@@ -173,7 +173,7 @@
     if (skipped_ > 0) {
         return true;
     }
-    target_ = std::monostate {};
+    target_ = std::monostate{};
     tasksNext_ = false;
     if (place_ == Place::Report) {
         target_ = reportTarget(name);
@@ -190,7 +190,7 @@
 Target AnswerReader::reportTarget(std::string_view name)
 {
     WorkerTaskReport &report = result_.tasks_.back();
-    const std::array<std::pair<std::string_view, Target>, 13> targets {{
+    const std::array<std::pair<std::string_view, Target>, 13> targets{{
         {"job", &report.task_.job_.value_},
         {"index", &report.task_.index_},
         {"team", &report.team_.value_},
@@ -207,13 +207,12 @@
     }};
     const auto found = std::find_if(targets.begin(), targets.end(),
                                     [name](const auto &candidate) { return candidate.first == name; });
-    return found == targets.end() ? Target {} : found->second;
+    return found == targets.end() ? Target{} : found->second;
 }
 
 bool AnswerReader::endReport()
 {
-    constexpr std::array Allowed {Outcome::Running, Outcome::Done, Outcome::Failed, Outcome::Cancelled,
-                                  Outcome::NotRun};
+    constexpr std::array Allowed{Outcome::Running, Outcome::Done, Outcome::Failed, Outcome::Cancelled, Outcome::NotRun};
     WorkerTaskReport &report = result_.tasks_.back();
     const auto found = std::find_if(Allowed.begin(), Allowed.end(),
                                     [this](Outcome candidate) { return outcomeName(candidate) == outcome_; });
--- a/src/daemon/worker_client.cpp
+++ b/src/daemon/worker_client.cpp
@@ -20,8 +20,8 @@
         : settings_(std::move(settings))
         , sink_(std::move(sink))
         , metrics_(metrics)
-        , calls_(thread.context(), HttpClientOptions {.maxConnections_ = settings_.maxConnections_})
-        , polls_(thread.context(), HttpClientOptions {.maxConnections_ = settings_.maxPolls_})
+        , calls_(thread.context(), HttpClientOptions{.maxConnections_ = settings_.maxConnections_})
+        , polls_(thread.context(), HttpClientOptions{.maxConnections_ = settings_.maxPolls_})
     {
     }
 
--- a/src/daemon/worker_client_base.h
+++ b/src/daemon/worker_client_base.h
@@ -18,7 +18,7 @@
 struct WorkerClientSettings
 {
     std::map<std::string, std::string> addressOverrides_; // "ip:port" of a worker -> "ip:port" to call instead
-    Milliseconds timeout_ {2000}; // of hold, start and stop; added to the wait of a poll
+    Milliseconds timeout_{2000}; // of hold, start and stop; added to the wait of a poll
     std::size_t maxConnections_ = 4; // per worker, for operations other than polls
     std::size_t maxPolls_ = 2; // per worker; one waits while a renewed holder begins the next
     std::size_t maxOpen_ = 65536; // operations without a result
--- a/src/daemon/worker_codec.cpp
+++ b/src/daemon/worker_codec.cpp
@@ -8,8 +8,8 @@
 namespace mimosapier
 {
 
-static constexpr std::array<std::string_view, std::variant_size_v<WorkerOp>> OpNames {"hold", "start", "poll", "stop"};
-static constexpr std::array<std::string_view, 3> StopModeNames {"stop", "checkpoint", "throttle"};
+static constexpr std::array<std::string_view, std::variant_size_v<WorkerOp>> OpNames{"hold", "start", "poll", "stop"};
+static constexpr std::array<std::string_view, 3> StopModeNames{"stop", "checkpoint", "throttle"};
 
 std::string_view workerOpName(const WorkerOp &op)
 {
@@ -69,7 +69,7 @@
 
 HttpRequest encodeWorkerOp(const WorkerRequest &request)
 {
-    Json json {{"epoch", request.epoch_.value_}};
+    Json json{{"epoch", request.epoch_.value_}};
     std::visit([&json](const auto &op) { fill(json, op); }, request.op_);
     HttpRequest http;
     http.method_ = "POST";
@@ -82,7 +82,7 @@
 bool decodeStaleEpoch(std::string_view body, Epoch &epoch)
 {
     Json json;
-    return parseJson(body, json) && readField(json, "epoch", epoch.value_) && epoch != Epoch {};
+    return parseJson(body, json) && readField(json, "epoch", epoch.value_) && epoch != Epoch{};
 }
 
 } // namespace mimosapier
--- a/src/http/client_base.h
+++ b/src/http/client_base.h
@@ -26,8 +26,8 @@
 
 struct HttpClientOptions
 {
-    Milliseconds connectTimeout_ {1'000};
-    Milliseconds idleTimeout_ {30'000}; // a connection unused for longer is closed; less than the server's
+    Milliseconds connectTimeout_{1'000};
+    Milliseconds idleTimeout_{30'000}; // a connection unused for longer is closed; less than the server's
     std::size_t maxConnections_ = 16; // per address
     std::size_t maxWaiting_ = 1'000; // calls per address that wait for a connection; further ones fail at once
     std::size_t maxBodyBytes_ = 8 * 1024 * 1024; // of an answer
@@ -45,7 +45,7 @@
     unsigned status_ = 0;
     std::string body_;
     std::error_code error_; // std::errc::timed_out after a timeout; none when answered
-    std::string entityTag_ {}; // of the answer; empty when it has none
+    std::string entityTag_{}; // of the answer; empty when it has none
 };
 
 using HttpCallback = std::function<void(HttpResult result)>;
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -29,7 +29,7 @@
     unsigned status_ = 200;
     std::string body_;
     std::string contentType_ = "application/json";
-    std::string entityTag_ {}; // value of the ETag header; empty for none
+    std::string entityTag_{}; // value of the ETag header; empty for none
 };
 
 // An address "ip:port" or "[ip]:port" in parts.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -11,7 +11,7 @@
 namespace detail
 {
 
-constexpr Milliseconds AcceptPause {100}; // after a failed accept, for example when file descriptors are used up
+constexpr Milliseconds AcceptPause{100}; // after a failed accept, for example when file descriptors are used up
 
 ServerState::ServerState(boost::asio::io_context &context, HttpServerOptions options, HttpHandler handler)
     : context_(context)
--- a/src/http/server_base.h
+++ b/src/http/server_base.h
@@ -32,9 +32,9 @@
     std::size_t maxBodyBytes_ = 1024 * 1024;
     std::size_t maxConnections_ = 4096; // further ones are closed at once
     std::size_t maxOpenPerConnection_ = 64; // unanswered requests; reading pauses at this number
-    Milliseconds idleTimeout_ {60'000}; // without any open or partly read request
-    Milliseconds requestTimeout_ {10'000}; // from the first byte of a request to its last
-    Milliseconds writeTimeout_ {10'000}; // for sending one answer
+    Milliseconds idleTimeout_{60'000}; // without any open or partly read request
+    Milliseconds requestTimeout_{10'000}; // from the first byte of a request to its last
+    Milliseconds writeTimeout_{10'000}; // for sending one answer
 };
 
 // Answers one request. Copies answer the same request; only the first call has an effect. May be called from any
--- a/src/http/server_internal.h
+++ b/src/http/server_internal.h
@@ -28,7 +28,7 @@
 {
 public:
     std::weak_ptr<Session> session_;
-    std::atomic<bool> answered_ {false};
+    std::atomic<bool> answered_{false};
     std::optional<HttpResponse> response_;
     bool keepAlive_ = true;
     std::function<void()> gone_; // called when the connection is lost before the answer
@@ -54,8 +54,8 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer acceptPause_; // before the next attempt when accept fails
     std::string address_;
-    std::atomic<bool> draining_ {false};
-    std::atomic<bool> stopping_ {false};
+    std::atomic<bool> draining_{false};
+    std::atomic<bool> stopping_{false};
 
     std::mutex mutex_; // guards the members below
     std::unordered_map<const Session *, std::weak_ptr<Session>> sessions_;
@@ -103,7 +103,7 @@
     TimePoint hardLimit_ = TimePoint::max(); // set by stop()
     TimePoint idleUntil_ = TimePoint::max(); // set by stop()
     boost::beast::flat_buffer buffer_;
-    std::array<char, 4096> discarded_ {}; // read while lingering; buffer_ may still belong to a read under way
+    std::array<char, 4096> discarded_{}; // read while lingering; buffer_ may still belong to a read under way
     std::optional<Parser> parser_;
     std::deque<std::shared_ptr<HttpExchange>> open_; // in the order of the requests
     bool partial_ = false; // bytes of the next request have been read
--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -12,7 +12,7 @@
 
 namespace http = boost::beast::http;
 
-constexpr Milliseconds LingerLimit {2'000}; // for the client to read the last answer and close
+constexpr Milliseconds LingerLimit{2'000}; // for the client to read the last answer and close
 
 Session::Session(std::shared_ptr<ServerState> server, boost::asio::ip::tcp::socket socket)
     : server_(std::move(server))
--- a/src/net/address.cpp
+++ b/src/net/address.cpp
@@ -14,7 +14,7 @@
     if (!parseAddress(text, address)) {
         return false;
     }
-    in6_addr binary {}; // large enough for both families
+    in6_addr binary{}; // large enough for both families
     return inet_pton(text.front() == '[' ? AF_INET6 : AF_INET, address.ip_.c_str(), &binary) == 1;
 }
 
--- a/src/net/connection_internal.h
+++ b/src/net/connection_internal.h
@@ -114,7 +114,7 @@
     TimePoint lastReceived_; // or creation; advanced by the transport's check
     TimePoint lastSent_; // of a heartbeat or the first sending of a message; the epoch before that
     FrameDecoder decoder_;
-    std::array<char, 16384> input_ {};
+    std::array<char, 16384> input_{};
     std::deque<SharedFrame> queue_; // not handed to the socket yet
     std::vector<SharedFrame> writing_; // handed to the socket
     std::size_t queuedBytes_ = 0; // in queue_ and writing_
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -29,7 +29,7 @@
 
 SharedFrame numberedFrame(PeerLink &link, std::string_view message)
 {
-    const FrameNumbers numbers {++link.lastSent_, link.lastReceived_};
+    const FrameNumbers numbers{++link.lastSent_, link.lastReceived_};
     auto frame = std::make_shared<const std::string>(encodeFrame(numbers, message));
     link.unacknowledged_.push_back(frame);
     link.unacknowledgedBytes_ += frame->size();
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -162,22 +162,22 @@
 {
     switch (event) {
     case SessionEvent::Connected:
-        session.machine_.process_event(Connected {});
+        session.machine_.process_event(Connected{});
         break;
     case SessionEvent::Accepted:
-        session.machine_.process_event(Accepted {});
+        session.machine_.process_event(Accepted{});
         break;
     case SessionEvent::HelloValid:
-        session.machine_.process_event(HelloValid {});
+        session.machine_.process_event(HelloValid{});
         break;
     case SessionEvent::HelloOutsideSet:
-        session.machine_.process_event(HelloOutsideSet {});
+        session.machine_.process_event(HelloOutsideSet{});
         break;
     case SessionEvent::Admitted:
-        session.machine_.process_event(Admitted {});
+        session.machine_.process_event(Admitted{});
         break;
     case SessionEvent::Fault:
-        session.machine_.process_event(Fault {});
+        session.machine_.process_event(Fault{});
         break;
     }
     return sessionState(session);
--- a/src/net/transport.cpp
+++ b/src/net/transport.cpp
@@ -16,7 +16,7 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-static constexpr std::array<std::string_view, static_cast<std::size_t>(CloseCause::Count)> CauseNames {
+static constexpr std::array<std::string_view, static_cast<std::size_t>(CloseCause::Count)> CauseNames{
     "lost",
     "not-connected",
     "silent",
--- a/src/net/transport_base.h
+++ b/src/net/transport_base.h
@@ -28,9 +28,9 @@
     std::map<std::string, std::string> addressOverrides_; // daemon name -> "ip:port" to dial instead
     std::uint64_t seed_ = 1; // of the jitter of reconnects
     std::size_t maxQueuedBytes_ = 8'000'000; // per connection; also of unacknowledged messages per peer
-    Milliseconds silenceLimit_ {1500};
-    Milliseconds minBackoff_ {50};
-    Milliseconds maxBackoff_ {1000};
+    Milliseconds silenceLimit_{1500};
+    Milliseconds minBackoff_{50};
+    Milliseconds maxBackoff_{1000};
 };
 
 // Why a connection was closed.
@@ -58,7 +58,7 @@
 
 struct TransportCounters
 {
-    std::array<std::uint64_t, static_cast<std::size_t>(CloseCause::Count)> closed_ {}; // indexed by CloseCause
+    std::array<std::uint64_t, static_cast<std::size_t>(CloseCause::Count)> closed_{}; // indexed by CloseCause
     std::map<RegionId, RegionBytes> bytes_; // by the peer's region
     std::uint64_t messagesReceived_ = 0;
     std::uint64_t messagesSent_ = 0; // repeats not counted
--- a/src/net/transport_internal.h
+++ b/src/net/transport_internal.h
@@ -71,10 +71,10 @@
     EventSink sink_;
     const Clock &clock_;
     CounterBoard board_;
-    boost::asio::io_context context_ {1};
-    boost::asio::ip::tcp::acceptor acceptor_ {context_};
-    boost::asio::steady_timer checkTimer_ {context_};
-    boost::asio::steady_timer acceptTimer_ {context_};
+    boost::asio::io_context context_{1};
+    boost::asio::ip::tcp::acceptor acceptor_{context_};
+    boost::asio::steady_timer checkTimer_{context_};
+    boost::asio::steady_timer acceptTimer_{context_};
     TimePoint checkedAt_;
     std::mt19937_64 random_;
     std::uint64_t lastGeneration_ = 0; // of links
--- a/src/net/transport_session.cpp
+++ b/src/net/transport_session.cpp
@@ -101,7 +101,7 @@
     }
     peer.established_.push_back(connection.shared_from_this());
     if (peer.established_.size() == 1) {
-        sink_(PeerUp {daemon});
+        sink_(PeerUp{daemon});
     }
 }
 
@@ -132,7 +132,7 @@
     peer.established_.erase(position);
     if (peer.established_.empty()) {
         renewLink(peer.link_, ++lastGeneration_);
-        sink_(PeerDown {daemon});
+        sink_(PeerDown{daemon});
     } else if (carried) {
         for (const SharedFrame &frame : peer.link_.unacknowledged_) {
             peer.established_.front()->send(frame);
@@ -154,7 +154,7 @@
     switch (receiveNumbers(peer.link_, numbers)) {
     case LinkReceipt::Deliver:
         board_.update([](TransportCounters &counters) { ++counters.messagesReceived_; });
-        sink_(PeerReceived {connection.peer(), std::move(message)});
+        sink_(PeerReceived{connection.peer(), std::move(message)});
         break;
     case LinkReceipt::Repeat:
         break;
--- a/src/standin/instances.cpp
+++ b/src/standin/instances.cpp
@@ -7,7 +7,7 @@
 {
 
 InstanceService::InstanceService(boost::asio::io_context &context, const Json &settings)
-    : instanceSeed_(std::random_device {}())
+    : instanceSeed_(std::random_device{}())
     , configuredAddress_(textOr(settings, "address", "127.0.0.1:0"))
     , lag_(numberOr(settings, "lag_ms", 2'000))
     , server_(context, {},
--- a/src/standin/instances_service.h
+++ b/src/standin/instances_service.h
@@ -40,7 +40,7 @@
     std::string body_; // answer of GET /v1/instances; empty before the first
     std::string entityTag_; // of body_
     std::string configuredAddress_;
-    Milliseconds lag_ {2'000};
+    Milliseconds lag_{2'000};
     std::map<std::string, Json> instances_; // by id; state as the list shows it
     std::vector<Change> pending_; // in the order they were asked for
     HttpServer server_;
--- a/src/standin/link.cpp
+++ b/src/standin/link.cpp
@@ -31,7 +31,7 @@
     tcp::socket &to_;
     std::uint64_t &counter_;
     boost::asio::steady_timer timer_;
-    std::array<char, ChunkBytes> chunk_ {};
+    std::array<char, ChunkBytes> chunk_{};
     std::deque<std::pair<TimePoint, std::string>> queue_; // an empty text is the end of the stream
     std::size_t queued_ = 0; // bytes in queue_
     bool reading_ = false;
--- a/src/standin/link_service.h
+++ b/src/standin/link_service.h
@@ -23,7 +23,7 @@
     std::string name_;
     std::string listen_;
     boost::asio::ip::tcp::endpoint target_;
-    Duration delay_ {0}; // one way
+    Duration delay_{0}; // one way
     bool cut_ = false;
     std::uint64_t bytesOut_ = 0; // towards the target
     std::uint64_t bytesBack_ = 0;
--- a/src/standin/load.cpp
+++ b/src/standin/load.cpp
@@ -6,9 +6,9 @@
 namespace mimosapier::standin
 {
 
-constexpr Milliseconds ReadinessPeriod {250};
-constexpr Milliseconds ReadinessTimeout {500};
-constexpr Milliseconds EndCheckPeriod {100};
+constexpr Milliseconds ReadinessPeriod{250};
+constexpr Milliseconds ReadinessTimeout{500};
+constexpr Milliseconds EndCheckPeriod{100};
 
 static HttpClientOptions clientOptions()
 {
--- a/src/standin/load_plan.cpp
+++ b/src/standin/load_plan.cpp
@@ -47,18 +47,18 @@
     plan.journal_ = textOr(settings, "journal", "");
     plan.controlAddress_ = textOr(settings, "control_address", "127.0.0.1:0");
     for (const auto &item : listOf(settings, "accounts")) {
-        LoadAccount account {textOr(item, "team", ""),
-                             textOr(item, "key", ""),
-                             textOr(item, "region", ""),
-                             textOr(item, "queue", ""),
-                             {}};
+        LoadAccount account{textOr(item, "team", ""),
+                            textOr(item, "key", ""),
+                            textOr(item, "region", ""),
+                            textOr(item, "queue", ""),
+                            {}};
         for (const auto &stream : listOf(item, "streams")) {
             account.streams_.push_back(readStream(stream));
         }
         plan.accounts_.push_back(std::move(account));
     }
     for (const auto &item : listOf(settings, "entries")) {
-        LoadEntry entry {textOr(item, "name", ""), textOr(item, "region", ""), {}, true};
+        LoadEntry entry{textOr(item, "name", ""), textOr(item, "region", ""), {}, true};
         if (const auto addresses = item.find("addresses"); addresses != item.end() && addresses->is_object()) {
             for (const auto &[region, address] : addresses->items()) {
                 entry.addresses_[region] = address.is_string() ? address.get<std::string>() : "";
--- a/src/standin/load_plan.h
+++ b/src/standin/load_plan.h
@@ -23,7 +23,7 @@
     double runMs_ = 10; // mean of the exponentially distributed run time
     double declaredFactor_ = 1; // declared run time / real run time
     std::int64_t deadlineMs_ = 0; // 0: the default of the class
-    Milliseconds timeout_ {2'000}; // of one attempt
+    Milliseconds timeout_{2'000}; // of one attempt
     bool idempotent_ = true;
     bool idempotentGiven_ = false; // sent with the request
     bool service_ = false; // cancelled at the end of the load
@@ -51,8 +51,8 @@
 struct LoadPlan
 {
     std::uint64_t seed_ = 1;
-    Milliseconds load_ {20'000}; // time of arrivals
-    Milliseconds drain_ {20'000}; // longest wait for outcomes afterwards
+    Milliseconds load_{20'000}; // time of arrivals
+    Milliseconds drain_{20'000}; // longest wait for outcomes afterwards
     std::uint32_t maxAttempts_ = 3;
     double retryRatio_ = 0.1; // repeats per request
     std::string journal_;
--- a/src/standin/load_request.cpp
+++ b/src/standin/load_request.cpp
@@ -8,11 +8,11 @@
 namespace mimosapier::standin
 {
 
-constexpr Milliseconds StatusWait {2'000}; // long poll for an outcome
-constexpr Milliseconds StatusTimeout {4'000};
-constexpr Milliseconds StatusPause {300}; // after a status query that gave no news
-constexpr Milliseconds CancelTimeout {3'000};
-constexpr Milliseconds CancelPause {500}; // before a cancellation is asked for again
+constexpr Milliseconds StatusWait{2'000}; // long poll for an outcome
+constexpr Milliseconds StatusTimeout{4'000};
+constexpr Milliseconds StatusPause{300}; // after a status query that gave no news
+constexpr Milliseconds CancelTimeout{3'000};
+constexpr Milliseconds CancelPause{500}; // before a cancellation is asked for again
 constexpr std::size_t MaxSends = 20; // also counts attempts that could not be sent
 constexpr int MaxRepeatDelayMs = 100;
 
@@ -25,7 +25,7 @@
 // Errors that say why the status query failed, not what became of the job.
 static bool isQueryError(const std::string &error)
 {
-    constexpr std::array<std::string_view, 13> Errors {
+    constexpr std::array<std::string_view, 13> Errors{
         "malformed-request", "unknown-team",    "unknown-job", "wrong-key",         "config-stale",
         "overloaded",        "not-holder",      "stale-epoch", "store-unavailable", "peer-unavailable",
         "shutting-down",     "outcome-unknown", "internal",
@@ -41,7 +41,7 @@
 HttpRequest LoadService::httpRequest(const LoadRequest &request, const char *method, std::string target,
                                      const Json *body)
 {
-    HttpRequest http {method, std::move(target), {}, body == nullptr ? "" : dumpJson(*body)};
+    HttpRequest http{method, std::move(target), {}, body == nullptr ? "" : dumpJson(*body)};
     if (!request.account_->key_.empty()) {
         http.headers_.push_back({"Authorization", "Bearer " + request.account_->key_});
     }
@@ -192,7 +192,7 @@
     }
     request->cancelAsked_ = true;
     journal_.add(line("cancel", *request));
-    const Json body {{"team", request->account_->team_}, {"request_ids", Json::array({request->id_})}};
+    const Json body{{"team", request->account_->team_}, {"request_ids", Json::array({request->id_})}};
     client_.send(addressOf(*request), httpRequest(*request, "POST", "/v1/cancel", &body), CancelTimeout,
                  [this, request](const HttpResult &result) {
                      if (result.delivery_ == HttpDelivery::Answered && result.status_ == 200) {
--- a/src/standin/store_base.h
+++ b/src/standin/store_base.h
@@ -25,7 +25,7 @@
 
 struct StoredLease
 {
-    Milliseconds ttl_ {0};
+    Milliseconds ttl_{0};
     TimePoint expires_;
     std::set<std::string> keys_;
 };
--- a/src/standin/store_service.cpp
+++ b/src/standin/store_service.cpp
@@ -4,7 +4,7 @@
 namespace mimosapier::standin
 {
 
-constexpr Milliseconds TickPeriod {20}; // resolution of leases and watch timeouts
+constexpr Milliseconds TickPeriod{20}; // resolution of leases and watch timeouts
 constexpr std::size_t MaxValueBytes = 1'000'000;
 constexpr std::size_t MaxBodyBytes = 4'000'000; // a value may grow when it is escaped as JSON
 
@@ -59,7 +59,7 @@
         fault(body, respond);
         return;
     }
-    static const std::map<std::string, std::string> operations {
+    static const std::map<std::string, std::string> operations{
         {"/v1/get", "get"},
         {"/v1/list", "list"},
         {"/v1/cas", "cas"},
@@ -122,7 +122,7 @@
     if (operation == "get") {
         const std::string key = textOr(body, "key", "");
         const StoredEntry *entry = data_.get(key);
-        Json answer {{"found", entry != nullptr}, {"revision", data_.revision()}};
+        Json answer{{"found", entry != nullptr}, {"revision", data_.revision()}};
         if (entry != nullptr) {
             answer["entry"] = entryJson(key, *entry);
         }
--- a/src/standin/store_service.h
+++ b/src/standin/store_service.h
@@ -57,13 +57,13 @@
 
     boost::asio::io_context &context_;
     std::string configuredAddress_;
-    Milliseconds latency_ {2};
+    Milliseconds latency_{2};
     double readsPerSecond_ = 2000;
     double writesPerSecond_ = 500;
     TimePoint readsFree_; // when the next read can begin
     TimePoint writesFree_; // when the next write can begin
     FaultMode mode_ = FaultMode::Ok;
-    Milliseconds faultDelay_ {0};
+    Milliseconds faultDelay_{0};
     double faultRatio_ = 0;
     std::mt19937_64 random_;
     StoreData data_;
--- a/src/standin/worker.cpp
+++ b/src/standin/worker.cpp
@@ -10,8 +10,8 @@
 namespace mimosapier::standin
 {
 
-constexpr Milliseconds UsageLag {1'000}; // from the start of a task to the first report of its usage
-constexpr Milliseconds DefaultRun {10};
+constexpr Milliseconds UsageLag{1'000}; // from the start of a task to the first report of its usage
+constexpr Milliseconds DefaultRun{10};
 
 static Resources readSize(const Json &request)
 {
@@ -44,8 +44,8 @@
 
 SimulatedWorker::SimulatedWorker(const Json &settings, JournalFunction journal, std::uint64_t seed)
     : id_(textOr(settings, "id", ""))
-    , capacity_ {numberOr(settings, "milli_cpus", 16'000), numberOr(settings, "memory_mb", 32'000),
-                 numberOr(settings, "accelerators", 0), numberOr(settings, "slots", 8)}
+    , capacity_{numberOr(settings, "milli_cpus", 16'000), numberOr(settings, "memory_mb", 32'000),
+                numberOr(settings, "accelerators", 0), numberOr(settings, "slots", 8)}
     , free_(capacity_)
     , journal_(std::move(journal))
     , random_(seed * 2 + 1)
@@ -263,7 +263,7 @@
 
 Json SimulatedWorker::report(const TaskKey &key, const SimulatedTask &task) const
 {
-    const Resources used = task.usageReported_ ? task.usage_ : Resources {};
+    const Resources used = task.usageReported_ ? task.usage_ : Resources{};
     return {{"job", key.first},
             {"index", key.second},
             {"team", task.team_},
@@ -281,9 +281,9 @@
 
 void SimulatedWorker::journal(const char *event, const TaskKey &key, const SimulatedTask &task)
 {
-    Json line {{"t", wallNanoseconds()}, {"event", event},     {"worker", id_},        {"job", key.first},
-               {"index", key.second},    {"team", task.team_}, {"class", task.class_}, {"request_id", task.requestId_},
-               {"epoch", epoch_}};
+    Json line{{"t", wallNanoseconds()}, {"event", event},     {"worker", id_},        {"job", key.first},
+              {"index", key.second},    {"team", task.team_}, {"class", task.class_}, {"request_id", task.requestId_},
+              {"epoch", epoch_}};
     if (task.outcome_ == "running") {
         line["milli_cpus"] = task.size_.milliCpus_;
         line["memory_mb"] = task.size_.memoryMb_;
--- a/src/standin/worker_service.cpp
+++ b/src/standin/worker_service.cpp
@@ -4,7 +4,7 @@
 namespace mimosapier::standin
 {
 
-constexpr Milliseconds TickPeriod {2}; // resolution of run times
+constexpr Milliseconds TickPeriod{2}; // resolution of run times
 
 static HttpServerOptions workerOptions()
 {
@@ -60,7 +60,7 @@
     SimulatedWorker &worker = *entry.worker_;
     const TimePoint now = SystemClock().now();
     const std::string path = splitTarget(request.target_).path_;
-    WorkerAnswer answer {404, {{"error", "unknown-path"}}};
+    WorkerAnswer answer{404, {{"error", "unknown-path"}}};
     const bool known = path == "/v1/hold" || path == "/v1/start" || path == "/v1/poll" || path == "/v1/stop";
     if (known && worker.admit(body, answer)) {
         if (path == "/v1/poll") {
--- a/tests/bench/bench_group.cpp
+++ b/tests/bench/bench_group.cpp
@@ -18,13 +18,13 @@
 // One group whose workers answer everything at once.
 struct Bench
 {
-    DaemonId self_ {"d#1"};
-    RegionId region_ {"hobart"};
+    DaemonId self_{"d#1"};
+    RegionId region_{"hobart"};
     Bundle bundle_;
     Directory directory_;
     Actions actions_;
-    std::mt19937_64 random_ {1};
-    TimePoint now_ {std::chrono::hours(1)};
+    std::mt19937_64 random_{1};
+    TimePoint now_{std::chrono::hours(1)};
     FakeStore store_;
     Handle<AllowanceState> allowances_ = makeAllowances();
     Handle<Group> group_;
@@ -34,7 +34,7 @@
 
     explicit Bench(std::int64_t workers)
     {
-        bundle_.version_ = BundleVersion {1};
+        bundle_.version_ = BundleVersion{1};
         WorkClass workClass;
         workClass.id_ = ClassId("fast");
         bundle_.classes_[workClass.id_] = workClass;
@@ -44,7 +44,7 @@
             team.limit_ = 1'000'000;
             bundle_.teams_[team.id_] = team;
         }
-        directory_.groups_.push_back({Rack, region_, self_, Epoch {1}, true, {}});
+        directory_.groups_.push_back({Rack, region_, self_, Epoch{1}, true, {}});
         for (std::int64_t i = 0; i < workers; ++i) {
             workers_.push_back({WorkerId("worker-" + std::to_string(i)),
                                 region_,
@@ -62,7 +62,7 @@
 
     void takeOver()
     {
-        group_ = makeGroup(Rack, Epoch {1}, *allowances_);
+        group_ = makeGroup(Rack, Epoch{1}, *allowances_);
         Context c = context();
         openGroupAllowances(*allowances_, Rack, c);
         setGroupWorkers(*group_, workers_, c);
@@ -115,7 +115,7 @@
     {
         TaskOffer offer;
         const std::uint64_t number = ++lastJob_;
-        offer.replyTo_ = {ReplyPart::Entry, {}, CallId {number}};
+        offer.replyTo_ = {ReplyPart::Entry, {}, CallId{number}};
         offer.group_ = Rack;
         offer.job_.team_ = TeamId("team-" + std::to_string(number % Teams));
         offer.job_.requestId_ = "request-" + std::to_string(number);
@@ -162,7 +162,7 @@
                 rest.push_back(std::move(request));
                 continue;
             }
-            WorkerResult result {request.id_, Rack, request.worker_, WorkerStatus::Ok, {}, false, {}};
+            WorkerResult result{request.id_, Rack, request.worker_, WorkerStatus::Ok, {}, false, {}};
             for (WorkerTask &task : start->tasks_) {
                 result.tasks_.push_back(report(task, Outcome::Running));
                 started.push_back(std::move(task));
@@ -210,9 +210,9 @@
                 continue;
             }
             const WorkerRequest start = std::move(*request);
-            WorkerResult running {start.id_, Rack, start.worker_, WorkerStatus::Ok, {}, false, {}};
+            WorkerResult running{start.id_, Rack, start.worker_, WorkerStatus::Ok, {}, false, {}};
             WorkerRequest &poll = polls.at(start.worker_);
-            WorkerResult done {poll.id_, Rack, start.worker_, WorkerStatus::Ok, {}, false, {}};
+            WorkerResult done{poll.id_, Rack, start.worker_, WorkerStatus::Ok, {}, false, {}};
             for (const WorkerTask &task : std::get<WorkerStart>(start.op_).tasks_) {
                 running.tasks_.push_back(Bench::report(task, Outcome::Running));
                 done.tasks_.push_back(Bench::report(task, Outcome::Done));
@@ -262,7 +262,7 @@
         state.PauseTiming();
         Bench bench(state.range(0));
         const auto tasks = static_cast<std::uint32_t>(bench.workers_.size() * Slots / 2);
-        TaskCancel cancel {Rack, {}};
+        TaskCancel cancel{Rack, {}};
         for (std::uint32_t i = 0; i < tasks; ++i) {
             const TaskOffer offer = bench.offer(1);
             cancel.tasks_.push_back({offer.job_.id_, 0});
@@ -291,11 +291,11 @@
     const auto tasks = static_cast<std::size_t>(static_cast<double>(bench.workers_.size()) * Slots * 85'000 / 144'000);
     for (std::size_t i = 0; i < tasks; ++i) {
         const JobSpec job = bench.offer(1).job_;
-        WorkerTask task {{job.id_, 0}, job.team_, job.class_, job.requestId_, job.size_, true, {}};
+        WorkerTask task{{job.id_, 0}, job.team_, job.class_, job.requestId_, job.size_, true, {}};
         reports[i % reports.size()].push_back(Bench::report(task, Outcome::Running));
     }
     for (auto _ : state) {
-        Handle<Group> group = makeGroup(Rack, Epoch {2}, *bench.allowances_);
+        Handle<Group> group = makeGroup(Rack, Epoch{2}, *bench.allowances_);
         Context c = bench.context();
         setGroupWorkers(*group, bench.workers_, c);
         const std::vector<Action> holds = std::move(bench.actions_.list_);
--- a/tests/chart/test_chart.cpp
+++ b/tests/chart/test_chart.cpp
@@ -69,13 +69,13 @@
 // Guards against names in the code of the sign-off that the chart does not have.
 Test(chart, rolloutHasTheNamesOfTheCode)
 {
-    constexpr std::array<std::string_view, 6> States {"reading-draft", "reading-head", "announcing",
-                                                      "writing",       "reading-back", "rewriting"};
-    constexpr std::array<std::string_view, 10> Events {"draft-read",  "head-read",  "majority",    "refused",
-                                                       "written",     "other-head", "not-written", "answer-lost",
-                                                       "unavailable", "timeout"};
-    constexpr std::array<std::string_view, 8> Actions {"read-head", "announce",    "write",  "read-back",
-                                                       "apply",     "write-again", "refuse", "answer-unknown"};
+    constexpr std::array<std::string_view, 6> States{"reading-draft", "reading-head", "announcing",
+                                                     "writing",       "reading-back", "rewriting"};
+    constexpr std::array<std::string_view, 10> Events{"draft-read",  "head-read",  "majority",    "refused",
+                                                      "written",     "other-head", "not-written", "answer-lost",
+                                                      "unavailable", "timeout"};
+    constexpr std::array<std::string_view, 8> Actions{"read-head", "announce",    "write",  "read-back",
+                                                      "apply",     "write-again", "refuse", "answer-unknown"};
     cr_expect(missingNames(chartNamed("rollout"), States, Events, Actions).empty());
 }
 
--- a/tests/config/test_bundle.cpp
+++ b/tests/config/test_bundle.cpp
@@ -61,7 +61,7 @@
     cr_assert(school != nullptr);
     cr_expect(school->share_ == 3 && school->limit_ == 120 && school->limitAction_ == LimitAction::Stop);
     cr_expect(school->homeRegion_ == RegionId("ben-lomond"));
-    cr_expect(school->keyHashes_ == std::vector<std::string> {keyHash("secret")});
+    cr_expect(school->keyHashes_ == std::vector<std::string>{keyHash("secret")});
 }
 
 // Guards against problems without line, key, value or allowed range, and against a stop at the first one.
--- a/tests/config/test_config.cpp
+++ b/tests/config/test_config.cpp
@@ -76,7 +76,7 @@
     addDaemons(cluster, 3);
     cluster.signOff(cluster.at(0), bundleText(1));
     cluster.run(Milliseconds(3000));
-    Milliseconds oldest {0};
+    Milliseconds oldest{0};
     for (int i = 0; i < 1500; ++i) {
         cluster.run(Milliseconds(20));
         if (i == 500) {
@@ -104,8 +104,8 @@
         const std::string first = cluster.draft(cluster.at(0), bundleText(2), "ann");
         const std::string second = cluster.draft(cluster.at(3), bundleText(3), "cho");
         cluster.lostPerMille_ = seed % 2 == 0 ? 0 : 300;
-        const CallId a = cluster.sign(cluster.at(0), first, BundleVersion {1});
-        const CallId b = cluster.sign(cluster.at(3), second, BundleVersion {1});
+        const CallId a = cluster.sign(cluster.at(0), first, BundleVersion{1});
+        const CallId b = cluster.sign(cluster.at(3), second, BundleVersion{1});
         cluster.run(Milliseconds(16'000));
         cluster.lostPerMille_ = 0;
         cluster.run(Milliseconds(10'000));
@@ -139,8 +139,8 @@
     cr_expect(cluster.signOff(daemon, bundleText(1), "ann", "ann").error_ == ErrorKind::SameSigner);
     cr_expect(cluster.signOff(daemon, bundleText(1)).error_ == ErrorKind::None);
     const std::string old = cluster.draft(daemon, bundleText(2));
-    const CallId late = cluster.sign(daemon, old, BundleVersion {0});
-    const CallId missing = cluster.sign(daemon, "1-0000000000000000", BundleVersion {1});
+    const CallId late = cluster.sign(daemon, old, BundleVersion{0});
+    const CallId missing = cluster.sign(daemon, "1-0000000000000000", BundleVersion{1});
     cluster.run(Milliseconds(1000));
     cr_expect(cluster.answer(daemon, late)->error_ == ErrorKind::VersionRace);
     cr_expect(cluster.answer(daemon, missing)->error_ == ErrorKind::MalformedRequest);
@@ -216,7 +216,7 @@
         cr_assert(cluster.fresh(cluster.at(0)));
         TestDaemon &signer = cluster.at(5);
         cluster.cut(cluster.at(0), signer, true); // hears of the change from the others only
-        cluster.sign(signer, cluster.draft(signer, bundleText(2)), BundleVersion {1});
+        cluster.sign(signer, cluster.draft(signer, bundleText(2)), BundleVersion{1});
         for (int i = 0; i < 100 && !cluster.headWritten_.contains(2); ++i) {
             cluster.run(Milliseconds(20));
         }
@@ -242,7 +242,7 @@
     cluster.run(Milliseconds(2000));
     TestDaemon &daemon = cluster.at(1);
     cluster.withContext(daemon, [&](Context &context) {
-        onConfigPush(*daemon.config_, cluster.at(0).settings_.self_, ConfigPush {BundleVersion {9}, old}, context);
+        onConfigPush(*daemon.config_, cluster.at(0).settings_.self_, ConfigPush{BundleVersion{9}, old}, context);
     });
     cr_expect_eq(version(daemon), 2);
     expectNoViolations(cluster);
@@ -312,7 +312,7 @@
 Test(config, withdrawnKeysUnderRandomFaults, .timeout = 300)
 {
     setenv("RC_PARAMS", "seed=20261205 max_success=150 max_size=20", 1);
-    Milliseconds longest {0};
+    Milliseconds longest{0};
     int accepted = 0;
     const bool held = rc::check("withdrawn keys stop within 6 s", [&] {
         using Fault = std::tuple<int, int, int, int>; // kind, daemon, duration and gap in 100 ms
--- a/tests/ctl/test_ctl.cpp
+++ b/tests/ctl/test_ctl.cpp
@@ -32,7 +32,7 @@
             sent_.emplace_back(address, request);
             return answers_.at(std::min(sent_.size(), answers_.size()) - 1);
         };
-        const Surroundings io {transport, in_, out_, err_, [] { return std::string("00112233"); }};
+        const Surroundings io{transport, in_, out_, err_, [] { return std::string("00112233"); }};
         return runCtl(static_cast<int>(arguments.size()), arguments.data(), io);
     }
 };
@@ -117,7 +117,7 @@
         Session session;
         session.in_.str(input);
         session.answers_ = {head(), answered(200, R"({"outcome":"done","detail":"{}"})")};
-        std::vector<const char *> all {"--address", "a:1", "--as", "ann"};
+        std::vector<const char *> all{"--address", "a:1", "--as", "ann"};
         all.insert(all.end(), arguments.begin(), arguments.end());
         Bundle bundle;
         std::vector<BundleProblem> problems;
--- a/tests/daemon/fake_node.cpp
+++ b/tests/daemon/fake_node.cpp
@@ -28,7 +28,7 @@
 
 void startNode(Node &, TimePoint, Actions &actions)
 {
-    actions.push(LogLine {LogLevel::Info, "[node] Fake node started."});
+    actions.push(LogLine{LogLevel::Info, "[node] Fake node started."});
 }
 
 static void answer(CallId call, Outcome outcome, std::string detail, Actions &actions)
@@ -45,9 +45,9 @@
     if (request.payload_ == "hold") {
         node.held_.push_back(call);
     } else if (request.payload_ == "store") {
-        const StoreOpId id {actions.nextId()};
+        const StoreOpId id{actions.nextId()};
         node.asked_[id] = call;
-        actions.push(StoreRequest {id, StorePart::Home, {}, StoreGet {"key"}});
+        actions.push(StoreRequest{id, StorePart::Home, {}, StoreGet{"key"}});
     } else if (request.payload_ != "never") {
         if (request.payload_ == "slow") {
             std::this_thread::sleep_for(Milliseconds(300));
@@ -70,7 +70,7 @@
         for (const CallId call : node.held_) {
             answer(call, Outcome::Done, "held", actions);
         }
-        actions.push(LeaveFinished {});
+        actions.push(LeaveFinished{});
     }
 }
 
--- a/tests/daemon/http_helper.h
+++ b/tests/daemon/http_helper.h
@@ -13,7 +13,7 @@
 namespace mimosapier::testing
 {
 
-constexpr std::chrono::seconds Patience {5}; // longer than any wait of a test that passes
+constexpr std::chrono::seconds Patience{5}; // longer than any wait of a test that passes
 
 class TestServer
 {
@@ -57,7 +57,7 @@
 
 private:
     IoThread thread_;
-    HttpClient client_ {thread_.context(), HttpClientOptions {.maxConnections_ = 64}};
+    HttpClient client_{thread_.context(), HttpClientOptions{.maxConnections_ = 64}};
 };
 
 // Polls until the condition holds. Returns false after Patience.
--- a/tests/daemon/test_callers.cpp
+++ b/tests/daemon/test_callers.cpp
@@ -34,13 +34,13 @@
     cr_assert(parseJob("", body) == ErrorKind::None);
     auto submit = std::get<SubmitRequest>(body);
     cr_assert(submit.key_ == "secret" && submit.attempt_ == 1 && submit.tasks_ == 1 && !submit.idempotentGiven_);
-    cr_assert((submit.size_ == Resources {100, 64, 0, 1}));
+    cr_assert((submit.size_ == Resources{100, 64, 0, 1}));
     cr_assert(parseJob(R"(,"attempt":2,"tasks":3,"size":{"memory_mb":5},"run_ms":7,"deadline_ms":8,"idempotent":false,)"
                        R"("payload":"p","region":"hobart","queue":"q","extra":1)",
                        body)
               == ErrorKind::None);
     submit = std::get<SubmitRequest>(body);
-    cr_assert((submit.attempt_ == 2 && submit.tasks_ == 3 && submit.size_ == Resources {100, 5, 0, 1}));
+    cr_assert((submit.attempt_ == 2 && submit.tasks_ == 3 && submit.size_ == Resources{100, 5, 0, 1}));
     cr_assert(submit.idempotentGiven_ && !submit.idempotent_ && submit.region_.str() == "hobart");
     cr_assert(parse("GET", "/v1/explain/r-1?team=a%20b&wait_ms=50", "", body) == ErrorKind::None);
     const auto status = std::get<StatusRequest>(body);
@@ -48,7 +48,7 @@
     cr_assert(parse("POST", "/v1/cancel", R"({"team":"t","request_ids":["a","b"]})", body) == ErrorKind::None);
     cr_assert(parse("POST", "/v1/admin/sign", R"({"signer":"s","draft":"d","base_version":4})", body)
               == ErrorKind::None);
-    cr_assert(std::get<SignRequest>(body).base_ == BundleVersion {4});
+    cr_assert(std::get<SignRequest>(body).base_ == BundleVersion{4});
     cr_assert(parse("GET", "/v1/admin/report", "", body) == ErrorKind::None);
 }
 
@@ -84,7 +84,7 @@
     cr_assert(refusal(submit, ErrorKind::Overloaded, "").outcome_ == Outcome::NotRun);
     submit.attempt_ = 2;
     cr_assert(refusal(submit, ErrorKind::Overloaded, "").outcome_ == Outcome::Unknown);
-    cr_assert(refusal(StatusRequest {}, ErrorKind::Overloaded, "").outcome_ == Outcome::Unknown);
+    cr_assert(refusal(StatusRequest{}, ErrorKind::Overloaded, "").outcome_ == Outcome::Unknown);
     CallerBody body;
     cr_assert(parseJob(R"(,"attempt":3,"tasks":0)", body) == ErrorKind::MalformedRequest);
     cr_assert(refusal(body, ErrorKind::MalformedRequest, "").outcome_ == Outcome::Unknown);
@@ -126,6 +126,6 @@
     cr_assert(ring.take(items, 2));
     producer.join();
     cr_assert(!ring.take(items, 10));
-    cr_assert(items == (std::vector<std::string> {"a", "b", "d", "e"}));
+    cr_assert(items == (std::vector<std::string>{"a", "b", "d", "e"}));
     cr_assert_geq(wakes, 1);
 }
--- a/tests/daemon/test_process.cpp
+++ b/tests/daemon/test_process.cpp
@@ -145,14 +145,14 @@
     const SystemClock clock;
     DecisionCapacities capacities;
     capacities.store_ = 1;
-    std::atomic<int> answers {0};
+    std::atomic<int> answers{0};
     // Nobody reads the store's ring.
     Decisions decisions({}, capacities, {[&answers] { ++answers; }, [] {}, [] {}, [] {}}, clock, nullptr, [] {});
     decisions.start();
     for (std::uint64_t i = 1; i <= 3; ++i) {
         SubmitRequest submit;
         submit.payload_ = "store";
-        CallerRequest request {CallId {i}, submit};
+        CallerRequest request{CallId{i}, submit};
         cr_assert(decisions.offerCaller(request));
     }
     cr_assert(eventually([&] { return decisions.answers().depth() == 2; }));
--- a/tests/daemon/test_settings.cpp
+++ b/tests/daemon/test_settings.cpp
@@ -80,7 +80,7 @@
 // Guards against a missing file being taken for an empty one.
 Test(settings, fileAndOverridesAreChecked)
 {
-    const std::vector<std::string> overrides {"nonsense"};
+    const std::vector<std::string> overrides{"nonsense"};
     const SettingsReading reading = readSettings("/nonexistent.yaml", overrides);
     cr_assert(hasProblem(reading, "/nonexistent.yaml: cannot be read"));
     cr_assert(hasProblem(reading, "--set: got \"nonsense\"; allowed: key=value"));
--- a/tests/daemon/test_store_client.cpp
+++ b/tests/daemon/test_store_client.cpp
@@ -31,7 +31,7 @@
 
     void submit(StoreOp op)
     {
-        const StoreRequest request {StoreOpId {++last_}, StorePart::Limit, ShardId("p/x/0"), std::move(op)};
+        const StoreRequest request{StoreOpId{++last_}, StorePart::Limit, ShardId("p/x/0"), std::move(op)};
         thread_.post([this, request] { client_.submit(request); });
     }
     std::vector<StoreResult> results()
@@ -46,8 +46,7 @@
         submit(std::move(op));
         cr_assert(eventually([&] { return results().size() > before; }));
         const StoreResult result = results().back();
-        cr_assert(result.id_ == StoreOpId {last_} && result.part_ == StorePart::Limit
-                  && result.shard_.str() == "p/x/0");
+        cr_assert(result.id_ == StoreOpId{last_} && result.part_ == StorePart::Limit && result.shard_.str() == "p/x/0");
         return result;
     }
 
@@ -67,14 +66,14 @@
     std::uint64_t last_ = 0;
 };
 
-static const std::vector<StoreOp> AllOps {StoreGet {"k"},
-                                          StoreList {"k"},
-                                          StoreCas {"k", "v", {}, {}},
-                                          StoreDelete {"k", {}},
-                                          StoreLeaseGrant {},
-                                          StoreLeaseRenew {StoreLeaseId {1}},
-                                          StoreLeaseRevoke {StoreLeaseId {1}},
-                                          StoreWatch {"k", {}, Milliseconds(20)}};
+static const std::vector<StoreOp> AllOps{StoreGet{"k"},
+                                         StoreList{"k"},
+                                         StoreCas{"k", "v", {}, {}},
+                                         StoreDelete{"k", {}},
+                                         StoreLeaseGrant{},
+                                         StoreLeaseRenew{StoreLeaseId{1}},
+                                         StoreLeaseRevoke{StoreLeaseId{1}},
+                                         StoreWatch{"k", {}, Milliseconds(20)}};
 
 // Checks that each kind of operation gets `forReads` or `forWrites` from the server at `address`.
 static void checkAll(const std::string &address, StoreStatus forReads, StoreStatus forWrites)
@@ -121,7 +120,7 @@
             Json json;
             parseJson(request.body_, json);
             if (request.target_ == "/v1/get") {
-                const Json entry {{"key", json["key"]}, {"value", value_}, {"revision", revision_}};
+                const Json entry{{"key", json["key"]}, {"value", value_}, {"revision", revision_}};
                 respond({200, dumpJson({{"found", revision_ > 0}, {"entry", entry}, {"revision", revision_}}), ""});
                 return;
             }
@@ -135,7 +134,7 @@
                 kept_.push_back(respond);
                 return;
             }
-            const Json entry {{"key", json["key"]}, {"value", value_}, {"revision", revision_}};
+            const Json entry{{"key", json["key"]}, {"value", value_}, {"revision", revision_}};
             respond({200, dumpJson({{"ok", ok}, {"found", true}, {"entry", entry}, {"revision", revision_}}), ""});
         };
     }
@@ -154,14 +153,14 @@
     const TestServer server(store.handler());
     StoreFixture fixture(server.address());
     const std::string binary("\x00\xff\x01", 3);
-    cr_assert(fixture.call(StoreCas {"k", binary, {}, {}}).status_ == StoreStatus::Unknown);
-    const StoreResult read = fixture.call(StoreGet {"k"});
+    cr_assert(fixture.call(StoreCas{"k", binary, {}, {}}).status_ == StoreStatus::Unknown);
+    const StoreResult read = fixture.call(StoreGet{"k"});
     cr_assert(read.status_ == StoreStatus::Ok && read.entries_.at(0).value_ == binary);
-    const StoreResult conflict = fixture.call(StoreCas {"k", "text", {}, {}});
-    cr_assert(conflict.status_ == StoreStatus::Conflict && conflict.entries_.at(0).revision_ == Revision {1});
-    const StoreResult written = fixture.call(StoreCas {"k", "text", Revision {1}, {}});
-    cr_assert(written.status_ == StoreStatus::Ok && written.revision_ == Revision {2});
-    cr_assert_eq(fixture.call(StoreGet {"k"}).entries_.at(0).value_, "text");
+    const StoreResult conflict = fixture.call(StoreCas{"k", "text", {}, {}});
+    cr_assert(conflict.status_ == StoreStatus::Conflict && conflict.entries_.at(0).revision_ == Revision{1});
+    const StoreResult written = fixture.call(StoreCas{"k", "text", Revision{1}, {}});
+    cr_assert(written.status_ == StoreStatus::Ok && written.revision_ == Revision{2});
+    cr_assert_eq(fixture.call(StoreGet{"k"}).entries_.at(0).value_, "text");
 }
 
 // Guards against operations piling up without bound during an outage, and watches holding up other operations.
@@ -177,12 +176,12 @@
     });
     StoreFixture fixture(server.address(), 11);
     for (int i = 0; i < 10; ++i) {
-        fixture.submit(StoreWatch {"k", {}, Milliseconds(2000)});
+        fixture.submit(StoreWatch{"k", {}, Milliseconds(2000)});
     }
-    cr_assert(fixture.call(StoreGet {"k"}).status_ == StoreStatus::NotFound);
-    fixture.submit(StoreWatch {"k", {}, Milliseconds(2000)});
-    cr_assert(fixture.call(StoreCas {"k", "v", {}, {}}).status_ == StoreStatus::Unavailable);
-    cr_assert(fixture.call(StoreCas {"k", std::string(MaxStoreValueBytes + 1, 'x'), {}, {}}).status_
+    cr_assert(fixture.call(StoreGet{"k"}).status_ == StoreStatus::NotFound);
+    fixture.submit(StoreWatch{"k", {}, Milliseconds(2000)});
+    cr_assert(fixture.call(StoreCas{"k", "v", {}, {}}).status_ == StoreStatus::Unavailable);
+    cr_assert(fixture.call(StoreCas{"k", std::string(MaxStoreValueBytes + 1, 'x'), {}, {}}).status_
               == StoreStatus::Unavailable);
 }
 
--- a/tests/daemon/test_worker_client.cpp
+++ b/tests/daemon/test_worker_client.cpp
@@ -15,16 +15,16 @@
 using namespace mimosapier;
 using namespace mimosapier::testing;
 
-static const TaskId Task {JobId("school:1"), 2};
+static const TaskId Task{JobId("school:1"), 2};
 
 static WorkerRequest makeRequest(WorkerOp op, const std::string &address = "10.0.0.1:80")
 {
-    return {WorkerOpId {5}, ShardId("g/x/r"), WorkerId("w"), address, Epoch {3}, std::move(op)};
+    return {WorkerOpId{5}, ShardId("g/x/r"), WorkerId("w"), address, Epoch{3}, std::move(op)};
 }
 
-static const std::vector<WorkerOp> AllOps {
-    WorkerHold {DaemonId("a#1"), Milliseconds(15000)}, WorkerStart {{WorkerTask {Task, {}, {}, "1", {}, true, ""}}, {}},
-    WorkerPoll {{Task}, Milliseconds(15000), Milliseconds(50)}, WorkerStop {{Task}, StopMode::Checkpoint}};
+static const std::vector<WorkerOp> AllOps{
+    WorkerHold{DaemonId("a#1"), Milliseconds(15000)}, WorkerStart{{WorkerTask{Task, {}, {}, "1", {}, true, ""}}, {}},
+    WorkerPoll{{Task}, Milliseconds(15000), Milliseconds(50)}, WorkerStop{{Task}, StopMode::Checkpoint}};
 
 static constexpr const char *GoodBody
     = R"({"leaving":true,"tasks":[{"job":"school:1","index":2,"outcome":"not-run","error":"worker-full"}]})";
@@ -32,7 +32,7 @@
 static WorkerResult resultOf(const WorkerOp &op, HttpDelivery delivery, unsigned status, const std::string &body)
 {
     const WorkerResult result = workerResult(makeRequest(op), {delivery, status, body, {}});
-    cr_assert(result.id_ == WorkerOpId {5} && result.group_.str() == "g/x/r" && result.worker_.str() == "w");
+    cr_assert(result.id_ == WorkerOpId{5} && result.group_.str() == "g/x/r" && result.worker_.str() == "w");
     return result;
 }
 
@@ -49,7 +49,7 @@
         const WorkerResult leaving = resultOf(op, HttpDelivery::Answered, 410, R"({"leaving":true})");
         cr_assert(leaving.status_ == WorkerStatus::Refused && leaving.leaving_);
         const WorkerResult stale = resultOf(op, HttpDelivery::Answered, 409, R"({"epoch":9})");
-        cr_assert(stale.status_ == WorkerStatus::StaleEpoch && stale.highestEpoch_ == Epoch {9});
+        cr_assert(stale.status_ == WorkerStatus::StaleEpoch && stale.highestEpoch_ == Epoch{9});
         const WorkerResult good = resultOf(op, HttpDelivery::Answered, 200, GoodBody);
         cr_assert(good.status_ == WorkerStatus::Ok && good.leaving_);
         cr_assert(good.tasks_.at(0).task_ == Task && good.tasks_.at(0).error_ == ErrorKind::WorkerFull);
@@ -178,8 +178,8 @@
 // malformed list being remembered, after which the list would never be read.
 Test(instances, onlyChangedListsAreDelivered, .timeout = 20)
 {
-    std::atomic<int> version {0};
-    std::atomic<int> unchanged {0};
+    std::atomic<int> version{0};
+    std::atomic<int> unchanged{0};
     const TestServer server([&](const HttpRequest &request, const HttpResponder &respond) {
         const int now = version;
         const std::string tag = '"' + std::to_string(now) + '"';
--- a/tests/entry/entry_world.h
+++ b/tests/entry/entry_world.h
@@ -24,14 +24,14 @@
 
 struct EntryWorld
 {
-    DaemonId self_ {"entry#1"};
-    RegionId region_ {"hobart"};
-    ShardId partition_ {"p/hobart/0"};
+    DaemonId self_{"entry#1"};
+    RegionId region_{"hobart"};
+    ShardId partition_{"p/hobart/0"};
     Bundle bundle_;
     Directory directory_;
     Actions actions_;
     std::mt19937_64 random_;
-    TimePoint now_ {std::chrono::hours(1)};
+    TimePoint now_{std::chrono::hours(1)};
     Handle<Entry> entry_ = makeEntry();
     std::uint64_t lastCall_ = 0;
     std::map<CallId, CallerAnswer> answers_;
@@ -148,7 +148,7 @@
 
     void reply(const TaskOffer &offer, Outcome outcome, ErrorKind error = ErrorKind::None)
     {
-        TaskAnswer answer {offer.replyTo_, offer.group_, offer.job_.id_, {}};
+        TaskAnswer answer{offer.replyTo_, offer.group_, offer.job_.id_, {}};
         for (std::uint32_t i = 0; i < offer.count_; ++i) {
             answer.results_.push_back(
                 {offer.firstIndex_ + i, outcome, error, {}, "result of " + offer.job_.requestId_});
--- a/tests/entry/test_requests.cpp
+++ b/tests/entry/test_requests.cpp
@@ -106,7 +106,7 @@
         for (int i = 0; i < 6; ++i) {
             const std::size_t at = world.random_() % world.entries_.size();
             const std::string id = std::to_string(world.random_() % (troubles.size() + 1));
-            const bool once = std::hash<std::string> {}(id) % 2 == 0;
+            const bool once = std::hash<std::string>{}(id) % 2 == 0;
             const std::uint32_t attempt = 1
                 + std::count_if(world.asked_.begin(), world.asked_.end(),
                                 [&](const auto &asked) { return std::get<2>(asked) == JobId("school:" + id); });
@@ -141,7 +141,7 @@
     }
     for (const auto &[job, refused] : allRefused) {
         RC_ASSERT((!refused || starts[job] == 0));
-        RC_ASSERT((std::hash<std::string> {}(job.value_.substr(7)) % 2 != 0 || starts[job] <= 1));
+        RC_ASSERT((std::hash<std::string>{}(job.value_.substr(7)) % 2 != 0 || starts[job] <= 1));
     }
 }
 
--- a/tests/group/group_world.cpp
+++ b/tests/group/group_world.cpp
@@ -6,14 +6,14 @@
 namespace mimosapier::test
 {
 
-static constexpr Milliseconds Step {10};
-static constexpr Milliseconds LinkDelay {1};
-static constexpr Milliseconds CallTimeout {1000};
+static constexpr Milliseconds Step{10};
+static constexpr Milliseconds LinkDelay{1};
+static constexpr Milliseconds CallTimeout{1000};
 
 World::World(std::uint64_t seed)
     : random_(seed)
 {
-    bundle_.version_ = BundleVersion {1};
+    bundle_.version_ = BundleVersion{1};
     bundle_.regions_.push_back({region_, 1});
 }
 
@@ -78,7 +78,7 @@
     held.shard_ = group;
     held.region_ = region_;
     held.holder_ = DaemonId(daemon);
-    held.epoch_ = Epoch {held.epoch_.value_ + 1};
+    held.epoch_ = Epoch{held.epoch_.value_ + 1};
     held.reachable_ = true;
     directory_.groups_.push_back(held);
     std::sort(directory_.groups_.begin(), directory_.groups_.end(),
@@ -126,7 +126,7 @@
     TaskOffer offer;
     const bool entry = job.mode_ == WorkMode::Interactive && job.idempotent_;
     offer.replyTo_
-        = {entry ? ReplyPart::Entry : ReplyPart::Home, entry ? ShardId() : ShardId("p/hobart/0"), CallId {++lastCall_}};
+        = {entry ? ReplyPart::Entry : ReplyPart::Home, entry ? ShardId() : ShardId("p/hobart/0"), CallId{++lastCall_}};
     offer.group_ = group;
     offer.job_ = job;
     offer.job_.tasks_ = count;
@@ -193,7 +193,7 @@
 
 void World::call(Holder &holder, const std::function<void(Context &)> &function)
 {
-    Context context {now_, holder.id_, region_, bundle_, directory_, holder.actions_, random_};
+    Context context{now_, holder.id_, region_, bundle_, directory_, holder.actions_, random_};
     function(context);
     std::vector<Action> actions = std::move(holder.actions_.list_);
     holder.actions_.list_.clear();
@@ -209,7 +209,7 @@
         at(LinkDelay, [this, &holder, copy = *request] { callWorker(holder, copy); });
     } else if (const auto *store = std::get_if<StoreRequest>(&action)) {
         at(LinkDelay, [this, &holder, copy = *store] {
-            StoreResult result {copy.id_, copy.part_, {}, StoreStatus::Unavailable, {}, {}, {}};
+            StoreResult result{copy.id_, copy.part_, {}, StoreStatus::Unavailable, {}, {}, {}};
             if (!storeDown_) {
                 result = store_.answer(copy, now_);
             }
@@ -234,7 +234,7 @@
 
 void World::callWorker(Holder &holder, const WorkerRequest &request)
 {
-    const WorkerResult unknown {request.id_, request.group_, request.worker_, WorkerStatus::Unknown, {}, false, {}};
+    const WorkerResult unknown{request.id_, request.group_, request.worker_, WorkerStatus::Unknown, {}, false, {}};
     const unsigned roll = random_() % 100;
     unsigned limit = faults_.refused_;
     if (roll < limit) {
@@ -278,12 +278,12 @@
     worker.advance(now_);
     if (worker.hasNews() || now_ >= until) {
         if (answerLost || silent_.contains(request.worker_)) {
-            const WorkerResult unknown {request.id_, request.group_, request.worker_, WorkerStatus::Unknown, {}, false,
-                                        {}};
+            const WorkerResult unknown{request.id_, request.group_, request.worker_, WorkerStatus::Unknown, {}, false,
+                                       {}};
             at(CallTimeout, [this, &holder, unknown] { answer(holder, unknown); });
             return;
         }
-        WorkerResult result {
+        WorkerResult result{
             request.id_, request.group_, request.worker_, WorkerStatus::Ok, worker.highest_, worker.leaving_, {}};
         if (request.epoch_ < worker.highest_) {
             result.status_ = WorkerStatus::StaleEpoch;
@@ -318,9 +318,9 @@
 
 void World::collect(Holder &from, const TaskAnswer &answer)
 {
-    TaskAck ack {from.group_, {}};
+    TaskAck ack{from.group_, {}};
     for (const TaskResult &result : answer.results_) {
-        const TaskId id {answer.job_, result.index_};
+        const TaskId id{answer.job_, result.index_};
         told_.emplace_back(id, result);
         byCall_[answer.replyTo_.call_.value_].push_back(result);
         if (isFinal(result.outcome_) && result.error_ != ErrorKind::NotHolder) {
--- a/tests/group/group_world.h
+++ b/tests/group/group_world.h
@@ -49,11 +49,11 @@
 {
     explicit World(std::uint64_t seed);
 
-    TimePoint now_ {std::chrono::hours(1)};
+    TimePoint now_{std::chrono::hours(1)};
     std::mt19937_64 random_;
     Bundle bundle_;
     Directory directory_;
-    RegionId region_ {"hobart"};
+    RegionId region_{"hobart"};
     FakeStore store_;
     std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> events_;
     std::uint64_t lastEvent_ = 0;
--- a/tests/group/test_differential.cpp
+++ b/tests/group/test_differential.cpp
@@ -50,7 +50,7 @@
         world_.addClass("gang", WorkMode::Gang);
         world_.addClass("service", WorkMode::Service);
         for (int i = 0; i < 3; ++i) {
-            const Resources capacity {4000, 1000, i == 0 ? 1 : 0, 4};
+            const Resources capacity{4000, 1000, i == 0 ? 1 : 0, 4};
             world_.addWorker("w" + std::to_string(i), Rack, capacity);
             naive_.workers_.push_back(capacity);
         }
@@ -107,7 +107,7 @@
 
     void submit()
     {
-        static constexpr std::array<const char *, 6> Classes {"fast", "batch", "batch", "once", "gang", "service"};
+        static constexpr std::array<const char *, 6> Classes{"fast", "batch", "batch", "once", "gang", "service"};
         const std::string name = Classes.at(roll(Classes.size()));
         Submitted submitted;
         submitted.job_ = world_.job(std::to_string(jobs_.size()), roll(2) == 0 ? "school" : "export", name);
@@ -176,7 +176,7 @@
 
     void run(Duration duration)
     {
-        for (Duration done {}; done < duration; done += Milliseconds(50)) {
+        for (Duration done{}; done < duration; done += Milliseconds(50)) {
             world_.run(Milliseconds(50));
             naive_.advance(world_.now_);
             react();
--- a/tests/group/test_offer.cpp
+++ b/tests/group/test_offer.cpp
@@ -31,7 +31,7 @@
 // Job whose first candidate is Rack1.
 static JobSpec firstAtRack1(const World &world, const std::string &prefix)
 {
-    const std::vector<ShardId> groups {Rack1, Rack2};
+    const std::vector<ShardId> groups{Rack1, Rack2};
     for (int i = 0;; ++i) {
         const JobSpec job = world.job(prefix + std::to_string(i), "school", "fast");
         if (candidateGroups(job.id_, groups).first_ == Rack1) {
--- a/tests/group/test_placement.cpp
+++ b/tests/group/test_placement.cpp
@@ -47,13 +47,13 @@
     CapacityIndex index;
     std::vector<Resources> free;
     const auto amounts = [&random](std::uint64_t most) {
-        return Resources {static_cast<std::int64_t>(random() % most) * 100, static_cast<std::int64_t>(random() % most),
-                          static_cast<std::int64_t>(random() % 3), static_cast<std::int64_t>(random() % 5)};
+        return Resources{static_cast<std::int64_t>(random() % most) * 100, static_cast<std::int64_t>(random() % most),
+                         static_cast<std::int64_t>(random() % 3), static_cast<std::int64_t>(random() % 5)};
     };
     for (int round = 0; round < 20'000; ++round) {
         const auto worker = static_cast<WorkerIndex>(random() % 300);
         free.resize(std::max<std::size_t>(free.size(), worker + 1));
-        free[worker] = random() % 4 == 0 ? Resources {} : amounts(100);
+        free[worker] = random() % 4 == 0 ? Resources{} : amounts(100);
         setFree(index, worker, free[worker]);
         Resources size = amounts(100);
         size.slots_ = 1;
@@ -248,7 +248,7 @@
         cr_assert_eq(world.runningOf_[TeamId("school")], 12);
         world.addTeam("school", 5);
         world.bundle_.teams_.at(TeamId("school")).limitAction_ = action;
-        world.bundle_.version_ = BundleVersion {2};
+        world.bundle_.version_ = BundleVersion{2};
         world.send(holder, world.offer(world.job("x", "school", "normal"), Rack));
         world.run(std::chrono::seconds(5));
         cr_assert_eq(world.runningOf_[TeamId("school")], action == LimitAction::Stop ? 5 : 12);
--- a/tests/home/fake_group.h
+++ b/tests/home/fake_group.h
@@ -25,7 +25,7 @@
 // Outcome of a task that runs to its end, a function of the job alone.
 inline Outcome naiveOutcome(const JobId &job)
 {
-    return std::hash<std::string> {}(job.value_) % 4 == 0 ? Outcome::Failed : Outcome::Done;
+    return std::hash<std::string>{}(job.value_) % 4 == 0 ? Outcome::Failed : Outcome::Done;
 }
 
 struct FakeTask
@@ -52,13 +52,13 @@
 {
     ShardId id_;
     DaemonId holder_;
-    Epoch epoch_ {1};
+    Epoch epoch_{1};
     Ledger *ledger_ = nullptr;
     std::map<TaskId, FakeTask> tasks_;
     std::map<TaskId, Refusal> memory_;
     int refusePercent_ = 0;
     int losePercent_ = 0;
-    Milliseconds runTime_ {100};
+    Milliseconds runTime_{100};
     ErrorKind refusal_ = ErrorKind::Overloaded;
     std::vector<TaskOffer> offers_; // received
     TimePoint forgetful_; // until then the memory does not go back to all ids that count
@@ -66,7 +66,7 @@
     static void answer(const FakeGroup &group, const JobId &job, const DaemonId &to, const ReplyTo &replyTo,
                        const TaskResult &result, const SendFunction &send)
     {
-        send(to, TaskAnswer {replyTo, group.id_, job, {result}});
+        send(to, TaskAnswer{replyTo, group.id_, job, {result}});
     }
 
     void end(const TaskId &id, FakeTask &task, Outcome outcome, ErrorKind error, const SendFunction &send)
@@ -84,7 +84,7 @@
     {
         offers_.push_back(offer);
         for (std::uint32_t index = offer.firstIndex_; index < offer.firstIndex_ + offer.count_; ++index) {
-            const TaskId id {offer.job_.id_, index};
+            const TaskId id{offer.job_.id_, index};
             const auto reply = [&](Outcome outcome, ErrorKind error) {
                 answer(*this, id.job_, from, offer.replyTo_, {index, outcome, error, {}, {}}, send);
             };
@@ -111,7 +111,7 @@
                 continue;
             }
             if (static_cast<int>(random() % 100) < refusePercent_) {
-                const TaskResult result {index, Outcome::NotRun, refusal_, {}, {}};
+                const TaskResult result{index, Outcome::NotRun, refusal_, {}, {}};
                 memory_[id] = {result, from, offer.replyTo_.call_, now + Milliseconds(60'000)};
                 reply(Outcome::NotRun, refusal_);
                 continue;
@@ -136,7 +136,7 @@
             if (found != tasks_.end() && !isFinal(found->second.result_.outcome_)) {
                 end(id, found->second, Outcome::Cancelled, ErrorKind::Cancelled, send);
             } else if (found == tasks_.end() && !memory_.contains(id)) {
-                const TaskResult result {id.index_, Outcome::Cancelled, ErrorKind::Cancelled, {}, {}};
+                const TaskResult result{id.index_, Outcome::Cancelled, ErrorKind::Cancelled, {}, {}};
                 memory_[id] = {result, {}, {}, now + Milliseconds(60'000)};
             }
         }
