--- a/tests/home/home_world.h
+++ b/tests/home/home_world.h
@@ -23,8 +23,8 @@
 
 struct HomeWorld
 {
-    ShardId partition_ {"p/hobart/0"};
-    RegionId region_ {"hobart"};
+    ShardId partition_{"p/hobart/0"};
+    RegionId region_{"hobart"};
     Bundle bundle_;
     Directory directory_;
     FaultyStore store_;
@@ -32,7 +32,7 @@
     std::vector<std::unique_ptr<FakeGroup>> groups_;
     std::vector<std::unique_ptr<HomeDaemon>> daemons_;
     std::mt19937_64 random_;
-    TimePoint now_ {std::chrono::hours(1)};
+    TimePoint now_{std::chrono::hours(1)};
     std::uint64_t lastCall_ = 0;
     std::uint64_t lastEpoch_ = 0;
     std::map<CallId, JobAnswer> answers_; // to the entry "caller"
@@ -86,7 +86,7 @@
     {
         directory_.groups_.clear();
         for (const auto &group : groups_) {
-            GroupLoad load {group->id_, group->epoch_, 64, 32, 0, 0, {64'000, 256'000, 8, 32}};
+            GroupLoad load{group->id_, group->epoch_, 64, 32, 0, 0, {64'000, 256'000, 8, 32}};
             directory_.groups_.push_back({group->id_, region_, group->holder_, group->epoch_, true, load});
         }
         for (const auto &daemon : daemons_) {
@@ -128,7 +128,7 @@
     template <typename Message>
     CallId ask(HomeDaemon &daemon, Message message)
     {
-        message.replyTo_ = {ReplyPart::Entry, {}, CallId {++lastCall_}};
+        message.replyTo_ = {ReplyPart::Entry, {}, CallId{++lastCall_}};
         message.partition_ = partition_;
         daemon.inbox_.emplace_back(DaemonId("caller"), std::move(message));
         return {lastCall_};
@@ -136,14 +136,14 @@
 
     CallId submit(HomeDaemon &daemon, const JobSpec &spec, Milliseconds remaining = Milliseconds(5000))
     {
-        const CallId call = ask(daemon, JobSubmit {{}, {}, spec, 1, remaining});
+        const CallId call = ask(daemon, JobSubmit{{}, {}, spec, 1, remaining});
         asked_[call] = spec.id_;
         return call;
     }
 
     CallId query(HomeDaemon &daemon, const JobId &job, Milliseconds wait = Milliseconds(0))
     {
-        return ask(daemon, JobQuery {{}, {}, job, wait, false});
+        return ask(daemon, JobQuery{{}, {}, job, wait, false});
     }
 
     void deliver(HomeDaemon &daemon, const DaemonId &from, const PeerMessage &message)
@@ -265,7 +265,7 @@
         for (int i = 0; i < 2000 && !answers_.contains(call); ++i) {
             step();
         }
-        return answers_.contains(call) ? answers_[call] : JobAnswer {};
+        return answers_.contains(call) ? answers_[call] : JobAnswer{};
     }
 
     void setFault(FaultyStore::Fault fault, int operations = -1)
--- a/tests/home/test_dispatch.cpp
+++ b/tests/home/test_dispatch.cpp
@@ -8,7 +8,7 @@
 
 static CallId cancel(HomeWorld &world, std::vector<JobId> jobs)
 {
-    return world.ask(world.holder(), JobCancel {{}, {}, std::move(jobs)});
+    return world.ask(world.holder(), JobCancel{{}, {}, std::move(jobs)});
 }
 
 // Guards against a second start when the home dies between the written assignment and the start, or right after it.
@@ -117,7 +117,7 @@
     world.submit(world.holder(), world.job("web", WorkMode::Service));
     world.groups_[0]->losePercent_ = world.groups_[1]->losePercent_ = 30;
     world.run(Milliseconds(60'000));
-    const TaskId task {JobId("school:web"), 0};
+    const TaskId task{JobId("school:web"), 0};
     cr_assert(world.starts(task.job_) > 2);
     cr_assert(world.ledger_.overlapped_.empty());
     cr_assert(world.state(task.job_).outcome_ == Outcome::Pending);
@@ -231,7 +231,7 @@
     world.submit(world.holder(), gang);
     world.run(Milliseconds(1000));
     FakeGroup &first = *world.groups_[world.groups_[0]->tasks_.empty() ? 1 : 0];
-    const TaskId lost {gang.id_, 2};
+    const TaskId lost{gang.id_, 2};
     first.end(lost, first.tasks_.at(lost), Outcome::Failed, ErrorKind::WorkerLost, world.sender(first.holder_));
     world.run(Milliseconds(6000));
     for (std::uint32_t index = 0; index < 4; ++index) {
@@ -253,11 +253,11 @@
     const DaemonId before = group.holder_;
     group.changeHolder(DaemonId("next#1"), world.now_);
     world.updateDirectory();
-    const TaskResult refusal {0, Outcome::NotRun, ErrorKind::Overloaded, {}, {}};
-    for (const CallId call : {offer.replyTo_.call_, CallId {offer.replyTo_.call_.value_ - 1}}) {
-        const ReplyTo replyTo {ReplyPart::Home, world.partition_, call};
+    const TaskResult refusal{0, Outcome::NotRun, ErrorKind::Overloaded, {}, {}};
+    for (const CallId call : {offer.replyTo_.call_, CallId{offer.replyTo_.call_.value_ - 1}}) {
+        const ReplyTo replyTo{ReplyPart::Home, world.partition_, call};
         const DaemonId from = call == offer.replyTo_.call_ ? before : group.holder_;
-        world.holder().inbox_.emplace_back(from, TaskAnswer {replyTo, offer.group_, id, {refusal}});
+        world.holder().inbox_.emplace_back(from, TaskAnswer{replyTo, offer.group_, id, {refusal}});
     }
     world.run(Milliseconds(3000));
     cr_assert_eq(world.starts(id), 1);
--- a/tests/home/test_schedules.cpp
+++ b/tests/home/test_schedules.cpp
@@ -106,7 +106,7 @@
 {
     for (int i = 0; i < 4; ++i) {
         const std::string name = std::to_string(jobs.size());
-        Submitted job {world.job(name, WorkMode::Journaled, world.random_() % 2 == 0), {}, false};
+        Submitted job{world.job(name, WorkMode::Journaled, world.random_() % 2 == 0), {}, false};
         job.spec_.tasks_ = 1 + world.random_() % 3;
         if (!jobs.empty() && world.random_() % 3 == 0) { // the same request again
             job.spec_
@@ -116,9 +116,9 @@
         HomeDaemon &daemon = *world.daemons_[world.daemons_.size() - 1
                                              - world.random_() % std::min<std::size_t>(world.daemons_.size(), 2)];
         const CallId call
-            = daemon.home_ ? world.submit(daemon, job.spec_, Milliseconds(500 + world.random_() % 3000)) : CallId {};
+            = daemon.home_ ? world.submit(daemon, job.spec_, Milliseconds(500 + world.random_() % 3000)) : CallId{};
         Submitted &known = jobs.emplace(job.spec_.id_, job).first->second;
-        if (call != CallId {}) {
+        if (call != CallId{}) {
             known.calls_.push_back(call);
         }
     }
@@ -126,7 +126,7 @@
         Submitted &job = std::next(jobs.begin(), static_cast<std::ptrdiff_t>(world.random_() % jobs.size()))->second;
         job.cancelled_ = true;
         if (world.holder().home_) {
-            world.ask(world.holder(), JobCancel {{}, {}, {job.spec_.id_}});
+            world.ask(world.holder(), JobCancel{{}, {}, {job.spec_.id_}});
         }
     }
 }
--- a/tests/limit/test_limit.cpp
+++ b/tests/limit/test_limit.cpp
@@ -34,7 +34,7 @@
 // Several daemons with allowances against one store whose answers are late, lost or refused.
 struct Fleet
 {
-    TimePoint now_ {std::chrono::hours(1)};
+    TimePoint now_{std::chrono::hours(1)};
     std::mt19937_64 random_;
     FakeStore store_;
     Directory directory_;
@@ -68,12 +68,12 @@
         Team &entry = daemon.bundle_.teams_[TeamId(team)];
         entry.id_ = TeamId(team);
         entry.limit_ = limit;
-        daemon.bundle_.version_ = BundleVersion {daemon.bundle_.version_.value_ + 1};
+        daemon.bundle_.version_ = BundleVersion{daemon.bundle_.version_.value_ + 1};
     }
 
     void call(Daemon &daemon, const std::function<void(Context &)> &function)
     {
-        Context context {now_, daemon.id_, Hobart, daemon.bundle_, directory_, daemon.actions_, random_};
+        Context context{now_, daemon.id_, Hobart, daemon.bundle_, directory_, daemon.actions_, random_};
         function(context);
         std::vector<Action> actions = std::move(daemon.actions_.list_);
         daemon.actions_.list_.clear();
@@ -118,7 +118,7 @@
     StoreResult apply(const Limits &limits, const StoreRequest &request)
     {
         const auto *cas = std::get_if<StoreCas>(&request.op_);
-        const Rows before = cas == nullptr ? Rows {} : rows(cas->key_);
+        const Rows before = cas == nullptr ? Rows{} : rows(cas->key_);
         StoreResult result = store_.answer(request, now_);
         if (cas != nullptr && result.status_ == StoreStatus::Ok) {
             for (const auto &[team, parts] : rows(cas->key_)) {
@@ -134,7 +134,7 @@
 
     void send(Daemon &daemon, const StoreRequest &request)
     {
-        const StoreResult failed {request.id_, request.part_, {}, StoreStatus::Unknown, {}, {}, {}};
+        const StoreResult failed{request.id_, request.part_, {}, StoreStatus::Unknown, {}, {}, {}};
         const auto answer = [this, &daemon](Duration wait, StoreResult result) {
             events_.emplace(now_ + wait, [this, &daemon, result = std::move(result)] {
                 call(daemon, [&](Context &context) { onLimitStoreResult(*daemon.state_, result, context); });
@@ -174,7 +174,7 @@
     {
         const Rows all = rows("allowance/" + std::to_string(allowanceKeyOf(team)));
         const auto row = all.find(team);
-        for (const auto &part : row == all.end() ? std::vector<AllowancePart> {} : row->second) {
+        for (const auto &part : row == all.end() ? std::vector<AllowancePart>{} : row->second) {
             if (part.group_ == group) {
                 return part.amount_;
             }
@@ -315,7 +315,7 @@
         fleet.setLimit(*fleet.daemons_[i], "school", limit);
         fleet.setLimit(*fleet.daemons_[i], "export", limit * 2);
         fleet.directory_.groups_.push_back(
-            {ShardId("g/hobart/rack-" + std::to_string(i)), Hobart, fleet.daemons_[i]->id_, Epoch {0}, true, {}});
+            {ShardId("g/hobart/rack-" + std::to_string(i)), Hobart, fleet.daemons_[i]->id_, Epoch{0}, true, {}});
     }
     for (std::size_t i = 0; i < daemons; ++i) {
         fleet.gain(ShardId("g/hobart/rack-" + std::to_string(i)), i);
@@ -325,7 +325,7 @@
 
 static void runSteps(Fleet &fleet, int steps)
 {
-    const std::array<TeamId, 2> teams {School, Export};
+    const std::array<TeamId, 2> teams{School, Export};
     for (int i = 0; i < steps; ++i) {
         fleet.step(teams);
     }
@@ -446,7 +446,7 @@
 {
     Fleet fleet = makeFleet(seed, 4, 12);
     fleet.skewed_ = seed % 2 == 0;
-    const std::array<TeamId, 2> teams {School, Export};
+    const std::array<TeamId, 2> teams{School, Export};
     for (int i = 0; i < commands; ++i) {
         const std::size_t daemon = fleet.random_() % 4;
         const ShardId group = rack(fleet.random_() % 4);
--- a/tests/member/cluster.cpp
+++ b/tests/member/cluster.cpp
@@ -11,9 +11,9 @@
 namespace mimosapier::test
 {
 
-static constexpr Milliseconds Step {20};
-static constexpr Milliseconds SilenceLimit {1500};
-static constexpr Milliseconds StaleLimit {6000}; // 5 s of section 6 and one heartbeat interval between regions
+static constexpr Milliseconds Step{20};
+static constexpr Milliseconds SilenceLimit{1500};
+static constexpr Milliseconds StaleLimit{6000}; // 5 s of section 6 and one heartbeat interval between regions
 
 std::string bundleText(int n)
 {
@@ -53,13 +53,13 @@
 
 void Cluster::withContext(TestDaemon &daemon, const std::function<void(Context &)> &call)
 {
-    Context context {now_,
-                     daemon.settings_.self_,
-                     daemon.settings_.region_,
-                     currentBundle(*daemon.config_),
-                     directory(*daemon.member_),
-                     daemon.actions_,
-                     daemon.random_};
+    Context context{now_,
+                    daemon.settings_.self_,
+                    daemon.settings_.region_,
+                    currentBundle(*daemon.config_),
+                    directory(*daemon.member_),
+                    daemon.actions_,
+                    daemon.random_};
     call(context);
     carryOut(daemon);
     checkDaemon(daemon);
@@ -364,7 +364,7 @@
             return;
         }
         deliver(*to, [this, to, sender, body] {
-            withContext(*to, [&](Context &context) { std::visit(Receive {*to, sender, context}, body); });
+            withContext(*to, [&](Context &context) { std::visit(Receive{*to, sender, context}, body); });
         });
     });
 }
@@ -496,7 +496,7 @@
 
 std::string Cluster::draft(TestDaemon &daemon, const std::string &text, const std::string &author)
 {
-    const CallId call {++lastCall_};
+    const CallId call{++lastCall_};
     withContext(daemon, [&](Context &context) { onDraft(*daemon.config_, call, {author, text}, context); });
     for (int i = 0; i < 750 && answer(daemon, call) == nullptr; ++i) {
         run(Step);
@@ -511,7 +511,7 @@
 
 CallId Cluster::sign(TestDaemon &daemon, const std::string &draft, BundleVersion base, const std::string &signer)
 {
-    const CallId call {++lastCall_};
+    const CallId call{++lastCall_};
     withContext(daemon, [&](Context &context) { onSign(*daemon.config_, call, {signer, draft, base}, context); });
     return call;
 }
@@ -525,7 +525,7 @@
         run(Step);
     }
     const CallerAnswer *done = answer(daemon, call);
-    return done == nullptr ? CallerAnswer {} : *done;
+    return done == nullptr ? CallerAnswer{} : *done;
 }
 
 const CallerAnswer *Cluster::answer(const TestDaemon &daemon, CallId call) const
--- a/tests/member/cluster.h
+++ b/tests/member/cluster.h
@@ -86,10 +86,10 @@
     std::function<bool(const DaemonId &from, const DaemonId &to, const Heartbeat &)> onBeat_;
     int lostPerMille_ = 0; // answers lost after the effect, or effects after the lost answer
     std::vector<std::string> violations_;
-    TimePoint now_ {std::chrono::seconds(1000)};
+    TimePoint now_{std::chrono::seconds(1000)};
     std::vector<std::unique_ptr<TestDaemon>> daemons_;
     std::map<std::uint64_t, TimePoint> headWritten_; // by version: when the store took it
-    Milliseconds staleFor_ {0}; // longest time for which a daemon still took a withdrawn key
+    Milliseconds staleFor_{0}; // longest time for which a daemon still took a withdrawn key
 
 private:
     void start(TestDaemon &daemon);
--- a/tests/member/test_heartbeat.cpp
+++ b/tests/member/test_heartbeat.cpp
@@ -127,7 +127,7 @@
     for (const auto &[shard, epoch] : cluster.at(0).held_) {
         GroupLoad load;
         load.group_ = shard;
-        load.epoch_ = Epoch {epoch.value_ - 1};
+        load.epoch_ = Epoch{epoch.value_ - 1};
         load.queued_ = 9;
         late.loads_.push_back(load);
     }
--- a/tests/net/socket_helper.h
+++ b/tests/net/socket_helper.h
@@ -58,7 +58,7 @@
 
     [[nodiscard]] std::uint16_t port() const
     {
-        sockaddr_in address {};
+        sockaddr_in address{};
         socklen_t length = sizeof address;
         ::getsockname(descriptor_, reinterpret_cast<sockaddr *>(&address), &length);
         return ntohs(address.sin_port);
@@ -74,7 +74,7 @@
     // What arrives within the time; empty after a close or when nothing arrives.
     [[nodiscard]] std::string receive(int timeoutMs) const
     {
-        pollfd wait {descriptor_, POLLIN, 0};
+        pollfd wait{descriptor_, POLLIN, 0};
         if (::poll(&wait, 1, timeoutMs) <= 0) {
             return {};
         }
@@ -87,7 +87,7 @@
     // True when the other side closes within the time.
     [[nodiscard]] bool closesWithin(int timeoutMs) const
     {
-        pollfd wait {descriptor_, POLLIN, 0};
+        pollfd wait{descriptor_, POLLIN, 0};
         while (::poll(&wait, 1, timeoutMs) > 0) {
             char bytes[4096];
             if (::recv(descriptor_, bytes, sizeof bytes, 0) <= 0) {
@@ -100,7 +100,7 @@
 private:
     static sockaddr_in loopback(std::uint16_t port)
     {
-        sockaddr_in address {};
+        sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_port = htons(port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
--- a/tests/net/test_frame.cpp
+++ b/tests/net/test_frame.cpp
@@ -62,7 +62,7 @@
         Hello received;
         return errorKind(decodeHello(std::string_view(encodeHello(sent)).substr(FrameHeaderBytes), received));
     };
-    const Hello good {PeerProtocolVersion, DaemonId("a#1"), RegionId("hobart"), 5};
+    const Hello good{PeerProtocolVersion, DaemonId("a#1"), RegionId("hobart"), 5};
     cr_assert(check(good) == ErrorKind::None);
     Hello other = good;
     other.version_ = PeerProtocolVersion + 1;
--- a/tests/net/test_transport.cpp
+++ b/tests/net/test_transport.cpp
@@ -16,8 +16,8 @@
 using namespace mimosapier;
 using mimosapier::testing::RawSocket;
 
-static constexpr Milliseconds Patience {3000}; // longer than any wait of a test that passes
-static constexpr Milliseconds Silence {400};
+static constexpr Milliseconds Patience{3000}; // longer than any wait of a test that passes
+static constexpr Milliseconds Silence{400};
 
 // A transport on its own thread that sends heartbeats to its peers and records its events.
 class Station
@@ -57,7 +57,7 @@
     }
     void sendAck(const std::string &to, std::uint64_t number, std::size_t padding = 0)
     {
-        const ConfigPush message {BundleVersion {number}, std::string(padding, 'x')};
+        const ConfigPush message{BundleVersion{number}, std::string(padding, 'x')};
         transport_.post([this, to, message] { transport_.send(DaemonId(to), message); });
     }
     // Waits until the recorded events satisfy the condition.
@@ -89,7 +89,7 @@
     int downs_ = 0;
     int beatsReceived_ = 0;
     std::vector<std::uint64_t> numbers_; // of messages received, in order
-    std::atomic<bool> beating_ {true};
+    std::atomic<bool> beating_{true};
     SystemClock clock_;
     std::string id_;
     PeerTransport transport_;
@@ -129,7 +129,7 @@
             if (beating_) {
                 const std::lock_guard lock(mutex_);
                 for (const PeerAddress &peer : peers_) {
-                    transport_.post([this, to = peer.daemon_] { transport_.send(to, Heartbeat {}); });
+                    transport_.post([this, to = peer.daemon_] { transport_.send(to, Heartbeat{}); });
                 }
             }
             std::this_thread::sleep_for(Milliseconds(50));
@@ -139,7 +139,7 @@
     std::mutex mutex_; // guards the records and peers_
     std::condition_variable changed_;
     std::vector<PeerAddress> peers_;
-    std::atomic<bool> stopping_ {false};
+    std::atomic<bool> stopping_{false};
     std::thread thread_;
     std::thread beats_;
 };
@@ -200,8 +200,8 @@
         thread_.join();
     }
     [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(listener_.port()); }
-    std::atomic<int> silenced_ {0}; // connections, counted from the oldest, that pass nothing on
-    std::atomic<int> cut_ {0}; // connections, counted from the oldest, that are closed
+    std::atomic<int> silenced_{0}; // connections, counted from the oldest, that pass nothing on
+    std::atomic<int> cut_{0}; // connections, counted from the oldest, that are closed
 
 private:
     struct Pair
@@ -230,7 +230,7 @@
         }
     }
     RawSocket listener_;
-    std::atomic<bool> stopping_ {false};
+    std::atomic<bool> stopping_{false};
     std::thread thread_;
 };
 
@@ -349,7 +349,7 @@
 // Guards against malformed input that stops the process or is taken as a message.
 Test(transport, malformedInputClosesTheConnection, .timeout = 30)
 {
-    const std::string offer = encodeMessage(TaskOffer {});
+    const std::string offer = encodeMessage(TaskOffer{});
     checkClosedAfter(helloOf("a#1", 1, PeerProtocolVersion + 1), CloseCause::UnsupportedVersion);
     checkClosedAfter(std::string("\x00\x00\x00\x02xy", 6), CloseCause::MalformedFrame);
     checkClosedAfter("\x7f\xff\xff\xff", CloseCause::OversizedFrame);
--- a/tests/replay/replay_calls.cpp
+++ b/tests/replay/replay_calls.cpp
@@ -7,12 +7,12 @@
 namespace mimosapier::test
 {
 
-static constexpr Milliseconds StoreLatency {2};
-static constexpr Milliseconds WorkerLatency {1};
-static constexpr Milliseconds CallTimeout {1000}; // of a call whose answer is lost
-static constexpr std::array<const char *, 8> StoreOps {"get",   "list",  "cas",    "delete",
-                                                       "grant", "renew", "revoke", "watch"};
-static constexpr std::array<const char *, 4> WorkerOps {"hold", "start", "poll", "stop"};
+static constexpr Milliseconds StoreLatency{2};
+static constexpr Milliseconds WorkerLatency{1};
+static constexpr Milliseconds CallTimeout{1000}; // of a call whose answer is lost
+static constexpr std::array<const char *, 8> StoreOps{"get",   "list",  "cas",    "delete",
+                                                      "grant", "renew", "revoke", "watch"};
+static constexpr std::array<const char *, 4> WorkerOps{"hold", "start", "poll", "stop"};
 
 static std::string keyOf(const StoreOp &op)
 {
@@ -100,7 +100,7 @@
             later(CallTimeout, [this, name = from.name_, request] {
                 deliver(
                     name,
-                    WorkerResult {request.id_, request.group_, request.worker_, WorkerStatus::Unknown, {}, false, {}});
+                    WorkerResult{request.id_, request.group_, request.worker_, WorkerStatus::Unknown, {}, false, {}});
             });
             return;
         }
@@ -115,7 +115,7 @@
                               Milliseconds late)
 {
     ReplayWorker &worker = workers_.at(request.worker_.value_);
-    const WorkerResult unknown {request.id_, request.group_, request.worker_, WorkerStatus::Unknown, {}, false, {}};
+    const WorkerResult unknown{request.id_, request.group_, request.worker_, WorkerStatus::Unknown, {}, false, {}};
     if (worker.silent_) {
         later(CallTimeout, [this, daemon, unknown] { deliver(daemon, unknown); });
         return;
@@ -144,13 +144,13 @@
             return ready;
         });
         for (const ReplayWorker::Poll &poll : due) {
-            WorkerResult result {poll.request_.id_,
-                                 poll.request_.group_,
-                                 poll.request_.worker_,
-                                 WorkerStatus::Ok,
-                                 worker.worker_.highest_,
-                                 worker.worker_.leaving_,
-                                 {}};
+            WorkerResult result{poll.request_.id_,
+                                poll.request_.group_,
+                                poll.request_.worker_,
+                                WorkerStatus::Ok,
+                                worker.worker_.highest_,
+                                worker.worker_.leaving_,
+                                {}};
             if (worker.silent_) {
                 result.status_ = WorkerStatus::Unknown;
             } else if (poll.request_.epoch_ < worker.worker_.highest_) {
--- a/tests/replay/replay_expect.cpp
+++ b/tests/replay/replay_expect.cpp
@@ -15,7 +15,7 @@
     if (answer == nullptr) {
         return {{"answered", "false"}};
     }
-    Facts facts {
+    Facts facts{
         {"answered", "true"},
         {"outcome", answer->outcome_ == Outcome::Pending ? "accepted" : std::string(outcomeName(answer->outcome_))},
         {"error", std::string(errorName(answer->error_))},
@@ -36,7 +36,7 @@
 static Facts taskFacts(Replay &replay, const std::string &label)
 {
     const std::size_t slash = label.rfind('/');
-    const TaskId id {JobId(label.substr(0, slash)), static_cast<std::uint32_t>(std::stoul(label.substr(slash + 1)))};
+    const TaskId id{JobId(label.substr(0, slash)), static_cast<std::uint32_t>(std::stoul(label.substr(slash + 1)))};
     const TaskTruth &truth = replay.world_.truth_[id];
     return {{"starts", std::to_string(truth.starts_)},
             {"running", std::to_string(truth.running_.size())},
@@ -71,7 +71,7 @@
 static Facts daemonFacts(Replay &replay, const std::string &label)
 {
     const ReplayDaemon &daemon = *replay.world_.daemons_.at(replay.daemon(label));
-    Facts facts {{"left", daemon.left_ ? "true" : "false"}, {"alive", daemon.node_ != nullptr ? "true" : "false"}};
+    Facts facts{{"left", daemon.left_ ? "true" : "false"}, {"alive", daemon.node_ != nullptr ? "true" : "false"}};
     facts["refused_starts"] = std::to_string(daemon.refusedStarts_);
     facts["starts_sent"] = std::to_string(daemon.startsSent_);
     if (daemon.node_ != nullptr) {
@@ -101,11 +101,11 @@
 
 void checkExpect(Replay &replay, const YAML::Node &expect, std::vector<std::string> &problems)
 {
-    static const std::map<std::string, Facts (*)(Replay &, const std::string &)> Subjects {{"call", callFacts},
-                                                                                           {"task", taskFacts},
-                                                                                           {"worker", workerFacts},
-                                                                                           {"team", teamFacts},
-                                                                                           {"daemon", daemonFacts}};
+    static const std::map<std::string, Facts (*)(Replay &, const std::string &)> Subjects{{"call", callFacts},
+                                                                                          {"task", taskFacts},
+                                                                                          {"worker", workerFacts},
+                                                                                          {"team", teamFacts},
+                                                                                          {"daemon", daemonFacts}};
     const auto subject = expect.begin()->first.as<std::string>();
     const auto name = expect.begin()->second.as<std::string>();
     if (!Subjects.contains(subject) || expect.size() < 2) {
--- a/tests/replay/replay_run.cpp
+++ b/tests/replay/replay_run.cpp
@@ -109,37 +109,37 @@
         return submitBody(e);
     }
     if (kind == "status") {
-        return StatusRequest {e["id"].as<std::string>(), team, key, ms(e, "wait_ms"), false};
+        return StatusRequest{e["id"].as<std::string>(), team, key, ms(e, "wait_ms"), false};
     }
     if (kind == "cancel") {
-        return CancelRequest {e["ids"].as<std::vector<std::string>>(), team, key};
+        return CancelRequest{e["ids"].as<std::vector<std::string>>(), team, key};
     }
     if (kind == "draft") {
-        return DraftRequest {get<std::string>(e, "author", "ann"), replay.bundles_.at(e["bundle"].as<std::string>())};
+        return DraftRequest{get<std::string>(e, "author", "ann"), replay.bundles_.at(e["bundle"].as<std::string>())};
     }
     const CallerAnswer *draft = replay.answer(e["draft"].as<std::string>());
     if (draft == nullptr) {
         throw std::runtime_error("the draft has no answer yet");
     }
     const YAML::Node detail = YAML::Load(draft->detail_);
-    return SignRequest {get<std::string>(e, "signer", "ben"), detail["draft"].as<std::string>(),
-                        BundleVersion {e["base"].as<std::uint64_t>()}};
+    return SignRequest{get<std::string>(e, "signer", "ben"), detail["draft"].as<std::string>(),
+                       BundleVersion{e["base"].as<std::uint64_t>()}};
 }
 
 static void addRule(Replay &replay, const std::string &kind, const YAML::Node &e)
 {
-    Rule rule {kind,
-               e["from"] ? replay.daemon(e["from"].as<std::string>()) : std::string(),
-               get<std::string>(e, "to", ""),
-               get<std::string>(e, "op", ""),
-               e["do"].as<std::string>(),
-               ms(e, "ms"),
-               get<int>(e, "times", 1)};
+    Rule rule{kind,
+              e["from"] ? replay.daemon(e["from"].as<std::string>()) : std::string(),
+              get<std::string>(e, "to", ""),
+              get<std::string>(e, "op", ""),
+              e["do"].as<std::string>(),
+              ms(e, "ms"),
+              get<int>(e, "times", 1)};
     if (kind == "peer" && !rule.to_.empty()) {
         rule.to_ = replay.daemon(rule.to_);
     }
-    static const std::set<std::string> Actions {"refuse",     "delay",        "delay-answer", "drop",
-                                                "apply-late", "lose-request", "lose-answer"};
+    static const std::set<std::string> Actions{"refuse",     "delay",        "delay-answer", "drop",
+                                               "apply-late", "lose-request", "lose-answer"};
     if (!Actions.contains(rule.action_)) {
         throw std::runtime_error("unknown action " + rule.action_);
     }
@@ -170,15 +170,15 @@
 static void applyEvent(Replay &replay, const std::string &kind, const YAML::Node &e)
 {
     ReplayWorld &world = replay.world_;
-    static const std::set<std::string> Calls {"submit", "status", "cancel", "draft", "sign"};
+    static const std::set<std::string> Calls{"submit", "status", "cancel", "draft", "sign"};
     const auto named = [&] { return replay.daemon(e.as<std::string>()); };
     if (Calls.contains(kind)) {
-        const CallId call {++world.lastCall_};
+        const CallId call{++world.lastCall_};
         const std::string label = e["as"] ? e["as"].as<std::string>() : e["id"].as<std::string>();
         if (!replay.calls_.emplace(label, call).second) {
             throw std::runtime_error("call " + label + " is named twice");
         }
-        world.deliver(replay.daemon(e["on"].as<std::string>()), CallerRequest {call, callBody(replay, kind, e)});
+        world.deliver(replay.daemon(e["on"].as<std::string>()), CallerRequest{call, callBody(replay, kind, e)});
     } else if (kind == "store" || kind == "worker" || kind == "peer") {
         addRule(replay, kind, e);
     } else if (kind == "alias") {
@@ -202,7 +202,7 @@
     } else if (kind == "kill") {
         world.kill(*world.daemons_.at(named()));
     } else if (kind == "leave") {
-        world.deliver(named(), LeaveRequested {});
+        world.deliver(named(), LeaveRequested{});
     } else if (kind == "start") {
         world.addDaemon(e["name"].as<std::string>(), e["region"].as<std::string>());
     } else if (kind == "set_worker") {
@@ -240,7 +240,7 @@
     for (const auto &item : trace["daemons"]) {
         head.voters_.push_back(DaemonId(item.first.as<std::string>() + "#1"));
     }
-    world.store_.apply(StoreCas {std::string(HeadKey), packToString(head), {}, {}}, world.now_);
+    world.store_.apply(StoreCas{std::string(HeadKey), packToString(head), {}, {}}, world.now_);
     for (const auto &item : trace["workers"]) {
         const YAML::Node &w = item.second;
         const auto name = item.first.as<std::string>();
--- a/tests/replay/replay_world.cpp
+++ b/tests/replay/replay_world.cpp
@@ -8,11 +8,11 @@
 namespace mimosapier::test
 {
 
-static constexpr Milliseconds PeerLatency {1};
-static constexpr Milliseconds SilenceLimit {1500}; // of a peer connection
+static constexpr Milliseconds PeerLatency{1};
+static constexpr Milliseconds SilenceLimit{1500}; // of a peer connection
 
-static constexpr std::array<const char *, 14> PeerKinds {
-    "heartbeat",  "offer",      "answer",   "ack",          "cancel",      "submit",  "query",
+static constexpr std::array<const char *, 14> PeerKinds{
+    "heartbeat",  "offer",      "answer",   "ack",          "cancel",      "submit",   "query",
     "job-cancel", "job-answer", "announce", "announce-ack", "config-push", "handover", "allowance-wanted"};
 
 const Rule *ReplayWorld::match(const std::string &kind, const std::string &from, const std::string &to,
@@ -173,7 +173,7 @@
         }
         delay += rule->time_;
     }
-    later(delay, [this, peer = to->name_, event = PeerReceived {from.settings_.member_.self_, message.message_}] {
+    later(delay, [this, peer = to->name_, event = PeerReceived{from.settings_.member_.self_, message.message_}] {
         deliver(peer, event);
     });
 }
@@ -183,8 +183,8 @@
     if (up_.erase(std::minmax(left, right)) == 0) {
         return;
     }
-    deliver(left, PeerDown {daemons_.at(right)->settings_.member_.self_});
-    deliver(right, PeerDown {daemons_.at(left)->settings_.member_.self_});
+    deliver(left, PeerDown{daemons_.at(right)->settings_.member_.self_});
+    deliver(right, PeerDown{daemons_.at(left)->settings_.member_.self_});
 }
 
 void ReplayWorld::connect()
@@ -201,8 +201,8 @@
             if (!alive) {
                 disconnect(left, right);
             } else if (wanted && up_.insert({left, right}).second) {
-                deliver(left, PeerUp {b->settings_.member_.self_});
-                deliver(right, PeerUp {a->settings_.member_.self_});
+                deliver(left, PeerUp{b->settings_.member_.self_});
+                deliver(right, PeerUp{a->settings_.member_.self_});
             }
         }
     }
@@ -252,7 +252,7 @@
         if (daemon->node_ == nullptr || daemon->paused_) {
             continue;
         }
-        deliver(name, Tick {});
+        deliver(name, Tick{});
         const BundleVersion version = currentBundle(*daemon->node_->config_).version_;
         if (version < daemon->highest_) {
             violations_.push_back(name + " went back to an older version");
--- a/tests/replay/replay_world.h
+++ b/tests/replay/replay_world.h
@@ -24,7 +24,7 @@
     std::string to_; // daemon, worker or prefix of a store key; empty: any
     std::string op_; // name of the operation or message; empty: any
     std::string action_; // see docs/PROOFS.md
-    Milliseconds time_ {0}; // of a delay
+    Milliseconds time_{0}; // of a delay
     int times_ = 1; // left; -1: no bound
     int used_ = 0;
 };
@@ -73,7 +73,7 @@
 
 struct ReplayWorld
 {
-    TimePoint start_ {std::chrono::seconds(1000)};
+    TimePoint start_{std::chrono::seconds(1000)};
     TimePoint now_ = start_;
     TimePoint nextTick_ = start_;
     std::multimap<TimePoint, std::function<void()>> queue_;
--- a/tests/standin/http_fixture.h
+++ b/tests/standin/http_fixture.h
@@ -15,7 +15,7 @@
 struct HttpFixture
 {
     boost::asio::io_context context_;
-    HttpClient client_ {context_, {}};
+    HttpClient client_{context_, {}};
 
     // Result of a POST, or of a GET when there is no body.
     HttpResult call(const std::string &address, const std::string &target, const std::string &body = "",
--- a/tests/standin/test_load.cpp
+++ b/tests/standin/test_load.cpp
@@ -52,13 +52,13 @@
             }
         };
     };
-    auto silent = std::make_unique<HttpServer>(context, HttpServerOptions {}, handler(false));
-    auto answering = std::make_unique<HttpServer>(context, HttpServerOptions {}, handler(true));
+    auto silent = std::make_unique<HttpServer>(context, HttpServerOptions{}, handler(false));
+    auto answering = std::make_unique<HttpServer>(context, HttpServerOptions{}, handler(true));
     cr_assert(!silent->listen("127.0.0.1:0") && !answering->listen("127.0.0.1:0"));
 
     const std::string journal = "test_load_journal.jsonl";
     {
-        const Json stream {{"class", "c"}, {"rate", 30}, {"timeout_ms", 100}};
+        const Json stream{{"class", "c"}, {"rate", 30}, {"timeout_ms", 100}};
         LoadService load(context,
                          {{"seconds", 0.5},
                           {"retry_ratio", 1.0},
--- a/tests/standin/test_worker.cpp
+++ b/tests/standin/test_worker.cpp
@@ -12,9 +12,9 @@
 struct Bench
 {
     std::vector<Json> journal_;
-    SimulatedWorker worker_ {{{"id", "w1"}, {"milli_cpus", 1000}, {"memory_mb", 1000}, {"slots", 2}},
-                             [this](const Json &line) { journal_.push_back(line); },
-                             1};
+    SimulatedWorker worker_{{{"id", "w1"}, {"milli_cpus", 1000}, {"memory_mb", 1000}, {"slots", 2}},
+                            [this](const Json &line) { journal_.push_back(line); },
+                            1};
     TimePoint now_ = SystemClock().now();
 
     WorkerAnswer start(const std::string &job, const std::string &payload, int milliCpus = 100)
@@ -86,7 +86,7 @@
     bench.start("a:1", "run_ms=100");
     bench.start("a:2", "run_ms=300");
     bench.now_ += Milliseconds(150);
-    const Json request {{"known", {{{"job", "a:1"}, {"index", 0}}}}};
+    const Json request{{"known", {{{"job", "a:1"}, {"index", 0}}}}};
     const auto known = SimulatedWorker::knownTasks(request);
     cr_assert_eq(bench.poll().size(), 1U);
     cr_assert(bench.worker_.hasNews() && !bench.worker_.hasNews(known));
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -44,7 +44,7 @@
     {
         std::vector<StoreEntry> entries;
         for (auto it = keys_.lower_bound(prefix); it != keys_.end() && it->first.starts_with(prefix); ++it) {
-            entries.push_back({it->first, it->second.value_, Revision {it->second.revision_}});
+            entries.push_back({it->first, it->second.value_, Revision{it->second.revision_}});
         }
         return entries;
     }
@@ -58,7 +58,7 @@
         result.status_ = StoreStatus::Ok;
         std::visit([&](const auto &body) { run(body, now, result); }, op);
         if (result.revision_.value_ == 0) {
-            result.revision_ = Revision {revision_};
+            result.revision_ = Revision{revision_};
         }
         return result;
     }
@@ -101,7 +101,7 @@
             if (waiting.changed_) {
                 result.entries_ = list(waiting.watch_.prefix_);
             }
-            result.revision_ = Revision {revision_};
+            result.revision_ = Revision{revision_};
             waiting.answer_(std::move(result));
         }
     }
@@ -143,7 +143,7 @@
             result.status_ = StoreStatus::NotFound;
             return;
         }
-        result.entries_.push_back({op.key_, found->second.value_, Revision {found->second.revision_}});
+        result.entries_.push_back({op.key_, found->second.value_, Revision{found->second.revision_}});
     }
 
     void run(const StoreList &op, TimePoint /*now*/, StoreResult &result) { result.entries_ = list(op.prefix_); }
@@ -160,7 +160,7 @@
         if (current != op.expected_.value_) {
             result.status_ = StoreStatus::Conflict;
             if (found != keys_.end()) {
-                result.entries_.push_back({op.key_, found->second.value_, Revision {current}});
+                result.entries_.push_back({op.key_, found->second.value_, Revision{current}});
             }
             return;
         }
@@ -168,7 +168,7 @@
         changed(op.key_);
         largestValue_ = std::max(largestValue_, op.value_.size());
         keys_[op.key_] = {op.value_, revision_, op.lease_.value_};
-        result.revision_ = Revision {revision_};
+        result.revision_ = Revision{revision_};
         if (onWrite_) {
             onWrite_(op.key_, op.value_);
         }
@@ -180,7 +180,7 @@
         if (found == keys_.end() || found->second.revision_ != op.expected_.value_) {
             result.status_ = found == keys_.end() ? StoreStatus::NotFound : StoreStatus::Conflict;
             if (found != keys_.end()) {
-                result.entries_.push_back({op.key_, found->second.value_, Revision {found->second.revision_}});
+                result.entries_.push_back({op.key_, found->second.value_, Revision{found->second.revision_}});
             }
             return;
         }
@@ -194,7 +194,7 @@
         const std::uint64_t lease = ++lastLease_;
         leases_[lease] = now + op.ttl_;
         ttls_[lease] = op.ttl_;
-        result.lease_ = StoreLeaseId {lease};
+        result.lease_ = StoreLeaseId{lease};
     }
 
     void run(const StoreLeaseRenew &op, TimePoint now, StoreResult &result)
--- a/tests/support/fake_worker.h
+++ b/tests/support/fake_worker.h
@@ -74,8 +74,8 @@
     WorkerTaskReport report(const Run &run) const
     {
         const WorkerTask &task = run.task_;
-        WorkerTaskReport report {task.task_,   task.team_, task.class_,      task.size_, task.size_,
-                                 run.outcome_, run.error_, task.idempotent_, {}};
+        WorkerTaskReport report{task.task_,   task.team_, task.class_,      task.size_, task.size_,
+                                run.outcome_, run.error_, task.idempotent_, {}};
         if (run.outcome_ == Outcome::Done) {
             report.result_ = task.requestId_ + "/" + std::to_string(task.task_.index_) + " on " + name_;
         }
@@ -135,7 +135,7 @@
     WorkerResult handle(const WorkerRequest &request, TimePoint now)
     {
         advance(now);
-        WorkerResult result {request.id_, request.group_, request.worker_, WorkerStatus::Ok, highest_, leaving_, {}};
+        WorkerResult result{request.id_, request.group_, request.worker_, WorkerStatus::Ok, highest_, leaving_, {}};
         if (request.epoch_ < highest_) {
             result.status_ = WorkerStatus::StaleEpoch;
             return result;
