Fix: [member] Shards that were handed over are claimed while the store fails now and then

The status of the daemons showed g/ben-lomond/rack-1 released by d1 for the balance and claimed by nobody: a daemon claims nothing for 3 s after each failed call of the store, and calls failed every second or two.

Ruled out: the heartbeats that carry only changes (all daemons agreed on the holder), and silent peer connections (new ones stood within 0.1 s).

Change: what was handed over is claimed also then; its holder has stopped work on it, and the compare-and-swap decides. Vacant shards still wait, because absence counts only while the store is followed.

Test: handedOverShardsAreClaimedWhileTheStoreFlaps; on the code before it fails with 'g/r1/rack-0 has 0 holders'.

--- a/src/core/member/claim_cmd.cpp
+++ b/src/core/member/claim_cmd.cpp
@@ -121,6 +121,7 @@
         row = {shard, m.settings_.self_, Epoch{row.epoch_.value_ + 1}};
     }
     std::vector<OwnerRow> list;
+    list.reserve(rows.size());
     for (auto &[shard, row] : rows) {
         list.push_back(std::move(row));
     }
@@ -198,8 +199,14 @@
     }
     m.nextClaims_ = context.now_ + ClaimInterval;
     const bool known = m.memberWatch_.known_ && m.ownerWatch_.known_ && isMember(m, m.settings_.self_);
-    if (!known || m.suspect_ || m.outage_ || m.leaving_ || context.now_ < m.noClaimsBefore_) {
+    const bool follows = known && !m.suspect_ && !m.outage_ && context.now_ >= m.noClaimsBefore_;
+    if (!follows) {
         m.vacantSince_.clear(); // absence counts only while this daemon follows the store
+    }
+    // What was handed over is claimed also while the store answers now and then: its holder has stopped work on it, and
+    // the compare-and-swap decides.
+    const bool handedOver = known && !m.suspect_ && !m.handovers_.empty();
+    if (m.leaving_ || (!follows && !handedOver)) {
         return;
     }
     const std::set<RegionId> all = regions(m, context.bundle_);
--- a/tests/member/test_member.cpp
+++ b/tests/member/test_member.cpp
@@ -153,6 +153,31 @@
     cr_expect(hasLeft(*leaving.member_));
 }
 
+// Guards against shards that were handed over and stay without a holder while the store fails now and then.
+Test(member, handedOverShardsAreClaimedWhileTheStoreFlaps)
+{
+    constexpr Milliseconds Down{200};
+    constexpr Milliseconds Up{1800}; // less than the time without claims after an outage
+    Cluster cluster(9);
+    addRegions(cluster, 3);
+    cluster.run(Milliseconds(10'000));
+    const auto flap = [&] {
+        cluster.storeDown_ = true;
+        cluster.run(Down);
+        cluster.storeDown_ = false;
+        cluster.run(Up);
+    };
+    flap();
+    TestDaemon &leaving = cluster.at(0);
+    cr_assert(!leaving.held_.empty());
+    cluster.withContext(leaving, [&](Context &context) { beginLeave(*leaving.member_, context); });
+    for (int i = 0; i < 3; ++i) {
+        flap();
+    }
+    cr_expect(leaving.held_.empty());
+    expectSettled(cluster);
+}
+
 // Guards against a leave that hangs while the store is down.
 Test(member, plannedLeaveEndsInAnOutage)
 {
