Fix: [entry] Receivers refuse late work before the entry's deadline

Cause: group and entry had the same deadline, counted from later at the group, so work that waited in a group until then was always answered as unknown by the entry, although it certainly had not run.

Change: offers and submits carry up to 100 ms less than what is left.

Also: mayOffer() replaces hasTenure() in the home; it says what the check is for.

--- a/src/core/entry/routing.cpp
+++ b/src/core/entry/routing.cpp
@@ -11,6 +11,7 @@
 constexpr Milliseconds CheckInterval{100}; // of messages under way and of vacant shards
 constexpr Milliseconds FirstDelay{20};
 constexpr Milliseconds MaxDelay{500};
+constexpr Milliseconds AnswerMargin{100}; // for a tick of the receiver and the way back, also from another region
 constexpr Milliseconds FollowMargin{20}; // a wait at the home ends this long before the deadline
 constexpr double RetryPart = 0.1; // of a request, added to the budget by each
 constexpr double MaxRetries = 100.0; // that may be saved up
@@ -95,6 +96,14 @@
     return std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(time - context.now_));
 }
 
+// Time that the receiver gets. It ends before the deadline of the request, so that a refusal for lateness arrives
+// before the entry has to answer that the outcome is unknown.
+static Milliseconds remainingOf(const OpenRequest &request, const Context &context)
+{
+    const Milliseconds left = until(request.deadline_, context);
+    return std::max(Milliseconds(1), left - std::min(AnswerMargin, left / 4));
+}
+
 static PeerMessage makeOffer(const OpenRequest &request, const ReplyTo &replyTo, const Context &context)
 {
     TaskOffer offer;
@@ -103,7 +112,7 @@
     offer.job_ = request.spec_;
     offer.count_ = request.spec_.tasks_;
     offer.attempt_ = request.attempt_;
-    offer.remaining_ = until(request.deadline_, context);
+    offer.remaining_ = remainingOf(request, context);
     offer.mayHaveRun_ = request.uncertain_ || request.attempt_ > 1;
     offer.lookupOnly_ = request.lookup_;
     return offer;
@@ -122,7 +131,7 @@
         const Milliseconds wait = std::max(Milliseconds(0), until(request.deadline_, context) - FollowMargin);
         return JobQuery{replyTo, request.target_, request.spec_.id_, wait, false};
     }
-    return JobSubmit{replyTo, request.target_, request.spec_, request.attempt_, until(request.deadline_, context)};
+    return JobSubmit{replyTo, request.target_, request.spec_, request.attempt_, remainingOf(request, context)};
 }
 
 // Takes a retry from the budget; false when it is used up.
--- a/src/core/home/dispatch.cpp
+++ b/src/core/home/dispatch.cpp
@@ -10,7 +10,7 @@
 constexpr Milliseconds FirstRepeat{30'000}; // of an offer without an end
 constexpr Milliseconds MaxRepeat{10 * 60'000};
 constexpr Milliseconds AssignRetry{200}; // when no group can be asked
-constexpr Milliseconds TenureRetry{100}; // while the proof that this is the newest holder is awaited
+constexpr Milliseconds ProofRetry{100}; // while the proof that this is the newest holder is awaited
 constexpr Milliseconds StartWindow{24 * 60 * 60'000}; // for accepted work that no caller waits for
 
 Milliseconds startWindow(const JobSpec &spec)
@@ -78,9 +78,9 @@
 
 static void sendOffers(Home &home, HomeJob &job, Context &context)
 {
-    const bool tenure = hasTenure(home, context.now_);
+    const bool proven = mayOffer(home, context.now_);
     const bool stopping = job.cancelRecorded_ || job.gangRestart_;
-    bool waitsForTenure = false;
+    bool waitsForProof = false;
     for (std::uint32_t index = 0; index < job.tasks_.size();) {
         const HomeTask &task = job.tasks_[index];
         if (!isDue(task)) {
@@ -100,15 +100,15 @@
             home.groups_[task.group_] = reachable ? GroupSeen{entry->holder_, entry->epoch_, true} : GroupSeen{};
         }
         // Without proof of being the newest holder nothing may be started; work that is being stopped is looked up.
-        if (reachable && (stopping ? task.mayHaveRun_ : tenure)) {
+        if (reachable && (stopping ? task.mayHaveRun_ : proven)) {
             sendOffer(home, job, index, count, stopping, context);
         }
-        waitsForTenure = waitsForTenure || (!tenure && !stopping);
+        waitsForProof = waitsForProof || (!proven && !stopping);
         index += count;
     }
-    if (waitsForTenure) {
+    if (waitsForProof) {
         requestProbe(home, context);
-        setTimer(home, job, context.now_ + TenureRetry);
+        setTimer(home, job, context.now_ + ProofRetry);
     }
 }
 
--- a/src/core/home/home_internal.h
+++ b/src/core/home/home_internal.h
@@ -22,7 +22,7 @@
 // Raises a back-off delay and returns it with jitter.
 Milliseconds nextBackoff(Milliseconds &delay, Milliseconds first, Milliseconds most, Context &context);
 // True when no later holder can have ended an assignment long enough ago for groups to have forgotten it.
-bool hasTenure(const Home &home, TimePoint now);
+bool mayOffer(const Home &home, TimePoint now);
 // True when no later holder can have ended a task yet.
 bool hasFreshProof(const Home &home, TimePoint now);
 void requestProbe(Home &home, Context &context);
--- a/src/core/home/journal.cpp
+++ b/src/core/home/journal.cpp
@@ -20,7 +20,7 @@
 constexpr Milliseconds ProofAge{9 * 60'000};
 // Groups remember refused ids for RefusalMemory, so that offers sent within this time of a proof cannot start again
 // what a later holder has moved to another group.
-constexpr Milliseconds TenureAge{10'000};
+constexpr Milliseconds OfferProofAge{10'000};
 
 std::string headKey(const Home &home)
 {
@@ -298,9 +298,9 @@
     }
 }
 
-bool hasTenure(const Home &home, TimePoint now)
+bool mayOffer(const Home &home, TimePoint now)
 {
-    return home.phase_ == HomePhase::Active && now - home.journal_.provenAt_ < TenureAge;
+    return home.phase_ == HomePhase::Active && now - home.journal_.provenAt_ < OfferProofAge;
 }
 
 bool hasFreshProof(const Home &home, TimePoint now)
