Codechange: [group] Drop parameters that nothing reads; one text of violations for two tests

Found by reading the whole change: enqueue(), settleFirst() and makeGang() took a context only to silence the warning that it was unused, and the tests of members and of the configuration each had the same function that joins the violations of a Cluster, which is Cluster::violationText() now.

Behaviour and assertions are unchanged.

--- a/src/core/group/gang.cpp
+++ b/src/core/group/gang.cpp
@@ -6,7 +6,7 @@
 namespace mimosapier
 {
 
-void makeGang(Group &group, std::vector<GroupTask *> tasks, Context &context)
+void makeGang(Group &group, std::vector<GroupTask *> tasks)
 {
     const std::uint64_t sequence = ++group.lastSequence_;
     auto &gang = group.gangs_[sequence];
@@ -18,7 +18,7 @@
         task->gang_ = gang.get();
         setStage(group, *task, TaskStage::Queued);
     }
-    enqueue(group, *gang->tasks_.front(), context);
+    enqueue(group, *gang->tasks_.front());
 }
 
 static void stopWaiting(Group &group, GroupGang &gang)
@@ -199,7 +199,7 @@
     if (task.worker_ == NoWorker) {
         onGangMemberAtRest(group, task, context);
     } else {
-        settleFirst(group, task, context);
+        settleFirst(group, task);
     }
     return true;
 }
@@ -223,7 +223,7 @@
         setStage(group, *member, TaskStage::Queued);
     }
     if (!cancelled && !group.stopping_ && !group.fenced_) {
-        enqueue(group, *members.front(), context);
+        enqueue(group, *members.front());
         return;
     }
     for (GroupTask *member : members) {
--- a/src/core/group/group_internal.h
+++ b/src/core/group/group_internal.h
@@ -43,7 +43,7 @@
 bool needsJournal(const GroupTask &task);
 
 // queue.cpp
-void enqueue(Group &group, GroupTask &task, Context &context);
+void enqueue(Group &group, GroupTask &task);
 void dequeue(Group &group, GroupTask &task);
 void listDeadline(Group &group, GroupTask &task);
 void unlistDeadline(Group &group, GroupTask &task);
@@ -76,7 +76,7 @@
 void setStage(Group &group, GroupTask &task, TaskStage stage);
 
 // gang.cpp
-void makeGang(Group &group, std::vector<GroupTask *> tasks, Context &context);
+void makeGang(Group &group, std::vector<GroupTask *> tasks);
 
 enum class PlaceResult : std::uint8_t { Placed, NoRoom, NoAllowance };
 
@@ -109,7 +109,7 @@
 void flushWorkers(Group &group, Context &context);
 void contactWorker(Group &group, GroupWorker &worker, Context &context);
 void setDue(Group &group, GroupWorker &worker, TimePoint due);
-void settleFirst(Group &group, GroupTask &task, Context &context);
+void settleFirst(Group &group, GroupTask &task);
 void fence(Group &group, Context &context);
 void runTimers(Group &group, Context &context);
 void acknowledge(Group &group, WorkerIndex worker, const TaskId &task);
--- a/src/core/group/offer_cmd.cpp
+++ b/src/core/group/offer_cmd.cpp
@@ -220,7 +220,7 @@
         return;
     }
     if (!forwardIfBetter(group, task, context)) {
-        enqueue(group, task, context);
+        enqueue(group, task);
     }
 }
 
@@ -276,7 +276,7 @@
         offerTask(group, state, message.firstIndex_ + i, context);
     }
     if (!state.gang_.empty()) {
-        makeGang(group, std::move(state.gang_), context);
+        makeGang(group, std::move(state.gang_));
     }
     finishStep(group, context);
 }
--- a/src/core/group/queue.cpp
+++ b/src/core/group/queue.cpp
@@ -11,7 +11,7 @@
     return task.gang_ == nullptr ? 1 : static_cast<std::uint32_t>(task.gang_->tasks_.size());
 }
 
-void enqueue(Group &group, GroupTask &task, Context &context)
+void enqueue(Group &group, GroupTask &task)
 {
     setStage(group, task, TaskStage::Queued);
     listDeadline(group, task);
@@ -27,7 +27,6 @@
     noteDemand(group, *task.team_);
     // A team that waits for room gets its new task tried as well, because it may be smaller.
     setReady(group, *task.team_, priority);
-    (void)context;
 }
 
 void dequeue(Group &group, GroupTask &task)
--- a/src/core/group/report.cpp
+++ b/src/core/group/report.cpp
@@ -77,7 +77,7 @@
         task->mayHaveRun_ = true;
         refuseTask(group, *task, ErrorKind::NotHolder, context);
     } else {
-        enqueue(group, *task, context);
+        enqueue(group, *task);
     }
 }
 
@@ -90,7 +90,7 @@
         task.deadline_ = TimePoint::max();
     }
     if (workerKnowsIt) {
-        settleFirst(group, task, context);
+        settleFirst(group, task);
     } else {
         setStage(group, task, TaskStage::Settling);
         requeueSettled(group, task.id_, context);
@@ -139,7 +139,7 @@
     } else if (task.gang_ != nullptr || task.startTries_ >= detail::StartTriesMax) {
         refuseTask(group, task, error, context);
     } else {
-        enqueue(group, task, context);
+        enqueue(group, task);
     }
 }
 
@@ -190,7 +190,7 @@
         noteOutcome(group, worker, *task.team_, report.outcome_ == Outcome::Done, context);
     }
     if (task.gang_ != nullptr && task.gang_->failed_ && task.gang_->restart_) {
-        settleFirst(group, task, context);
+        settleFirst(group, task);
     } else if (lapsed) {
         onTaskLost(group, task, ErrorKind::TaskLeaseLapsed, true, context);
     } else if (report.outcome_ == Outcome::Cancelled && preempted && !task.cancelled_ && task.idempotent_
--- a/src/core/group/takeover.cpp
+++ b/src/core/group/takeover.cpp
@@ -158,7 +158,7 @@
         }
     }
     for (auto &[job, tasks] : gangs) {
-        makeGang(group, std::move(tasks), context);
+        makeGang(group, std::move(tasks));
     }
 }
 
--- a/src/core/group/worker_cmd.cpp
+++ b/src/core/group/worker_cmd.cpp
@@ -146,14 +146,13 @@
     group.workers_[index]->acks_.push_back(task);
 }
 
-void settleFirst(Group &group, GroupTask &task, Context &context)
+void settleFirst(Group &group, GroupTask &task)
 {
     GroupWorker &worker = *group.workers_[task.worker_];
     setStage(group, task, TaskStage::Settling);
     worker.acks_.push_back(task.id_);
     worker.urgentAcks_ = true;
     touchWorker(group, worker);
-    (void)context;
 }
 
 void requestStop(Group &group, GroupTask &task, StopMode mode, Context &context)
--- a/tests/config/test_config.cpp
+++ b/tests/config/test_config.cpp
@@ -11,18 +11,9 @@
 using namespace mimosapier;
 using namespace mimosapier::test;
 
-static std::string joined(const Cluster &cluster)
-{
-    std::string text;
-    for (const std::string &violation : cluster.violations_) {
-        text += violation + "; ";
-    }
-    return text;
-}
-
 static void expectNoViolations(const Cluster &cluster)
 {
-    cr_assert(cluster.violations_.empty(), "%s", joined(cluster).c_str());
+    cr_assert(cluster.violations_.empty(), "%s", cluster.violationText().c_str());
 }
 
 static std::uint64_t version(const TestDaemon &daemon)
@@ -341,7 +332,7 @@
         cluster.run(Milliseconds(10'000));
         longest = std::max(longest, cluster.staleFor_);
         accepted += static_cast<int>(cluster.headWritten_.size());
-        RC_LOG(joined(cluster));
+        RC_LOG(cluster.violationText());
         RC_ASSERT(cluster.violations_.empty());
         for (const auto &daemon : cluster.daemons_) {
             RC_ASSERT(!daemon->alive_ || version(*daemon) == cluster.headWritten_.rbegin()->first);
--- a/tests/member/cluster.cpp
+++ b/tests/member/cluster.cpp
@@ -464,6 +464,15 @@
     }
 }
 
+std::string Cluster::violationText() const
+{
+    std::string text;
+    for (const std::string &violation : violations_) {
+        text += violation + "; ";
+    }
+    return text;
+}
+
 std::string Cluster::unsettled() const
 {
     std::set<ShardId> shards;
--- a/tests/member/cluster.h
+++ b/tests/member/cluster.h
@@ -80,6 +80,9 @@
     // Empty when each shard has exactly one living holder that the table names; otherwise what is wrong.
     std::string unsettled() const;
 
+    // All violations so far in one line; empty when there are none.
+    std::string violationText() const;
+
     FakeStore store_;
     bool storeDown_ = false;
     // Sees each heartbeat between connected daemons; false loses it. May be empty.
--- a/tests/member/test_member.cpp
+++ b/tests/member/test_member.cpp
@@ -9,18 +9,9 @@
 using namespace mimosapier;
 using namespace mimosapier::test;
 
-static std::string joined(const Cluster &cluster)
-{
-    std::string text;
-    for (const std::string &violation : cluster.violations_) {
-        text += violation + "; ";
-    }
-    return text;
-}
-
 static void expectSettled(const Cluster &cluster)
 {
-    cr_assert(cluster.violations_.empty(), "%s", joined(cluster).c_str());
+    cr_assert(cluster.violations_.empty(), "%s", cluster.violationText().c_str());
     const std::string problem = cluster.unsettled();
     cr_assert(problem.empty(), "%s", problem.c_str());
 }
@@ -253,7 +244,7 @@
         cluster.run(Milliseconds(9000)); // all faults have ended
         cluster.heal();
         cluster.run(Milliseconds(25'000));
-        RC_LOG(joined(cluster));
+        RC_LOG(cluster.violationText());
         RC_ASSERT(cluster.violations_.empty());
         const std::string problem = cluster.unsettled();
         RC_LOG(problem);
