--- a/src/core/message/fields.h
+++ b/src/core/message/fields.h
@@ -43,5 +43,19 @@
 MIMOSAPIER_FIELDS(ConfigPush, s.version_, s.record_)
 MIMOSAPIER_FIELDS(Handover, s.shard_, s.epoch_)
 MIMOSAPIER_FIELDS(AllowanceWanted, s.team_)
+MIMOSAPIER_FIELDS(StepSpec, s.count_, s.size_, s.estimate_, s.after_, s.checkpointing_, s.gang_, s.sameRack_,
+                  s.speculative_, s.longRunning_, s.fill_, s.requiredLabel_, s.affinityRack_, s.antiAffinity_, s.image_,
+                  s.target_, s.missAllowed_)
+MIMOSAPIER_FIELDS(SubmittedJob, s.spec_, s.steps_, s.repeatCount_, s.firstRunUnixMs_, s.intervalMs_)
+MIMOSAPIER_FIELDS(QueuePolicy, s.queue_, s.service_, s.priority_, s.maxAttempts_, s.slackFactor_, s.targetCompletion_,
+                  s.policyQueries_, s.decideMs_, s.perRunnerMs_, s.ticketValid_)
+MIMOSAPIER_FIELDS(CellBeacon, s.epoch_, s.leader_, s.configVersion_, s.configProofAgeMs_, s.storeReached_)
+MIMOSAPIER_FIELDS(CellRequest, s.call_, s.verb_, s.job_, s.account_, s.policy_, s.submitted_, s.remaining_)
+MIMOSAPIER_FIELDS(CellReply, s.call_, s.outcome_, s.state_, s.pending_, s.retryAfter_)
+MIMOSAPIER_FIELDS(PolicyTicket, s.runner_, s.ticket_)
+MIMOSAPIER_FIELDS(PolicyQuery, s.call_, s.job_, s.occurrence_, s.step_, s.runners_, s.timeout_)
+MIMOSAPIER_FIELDS(PolicyAnswer, s.call_, s.answered_, s.allowed_)
+MIMOSAPIER_FIELDS(CellConfigWanted, s.version_)
+MIMOSAPIER_FIELDS(CellConfigText, s.version_, s.text_)
 
 } // namespace mimosapier
--- a/src/core/message/pack_func.h
+++ b/src/core/message/pack_func.h
@@ -154,6 +154,12 @@
         const bool valid = detail::unpackInteger(object, count);
         value = Milliseconds(count);
         return valid;
+    } else if constexpr (std::is_same_v<T, double>) {
+        if (object.type != msgpack::type::FLOAT64 && object.type != msgpack::type::FLOAT32) {
+            return false;
+        }
+        value = object.via.f64;
+        return true;
     } else if constexpr (std::is_same_v<T, bool>) {
         value = object.type == msgpack::type::BOOLEAN && object.via.boolean;
         return object.type == msgpack::type::BOOLEAN;
--- a/src/core/message/peer_type.h
+++ b/src/core/message/peer_type.h
@@ -4,6 +4,7 @@
 
 #include "core/common/id_type.h"
 #include "core/common/work_type.h"
+#include "core/message/cell_type.h"
 
 #include <cstdint>
 #include <string>
@@ -199,6 +200,8 @@
 };
 
 using PeerMessage = std::variant<Heartbeat, TaskOffer, TaskAnswer, TaskAck, TaskCancel, JobSubmit, JobQuery, JobCancel,
-                                 JobAnswer, ConfigAnnounce, ConfigAnnounceAck, ConfigPush, Handover, AllowanceWanted>;
+                                 JobAnswer, ConfigAnnounce, ConfigAnnounceAck, ConfigPush, Handover, AllowanceWanted,
+                                 CellBeacon, CellRequest, CellReply, PolicyQuery, PolicyAnswer, CellConfigWanted,
+                                 CellConfigText>;
 
 } // namespace mimosapier
--- a/src/net/transport.cpp
+++ b/src/net/transport.cpp
@@ -235,7 +235,7 @@
     }
     state.board_.update([](TransportCounters &counters) { ++counters.messagesSent_; });
     Peer &peer = found->second;
-    if (!std::holds_alternative<Heartbeat>(message)) {
+    if (!std::holds_alternative<Heartbeat>(message) && !std::holds_alternative<CellBeacon>(message)) {
         state.sendNumbered(to, peer, bytes);
         return;
     }
