--- /dev/null
+++ b/src/core/cell/cell.cpp
@@ -0,0 +1,170 @@
+// Start of a leadership, recovery, configuration, and the step that follows each batch of events.
+#include "core/cell/cell_internal.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+using namespace detail;
+
+static constexpr Milliseconds SlowTick{500}; // occurrences, ended jobs
+static constexpr Milliseconds TimerInterval{10}; // one pass over all runners; shorter than a way between zones
+static constexpr Milliseconds PlacementInterval{4}; // one pass over the queue
+
+// Ids of calls contain the epoch, so that replies to calls of an earlier leadership are told apart.
+static constexpr unsigned EpochShift = 32;
+
+static std::uint64_t firstCallId(CellEpoch epoch)
+{
+    return (epoch.value_ << EpochShift) + 1;
+}
+
+bool detail::isCallOf(const Cell &cell, std::uint64_t id)
+{
+    return id >> EpochShift == cell.epoch_.value_;
+}
+
+std::unique_ptr<Cell> makeCell(const CellSettings &settings, const DaemonId &self, CellEpoch epoch,
+                               std::uint64_t leaderRevision, std::span<const std::uint64_t> laneRevisions,
+                               TimePoint now)
+{
+    auto cell = std::make_unique<Cell>();
+    cell->settings_ = settings;
+    cell->self_ = self;
+    cell->epoch_ = epoch;
+    cell->leaderRevision_ = leaderRevision;
+    cell->acquiredAt_ = now;
+    cell->nextId_ = firstCallId(epoch);
+    for (std::size_t i = 0; i < cell->lanes_.size() && i < laneRevisions.size(); ++i) {
+        cell->lanes_[i].keyRevision_ = laneRevisions[i];
+    }
+    return cell;
+}
+
+void recoverJob(Cell &cell, const KvItem &item, CellTime now, CellActions &actions)
+{
+    auto job = std::make_unique<Job>();
+    if (!decodeJob(item.value_, *job)) {
+        JsonObject line = logEvent("bad-record");
+        line.text("key", item.key_);
+        logTo(actions, line, LogLevel::Error);
+        return;
+    }
+    job->stored_ = true;
+    job->recovered_ = true;
+    job->runFloor_ = cell.epoch_.value_ * RunsPerEpoch;
+    const auto age = Milliseconds(std::max<std::int64_t>(0, now.unixMs_ - job->acceptedUnixMs_));
+    job->submittedAt_ = now.steady_ - age;
+    job->objectiveAt_ = job->submittedAt_ + objectiveOf(*job);
+    const StagedJobId id = job->id_;
+    cell.jobs_.insert_or_assign(id, std::move(job));
+}
+
+// The job's id from the key "progress/<16 hex digits>".
+static std::optional<StagedJobId> idOfKey(std::string_view key)
+{
+    const std::size_t slash = key.rfind('/');
+    StagedJobId id;
+    const std::string digits(key.substr(slash == std::string_view::npos ? 0 : slash + 1));
+    char *end = nullptr;
+    constexpr int Hexadecimal = 16;
+    id.value_ = std::strtoull(digits.c_str(), &end, Hexadecimal);
+    if (digits.empty() || *end != '\0') {
+        return std::nullopt;
+    }
+    return id;
+}
+
+void recoverProgress(Cell &cell, const KvItem &item, CellTime now, CellActions &actions)
+{
+    const auto id = idOfKey(item.key_);
+    Job blank;
+    Job *job = id ? findJob(cell, *id) : nullptr;
+    if (!id || !decodeProgress(item.value_, job != nullptr ? *job : blank)) {
+        JsonObject line = logEvent("bad-record");
+        line.text("key", item.key_);
+        logTo(actions, line, LogLevel::Error);
+        return;
+    }
+    if (job == nullptr) {
+        if (!isFinal(blank)) {
+            return; // the job was removed with its final state, which a later write has replaced
+        }
+        auto ended = std::make_unique<Job>(std::move(blank));
+        ended->id_ = *id;
+        job = cell.jobs_.insert_or_assign(*id, std::move(ended)).first->second.get();
+        job->stored_ = true;
+        job->recovered_ = true;
+    }
+    if (isFinal(*job)) {
+        job->endedAt_ = now.steady_;
+        cell.ended_.push_back(*id);
+    }
+}
+
+void recoverRunners(Cell &cell, std::string_view stored)
+{
+    std::vector<RunnerRecord> records;
+    if (!decodeRunners(stored, records)) {
+        return;
+    }
+    for (RunnerRecord &record : records) {
+        auto runner = std::make_unique<Runner>();
+        runner->legacy_ = true;
+        runner->persisted_ = true;
+        const RunnerId id = record.id_;
+        runner->record_ = std::move(record);
+        cell.runners_.insert_or_assign(id, std::move(runner));
+    }
+}
+
+void finishRecovery(Cell &cell, CellTime now, CellActions &actions)
+{
+    for (auto &[id, job] : cell.jobs_) {
+        if (!isFinal(*job)) {
+            materialize(cell, *job, now);
+        }
+    }
+    JsonObject line = logEvent("recovering");
+    line.number("epoch", static_cast<std::int64_t>(cell.epoch_.value_));
+    line.number("jobs", static_cast<std::int64_t>(cell.jobs_.size()));
+    line.number("runners", static_cast<std::int64_t>(cell.runners_.size()));
+    logTo(actions, line);
+}
+
+void applyConfig(Cell &cell, const CellConfig &config)
+{
+    cell.config_ = config;
+    for (auto &[name, account] : cell.accounts_) {
+        account.config_.cap_ = {};
+    }
+    for (const AccountConfig &account : config.accounts_) {
+        cell.accounts_[account.name_].config_ = account;
+    }
+    cell.dirtyPlacement_ = true;
+}
+
+void settle(Cell &cell, CellTime now, CellActions &actions)
+{
+    if (now.steady_ >= cell.nextTickAt_) {
+        cell.nextTickAt_ = now.steady_ + SlowTick;
+        advanceOccurrences(cell, now);
+        forgetEnded(cell, now);
+        expireQueries(cell, now, actions);
+        cell.dirtyPlacement_ = true; // retries that have become due
+    }
+    if (now.steady_ >= cell.nextTimersAt_) {
+        cell.nextTimersAt_ = now.steady_ + TimerInterval;
+        runnerTimers(cell, now, actions);
+    }
+    if (cell.dirtyPlacement_ && now.steady_ >= cell.nextPlacementAt_) {
+        cell.dirtyPlacement_ = false;
+        cell.nextPlacementAt_ = now.steady_ + PlacementInterval;
+        placeWaiting(cell, now, actions);
+    }
+    sendQueries(cell, now, actions);
+    flushLanes(cell, now, actions);
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/cell/lanes.cpp
@@ -0,0 +1,291 @@
+// Group commit: transactions of jobs and progress, one under way in each lane.
+//
+// A transaction names the revisions of the leader key and of its lane key and writes the lane key, so it takes effect at
+// most once, however often it is sent, and never after another one of its lane or a change of leader.
+#include "core/cell/cell_internal.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+using namespace detail;
+
+std::string laneKey(std::size_t lane)
+{
+    return "lane/" + std::to_string(lane);
+}
+
+static constexpr Milliseconds FirstRetry{40}; // doubles up to MaxRetry; calls to the store are priced
+static constexpr Milliseconds MaxRetry{600};
+static constexpr unsigned MaxDoublings = 4;
+
+static void takeAccepts(Cell &cell, LaneTransaction &transaction)
+{
+    while (!cell.accepting_.empty() && transaction.call_.writes_.size() < WritesPerTransaction) {
+        const Job *job = findJob(cell, cell.accepting_.front());
+        cell.accepting_.pop_front();
+        if (job != nullptr && !job->stored_) {
+            transaction.call_.writes_.push_back({"job/" + jobText(job->id_), encodeJob(*job), 0});
+            transaction.accepted_.push_back(job->id_);
+        }
+    }
+}
+
+static void takeProgress(Cell &cell, LaneTransaction &transaction)
+{
+    if (cell.runnersDirty_) {
+        cell.runnersDirty_ = false;
+        transaction.storesRunners_ = true;
+        transaction.call_.writes_.push_back({"runners", encodeRunners(cell), 0});
+        for (const auto &[id, runner] : cell.runners_) {
+            if (runner->listed_) {
+                transaction.runners_.push_back(id);
+            }
+        }
+    }
+    std::deque<StagedJobId> later;
+    // A final job needs two entries: its progress and the removal of the job.
+    while (!cell.dirty_.empty()
+           && transaction.call_.writes_.size() + transaction.call_.removes_.size() + 1 < WritesPerTransaction) {
+        Job *job = findJob(cell, cell.dirty_.front());
+        cell.dirty_.pop_front();
+        if (job == nullptr) {
+            continue;
+        }
+        if (!job->stored_) { // its own record is not there yet
+            later.push_back(job->id_);
+            continue;
+        }
+        job->dirtyQueued_ = false;
+        job->storingVersion_ = job->version_;
+        transaction.call_.writes_.push_back({"progress/" + jobText(job->id_), encodeProgress(*job), 0});
+        if (isFinal(*job)) {
+            transaction.call_.removes_.push_back("job/" + jobText(job->id_));
+        }
+        transaction.progressed_.emplace_back(job->id_, job->version_);
+    }
+    while (!cell.cleanups_.empty()
+           && transaction.call_.writes_.size() + transaction.call_.removes_.size() < WritesPerTransaction) {
+        transaction.call_.removes_.push_back(std::move(cell.cleanups_.back()));
+        cell.cleanups_.pop_back();
+    }
+    cell.dirty_.insert(cell.dirty_.end(), later.begin(), later.end());
+}
+
+static void sendTransaction(Cell &cell, std::size_t index, LaneTransaction &transaction, CellTime now,
+                            CellActions &actions)
+{
+    KvCall &call = transaction.call_;
+    call.id_ = cell.nextId_++;
+    call.purpose_ = KvPurpose::Lane;
+    call.lane_ = static_cast<std::uint32_t>(index);
+    call.op_ = KvOp::Commit;
+    call.conditions_ = {{std::string(LeaderKey), cell.leaderRevision_}, {laneKey(index), cell.lanes_[index].keyRevision_}};
+    transaction.callOpen_ = true;
+    ++transaction.tries_;
+    if (transaction.tries_ == 1) {
+        transaction.firstSentAt_ = now.steady_;
+    }
+    actions.kv_.push_back(call);
+}
+
+void detail::flushLanes(Cell &cell, CellTime now, CellActions &actions)
+{
+    bool trouble = false;
+    for (std::size_t i = 0; i < cell.lanes_.size(); ++i) {
+        CommitLane &lane = cell.lanes_[i];
+        if (lane.open_) {
+            trouble = trouble || now.steady_ - lane.open_->firstSentAt_ > StoreTroubleAfter;
+            if (!lane.open_->callOpen_ && now.steady_ >= lane.open_->retryAt_) {
+                sendTransaction(cell, i, *lane.open_, now, actions);
+            }
+            continue;
+        }
+        if (now.steady_ < lane.nextAt_ || cell.superseded_) {
+            continue;
+        }
+        LaneTransaction transaction;
+        if (i == AcceptLane) {
+            takeAccepts(cell, transaction);
+        } else {
+            takeProgress(cell, transaction);
+        }
+        if (transaction.call_.writes_.empty() && transaction.call_.removes_.empty()) {
+            continue;
+        }
+        transaction.identity_ = std::to_string(cell.epoch_.value_) + ":" + std::to_string(++lane.sequence_);
+        transaction.call_.writes_.push_back({laneKey(i), transaction.identity_, 0});
+        lane.open_ = std::move(transaction);
+        sendTransaction(cell, i, *lane.open_, now, actions);
+        lane.nextAt_ = now.steady_ + LaneGaps[i];
+    }
+    if (trouble != cell.storeTrouble_) {
+        cell.storeTrouble_ = trouble;
+        JsonObject line = logEvent(trouble ? "store-lost" : "store-regained");
+        logTo(actions, line, trouble ? LogLevel::Warning : LogLevel::Info);
+    }
+    if (!cell.storeTrouble_) {
+        return;
+    }
+    // Jobs that no transaction carries have certainly not been accepted; their clients are told so at once.
+    for (const StagedJobId id : cell.accepting_) {
+        const Job *job = findJob(cell, id);
+        if (job == nullptr) {
+            continue;
+        }
+        for (const auto &[daemon, call] : job->acceptWaiting_) {
+            constexpr Milliseconds RetryAfter{2'000}; // outages of the store last seconds
+            actions.replies_.push_back({daemon, {call, CellOutcome::Unavailable, {}, 0, RetryAfter}});
+        }
+        JsonObject line = logEvent("submit-refused");
+        line.text("job", jobText(id)).text("reason", "store-unavailable");
+        logTo(actions, line);
+        cell.jobs_.erase(id);
+    }
+    cell.accepting_.clear();
+}
+
+static void acceptStored(Cell &cell, StagedJobId id, CellTime now, CellActions &actions)
+{
+    Job *job = findJob(cell, id);
+    if (job == nullptr) {
+        return;
+    }
+    job->stored_ = true;
+    for (const auto &[daemon, call] : job->acceptWaiting_) {
+        actions.replies_.push_back({daemon, {call, CellOutcome::Ok, job->shown_, 0, {}}});
+    }
+    job->acceptWaiting_.clear();
+    JsonObject line = logEvent("accepted");
+    line.text("job", jobText(id)).number(
+        "store_ms", std::chrono::duration_cast<Milliseconds>(now.steady_ - job->submittedAt_).count());
+    logTo(actions, line);
+    materialize(cell, *job, now);
+}
+
+static void progressStored(Cell &cell, StagedJobId id, std::uint64_t version, CellActions &actions)
+{
+    Job *job = findJob(cell, id);
+    if (job == nullptr) {
+        return;
+    }
+    job->storedVersion_ = std::max(job->storedVersion_, version);
+    if (isFinal(*job) && job->storedVersion_ >= job->version_) {
+        job->shown_ = job->state_;
+    }
+    std::erase_if(job->storeWaiting_, [&](const auto &waiting) {
+        if (waiting.first > job->storedVersion_) {
+            return false;
+        }
+        const auto &[daemon, call] = waiting.second;
+        actions.replies_.push_back({daemon, {call, CellOutcome::Ok, job->shown_, 0, {}}});
+        return true;
+    });
+}
+
+static void committed(Cell &cell, std::size_t index, std::uint64_t revision, CellTime now, CellActions &actions)
+{
+    CommitLane &lane = cell.lanes_[index];
+    const LaneTransaction transaction = std::move(*lane.open_);
+    lane.open_.reset();
+    lane.keyRevision_ = revision;
+    for (const StagedJobId id : transaction.accepted_) {
+        acceptStored(cell, id, now, actions);
+    }
+    for (const auto &[id, version] : transaction.progressed_) {
+        progressStored(cell, id, version, actions);
+    }
+    if (transaction.storesRunners_) {
+        for (const RunnerId &id : transaction.runners_) {
+            if (Runner *runner = findRunner(cell, id)) {
+                runner->persisted_ = true;
+            }
+        }
+        cell.dirtyPlacement_ = true;
+    }
+    if (index == ProgressLane) {
+        for (const auto &[id, runner] : cell.runners_) {
+            acknowledgeEnds(cell, *runner);
+        }
+    }
+}
+
+// A condition did not hold: the transaction took effect earlier, or there is a later leader.
+static void conflicted(Cell &cell, std::size_t index, const KvReply &reply, CellTime now, CellActions &actions)
+{
+    LaneTransaction &transaction = *cell.lanes_[index].open_;
+    for (const KvItem &item : reply.items_) {
+        if (item.key_ == laneKey(index) && item.value_ == transaction.identity_) {
+            committed(cell, index, item.revision_, now, actions);
+            return;
+        }
+    }
+    const auto leader = std::find_if(reply.items_.begin(), reply.items_.end(),
+                                     [](const KvItem &item) { return item.key_ == LeaderKey; });
+    const auto lane = std::find_if(reply.items_.begin(), reply.items_.end(),
+                                   [index](const KvItem &item) { return item.key_ == laneKey(index); });
+    const bool sameLane = lane != reply.items_.end() && lane->revision_ == cell.lanes_[index].keyRevision_;
+    if (sameLane && (leader == reply.items_.end() || leader->revision_ == 0 || leader->removed_)) {
+        // The leader key has lapsed and nobody has led since; renewLeadership() gives the new revision.
+        transaction.retryAt_ = now.steady_ + MaxRetry;
+        return;
+    }
+    if (sameLane && leader->revision_ == cell.leaderRevision_) {
+        transaction.retryAt_ = now.steady_ + FirstRetry;
+        return;
+    }
+    cell.superseded_ = true;
+    JsonObject line = logEvent("superseded");
+    line.text("by", "store").number("epoch", static_cast<std::int64_t>(cell.epoch_.value_));
+    logTo(actions, line, LogLevel::Warning);
+}
+
+void handleLaneReply(Cell &cell, const KvReply &reply, CellTime now, CellActions &actions)
+{
+    if (reply.lane_ >= cell.lanes_.size()) {
+        return;
+    }
+    CommitLane &lane = cell.lanes_[reply.lane_];
+    if (!lane.open_ || lane.open_->call_.id_ != reply.id_) {
+        return; // of an earlier try
+    }
+    LaneTransaction &transaction = *lane.open_;
+    transaction.callOpen_ = false;
+    switch (reply.status_) {
+    case KvStatus::Ok:
+        committed(cell, reply.lane_, reply.revision_, now, actions);
+        break;
+    case KvStatus::Conflict:
+        conflicted(cell, reply.lane_, reply, now, actions);
+        break;
+    default: {
+        const Milliseconds pause
+            = std::min(MaxRetry, FirstRetry * (1U << std::min(transaction.tries_ - 1, MaxDoublings)));
+        transaction.retryAt_ = now.steady_ + pause;
+        JsonObject line = logEvent("store-retry");
+        line.number("lane", reply.lane_).number("try", transaction.tries_).number("status", reply.httpStatus_);
+        logTo(actions, line, LogLevel::Warning);
+        break;
+    }
+    }
+}
+
+void renewLeadership(Cell &cell, std::uint64_t leaderRevision)
+{
+    cell.leaderRevision_ = leaderRevision;
+    for (CommitLane &lane : cell.lanes_) {
+        if (lane.open_ && !lane.open_->callOpen_) {
+            lane.open_->retryAt_ = TimePoint{};
+        }
+    }
+}
+
+bool isFlushed(const Cell &cell)
+{
+    return cell.accepting_.empty() && cell.dirty_.empty()
+        && std::none_of(cell.lanes_.begin(), cell.lanes_.end(),
+                        [](const CommitLane &lane) { return lane.open_.has_value(); });
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/cell/placement.cpp
@@ -0,0 +1,334 @@
+// Placement: which waiting tasks start now, and where.
+//
+// Load pattern answered: bursts of urgent jobs over a fleet that batch work and gangs keep full. Steps are tried by
+// priority, then by objective; a task goes to the runner that it leaves with the least room, so that large tasks and
+// gangs still find runners with room; a gang is placed whole or not at all.
+#include "core/cell/cell_internal.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace mimosapier::detail
+{
+
+// What a task reserves on a runner. Fill work uses the processors that others leave.
+Resources reservedSize(const StepSpec &spec)
+{
+    Resources size = spec.size_;
+    size.slots_ = 0;
+    if (spec.fill_) {
+        size.milliCpus_ = 0;
+    }
+    return size;
+}
+
+static Resources freeOn(const Runner &runner)
+{
+    Resources free = runner.record_.capacity_ - runner.used_;
+    free.slots_ = 0;
+    return free;
+}
+
+bool mayPlaceOn(const Cell &cell, const Job &job, const StepSpec &spec, const Runner &runner, TimePoint now)
+{
+    if (!usable(cell, runner, now) || runner.record_.service_ != job.policy_.service_) {
+        return false;
+    }
+    const auto &labels = runner.record_.labels_;
+    return spec.requiredLabel_.empty() || std::find(labels.begin(), labels.end(), spec.requiredLabel_) != labels.end();
+}
+
+namespace
+{
+
+// A runner that may take tasks of a step, with its room.
+struct Candidate
+{
+    Runner *runner_ = nullptr;
+    Resources free_;
+    std::uint32_t most_ = 0; // tasks of the step that it may still take by anti-affinity
+    bool near_ = true; // in the rack of the step's data
+};
+
+struct StepContext
+{
+    Job &job_;
+    Occurrence &occurrence_;
+    StepState &step_;
+    const StepSpec &spec_;
+    StepRef ref_;
+};
+
+} // namespace
+
+static std::uint32_t roomFor(const Candidate &candidate, const Resources &size)
+{
+    std::uint32_t room = candidate.most_;
+    if (size.milliCpus_ > 0) {
+        room = std::min<std::uint32_t>(
+            room, static_cast<std::uint32_t>(std::max<std::int64_t>(0, candidate.free_.milliCpus_ / size.milliCpus_)));
+    }
+    if (size.memoryMb_ > 0) {
+        room = std::min<std::uint32_t>(
+            room, static_cast<std::uint32_t>(std::max<std::int64_t>(0, candidate.free_.memoryMb_ / size.memoryMb_)));
+    }
+    if (size.accelerators_ > 0) {
+        room = std::min<std::uint32_t>(room,
+                                       static_cast<std::uint32_t>(std::max<std::int64_t>(
+                                           0, candidate.free_.accelerators_ / size.accelerators_)));
+    }
+    return room;
+}
+
+static std::vector<Candidate> candidatesOf(Cell &cell, const StepContext &context, TimePoint now)
+{
+    std::vector<Candidate> candidates;
+    const Resources size = reservedSize(context.spec_);
+    for (const auto &[id, runner] : cell.runners_) {
+        if (!mayPlaceOn(cell, context.job_, context.spec_, *runner, now)
+            || (context.job_.policy_.policyQueries_ && !hasTicket(context.step_, *runner, now))) {
+            continue;
+        }
+        Candidate candidate{runner.get(), freeOn(*runner), context.spec_.count_, true};
+        if (context.spec_.antiAffinity_ > 0) {
+            const auto placed = context.step_.perRunner_.find(id);
+            const std::uint32_t there = placed == context.step_.perRunner_.end() ? 0 : placed->second;
+            candidate.most_ = context.spec_.antiAffinity_ - std::min(there, context.spec_.antiAffinity_);
+        }
+        candidate.near_ = context.spec_.affinityRack_.empty() || runner->record_.rack_ == context.spec_.affinityRack_;
+        if (roomFor(candidate, size) > 0) {
+            candidates.push_back(std::move(candidate));
+        }
+    }
+    return candidates;
+}
+
+// Tasks of this size that the account may still start.
+static std::uint32_t accountRoom(const Cell &cell, const Job &job, const Resources &size)
+{
+    const auto found = cell.accounts_.find(job.account_);
+    if (found == cell.accounts_.end()) {
+        return UINT32_MAX;
+    }
+    const Account &account = found->second;
+    std::int64_t room = UINT32_MAX;
+    const auto limit = [&room, &cell](std::int64_t cap, std::int64_t used, std::int64_t each,
+                                      std::int64_t Resources::*dimension) {
+        if (cap <= 0 || each <= 0) {
+            return;
+        }
+        // What runs on runners that have not answered a new leader yet is not known: they count as full.
+        for (const auto &[id, runner] : cell.runners_) {
+            if (runner->legacy_ && !cell.opened_) {
+                used += runner->record_.capacity_.*dimension;
+            }
+        }
+        room = std::min(room, std::max<std::int64_t>(0, (cap - used) / each));
+    };
+    const Resources &cap = account.config_.cap_;
+    limit(cap.milliCpus_, account.used_.milliCpus_, size.milliCpus_, &Resources::milliCpus_);
+    limit(cap.memoryMb_, account.used_.memoryMb_, size.memoryMb_, &Resources::memoryMb_);
+    limit(cap.accelerators_, account.used_.accelerators_, size.accelerators_, &Resources::accelerators_);
+    return static_cast<std::uint32_t>(room);
+}
+
+// The candidate with room that is best for one task: near the data, not failing, then the fullest.
+static Candidate *bestCandidate(std::vector<Candidate> &candidates, const Resources &size, const RunnerId &avoid)
+{
+    Candidate *best = nullptr;
+    const auto rank = [&avoid](const Candidate &candidate) {
+        return std::make_tuple(!candidate.near_, candidate.runner_->record_.id_ == avoid,
+                               candidate.runner_->failedRuns_, candidate.free_.milliCpus_);
+    };
+    for (Candidate &candidate : candidates) {
+        if (roomFor(candidate, size) > 0 && (best == nullptr || rank(candidate) < rank(*best))) {
+            best = &candidate;
+        }
+    }
+    return best;
+}
+
+static void startTask(Cell &cell, const StepContext &context, std::uint32_t index, Candidate &candidate,
+                      std::uint64_t run, CellTime now, CellActions &actions)
+{
+    Runner &runner = *candidate.runner_;
+    const StagedTask id{context.ref_.job_, context.ref_.occurrence_, context.ref_.step_, index};
+    Placement &placement = addPlacement(cell, runner, context.job_, id, RunNumber{run});
+    candidate.free_ -= placement.size_;
+    --candidate.most_;
+    placement.checkpoint_ = context.step_.tasks_[index].checkpoint_;
+    const auto verdict = context.step_.verdicts_.find(runner.record_.id_);
+    if (verdict != context.step_.verdicts_.end()) {
+        placement.ticket_ = verdict->second.ticket_;
+    }
+    JsonObject line = logEvent("start");
+    line.text("task", taskText(id)).number("run", static_cast<std::int64_t>(run));
+    line.text("runner", runner.record_.id_.value_).number("free_cpu", candidate.free_.milliCpus_);
+    line.number("wait_ms",
+                std::chrono::duration_cast<Milliseconds>(now.steady_ - context.job_.submittedAt_).count());
+    logTo(actions, line);
+    sendStart(cell, runner, id, placement, now, actions);
+}
+
+static std::uint64_t nextRun(const Job &job, std::uint64_t used)
+{
+    return std::max(used, job.runFloor_) + 1;
+}
+
+// Chooses runners for all members of a gang. Result: empty when they do not fit now.
+static std::vector<std::size_t> chooseForGang(const StepContext &context, std::vector<Candidate> candidates)
+{
+    const Resources size = reservedSize(context.spec_);
+    std::vector<std::size_t> order(candidates.size());
+    for (std::size_t i = 0; i < order.size(); ++i) {
+        order[i] = i;
+    }
+    std::map<std::string, std::uint32_t> rackRoom;
+    for (const Candidate &candidate : candidates) {
+        rackRoom[candidate.runner_->record_.rack_] += roomFor(candidate, size);
+    }
+    // A gang that is slower over several racks takes the racks with the most room first.
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
+        const Candidate &a = candidates[left];
+        const Candidate &b = candidates[right];
+        if (a.near_ != b.near_) {
+            return a.near_;
+        }
+        if (context.spec_.sameRack_ && a.runner_->record_.rack_ != b.runner_->record_.rack_) {
+            const auto roomA = rackRoom[a.runner_->record_.rack_];
+            const auto roomB = rackRoom[b.runner_->record_.rack_];
+            return roomA != roomB ? roomA > roomB : a.runner_->record_.rack_ < b.runner_->record_.rack_;
+        }
+        return roomFor(a, size) > roomFor(b, size);
+    });
+    std::vector<std::size_t> chosen;
+    for (const std::size_t i : order) {
+        for (std::uint32_t room = roomFor(candidates[i], size); room > 0 && chosen.size() < context.spec_.count_;
+             --room) {
+            chosen.push_back(i);
+        }
+    }
+    if (chosen.size() < context.spec_.count_) {
+        chosen.clear();
+    }
+    return chosen;
+}
+
+// Result: true when no task of the step waits any more.
+static bool placeGang(Cell &cell, const StepContext &context, CellTime now, CellActions &actions)
+{
+    StepState &step = context.step_;
+    if (step.waiting_ < step.tasks_.size()) {
+        return false; // members of the last run have not ended yet
+    }
+    std::uint64_t used = 0;
+    for (const TaskRecord &task : step.tasks_) {
+        if (task.notBefore_ > now.steady_) {
+            return false;
+        }
+        used = std::max(used, task.run_);
+    }
+    if (accountRoom(cell, context.job_, context.spec_.size_) < context.spec_.count_) {
+        return false;
+    }
+    std::vector<Candidate> candidates = candidatesOf(cell, context, now.steady_);
+    const std::vector<std::size_t> chosen = chooseForGang(context, candidates);
+    if (chosen.empty()) {
+        return false;
+    }
+    // All members carry the same checkpoint; the latest that any of them has reported.
+    std::string checkpoint;
+    for (const TaskRecord &task : step.tasks_) {
+        checkpoint = std::max(checkpoint, task.checkpoint_);
+    }
+    for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
+        step.tasks_[i].checkpoint_ = checkpoint;
+        startTask(cell, context, i, candidates[chosen[i]], nextRun(context.job_, used), now, actions);
+    }
+    return true;
+}
+
+static bool placeTasks(Cell &cell, const StepContext &context, CellTime now, CellActions &actions)
+{
+    StepState &step = context.step_;
+    std::uint32_t room = accountRoom(cell, context.job_, context.spec_.size_);
+    if (room == 0) {
+        return false;
+    }
+    std::vector<Candidate> candidates = candidatesOf(cell, context, now.steady_);
+    const Resources size = reservedSize(context.spec_);
+    for (std::uint32_t i = 0; i < step.tasks_.size() && room > 0 && !candidates.empty(); ++i) {
+        TaskRecord &task = step.tasks_[i];
+        if (task.state_ != TaskState::Waiting || task.notBefore_ > now.steady_) {
+            continue;
+        }
+        Candidate *best = bestCandidate(candidates, size, task.failures_ > 0 ? task.runner_ : RunnerId{});
+        if (best == nullptr) {
+            return false;
+        }
+        startTask(cell, context, i, *best, nextRun(context.job_, task.run_), now, actions);
+        --room;
+    }
+    return step.waiting_ == 0;
+}
+
+static std::optional<StepContext> contextOf(Cell &cell, const StepRef &ref)
+{
+    Job *job = findJob(cell, ref.job_);
+    if (job == nullptr || isFinal(*job)) {
+        return std::nullopt;
+    }
+    const auto occurrence = job->occurrences_.find(ref.occurrence_);
+    if (occurrence == job->occurrences_.end() || ref.step_ >= occurrence->second.steps_.size()) {
+        return std::nullopt;
+    }
+    return StepContext{*job, occurrence->second, occurrence->second.steps_[ref.step_], stepSpec(*job, ref.step_), ref};
+}
+
+static void sortByUrgency(Cell &cell)
+{
+    struct Entry
+    {
+        std::tuple<std::uint32_t, TimePoint, StepRef> key_;
+    };
+    std::vector<Entry> entries;
+    entries.reserve(cell.ready_.size());
+    for (const StepRef &ref : cell.ready_) {
+        const auto context = contextOf(cell, ref);
+        if (!context) {
+            continue;
+        }
+        if (context->step_.waiting_ == 0) {
+            context->step_.queued_ = false;
+            continue;
+        }
+        entries.push_back({{context->job_.policy_.priority_, context->job_.objectiveAt_, ref}});
+    }
+    std::sort(entries.begin(), entries.end(), [](const Entry &a, const Entry &b) { return a.key_ < b.key_; });
+    cell.ready_.clear();
+    for (const Entry &entry : entries) {
+        cell.ready_.push_back(std::get<2>(entry.key_));
+    }
+}
+
+void placeWaiting(Cell &cell, CellTime now, CellActions &actions)
+{
+    if (cell.superseded_) {
+        return;
+    }
+    sortByUrgency(cell);
+    const std::vector<StepRef> refs = cell.ready_;
+    for (const StepRef &ref : refs) {
+        const auto context = contextOf(cell, ref);
+        if (!context || !context->job_.stored_ || (context->job_.recovered_ && !cell.opened_)) {
+            continue;
+        }
+        const bool placed = context->spec_.gang_ ? placeGang(cell, *context, now, actions)
+                                                 : placeTasks(cell, *context, now, actions);
+        if (!placed && context->job_.policy_.policyQueries_) {
+            requestQuery(cell, context->job_, ref.occurrence_, ref.step_, now.steady_);
+        }
+    }
+}
+
+} // namespace mimosapier::detail
--- /dev/null
+++ b/src/core/cell/records.cpp
@@ -0,0 +1,231 @@
+// Records of jobs, their progress and the runners in the store: msgpack arrays, new fields at the end.
+#include "core/cell/cell_internal.h"
+#include "core/message/enum_func.h"
+#include "core/message/fields.h"
+
+namespace mimosapier
+{
+
+struct JobDocument
+{
+    StagedJobId id_;
+    std::string account_;
+    QueuePolicy policy_;
+    SubmittedJob submitted_;
+    std::int64_t acceptedUnixMs_ = 0;
+};
+
+// Progress of the tasks of one step. The vectors are empty when all their entries are 0.
+struct StepDocument
+{
+    std::uint32_t occurrence_ = 0;
+    std::uint32_t step_ = 0;
+    std::string done_; // one character for each task: '1' when done; empty when none is
+    std::vector<std::uint32_t> failures_;
+    std::vector<std::uint64_t> endedRuns_;
+    std::uint32_t gangFailures_ = 0;
+};
+
+struct ProgressDocument
+{
+    StagedState state_ = StagedState::Queued;
+    std::uint32_t occurrencesDone_ = 0; // occurrences below it are not listed any more when they are done
+    std::vector<StepDocument> steps_;
+    std::vector<std::uint32_t> doneOccurrences_;
+    std::int64_t endedUnixMs_ = 0;
+};
+
+struct RunnerDocument
+{
+    RunnerId id_;
+    std::string service_;
+    std::string address_;
+    Resources capacity_;
+};
+
+struct RunnersDocument
+{
+    std::vector<RunnerDocument> runners_;
+};
+
+MIMOSAPIER_FIELDS(JobDocument, s.id_, s.account_, s.policy_, s.submitted_, s.acceptedUnixMs_)
+MIMOSAPIER_FIELDS(StepDocument, s.occurrence_, s.step_, s.done_, s.failures_, s.endedRuns_, s.gangFailures_)
+MIMOSAPIER_FIELDS(ProgressDocument, s.state_, s.occurrencesDone_, s.steps_, s.doneOccurrences_, s.endedUnixMs_)
+MIMOSAPIER_FIELDS(RunnerDocument, s.id_, s.service_, s.address_, s.capacity_)
+MIMOSAPIER_FIELDS(RunnersDocument, s.runners_)
+
+} // namespace mimosapier
+
+#include "core/message/pack_func.h"
+
+namespace mimosapier::detail
+{
+
+std::string encodeJob(const Job &job)
+{
+    return packToString(JobDocument{job.id_, job.account_, job.policy_, job.submitted_, job.acceptedUnixMs_});
+}
+
+bool decodeJob(std::string_view bytes, Job &job)
+{
+    JobDocument document;
+    if (!unpackFromString(bytes, document)) {
+        return false;
+    }
+    job.id_ = document.id_;
+    job.account_ = std::move(document.account_);
+    job.policy_ = std::move(document.policy_);
+    job.submitted_ = std::move(document.submitted_);
+    job.acceptedUnixMs_ = document.acceptedUnixMs_;
+    return true;
+}
+
+static StepDocument stepDocument(std::uint32_t occurrence, std::uint32_t index, const StepState &step)
+{
+    StepDocument document;
+    document.occurrence_ = occurrence;
+    document.step_ = index;
+    document.gangFailures_ = step.gangFailures_;
+    bool failed = false;
+    bool ended = false;
+    for (const TaskRecord &task : step.tasks_) {
+        failed = failed || task.failures_ > 0;
+        ended = ended || task.endedRun_ > 0;
+    }
+    for (const TaskRecord &task : step.tasks_) {
+        if (step.done_ > 0) {
+            document.done_.push_back(task.state_ == TaskState::Done ? '1' : '0');
+        }
+        if (failed) {
+            document.failures_.push_back(task.failures_);
+        }
+        if (ended) {
+            document.endedRuns_.push_back(task.endedRun_);
+        }
+    }
+    return document;
+}
+
+std::string encodeProgress(const Job &job)
+{
+    ProgressDocument document;
+    document.state_ = job.state_;
+    document.occurrencesDone_ = job.occurrencesDone_;
+    if (!isFinal(job)) {
+        for (const auto &[number, occurrence] : job.occurrences_) {
+            if (occurrence.stepsDone_ == occurrence.steps_.size()) {
+                document.doneOccurrences_.push_back(number);
+                continue;
+            }
+            for (std::uint32_t i = 0; i < occurrence.steps_.size(); ++i) {
+                document.steps_.push_back(stepDocument(number, i, occurrence.steps_[i]));
+            }
+        }
+    }
+    return packToString(document);
+}
+
+// Tasks of a step as stored; `step` has its tasks already.
+static void applyStep(const StepDocument &document, StepState &step)
+{
+    for (std::size_t i = 0; i < step.tasks_.size(); ++i) {
+        TaskRecord &task = step.tasks_[i];
+        if (i < document.done_.size() && document.done_[i] == '1') {
+            task.state_ = TaskState::Done;
+            ++step.done_;
+            --step.waiting_;
+        }
+        if (i < document.failures_.size()) {
+            task.failures_ = document.failures_[i];
+        }
+        if (i < document.endedRuns_.size()) {
+            task.endedRun_ = document.endedRuns_[i];
+            task.run_ = task.endedRun_;
+            step.gangFailedRun_ = std::max(step.gangFailedRun_, task.endedRun_);
+        }
+    }
+    step.gangFailures_ = document.gangFailures_;
+}
+
+static Occurrence &occurrenceOf(Job &job, std::uint32_t number)
+{
+    const auto [entry, inserted] = job.occurrences_.try_emplace(number);
+    Occurrence &occurrence = entry->second;
+    if (inserted) {
+        occurrence.dueUnixMs_ = job.submitted_.firstRunUnixMs_ + number * job.submitted_.intervalMs_;
+        for (const StepSpec &spec : job.submitted_.steps_) {
+            StepState &step = occurrence.steps_.emplace_back();
+            step.tasks_.resize(spec.count_);
+            step.waiting_ = spec.count_;
+        }
+    }
+    return occurrence;
+}
+
+bool decodeProgress(std::string_view bytes, Job &job)
+{
+    ProgressDocument document;
+    if (!unpackFromString(bytes, document)) {
+        return false;
+    }
+    job.state_ = document.state_;
+    job.shown_ = document.state_;
+    if (isFinal(job)) {
+        return true;
+    }
+    job.occurrencesDone_ = document.occurrencesDone_;
+    for (const std::uint32_t number : document.doneOccurrences_) {
+        Occurrence &occurrence = occurrenceOf(job, number);
+        occurrence.stepsDone_ = static_cast<std::uint32_t>(occurrence.steps_.size());
+        for (StepState &step : occurrence.steps_) {
+            step.done_ = static_cast<std::uint32_t>(step.tasks_.size());
+            step.waiting_ = 0;
+            for (TaskRecord &task : step.tasks_) {
+                task.state_ = TaskState::Done;
+            }
+        }
+    }
+    for (const StepDocument &step : document.steps_) {
+        if (step.step_ >= job.submitted_.steps_.size()) {
+            return false;
+        }
+        Occurrence &occurrence = occurrenceOf(job, step.occurrence_);
+        StepState &state = occurrence.steps_[step.step_];
+        applyStep(step, state);
+        if (state.done_ == state.tasks_.size()) {
+            ++occurrence.stepsDone_;
+        }
+    }
+    return true;
+}
+
+std::string encodeRunners(const Cell &cell)
+{
+    RunnersDocument document;
+    for (const auto &[id, runner] : cell.runners_) {
+        if (runner->held_ || runner->legacy_ || !runner->tasks_.empty() || runner->listed_) {
+            document.runners_.push_back(
+                {id, runner->record_.service_, runner->record_.address_, runner->record_.capacity_});
+        }
+    }
+    return packToString(document);
+}
+
+bool decodeRunners(std::string_view bytes, std::vector<RunnerRecord> &runners)
+{
+    RunnersDocument document;
+    if (!unpackFromString(bytes, document)) {
+        return false;
+    }
+    for (RunnerDocument &entry : document.runners_) {
+        RunnerRecord record;
+        record.id_ = std::move(entry.id_);
+        record.service_ = std::move(entry.service_);
+        record.address_ = std::move(entry.address_);
+        record.capacity_ = entry.capacity_;
+        runners.push_back(std::move(record));
+    }
+    return true;
+}
+
+} // namespace mimosapier::detail
--- /dev/null
+++ b/src/core/cell/runners.cpp
@@ -0,0 +1,731 @@
+// Runners: discovery, holds and leases, starts and stops, ends of runs.
+#include "core/cell/cell_internal.h"
+
+#include <algorithm>
+
+namespace mimosapier::detail
+{
+
+Runner *findRunner(Cell &cell, const RunnerId &id)
+{
+    const auto found = cell.runners_.find(id);
+    return found == cell.runners_.end() ? nullptr : found->second.get();
+}
+
+bool usable(const Cell &cell, const Runner &runner, TimePoint now)
+{
+    return runner.listed_ && runner.held_ && runner.persisted_ && !runner.record_.draining_ && runner.orphans_ == 0
+        && runner.failedCalls_ == 0 && now >= runner.avoidUntil_ && !cell.superseded_;
+}
+
+// Remembers that the leases there may run until `untilMs` on the runner's clock.
+static void extendLease(Runner &runner, std::int64_t untilMs)
+{
+    const auto left = Milliseconds(
+        static_cast<std::int64_t>(static_cast<double>(untilMs - runner.clockMs_) / SlowestClock));
+    runner.leaseEndsBy_ = std::max(runner.leaseEndsBy_, runner.clockReadAt_ + left + LeaseMargin);
+}
+
+// End of a lease that begins now, on the runner's clock; 0 while that clock is unknown.
+static std::int64_t leaseUntil(Runner &runner, TimePoint now)
+{
+    if (runner.clockMs_ < 0) {
+        return 0;
+    }
+    const auto since = std::chrono::duration_cast<Milliseconds>(now - runner.clockReadAt_);
+    const std::int64_t until = runner.clockMs_ + since.count() + TaskLease.count();
+    extendLease(runner, until);
+    return until;
+}
+
+static RunnerCall makeCall(Cell &cell, const Runner &runner, RunnerOp op)
+{
+    RunnerCall call;
+    call.id_ = cell.nextId_++;
+    call.op_ = op;
+    call.runner_ = runner.record_.id_;
+    call.address_ = runner.record_.address_;
+    call.token_ = cell.epoch_;
+    call.timeout_ = CallTimeout;
+    return call;
+}
+
+static void sendHold(Cell &cell, Runner &runner, CellTime now, CellActions &actions)
+{
+    RunnerCall call = makeCall(cell, runner, RunnerOp::Hold);
+    call.acknowledgedEnd_ = runner.acknowledgedEnd_;
+    if (runner.held_) {
+        call.untilMs_ = leaseUntil(runner, now.steady_);
+        call.wait_ = runner.tasks_.empty() ? Milliseconds(0) : HoldWait;
+    }
+    runner.holdOpen_ = true;
+    actions.runners_.push_back(std::move(call));
+}
+
+Placement &addPlacement(Cell &cell, Runner &runner, Job &job, const StagedTask &task, RunNumber run)
+{
+    const StepSpec &spec = stepSpec(job, task.step_);
+    Placement placement;
+    placement.run_ = run;
+    placement.size_ = reservedSize(spec);
+    placement.charged_ = spec.size_;
+    placement.account_ = job.account_;
+    runner.used_ += placement.size_;
+    cell.accounts_[job.account_].used_ += placement.charged_;
+    StepState *step = nullptr;
+    TaskRecord *record = findTask(job, task, &step);
+    record->state_ = TaskState::Placed;
+    record->run_ = std::max(record->run_, run.value_);
+    record->runner_ = runner.record_.id_;
+    --step->waiting_;
+    ++step->perRunner_[runner.record_.id_];
+    ++job.placed_;
+    return runner.tasks_.insert_or_assign(task, std::move(placement)).first->second;
+}
+
+// Gives the room of a task back; the task waits again unless it is done.
+void releasePlacement(Cell &cell, Runner &runner, const StagedTask &task)
+{
+    const auto found = runner.tasks_.find(task);
+    if (found == runner.tasks_.end()) {
+        return;
+    }
+    const Placement placement = std::move(found->second);
+    runner.tasks_.erase(found);
+    runner.used_ -= placement.size_;
+    if (placement.orphan_) {
+        --runner.orphans_;
+    } else {
+        cell.accounts_[placement.account_].used_ -= placement.charged_;
+    }
+    cell.dirtyPlacement_ = true;
+    Job *job = findJob(cell, task.job_);
+    StepState *step = nullptr;
+    TaskRecord *record = job != nullptr ? findTask(*job, task, &step) : nullptr;
+    if (job != nullptr && !placement.orphan_ && job->placed_ > 0) {
+        --job->placed_;
+    }
+    if (record == nullptr || placement.orphan_) {
+        return;
+    }
+    const auto count = step->perRunner_.find(runner.record_.id_);
+    if (count != step->perRunner_.end() && --count->second == 0) {
+        step->perRunner_.erase(count);
+    }
+    if (record->state_ == TaskState::Placed) {
+        record->state_ = TaskState::Waiting;
+        ++step->waiting_;
+        queueStep(cell, *job, task.occurrence_, task.step_);
+    }
+}
+
+static void addOrphan(Runner &runner, const StagedTask &task, RunNumber run)
+{
+    Placement placement;
+    placement.run_ = run;
+    placement.orphan_ = true;
+    placement.phase_ = PlacementPhase::Running;
+    ++runner.orphans_;
+    runner.tasks_.emplace(task, std::move(placement));
+}
+
+void sendStart(Cell &cell, Runner &runner, const StagedTask &task, Placement &placement, CellTime now,
+               CellActions &actions)
+{
+    const Job *job = findJob(cell, task.job_);
+    if (job == nullptr) {
+        return;
+    }
+    RunnerCall call = makeCall(cell, runner, RunnerOp::Start);
+    call.task_ = task;
+    call.run_ = placement.run_;
+    call.spec_ = job->submitted_.spec_;
+    call.checkpoint_ = placement.checkpoint_;
+    call.ticket_ = placement.ticket_;
+    call.untilMs_ = leaseUntil(runner, now.steady_);
+    placement.callOpen_ = true;
+    if (placement.tries_++ == 0) {
+        placement.startedAt_ = now.steady_;
+    }
+    actions.runners_.push_back(std::move(call));
+}
+
+static void sendStop(Cell &cell, Runner &runner, const StagedTask &task, Placement &placement, CellActions &actions)
+{
+    RunnerCall call = makeCall(cell, runner, RunnerOp::Stop);
+    call.task_ = task;
+    call.run_ = placement.run_;
+    placement.callOpen_ = true;
+    ++placement.tries_;
+    actions.runners_.push_back(std::move(call));
+}
+
+void stopPlacement(Cell &cell, Runner &runner, const StagedTask &task, CellTime now, CellActions &actions)
+{
+    const auto found = runner.tasks_.find(task);
+    if (found == runner.tasks_.end() || found->second.phase_ == PlacementPhase::Stopping) {
+        return;
+    }
+    found->second.phase_ = PlacementPhase::Stopping;
+    found->second.tries_ = 0;
+    found->second.settledAt_ = {};
+    found->second.retryAt_ = now.steady_;
+    sendStop(cell, runner, task, found->second, actions);
+}
+
+void stopJobTasks(Cell &cell, const Job &job, CellTime now, CellActions &actions)
+{
+    for (const auto &[number, occurrence] : job.occurrences_) {
+        for (std::uint32_t s = 0; s < occurrence.steps_.size(); ++s) {
+            const StepState &step = occurrence.steps_[s];
+            for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
+                if (step.tasks_[i].state_ == TaskState::Placed) {
+                    if (Runner *runner = findRunner(cell, step.tasks_[i].runner_)) {
+                        stopPlacement(cell, *runner, {job.id_, number, s, i}, now, actions);
+                    }
+                }
+            }
+        }
+    }
+}
+
+// A member of a gang did not start; the others are stopped before they have waited for it.
+static void abandonGang(Cell &cell, const StagedTask &task, CellTime now, CellActions &actions)
+{
+    Job *job = findJob(cell, task.job_);
+    StepState *step = nullptr;
+    if (job == nullptr || findTask(*job, task, &step) == nullptr || !stepSpec(*job, task.step_).gang_
+        || step->done_ > 0) {
+        return;
+    }
+    for (std::uint32_t i = 0; i < step->tasks_.size(); ++i) {
+        if (step->tasks_[i].state_ == TaskState::Placed) {
+            if (Runner *runner = findRunner(cell, step->tasks_[i].runner_)) {
+                stopPlacement(cell, *runner, {task.job_, task.occurrence_, task.step_, i}, now, actions);
+            }
+        }
+    }
+}
+
+// Nothing runs there any more, and nothing that was sent can start there.
+void loseRunner(Cell &cell, Runner &runner, std::string_view cause, CellTime now, CellActions &actions)
+{
+    if (runner.held_ || !runner.tasks_.empty() || runner.legacy_) {
+        JsonObject line = logEvent("runner-lost");
+        line.text("runner", runner.record_.id_.value_).text("cause", cause);
+        line.number("tasks", static_cast<std::int64_t>(runner.tasks_.size()));
+        line.number("answer_age_ms",
+                    std::chrono::duration_cast<Milliseconds>(now.steady_ - runner.clockReadAt_).count());
+        logTo(actions, line, LogLevel::Warning);
+    }
+    std::vector<StagedTask> tasks;
+    for (const auto &[task, placement] : runner.tasks_) {
+        tasks.push_back(task);
+    }
+    for (const StagedTask &task : tasks) {
+        releasePlacement(cell, runner, task);
+        abandonGang(cell, task, now, actions);
+    }
+    runner.held_ = false;
+    runner.legacy_ = false;
+    runner.clockMs_ = -1;
+    runner.leaseEndsBy_ = {};
+    cell.dirtyPlacement_ = true;
+}
+
+// Begins the state of another life of the runner: it knows nothing of before.
+static void beginLife(Cell &cell, Runner &runner, std::int64_t born, CellTime now, CellActions &actions)
+{
+    if (runner.bornUnixMs_ != 0) {
+        loseRunner(cell, runner, "reborn", now, actions);
+    }
+    runner.bornUnixMs_ = born;
+    runner.processedEnd_ = 0;
+    runner.acknowledgedEnd_ = 0;
+    runner.unstored_.clear();
+    runner.failedRuns_ = 0;
+}
+
+// ---- ends ----
+
+static void retryTask(Job &job, const StagedTask &id, const FinishedRun &end, CellTime now)
+{
+    StepState *step = nullptr;
+    TaskRecord *task = findTask(job, id, &step);
+    if (task == nullptr || task->state_ == TaskState::Done) {
+        return;
+    }
+    if (!end.checkpoint_.empty()) {
+        task->checkpoint_ = end.checkpoint_;
+        if (stepSpec(job, id.step_).gang_) { // any member's checkpoint is valid for all
+            for (TaskRecord &member : step->tasks_) {
+                member.checkpoint_ = end.checkpoint_;
+            }
+        }
+    }
+    constexpr Milliseconds FailedRetry{100}; // lets the ends of a failing runner arrive before the task is placed again
+    if (end.end_ == RunEnd::Failed) {
+        task->notBefore_ = now.steady_ + FailedRetry;
+    }
+}
+
+// Result: true when something changed that has to be stored.
+static bool countFailure(Cell &cell, Job &job, const StagedTask &id, const FinishedRun &end, CellTime now,
+                         CellActions &actions)
+{
+    StepState *step = nullptr;
+    TaskRecord *task = findTask(job, id, &step);
+    const StepSpec &spec = stepSpec(job, id.step_);
+    if (task == nullptr || task->state_ == TaskState::Done) {
+        return false;
+    }
+    std::uint32_t failures = ++task->failures_;
+    if (spec.gang_) {
+        if (end.run_.value_ > step->gangFailedRun_) {
+            step->gangFailedRun_ = end.run_.value_;
+            ++step->gangFailures_;
+        }
+        failures = step->gangFailures_;
+    }
+    markDirty(cell, job);
+    if (!spec.longRunning_ && failures >= job.policy_.maxAttempts_) {
+        finishJob(cell, job, StagedState::Failed, now, actions);
+    }
+    return true;
+}
+
+static void noteRunnerQuality(Runner &runner, const FinishedRun &end, CellTime now, CellActions &actions)
+{
+    if (end.end_ == RunEnd::Done) {
+        runner.failedRuns_ = 0;
+    } else if (end.end_ == RunEnd::Failed && ++runner.failedRuns_ >= FailedRunsLimit) {
+        runner.avoidUntil_ = std::max(runner.avoidUntil_, now.steady_ + FailedRunsPause);
+        JsonObject line = logEvent("runner-rests");
+        line.text("runner", runner.record_.id_.value_).number("failed_in_a_row", runner.failedRuns_);
+        logTo(actions, line, LogLevel::Warning);
+    }
+}
+
+static void handleEnd(Cell &cell, Runner &runner, const FinishedRun &end, CellTime now, CellActions &actions)
+{
+    JsonObject line = logEvent("end");
+    line.text("task", taskText(end.task_)).number("run", static_cast<std::int64_t>(end.run_.value_));
+    line.text("runner", runner.record_.id_.value_).text("how", runEndName(end.end_));
+    line.number("number", static_cast<std::int64_t>(end.number_));
+    const auto placed = runner.tasks_.find(end.task_);
+    if (placed != runner.tasks_.end() && placed->second.startedAt_ != TimePoint{}) {
+        line.number("age_ms",
+                    std::chrono::duration_cast<Milliseconds>(now.steady_ - placed->second.startedAt_).count());
+    }
+    logTo(actions, line);
+    noteRunnerQuality(runner, end, now, actions);
+    Job *job = findJob(cell, end.task_.job_);
+    if (job != nullptr && !isFinal(*job)) {
+        StepState *step = nullptr;
+        TaskRecord *task = findTask(*job, end.task_, &step);
+        if (task == nullptr && job->recovered_) {
+            materialize(cell, *job, now);
+            task = findTask(*job, end.task_, &step);
+        }
+        if (task != nullptr && end.run_.value_ > task->endedRun_) {
+            task->endedRun_ = end.run_.value_;
+            task->run_ = std::max(task->run_, end.run_.value_);
+            if (end.end_ == RunEnd::Done && !stepSpec(*job, end.task_.step_).longRunning_) {
+                job->started_ = true;
+                taskDone(cell, *job, end.task_, now, actions);
+            } else if (end.end_ == RunEnd::Failed) {
+                retryTask(*job, end.task_, end, now);
+                countFailure(cell, *job, end.task_, end, now, actions);
+            } else {
+                retryTask(*job, end.task_, end, now);
+            }
+        }
+    }
+    const auto found = runner.tasks_.find(end.task_);
+    if (found != runner.tasks_.end() && found->second.run_.value_ <= end.run_.value_) {
+        releasePlacement(cell, runner, end.task_);
+    }
+    runner.unstored_.push_back({end.number_, end.task_.job_, job != nullptr ? job->version_ : 0});
+}
+
+void acknowledgeEnds(Cell &cell, Runner &runner)
+{
+    while (!runner.unstored_.empty()) {
+        const UnstoredEnd &end = runner.unstored_.front();
+        const Job *job = findJob(cell, end.job_);
+        if (job != nullptr && job->storedVersion_ < end.version_) {
+            return;
+        }
+        runner.acknowledgedEnd_ = end.number_;
+        runner.unstored_.pop_front();
+    }
+}
+
+// ---- replies ----
+
+static void mergeActive(Cell &cell, Runner &runner, const ActiveRun &active, CellTime now, CellActions &actions)
+{
+    const auto placed = runner.tasks_.find(active.task_);
+    if (placed != runner.tasks_.end()) {
+        if (placed->second.phase_ == PlacementPhase::Starting) {
+            placed->second.phase_ = PlacementPhase::Running;
+        }
+        return;
+    }
+    Job *job = findJob(cell, active.task_.job_);
+    if (job != nullptr && !isFinal(*job)) {
+        materialize(cell, *job, now);
+    }
+    TaskRecord *task = job != nullptr && !isFinal(*job) ? findTask(*job, active.task_, nullptr) : nullptr;
+    if (task != nullptr && task->state_ == TaskState::Waiting && active.run_.value_ > task->endedRun_) {
+        Placement &placement = addPlacement(cell, runner, *job, active.task_, active.run_);
+        placement.phase_ = PlacementPhase::Running;
+        placement.startedAt_ = now.steady_;
+        job->started_ = true;
+        return;
+    }
+    JsonObject line = logEvent("orphan");
+    line.text("task", taskText(active.task_)).number("run", static_cast<std::int64_t>(active.run_.value_));
+    line.text("runner", runner.record_.id_.value_).boolean("job_known", job != nullptr);
+    logTo(actions, line, LogLevel::Warning);
+    addOrphan(runner, active.task_, active.run_);
+    stopPlacement(cell, runner, active.task_, now, actions);
+}
+
+static void updateCheckpoint(Cell &cell, const ActiveRun &active)
+{
+    if (active.checkpoint_.empty()) {
+        return;
+    }
+    Job *job = findJob(cell, active.task_.job_);
+    TaskRecord *task = job != nullptr ? findTask(*job, active.task_, nullptr) : nullptr;
+    if (task != nullptr && task->state_ == TaskState::Placed && task->run_ == active.run_.value_) {
+        task->checkpoint_ = active.checkpoint_;
+    }
+}
+
+// Releases what a list proves to be gone: it neither runs nor has ended, and the last answer about it is older.
+static void releaseAbsent(Cell &cell, Runner &runner, const RunnerReply &reply, CellTime now, CellActions &actions)
+{
+    std::vector<StagedTask> absent;
+    for (const auto &[task, placement] : runner.tasks_) {
+        if (placement.settledAt_ == TimePoint{} || placement.settledAt_ >= reply.sentAt_) {
+            continue;
+        }
+        const bool active = std::any_of(reply.active_.begin(), reply.active_.end(),
+                                        [&id = task](const ActiveRun &run) { return run.task_ == id; });
+        if (!active) {
+            absent.push_back(task);
+        }
+    }
+    for (const StagedTask &task : absent) {
+        JsonObject line = logEvent("task-absent");
+        line.text("task", taskText(task)).text("runner", runner.record_.id_.value_);
+        logTo(actions, line, LogLevel::Warning);
+        releasePlacement(cell, runner, task);
+        abandonGang(cell, task, now, actions);
+    }
+}
+
+static void readClock(Runner &runner, const RunnerReply &reply, TimePoint now)
+{
+    if (reply.clockMs_ >= 0) {
+        runner.clockMs_ = reply.clockMs_;
+        runner.clockReadAt_ = now;
+    }
+}
+
+static void handleHold(Cell &cell, Runner &runner, const RunnerReply &reply, CellTime now, CellActions &actions)
+{
+    runner.holdOpen_ = false;
+    if (reply.status_ != RunnerStatus::Ok) {
+        ++runner.failedCalls_;
+        runner.nextHoldAt_ = now.steady_ + HoldRetry;
+        if (runner.failedCalls_ == 1) {
+            JsonObject line = logEvent("runner-silent");
+            line.text("runner", runner.record_.id_.value_).text("status", runnerStatusName(reply.status_));
+            logTo(actions, line, LogLevel::Warning);
+        }
+        return;
+    }
+    if (runner.failedCalls_ > 0) {
+        JsonObject line = logEvent("runner-regained");
+        line.text("runner", runner.record_.id_.value_).number("failed_calls", runner.failedCalls_);
+        logTo(actions, line);
+        runner.failedCalls_ = 0;
+        cell.dirtyPlacement_ = true;
+    }
+    runner.nextHoldAt_ = now.steady_ + HoldGap;
+    for (const FinishedRun &end : reply.finished_) {
+        if (end.number_ > runner.processedEnd_) {
+            runner.processedEnd_ = end.number_;
+            handleEnd(cell, runner, end, now, actions);
+        }
+    }
+    acknowledgeEnds(cell, runner);
+    for (const ActiveRun &active : reply.active_) {
+        mergeActive(cell, runner, active, now, actions);
+        updateCheckpoint(cell, active);
+    }
+    constexpr std::size_t EndsPerReply = 500; // more ends follow; the list is not complete
+    if (reply.finished_.size() < EndsPerReply) {
+        releaseAbsent(cell, runner, reply, now, actions);
+        if (!runner.held_) {
+            runner.held_ = true;
+            runner.legacy_ = false;
+            // An earlier leader may have extended the leases as far as the platform allows.
+            const auto longest = Milliseconds(static_cast<std::int64_t>(
+                static_cast<double>(cell.settings_.holdMax_.count()) / SlowestClock));
+            runner.leaseEndsBy_ = now.steady_ + longest + LeaseMargin;
+            JsonObject line = logEvent("runner-held");
+            line.text("runner", runner.record_.id_.value_).text("service", runner.record_.service_);
+            line.number("active", static_cast<std::int64_t>(reply.active_.size()));
+            line.number("ends", static_cast<std::int64_t>(reply.finished_.size()));
+            logTo(actions, line);
+            cell.dirtyPlacement_ = true;
+        }
+    }
+    if (!runner.held_ || !runner.tasks_.empty()) {
+        runner.nextHoldAt_ = runner.held_ ? runner.nextHoldAt_ : now.steady_;
+    }
+}
+
+static void scheduleRetry(Placement &placement, TimePoint now)
+{
+    constexpr unsigned MaxDoublings = 4;
+    placement.retryAt_ = now + StartRetry * (1U << std::min(placement.tries_ - 1, MaxDoublings));
+}
+
+// The runner certainly does not have the run; the task waits again.
+static void startRejected(Cell &cell, Runner &runner, const RunnerReply &reply, CellTime now, CellActions &actions)
+{
+    JsonObject line = logEvent("start-rejected");
+    line.text("task", taskText(reply.task_)).number("run", static_cast<std::int64_t>(reply.run_.value_));
+    line.text("runner", runner.record_.id_.value_).text("status", runnerStatusName(reply.status_));
+    logTo(actions, line, LogLevel::Warning);
+    if (reply.status_ == RunnerStatus::Unhealthy || reply.status_ == RunnerStatus::NotSent
+        || reply.status_ == RunnerStatus::NoRoom) {
+        runner.avoidUntil_ = std::max(runner.avoidUntil_, now.steady_ + UnhealthyPause);
+    }
+    Job *job = findJob(cell, reply.task_.job_);
+    StepState *step = nullptr;
+    if (job != nullptr && findTask(*job, reply.task_, &step) != nullptr && reply.status_ == RunnerStatus::BadTicket) {
+        const auto verdict = step->verdicts_.find(runner.record_.id_);
+        if (verdict != step->verdicts_.end()) {
+            verdict->second.validUntil_ = {};
+        }
+    }
+    releasePlacement(cell, runner, reply.task_);
+    abandonGang(cell, reply.task_, now, actions);
+}
+
+static void handleStart(Cell &cell, Runner &runner, const RunnerReply &reply, CellTime now, CellActions &actions)
+{
+    const auto found = runner.tasks_.find(reply.task_);
+    if (found == runner.tasks_.end() || found->second.run_ != reply.run_
+        || found->second.phase_ == PlacementPhase::Stopping) {
+        return;
+    }
+    Placement &placement = found->second;
+    placement.callOpen_ = false;
+    const bool mayHaveArrived = placement.tries_ > 1; // an earlier try has no answer
+    switch (reply.status_) {
+    case RunnerStatus::Ok:
+    case RunnerStatus::Superseded: // it has ended already; its end is listed
+        placement.phase_ = PlacementPhase::Running;
+        placement.settledAt_ = now.steady_;
+        if (Job *job = findJob(cell, reply.task_.job_)) {
+            job->started_ = true;
+        }
+        break;
+    case RunnerStatus::Unknown:
+        scheduleRetry(placement, now.steady_);
+        break;
+    case RunnerStatus::Fenced:
+    case RunnerStatus::OtherLife:
+        break; // handled for all calls
+    default:
+        if (mayHaveArrived) {
+            stopPlacement(cell, runner, reply.task_, now, actions);
+        } else {
+            startRejected(cell, runner, reply, now, actions);
+        }
+        break;
+    }
+}
+
+static void handleStop(Runner &runner, const RunnerReply &reply, CellTime now)
+{
+    const auto found = runner.tasks_.find(reply.task_);
+    if (found == runner.tasks_.end() || found->second.run_ != reply.run_
+        || found->second.phase_ != PlacementPhase::Stopping) {
+        return;
+    }
+    found->second.callOpen_ = false;
+    if (reply.status_ == RunnerStatus::Ok || reply.status_ == RunnerStatus::Superseded) {
+        found->second.settledAt_ = now.steady_;
+        runner.nextHoldAt_ = std::min(runner.nextHoldAt_, now.steady_);
+    } else {
+        scheduleRetry(found->second, now.steady_);
+    }
+}
+
+// Timers of one runner: repeated calls, holds, end of the leases.
+static void runnerTimer(Cell &cell, Runner &runner, CellTime now, CellActions &actions)
+{
+    if (!runner.tasks_.empty() && runner.leaseEndsBy_ != TimePoint{} && now.steady_ > runner.leaseEndsBy_) {
+        loseRunner(cell, runner, "lease-ended", now, actions);
+        return;
+    }
+    if (runner.legacy_ && !runner.held_) {
+        const auto longest = Milliseconds(static_cast<std::int64_t>(
+            static_cast<double>((cell.settings_.holdMax_ + LeaderGrace).count()) / SlowestClock));
+        if (now.steady_ > cell.acquiredAt_ + longest + LeaseMargin) {
+            loseRunner(cell, runner, "legacy-lease-ended", now, actions);
+            return;
+        }
+    }
+    std::vector<StagedTask> withdraw;
+    for (auto &[task, placement] : runner.tasks_) {
+        if (placement.callOpen_ || now.steady_ < placement.retryAt_ || placement.settledAt_ != TimePoint{}) {
+            continue;
+        }
+        if (placement.phase_ == PlacementPhase::Starting) {
+            if (placement.tries_ >= StartTries) {
+                withdraw.push_back(task);
+            } else {
+                sendStart(cell, runner, task, placement, now, actions);
+            }
+        } else if (placement.phase_ == PlacementPhase::Stopping) {
+            sendStop(cell, runner, task, placement, actions);
+        }
+    }
+    for (const StagedTask &task : withdraw) {
+        stopPlacement(cell, runner, task, now, actions);
+        abandonGang(cell, task, now, actions);
+    }
+    const bool wanted = !runner.held_ || !runner.tasks_.empty() || !runner.unstored_.empty()
+        || runner.failedCalls_ > 0 || runner.acknowledgedEnd_ < runner.processedEnd_;
+    if (wanted && !runner.holdOpen_ && now.steady_ >= runner.nextHoldAt_) {
+        sendHold(cell, runner, now, actions);
+    }
+}
+
+void runnerTimers(Cell &cell, CellTime now, CellActions &actions)
+{
+    if (cell.superseded_) {
+        return;
+    }
+    std::vector<RunnerId> forgotten;
+    for (const auto &[id, runner] : cell.runners_) {
+        runnerTimer(cell, *runner, now, actions);
+        if (!runner->listed_ && !runner->legacy_ && runner->tasks_.empty() && !runner->holdOpen_) {
+            forgotten.push_back(id);
+        }
+    }
+    for (const RunnerId &id : forgotten) {
+        cell.runners_.erase(id);
+        cell.runnersDirty_ = true;
+    }
+    if (!cell.opened_
+        && std::none_of(cell.runners_.begin(), cell.runners_.end(),
+                        [](const auto &entry) { return entry.second->legacy_; })) {
+        cell.opened_ = true;
+        cell.dirtyPlacement_ = true;
+        JsonObject line = logEvent("recovered");
+        line.number("epoch", static_cast<std::int64_t>(cell.epoch_.value_));
+        line.number("after_ms", std::chrono::duration_cast<Milliseconds>(now.steady_ - cell.acquiredAt_).count());
+        logTo(actions, line);
+    }
+}
+
+} // namespace mimosapier::detail
+
+namespace mimosapier
+{
+
+using namespace detail;
+
+void updateRunner(Cell &cell, const RunnerRecord &record, CellTime now, CellActions &actions)
+{
+    auto &slot = cell.runners_[record.id_];
+    if (!slot) {
+        slot = std::make_unique<Runner>();
+        cell.runnersDirty_ = true;
+    }
+    Runner &runner = *slot;
+    if (!runner.listed_ || record.draining_ != runner.record_.draining_) {
+        JsonObject line = logEvent("runner-listed");
+        line.text("runner", record.id_.value_).text("service", record.service_).boolean("draining", record.draining_);
+        logTo(actions, line);
+        cell.dirtyPlacement_ = true;
+    }
+    if (record.bornUnixMs_ != 0 && runner.bornUnixMs_ != 0 && record.bornUnixMs_ > runner.bornUnixMs_) {
+        beginLife(cell, runner, record.bornUnixMs_, now, actions);
+    }
+    runner.listed_ = true;
+    runner.record_ = record;
+}
+
+void removeRunner(Cell &cell, const RunnerId &id, CellTime now, CellActions &actions)
+{
+    Runner *runner = findRunner(cell, id);
+    if (runner == nullptr || !runner->listed_) {
+        return;
+    }
+    runner->listed_ = false;
+    JsonObject line = logEvent("runner-unlisted");
+    line.text("runner", id.value_).number("tasks", static_cast<std::int64_t>(runner->tasks_.size()));
+    line.number("answer_age_ms",
+                std::chrono::duration_cast<Milliseconds>(now.steady_ - runner->clockReadAt_).count());
+    logTo(actions, line);
+}
+
+void handleRunnerReply(Cell &cell, const RunnerReply &reply, CellTime now, CellActions &actions)
+{
+    Runner *runner = findRunner(cell, reply.runner_);
+    if (runner == nullptr || !isCallOf(cell, reply.id_)) {
+        return;
+    }
+    if (reply.status_ == RunnerStatus::Fenced) {
+        if (!cell.superseded_) {
+            cell.superseded_ = true;
+            JsonObject line = logEvent("superseded");
+            line.text("by", runner->record_.id_.value_).number("epoch", static_cast<std::int64_t>(cell.epoch_.value_));
+            logTo(actions, line, LogLevel::Warning);
+        }
+        return;
+    }
+    if (reply.status_ == RunnerStatus::OtherLife) {
+        if (reply.op_ == RunnerOp::Hold) {
+            runner->holdOpen_ = false;
+            runner->nextHoldAt_ = now.steady_ + HoldRetry;
+        }
+        loseRunner(cell, *runner, "address-taken-by-other-life", now, actions);
+        ++runner->failedCalls_;
+        return;
+    }
+    if (reply.bornUnixMs_ != 0 && reply.bornUnixMs_ != runner->bornUnixMs_) {
+        if (reply.bornUnixMs_ < runner->bornUnixMs_) { // a late answer of an earlier life
+            if (reply.op_ == RunnerOp::Hold) {
+                runner->holdOpen_ = false;
+            }
+            return;
+        }
+        beginLife(cell, *runner, reply.bornUnixMs_, now, actions);
+    }
+    readClock(*runner, reply, now.steady_);
+    switch (reply.op_) {
+    case RunnerOp::Hold:
+        handleHold(cell, *runner, reply, now, actions);
+        break;
+    case RunnerOp::Start:
+        handleStart(cell, *runner, reply, now, actions);
+        break;
+    case RunnerOp::Stop:
+        handleStop(*runner, reply, now);
+        break;
+    }
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/cell/submit_cmd.cpp
@@ -0,0 +1,205 @@
+// Clients' requests at the leader: submit, query, cancel, count.
+#include "core/cell/cell_internal.h"
+
+#include <algorithm>
+
+namespace mimosapier
+{
+
+using namespace detail;
+
+static constexpr Milliseconds MinAcceptTime{60}; // a submit that has less time left is not begun
+static constexpr Milliseconds StoreRetryAfter{2'000}; // outages of the store last seconds
+static constexpr Milliseconds LoadRetryAfter{1'000}; // the shortest that Retry-After, in whole seconds, can say
+// Work that waits may take this many objectives' time ahead of a new job; a job is late, and worth a fifth, up to three.
+static constexpr double MaxWaitObjectives = 2.5;
+
+static void reply(CellActions &actions, const DaemonId &to, const CellReply &content)
+{
+    actions.replies_.push_back({to, content});
+}
+
+// Why a job can never run, or an empty text.
+static std::string_view impossible(const Cell &cell, const Job &job)
+{
+    for (std::size_t i = 0; i < job.submitted_.steps_.size(); ++i) {
+        const StepSpec &spec = job.submitted_.steps_[i];
+        const auto account = cell.accounts_.find(job.account_);
+        if (account != cell.accounts_.end()) {
+            const Resources &cap = account->second.config_.cap_;
+            if ((cap.milliCpus_ > 0 && spec.size_.milliCpus_ > cap.milliCpus_)
+                || (cap.memoryMb_ > 0 && spec.size_.memoryMb_ > cap.memoryMb_)) {
+                return "task-above-account-limit";
+            }
+        }
+    }
+    return {};
+}
+
+// Processor time, in thousandths of a processor times milliseconds, of a job's tasks that have not ended.
+static double workOf(const Job &job)
+{
+    double work = 0;
+    for (const StepSpec &spec : job.submitted_.steps_) {
+        if (!spec.longRunning_ && !spec.fill_) {
+            work += static_cast<double>(spec.count_) * static_cast<double>(spec.size_.milliCpus_)
+                * static_cast<double>(spec.estimate_.count());
+        }
+    }
+    return work;
+}
+
+// Estimated wait of a job until the work that goes before it has been placed. Answers a burst: what could only end
+// long after its objective is refused while it costs nothing.
+static Milliseconds expectedWait(const Cell &cell, const Job &job)
+{
+    double ahead = 0;
+    double capacity = 0;
+    for (const auto &[id, runner] : cell.runners_) {
+        if (runner->listed_ && !runner->record_.draining_ && runner->record_.service_ == job.policy_.service_) {
+            capacity += static_cast<double>(runner->record_.capacity_.milliCpus_);
+        }
+    }
+    for (const auto &[id, other] : cell.jobs_) {
+        if (!isFinal(*other) && other->policy_.priority_ <= job.policy_.priority_ && !other->started_) {
+            ahead += workOf(*other);
+        }
+    }
+    // Gangs and tickets keep about a quarter of the capacity from being used.
+    constexpr double UsableShare = 0.75;
+    return capacity <= 0 ? Milliseconds(0) : Milliseconds(static_cast<std::int64_t>(ahead / (capacity * UsableShare)));
+}
+
+// Checks a submit without changing anything. Result: the refusal, or nothing.
+static std::optional<CellReply> checkSubmit(const Cell &cell, const CellRequest &request, const Job &job,
+                                            std::string_view &reason)
+{
+    CellReply refusal{request.call_, CellOutcome::Refused, {}, 0, LoadRetryAfter};
+    if (cell.leaving_ || cell.superseded_) {
+        reason = "leader-leaving";
+        refusal.outcome_ = CellOutcome::Unavailable;
+        return refusal;
+    }
+    if (cell.storeTrouble_) {
+        reason = "store-unavailable";
+        refusal.outcome_ = CellOutcome::Unavailable;
+        refusal.retryAfter_ = StoreRetryAfter;
+        return refusal;
+    }
+    if (request.remaining_ < MinAcceptTime) {
+        reason = "deadline-too-short";
+        return refusal;
+    }
+    reason = impossible(cell, job);
+    if (!reason.empty()) {
+        return refusal;
+    }
+    const Milliseconds wait = expectedWait(cell, job);
+    const auto most = Milliseconds(
+        static_cast<std::int64_t>(static_cast<double>(objectiveOf(job).count()) * MaxWaitObjectives));
+    if (wait > most && job.submitted_.repeatCount_ == 0) {
+        reason = "overloaded";
+        refusal.retryAfter_ = std::max<Milliseconds>(LoadRetryAfter, wait - most);
+        return refusal;
+    }
+    return std::nullopt;
+}
+
+static void submit(Cell &cell, const DaemonId &from, const CellRequest &request, CellTime now, CellActions &actions)
+{
+    if (Job *known = findJob(cell, request.job_)) {
+        if (known->stored_) {
+            reply(actions, from, {request.call_, CellOutcome::Ok, known->shown_, 0, {}});
+        } else {
+            known->acceptWaiting_.emplace_back(from, request.call_);
+        }
+        return;
+    }
+    auto job = std::make_unique<Job>();
+    job->id_ = request.job_;
+    job->account_ = request.account_;
+    job->policy_ = request.policy_;
+    job->submitted_ = request.submitted_;
+    job->acceptedUnixMs_ = now.unixMs_;
+    job->submittedAt_ = now.steady_;
+    job->objectiveAt_ = now.steady_ + objectiveOf(*job);
+    std::string_view reason;
+    const auto refusal = checkSubmit(cell, request, *job, reason);
+    JsonObject line = logEvent(refusal ? "submit-refused" : "submit");
+    line.text("job", jobText(job->id_)).text("account", job->account_).text("queue", job->policy_.queue_);
+    line.text("from", from.value_).number("steps", static_cast<std::int64_t>(job->submitted_.steps_.size()));
+    if (refusal) {
+        line.text("reason", reason).number("retry_after_ms", refusal->retryAfter_.count());
+        logTo(actions, line);
+        reply(actions, from, *refusal);
+        return;
+    }
+    line.number("objective_ms", objectiveOf(*job).count());
+    logTo(actions, line);
+    job->acceptWaiting_.emplace_back(from, request.call_);
+    cell.accepting_.push_back(job->id_);
+    cell.jobs_.emplace(job->id_, std::move(job));
+}
+
+static void cancel(Cell &cell, const DaemonId &from, const CellRequest &request, CellTime now, CellActions &actions)
+{
+    Job *job = findJob(cell, request.job_);
+    if (job == nullptr) {
+        reply(actions, from, {request.call_, CellOutcome::Gone, {}, 0, {}});
+        return;
+    }
+    if (!isFinal(*job)) {
+        JsonObject line = logEvent("cancel");
+        line.text("job", jobText(job->id_)).text("from", from.value_);
+        logTo(actions, line);
+        finishJob(cell, *job, StagedState::Cancelled, now, actions);
+    }
+    if (job->storedVersion_ >= job->version_) {
+        reply(actions, from, {request.call_, CellOutcome::Ok, job->shown_, 0, {}});
+    } else {
+        job->storeWaiting_.push_back({job->version_, {from, request.call_}});
+    }
+}
+
+static void query(Cell &cell, const DaemonId &from, const CellRequest &request, CellActions &actions)
+{
+    const Job *job = findJob(cell, request.job_);
+    if (job == nullptr || !job->stored_) {
+        reply(actions, from, {request.call_, CellOutcome::Gone, {}, 0, {}});
+        return;
+    }
+    StagedState state = job->shown_;
+    if (!isFinal(state)) {
+        state = job->started_ ? StagedState::Running : StagedState::Queued;
+    }
+    reply(actions, from, {request.call_, CellOutcome::Ok, state, 0, {}});
+}
+
+static void countPending(Cell &cell, const DaemonId &from, const CellRequest &request, CellActions &actions)
+{
+    const auto pending = std::count_if(cell.jobs_.begin(), cell.jobs_.end(), [&request](const auto &entry) {
+        const Job &job = *entry.second;
+        return job.stored_ && !job.started_ && !isFinal(job) && job.policy_.queue_ == request.policy_.queue_;
+    });
+    reply(actions, from, {request.call_, CellOutcome::Ok, {}, static_cast<std::uint64_t>(pending), {}});
+}
+
+void handleRequest(Cell &cell, const DaemonId &from, const CellRequest &request, CellTime now, CellActions &actions)
+{
+    switch (request.verb_) {
+    case CellVerb::Submit:
+        submit(cell, from, request, now, actions);
+        break;
+    case CellVerb::Cancel:
+        cancel(cell, from, request, now, actions);
+        break;
+    case CellVerb::Query:
+        query(cell, from, request, actions);
+        break;
+    case CellVerb::CountPending:
+        countPending(cell, from, request, actions);
+        break;
+    }
+}
+
+} // namespace mimosapier
--- a/src/core/common/time_type.h
+++ b/src/core/common/time_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace mimosapier
 {
@@ -29,4 +30,26 @@
     [[nodiscard]] TimePoint now() const override { return std::chrono::steady_clock::now(); }
 };
 
+// Source of the time of day, for work that is due at a given time. It may jump.
+class WallClock
+{
+public:
+    WallClock() = default;
+    WallClock(const WallClock &) = delete;
+    WallClock &operator=(const WallClock &) = delete;
+    virtual ~WallClock() = default;
+
+    // Milliseconds since 1970.
+    [[nodiscard]] virtual std::int64_t unixMs() const = 0;
+};
+
+class SystemWallClock final : public WallClock
+{
+public:
+    [[nodiscard]] std::int64_t unixMs() const override
+    {
+        return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    }
+};
+
 } // namespace mimosapier
--- /dev/null
+++ b/src/core/control/control_base.h
@@ -0,0 +1,110 @@
+// State of one daemon of a cell: session with the store, members, leader, configuration, clients' open requests.
+//
+// Invariants:
+// - cell_ exists only while this daemon leads, as far as it knows.
+// - A keyed request is passed on only while configProofAt_ is recent enough for withdrawn keys.
+// - A request is answered as refused only when no leader can have accepted it.
+#pragma once
+
+#include "core/cell/cell_func.h"
+#include "core/control/control_type.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+namespace mimosapier
+{
+
+// A client's request without an answer.
+struct OpenRequest
+{
+    CellRequest request_;
+    TimePoint arrivedAt_;
+    TimePoint deadline_;
+    DaemonId sentTo_; // leader that has it; empty: none
+    std::uint32_t sent_ = 0; // leaders that may have it
+};
+
+struct ClusterMember
+{
+    std::string address_;
+    bool listed_ = false; // its entry is in the store
+    TimePoint seenAt_; // listed, or connected, at this time
+    bool connected_ = false;
+    std::uint64_t beaconsSent_ = 0;
+    std::uint64_t lastBeacon_ = 0; // highest sequence got from it
+    std::map<std::uint64_t, TimePoint> beaconTimes_; // of the latest beacons sent
+};
+
+enum class RecoveryStage : std::uint8_t { None, Jobs, Progress, Runners, Discovery, Done };
+
+// A read followed by watches of one key space.
+struct Feed
+{
+    bool open_ = false; // a call is under way
+    bool read_ = false; // the state was read; watches follow
+    std::uint64_t revision_ = 0; // changes up to it are known
+    TimePoint nextAt_;
+    std::uint32_t failures_ = 0; // in a row
+};
+
+struct Session
+{
+    std::uint64_t lease_ = 0; // 0: none
+    TimePoint endsAt_; // the lease holds at least until then
+    bool callOpen_ = false;
+    bool registered_ = false;
+    bool registering_ = false;
+    TimePoint nextAt_;
+    std::uint32_t failures_ = 0; // in a row
+};
+
+struct Control
+{
+    ControlSettings settings_;
+    CellDecoders decoders_;
+    std::mt19937_64 random_;
+    std::uint64_t nextKvId_ = 1;
+    TimePoint startedAt_;
+
+    CellConfig config_;
+    std::string configText_; // as written by the operator
+    TimePoint configProofAt_; // the configuration was the newest at this time
+    std::unordered_map<std::string, std::size_t> accountOfKey_; // index into config_.accounts_
+
+    Session session_;
+    Feed configFeed_;
+    Feed clusterFeed_;
+    Feed runnerFeed_;
+    bool storeReached_ = false; // the last call to the store was answered
+    Milliseconds storeLatency_{20}; // of reads, smoothed
+
+    std::map<DaemonId, ClusterMember> members_; // without this daemon
+    CellEpoch epoch_; // highest known
+    std::uint64_t epochRevision_ = 0; // of its key; 0: the key does not exist
+    DaemonId leader_; // of epoch_; empty: none known
+    bool leaderListed_ = false; // the leader key exists
+    bool electing_ = false;
+    TimePoint electAt_; // earliest
+
+    std::unique_ptr<Cell> cell_;
+    RecoveryStage stage_ = RecoveryStage::None;
+    std::string recoveryAfter_; // last key of the page before
+    bool recoveryOpen_ = false;
+    TimePoint recoveryRetryAt_;
+    std::set<RunnerId> readRunners_; // ids of the pages read so far
+    std::vector<std::pair<DaemonId, CellRequest>> deferred_; // until the recovery has read the jobs
+
+    std::map<std::uint64_t, OpenRequest> requests_; // by call id
+    TimePoint nextBeaconAt_;
+    TimePoint nextScanAt_;
+    PeerSet peerSet_; // last one given to the transport
+    bool leaving_ = false;
+    TimePoint leaveAt_;
+    bool sessionEnded_ = false; // the lease was given back
+};
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/control/control_internal.h
@@ -0,0 +1,70 @@
+// Functions shared by the sources of this folder.
+#pragma once
+
+#include "core/common/json_func.h"
+#include "core/control/control_func.h"
+
+namespace mimosapier::detail
+{
+
+// Requests kept while a new leader reads the jobs; about 50 s of arrivals at today's sizes.
+constexpr std::size_t MaxDeferred = 2'000;
+
+constexpr std::string_view EpochKey = "cluster/epoch";
+constexpr std::string_view ClusterPrefix = "cluster/";
+constexpr std::string_view MemberPrefix = "cluster/member/";
+
+inline JsonObject controlEvent(std::string_view event)
+{
+    JsonObject object;
+    object.text("event", event);
+    return object;
+}
+
+inline void controlLog(ControlActions &actions, JsonObject &object, LogLevel level = LogLevel::Info)
+{
+    actions.cell_.log_.push_back({level, object.finish()});
+}
+
+inline std::int64_t ageMs(TimePoint now, TimePoint then)
+{
+    return then == TimePoint{} ? -1 : std::chrono::duration_cast<Milliseconds>(now - then).count();
+}
+
+// Sends a call of the control to the store.
+void kvSend(Control &control, KvCall call, ControlActions &actions);
+
+// feeds.cpp
+void pollFeeds(Control &control, CellTime now, ControlActions &actions);
+void feedReply(Control &control, const KvReply &reply, CellTime now, ControlActions &actions);
+void adoptConfig(Control &control, std::string_view text, TimePoint proofAt, std::string_view source, TimePoint now,
+                 ControlActions &actions);
+
+// session.cpp
+void pollSession(Control &control, CellTime now, ControlActions &actions);
+void sessionReply(Control &control, const KvReply &reply, CellTime now, ControlActions &actions);
+
+// leadership.cpp
+void clusterItem(Control &control, const KvItem &item, CellTime now, ControlActions &actions);
+void clusterRead(Control &control, const std::vector<KvItem> &items, CellTime now, ControlActions &actions);
+void learnEpoch(Control &control, CellEpoch epoch, const DaemonId &leader, std::string_view source, CellTime now,
+                ControlActions &actions);
+void pollElection(Control &control, CellTime now, ControlActions &actions);
+void electionReply(Control &control, const KvReply &reply, CellTime now, ControlActions &actions);
+void stepDown(Control &control, std::string_view cause, CellTime now, ControlActions &actions);
+void pollRecovery(Control &control, CellTime now, ControlActions &actions);
+void recoveryReply(Control &control, const KvReply &reply, CellTime now, ControlActions &actions);
+bool leads(const Control &control);
+
+// requests.cpp
+void routeRequests(Control &control, CellTime now, ControlActions &actions);
+void takeReplies(Control &control, CellTime now, ControlActions &actions);
+void cellReply(Control &control, const DaemonId &from, const CellReply &reply, CellTime now, ControlActions &actions);
+void scanRequests(Control &control, CellTime now, ControlActions &actions);
+bool configIsFresh(const Control &control, TimePoint now);
+
+// peers.cpp
+void sendBeacons(Control &control, CellTime now, ControlActions &actions);
+void updatePeerSet(Control &control, CellTime now, ControlActions &actions);
+
+} // namespace mimosapier::detail
--- /dev/null
+++ b/src/core/control/leadership.cpp
@@ -0,0 +1,303 @@
+// Members, election of the leader, and its recovery from the store.
+//
+// The election is one transaction: it creates the leader key under the session's lease, raises the epoch on the condition
+// that nobody else has, and rewrites the lane keys, so that transactions of the former leader fail.
+#include "core/control/control_internal.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace mimosapier::detail
+{
+
+static constexpr Milliseconds FirstElection{400}; // after the start, so that daemons near the store come first
+static constexpr Milliseconds MaxLatencyDelay{400};
+static constexpr int LatencyFactor = 4; // daemons near the store stand first: each accepted job waits for it
+static constexpr int JitterMs = 30;
+static constexpr Milliseconds ElectionRetry{120};
+static constexpr Milliseconds RecoveryRetry{100};
+
+bool leads(const Control &control)
+{
+    return control.cell_ != nullptr;
+}
+
+static Milliseconds electionDelay(Control &control)
+{
+    std::uniform_int_distribution<int> jitter(0, JitterMs);
+    return std::min(MaxLatencyDelay, control.storeLatency_ * LatencyFactor) + Milliseconds(jitter(control.random_));
+}
+
+// "<epoch> <daemon>"
+static bool parseEpoch(std::string_view text, CellEpoch &epoch, DaemonId &leader)
+{
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), epoch.value_);
+    if (error != std::errc{} || end == text.data() + text.size()) {
+        return false;
+    }
+    leader = DaemonId(std::string(end + 1, text.data() + text.size()));
+    return true;
+}
+
+void learnEpoch(Control &control, CellEpoch epoch, const DaemonId &leader, std::string_view source, CellTime now,
+                ControlActions &actions)
+{
+    if (epoch < control.epoch_ || (epoch == control.epoch_ && leader == control.leader_)) {
+        return;
+    }
+    if (epoch == control.epoch_ && !control.leader_.empty()) {
+        return;
+    }
+    control.epoch_ = epoch;
+    control.leader_ = leader;
+    JsonObject line = controlEvent("leader");
+    line.number("epoch", static_cast<std::int64_t>(epoch.value_)).text("leader", leader.value_);
+    line.text("source", source);
+    controlLog(actions, line);
+    if (control.cell_ && control.cell_->epoch_ < epoch) {
+        stepDown(control, "higher-epoch", now, actions);
+    }
+}
+
+static void becomeLeader(Control &control, CellEpoch epoch, std::uint64_t revision, CellTime now,
+                         ControlActions &actions)
+{
+    control.epochRevision_ = revision;
+    control.leaderListed_ = true;
+    const std::array<std::uint64_t, LaneCount> lanes{revision, revision};
+    control.cell_ = makeCell(control.settings_.cell_, control.settings_.self_, epoch, revision, lanes, now.steady_);
+    applyConfig(*control.cell_, control.config_);
+    control.stage_ = RecoveryStage::Jobs;
+    control.recoveryAfter_.clear();
+    control.recoveryOpen_ = false;
+    control.readRunners_.clear();
+    control.runnerFeed_ = {};
+    JsonObject line = controlEvent("elected");
+    line.number("epoch", static_cast<std::int64_t>(epoch.value_)).number("revision",
+                                                                         static_cast<std::int64_t>(revision));
+    controlLog(actions, line);
+    learnEpoch(control, epoch, control.settings_.self_, "election", now, actions);
+}
+
+void stepDown(Control &control, std::string_view cause, CellTime now, ControlActions &actions)
+{
+    if (!control.cell_) {
+        return;
+    }
+    JsonObject line = controlEvent("step-down");
+    line.text("cause", cause).number("epoch", static_cast<std::int64_t>(control.cell_->epoch_.value_));
+    line.number("jobs", static_cast<std::int64_t>(control.cell_->jobs_.size()));
+    controlLog(actions, line, LogLevel::Warning);
+    control.cell_.reset();
+    control.stage_ = RecoveryStage::None;
+    control.runnerFeed_ = {};
+    for (auto &[from, request] : control.deferred_) {
+        const CellReply reply{request.call_, CellOutcome::NotLeader, {}, 0, {}};
+        actions.cell_.replies_.push_back({from, reply});
+    }
+    control.deferred_.clear();
+    if (control.leader_ == control.settings_.self_) {
+        control.leader_ = {};
+    }
+    control.electAt_ = now.steady_ + electionDelay(control);
+}
+
+void clusterItem(Control &control, const KvItem &item, CellTime now, ControlActions &actions)
+{
+    if (item.key_ == LeaderKey) {
+        const bool wasListed = control.leaderListed_;
+        control.leaderListed_ = !item.removed_;
+        if (wasListed && item.removed_) {
+            JsonObject line = controlEvent("leader-key-gone");
+            line.text("leader", control.leader_.value_).number("revision", static_cast<std::int64_t>(item.revision_));
+            controlLog(actions, line, LogLevel::Warning);
+            // A leader whose session lapsed while the store was away continues; the others stand back a little.
+            control.electAt_ = now.steady_ + (leads(control) ? Milliseconds(0) : electionDelay(control));
+        }
+        return;
+    }
+    if (item.key_ == EpochKey && !item.removed_) {
+        CellEpoch epoch;
+        DaemonId leader;
+        if (parseEpoch(item.value_, epoch, leader)) {
+            control.epochRevision_ = item.revision_;
+            const bool own = leader == control.settings_.self_;
+            if (own && !control.cell_ && epoch > control.epoch_) {
+                // The election took effect although its answer was lost.
+                becomeLeader(control, epoch, item.revision_, now, actions);
+            } else {
+                learnEpoch(control, epoch, leader, "store", now, actions);
+            }
+        }
+        return;
+    }
+    if (item.key_.starts_with(MemberPrefix)) {
+        const DaemonId daemon(item.key_.substr(MemberPrefix.size()));
+        if (daemon == control.settings_.self_) {
+            if (item.removed_) {
+                control.session_.registered_ = false;
+            }
+            return;
+        }
+        ClusterMember &member = control.members_[daemon];
+        if (member.listed_ == item.removed_) {
+            JsonObject line = controlEvent(item.removed_ ? "member-gone" : "member");
+            line.text("daemon", daemon.value_).text("address", item.value_);
+            controlLog(actions, line);
+        }
+        member.listed_ = !item.removed_;
+        if (!item.removed_) {
+            member.address_ = item.value_;
+            member.seenAt_ = now.steady_;
+        }
+    }
+}
+
+void clusterRead(Control &control, const std::vector<KvItem> &items, CellTime now, ControlActions &actions)
+{
+    std::set<DaemonId> listed;
+    bool leader = false;
+    for (const KvItem &item : items) {
+        leader = leader || item.key_ == LeaderKey;
+        if (item.key_.starts_with(MemberPrefix)) {
+            listed.insert(DaemonId(item.key_.substr(MemberPrefix.size())));
+        }
+        clusterItem(control, item, now, actions);
+    }
+    for (auto &[daemon, member] : control.members_) {
+        member.listed_ = listed.contains(daemon);
+    }
+    control.session_.registered_ = listed.contains(control.settings_.self_);
+    if (!leader) {
+        KvItem gone;
+        gone.key_ = std::string(LeaderKey);
+        gone.removed_ = true;
+        clusterItem(control, gone, now, actions);
+    }
+}
+
+void pollElection(Control &control, CellTime now, ControlActions &actions)
+{
+    if (control.cell_ && control.cell_->superseded_) {
+        stepDown(control, "superseded", now, actions);
+        control.clusterFeed_.read_ = false; // a read tells who leads
+    }
+    if (control.cell_ && now.steady_ > control.session_.endsAt_ + LeaderGrace) {
+        stepDown(control, "no-session", now, actions);
+    }
+    const bool ready = control.clusterFeed_.read_ && control.session_.lease_ != 0
+        && now.steady_ < control.session_.endsAt_ && control.session_.registered_;
+    if (!ready || control.leaderListed_ || control.electing_ || control.leaving_ || now.steady_ < control.electAt_
+        || now.steady_ < control.startedAt_ + FirstElection || control.config_.version_ == 0) {
+        return;
+    }
+    KvCall call;
+    call.purpose_ = KvPurpose::Elect;
+    call.op_ = KvOp::Commit;
+    call.conditions_ = {{std::string(LeaderKey), 0}, {std::string(EpochKey), control.epochRevision_}};
+    call.writes_ = {{std::string(LeaderKey), control.settings_.self_.value_, control.session_.lease_}};
+    if (!control.cell_ || control.cell_->epoch_ != control.epoch_) {
+        const std::uint64_t next = control.epoch_.value_ + 1;
+        call.writes_.push_back(
+            {std::string(EpochKey), std::to_string(next) + " " + control.settings_.self_.value_, 0});
+        for (std::size_t lane = 0; lane < LaneCount; ++lane) {
+            call.writes_.push_back({laneKey(lane), std::to_string(next) + ":0", 0});
+        }
+    }
+    control.electing_ = true;
+    kvSend(control, std::move(call), actions);
+}
+
+void electionReply(Control &control, const KvReply &reply, CellTime now, ControlActions &actions)
+{
+    control.electing_ = false;
+    control.electAt_ = now.steady_ + ElectionRetry;
+    if (reply.status_ == KvStatus::Ok) {
+        if (control.cell_) {
+            control.leaderListed_ = true;
+            renewLeadership(*control.cell_, reply.revision_);
+            JsonObject line = controlEvent("leadership-renewed");
+            line.number("epoch", static_cast<std::int64_t>(control.epoch_.value_));
+            controlLog(actions, line);
+        } else {
+            becomeLeader(control, CellEpoch{control.epoch_.value_ + 1}, reply.revision_, now, actions);
+        }
+        return;
+    }
+    // Lost, or not known: the keys say who leads.
+    control.clusterFeed_.read_ = false;
+}
+
+// ---- recovery ----
+
+static void recoveryCall(Control &control, KvPurpose purpose, KvOp op, std::string key, ControlActions &actions)
+{
+    KvCall call;
+    call.purpose_ = purpose;
+    call.op_ = op;
+    call.key_ = std::move(key);
+    call.after_ = control.recoveryAfter_;
+    control.recoveryOpen_ = true;
+    kvSend(control, std::move(call), actions);
+}
+
+void pollRecovery(Control &control, CellTime now, ControlActions &actions)
+{
+    if (!control.cell_ || control.recoveryOpen_ || now.steady_ < control.recoveryRetryAt_) {
+        return;
+    }
+    switch (control.stage_) {
+    case RecoveryStage::Jobs:
+        recoveryCall(control, KvPurpose::RecoverJobs, KvOp::Range, "job/", actions);
+        break;
+    case RecoveryStage::Progress:
+        recoveryCall(control, KvPurpose::RecoverProgress, KvOp::Range, "progress/", actions);
+        break;
+    case RecoveryStage::Runners:
+        recoveryCall(control, KvPurpose::RecoverRunners, KvOp::Get, "runners", actions);
+        break;
+    case RecoveryStage::Discovery:
+        if (control.runnerFeed_.read_) {
+            finishRecovery(*control.cell_, now, actions.cell_);
+            control.stage_ = RecoveryStage::Done;
+            for (const auto &[from, request] : control.deferred_) {
+                handleRequest(*control.cell_, from, request, now, actions.cell_);
+            }
+            control.deferred_.clear();
+        }
+        break;
+    case RecoveryStage::None:
+    case RecoveryStage::Done:
+        break;
+    }
+}
+
+void recoveryReply(Control &control, const KvReply &reply, CellTime now, ControlActions &actions)
+{
+    control.recoveryOpen_ = false;
+    if (!control.cell_) {
+        return;
+    }
+    const bool none = reply.purpose_ == KvPurpose::RecoverRunners && reply.status_ == KvStatus::NotFound;
+    if (reply.status_ != KvStatus::Ok && !none) {
+        control.recoveryRetryAt_ = now.steady_ + RecoveryRetry;
+        return;
+    }
+    for (const KvItem &item : reply.items_) {
+        if (reply.purpose_ == KvPurpose::RecoverJobs) {
+            recoverJob(*control.cell_, item, now, actions.cell_);
+        } else if (reply.purpose_ == KvPurpose::RecoverProgress) {
+            recoverProgress(*control.cell_, item, now, actions.cell_);
+        } else {
+            recoverRunners(*control.cell_, item.value_);
+        }
+    }
+    if (reply.more_ && !reply.items_.empty()) {
+        control.recoveryAfter_ = reply.items_.back().key_;
+        return;
+    }
+    control.recoveryAfter_.clear();
+    control.stage_ = static_cast<RecoveryStage>(static_cast<int>(control.stage_) + 1);
+}
+
+} // namespace mimosapier::detail
--- /dev/null
+++ b/src/core/control/requests.cpp
@@ -0,0 +1,254 @@
+// Clients' requests: queue and key by the configuration, forwarding to the leader, answers, deadlines.
+#include "core/control/control_internal.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace mimosapier::detail
+{
+
+static constexpr Milliseconds AnswerReserve{120}; // before the client's deadline, for the way back
+// A request that no leader takes is refused after this time, so that the client comes back to another daemon. A change
+// of leader after a planned stop is shorter, after a death longer.
+static constexpr Milliseconds LeaderWait{1'000};
+static constexpr Milliseconds LeaderRetryAfter{1'000};
+static constexpr Milliseconds StaleRetryAfter{2'000};
+static constexpr std::size_t MaxOpenRequests = 4'000; // memory: about 2 KB each
+static constexpr std::size_t JobIdDigits = 16;
+
+static const QueueConfig *findQueue(const CellConfig &config, std::string_view host, std::string_view path)
+{
+    const QueueConfig *best = nullptr;
+    for (const QueueConfig &queue : config.queues_) {
+        if (queue.host_ == host && path.starts_with(queue.prefix_)
+            && (best == nullptr || queue.prefix_.size() > best->prefix_.size())) {
+            best = &queue;
+        }
+    }
+    return best;
+}
+
+static bool parseJobId(std::string_view text, StagedJobId &id)
+{
+    constexpr int Hexadecimal = 16;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), id.value_, Hexadecimal);
+    return text.size() == JobIdDigits && error == std::errc{} && end == text.data() + text.size();
+}
+
+static ClientAnswer failure(CallId call, CellVerb verb, ErrorKind error, Milliseconds retryAfter)
+{
+    ClientAnswer answer;
+    answer.call_ = call;
+    answer.verb_ = verb;
+    answer.error_ = error;
+    answer.retryAfter_ = retryAfter;
+    return answer;
+}
+
+// Checks a request against the configuration. Result: the error, or None with `out` filled in.
+static ErrorKind checkRequest(const Control &control, ClientRequest &request, TimePoint now, CellRequest &out)
+{
+    if (control.config_.version_ == 0) {
+        return ErrorKind::ConfigStale;
+    }
+    const QueueConfig *queue = findQueue(control.config_, request.host_, request.path_);
+    if (queue == nullptr) {
+        return configIsFresh(control, now) ? ErrorKind::UnknownPath : ErrorKind::ConfigStale;
+    }
+    if (!queue->public_) {
+        if (!configIsFresh(control, now)) {
+            return ErrorKind::ConfigStale;
+        }
+        const auto account = control.accountOfKey_.find(request.key_);
+        if (account == control.accountOfKey_.end()) {
+            return ErrorKind::WrongKey;
+        }
+        out.account_ = control.config_.accounts_[account->second].name_;
+    }
+    const std::string_view rest = std::string_view(request.path_).substr(queue->prefix_.size());
+    out.policy_ = queue->policy_;
+    if (rest.empty() && request.method_ == ClientMethod::Read) {
+        out.verb_ = CellVerb::CountPending;
+        return ErrorKind::None;
+    }
+    if (!parseJobId(rest, out.job_)) {
+        return ErrorKind::UnknownPath;
+    }
+    if (request.method_ == ClientMethod::Submit) {
+        out.verb_ = CellVerb::Submit;
+        if (!request.submitted_) {
+            return ErrorKind::MalformedRequest;
+        }
+        out.submitted_ = std::move(*request.submitted_);
+    } else {
+        out.verb_ = request.method_ == ClientMethod::Cancel ? CellVerb::Cancel : CellVerb::Query;
+    }
+    return ErrorKind::None;
+}
+
+static void forward(Control &control, OpenRequest &open, CellTime now, ControlActions &actions)
+{
+    if (control.leader_.empty() || open.sentTo_ == control.leader_) {
+        return;
+    }
+    open.request_.remaining_ = std::chrono::duration_cast<Milliseconds>(open.deadline_ - now.steady_);
+    if (control.leader_ == control.settings_.self_) {
+        if (!control.cell_) {
+            return;
+        }
+        open.sentTo_ = control.leader_;
+        ++open.sent_;
+        if (control.stage_ == RecoveryStage::Done) {
+            handleRequest(*control.cell_, control.settings_.self_, open.request_, now, actions.cell_);
+        } else if (control.deferred_.size() < MaxDeferred) {
+            control.deferred_.emplace_back(control.settings_.self_, open.request_);
+        }
+        return;
+    }
+    const auto member = control.members_.find(control.leader_);
+    if (member != control.members_.end() && member->second.connected_) {
+        open.sentTo_ = control.leader_;
+        ++open.sent_;
+        actions.peers_.push_back({control.leader_, open.request_});
+    }
+}
+
+void routeRequests(Control &control, CellTime now, ControlActions &actions)
+{
+    for (auto &[call, open] : control.requests_) {
+        forward(control, open, now, actions);
+    }
+}
+
+// Answers and forgets a request.
+static void finish(Control &control, std::uint64_t call, const ClientAnswer &answer, CellTime now,
+                   ControlActions &actions)
+{
+    const auto found = control.requests_.find(call);
+    const OpenRequest &open = found->second;
+    if (answer.error_ != ErrorKind::None && answer.error_ != ErrorKind::UnknownJob) {
+        JsonObject line = controlEvent("request-failed");
+        line.number("call", static_cast<std::int64_t>(call)).number("job", 0);
+        line.text("error", errorName(answer.error_)).text("leader", open.sentTo_.value_);
+        line.number("age_ms", ageMs(now.steady_, open.arrivedAt_));
+        line.number("leaders_asked", open.sent_);
+        controlLog(actions, line, LogLevel::Warning);
+    }
+    actions.answers_.push_back(answer);
+    control.requests_.erase(found);
+}
+
+void cellReply(Control &control, const DaemonId &from, const CellReply &reply, CellTime now, ControlActions &actions)
+{
+    const auto found = control.requests_.find(reply.call_.value_);
+    if (found == control.requests_.end()) {
+        return;
+    }
+    OpenRequest &open = found->second;
+    ClientAnswer answer;
+    answer.call_ = reply.call_;
+    answer.verb_ = open.request_.verb_;
+    answer.state_ = reply.state_;
+    answer.pending_ = reply.pending_;
+    answer.retryAfter_ = reply.retryAfter_;
+    switch (reply.outcome_) {
+    case CellOutcome::Ok:
+        break;
+    case CellOutcome::Gone:
+        answer.error_ = ErrorKind::UnknownJob;
+        break;
+    case CellOutcome::NotLeader:
+        if (open.sentTo_ == from) {
+            open.sentTo_ = {};
+            --open.sent_;
+        }
+        return;
+    case CellOutcome::Refused:
+    case CellOutcome::Unavailable:
+        answer.error_ = reply.outcome_ == CellOutcome::Refused ? ErrorKind::Overloaded : ErrorKind::StoreUnavailable;
+        // Another leader may have accepted it before it lost its place.
+        if (open.sent_ > 1) {
+            answer.error_ = ErrorKind::OutcomeUnknown;
+        }
+        break;
+    case CellOutcome::Unknown:
+        answer.error_ = ErrorKind::OutcomeUnknown;
+        break;
+    }
+    finish(control, reply.call_.value_, answer, now, actions);
+}
+
+// Hands replies of the cell on this daemon to the clients' requests here and to other daemons.
+void takeReplies(Control &control, CellTime now, ControlActions &actions)
+{
+    std::vector<CellReplyTo> replies;
+    replies.swap(actions.cell_.replies_);
+    for (const CellReplyTo &reply : replies) {
+        if (reply.to_ == control.settings_.self_) {
+            cellReply(control, control.settings_.self_, reply.reply_, now, actions);
+        } else {
+            actions.peers_.push_back({reply.to_, reply.reply_});
+        }
+    }
+    std::vector<PolicyDispatch> queries;
+    queries.swap(actions.cell_.policy_);
+    for (PolicyDispatch &query : queries) {
+        if (query.to_ == control.settings_.self_) {
+            actions.queries_.push_back(std::move(query.query_));
+        } else {
+            actions.peers_.push_back({query.to_, std::move(query.query_)});
+        }
+    }
+}
+
+void scanRequests(Control &control, CellTime now, ControlActions &actions)
+{
+    std::vector<std::uint64_t> late;
+    for (const auto &[call, open] : control.requests_) {
+        const bool unsent = open.sent_ == 0;
+        if (now.steady_ >= open.deadline_ || (unsent && now.steady_ >= open.arrivedAt_ + LeaderWait)) {
+            late.push_back(call);
+        }
+    }
+    for (const std::uint64_t call : late) {
+        const OpenRequest &open = control.requests_.at(call);
+        const bool changes = open.request_.verb_ == CellVerb::Submit || open.request_.verb_ == CellVerb::Cancel;
+        const ErrorKind error = open.sent_ > 0 && changes ? ErrorKind::OutcomeUnknown : ErrorKind::PeerUnavailable;
+        finish(control, call, failure(CallId{call}, open.request_.verb_, error, LeaderRetryAfter), now, actions);
+    }
+}
+
+} // namespace mimosapier::detail
+
+namespace mimosapier
+{
+
+using namespace detail;
+
+void clientRequest(Control &control, ClientRequest request, CellTime now, ControlActions &actions)
+{
+    OpenRequest open;
+    open.request_.call_ = request.call_;
+    const ErrorKind error = control.requests_.size() >= MaxOpenRequests
+        ? ErrorKind::Overloaded
+        : checkRequest(control, request, now.steady_, open.request_);
+    if (error != ErrorKind::None) {
+        JsonObject line = controlEvent("request-rejected");
+        line.text("path", request.path_).text("host", request.host_).text("error", errorName(error));
+        line.number("config_version", static_cast<std::int64_t>(control.config_.version_));
+        line.number("config_proof_age_ms", ageMs(now.steady_, control.configProofAt_));
+        controlLog(actions, line, LogLevel::Warning);
+        const bool retry = error == ErrorKind::ConfigStale || error == ErrorKind::Overloaded;
+        actions.answers_.push_back(
+            failure(request.call_, open.request_.verb_, error, retry ? StaleRetryAfter : Milliseconds(0)));
+        return;
+    }
+    open.arrivedAt_ = now.steady_;
+    open.deadline_ = now.steady_ + std::max(request.remaining_ - AnswerReserve, Milliseconds(1));
+    const std::uint64_t call = request.call_.value_;
+    OpenRequest &stored = control.requests_.insert_or_assign(call, std::move(open)).first->second;
+    forward(control, stored, now, actions);
+    takeReplies(control, now, actions);
+}
+
+} // namespace mimosapier
--- /dev/null
+++ b/src/core/control/session.cpp
@@ -0,0 +1,126 @@
+// The daemon's session: a lease at the store, renewed well before its end, with the member record under it.
+#include "core/control/control_internal.h"
+
+#include <algorithm>
+
+namespace mimosapier::detail
+{
+
+// A daemon that died is replaced as leader after this time. Shorter sessions end when the store answers slowly (60
+// times its usual 4 ms, twice) or an instance gets no processor for a second.
+static constexpr Milliseconds SessionTtl{2'500};
+static constexpr Milliseconds KeepInterval{650}; // three renewals may be lost
+static constexpr Milliseconds KeepTimeout{900};
+static constexpr Milliseconds RetryPause{150}; // doubles up to MaxPause; refused calls are priced
+static constexpr unsigned MaxDoublings = 2;
+
+void kvSend(Control &control, KvCall call, ControlActions &actions)
+{
+    call.id_ = control.nextKvId_++;
+    actions.cell_.kv_.push_back(std::move(call));
+}
+
+static void retryLater(Control &control, TimePoint now)
+{
+    Session &session = control.session_;
+    session.nextAt_ = now + RetryPause * (1U << std::min(session.failures_, MaxDoublings));
+    ++session.failures_;
+}
+
+static void endSession(Control &control, std::string_view cause, ControlActions &actions)
+{
+    Session &session = control.session_;
+    JsonObject line = controlEvent("session-ended");
+    line.text("cause", cause).number("lease", static_cast<std::int64_t>(session.lease_));
+    controlLog(actions, line, LogLevel::Warning);
+    session.lease_ = 0;
+    session.registered_ = false;
+    session.registering_ = false;
+}
+
+static void registerMember(Control &control, ControlActions &actions)
+{
+    KvCall call;
+    call.purpose_ = KvPurpose::Register;
+    call.op_ = KvOp::Commit;
+    call.writes_ = {{std::string(MemberPrefix) + control.settings_.self_.value_, control.settings_.peerAddress_,
+                     control.session_.lease_}};
+    control.session_.registering_ = true;
+    kvSend(control, std::move(call), actions);
+}
+
+void pollSession(Control &control, CellTime now, ControlActions &actions)
+{
+    Session &session = control.session_;
+    if (control.sessionEnded_) {
+        return;
+    }
+    if (session.lease_ != 0 && !session.registered_ && !session.registering_ && now.steady_ >= session.nextAt_) {
+        registerMember(control, actions);
+    }
+    if (session.callOpen_ || now.steady_ < session.nextAt_) {
+        return;
+    }
+    KvCall call;
+    call.timeout_ = KeepTimeout;
+    if (session.lease_ == 0) {
+        call.purpose_ = KvPurpose::GrantSession;
+        call.op_ = KvOp::GrantLease;
+        call.ttl_ = std::max(SessionTtl, control.settings_.cell_.minLease_);
+    } else {
+        call.purpose_ = KvPurpose::KeepSession;
+        call.op_ = KvOp::KeepLease;
+        call.lease_ = session.lease_;
+    }
+    session.callOpen_ = true;
+    kvSend(control, std::move(call), actions);
+}
+
+static void registered(Control &control, const KvReply &reply, CellTime now, ControlActions &actions)
+{
+    Session &session = control.session_;
+    session.registering_ = false;
+    if (reply.status_ == KvStatus::Ok) {
+        session.registered_ = true;
+    } else if (reply.status_ == KvStatus::NotFound && session.lease_ != 0) {
+        endSession(control, "register", actions);
+    } else {
+        retryLater(control, now.steady_);
+    }
+}
+
+void sessionReply(Control &control, const KvReply &reply, CellTime now, ControlActions &actions)
+{
+    Session &session = control.session_;
+    if (reply.purpose_ == KvPurpose::Register) {
+        registered(control, reply, now, actions);
+        return;
+    }
+    if (reply.purpose_ == KvPurpose::EndSession) {
+        return;
+    }
+    session.callOpen_ = false;
+    if (reply.status_ == KvStatus::Ok) {
+        session.failures_ = 0;
+        if (reply.purpose_ == KvPurpose::GrantSession) {
+            session.lease_ = reply.lease_;
+            session.registered_ = false;
+            JsonObject line = controlEvent("session-begun");
+            line.number("lease", static_cast<std::int64_t>(reply.lease_)).number("ttl_ms", reply.ttl_.count());
+            controlLog(actions, line);
+        }
+        // The lease runs from the arrival of the call, which is not before it was sent.
+        const Milliseconds ttl = reply.ttl_.count() > 0 ? reply.ttl_ : SessionTtl;
+        session.endsAt_ = reply.sentAt_ + ttl;
+        session.nextAt_ = now.steady_ + KeepInterval;
+        return;
+    }
+    if (reply.status_ == KvStatus::NotFound && reply.purpose_ == KvPurpose::KeepSession) {
+        endSession(control, "lapsed", actions);
+        session.nextAt_ = now.steady_;
+        return;
+    }
+    retryLater(control, now.steady_);
+}
+
+} // namespace mimosapier::detail
--- a/src/core/message/cell_type.h
+++ b/src/core/message/cell_type.h
@@ -90,6 +90,7 @@
     Refused, // certainly not accepted; retryAfter_ says when to come back
     Unavailable, // nothing was done; the cell has no leader that can serve
     Unknown, // may or may not have been accepted; the client repeats
+    NotLeader, // nothing was done; the receiver does not lead the cell
 };
 
 enum class StagedState : std::uint8_t { Queued, Running, Completed, Failed, Cancelled };
@@ -135,6 +136,8 @@
 // Sent between daemons at a fixed interval.
 struct CellBeacon
 {
+    std::uint64_t sequence_ = 0; // rises by one for each beacon to the receiver
+    std::uint64_t echo_ = 0; // highest sequence_ got from the receiver; bounds the age of what the beacon says
     CellEpoch epoch_; // highest that the sender knows
     DaemonId leader_; // of that epoch; empty when unknown
     std::uint64_t configVersion_ = 0; // 0: none
@@ -164,7 +167,7 @@
 
 constexpr bool isValid(CellOutcome value)
 {
-    return value <= CellOutcome::Unknown;
+    return value <= CellOutcome::NotLeader;
 }
 
 constexpr bool isValid(StagedState value)
--- a/src/core/node/dispatch.cpp
+++ b/src/core/node/dispatch.cpp
@@ -131,6 +131,12 @@
 
     void operator()(const AllowanceWanted &message) const { onAllowanceWanted(*node_.allowances_, message, context_); }
 
+    // Messages of a cell; a daemon that serves groups and partitions does not take part in one.
+    template <typename CellMessage>
+    void operator()(const CellMessage & /*message*/) const
+    {
+    }
+
     void operator()(const Handover &message) const { onHandover(*node_.member_, from_, message, context_); }
 };
 
--- /dev/null
+++ b/src/daemon/cell_process.cpp
@@ -0,0 +1,385 @@
+// Threads of a cell's daemon: clients, calls to the platform, peers, and the decisions, joined by rings.
+#include "daemon/cell_process_base.h"
+
+#include "core/control/control_func.h"
+#include "daemon/io_thread_base.h"
+#include "daemon/log_func.h"
+#include "daemon/metrics_base.h"
+#include "daemon/ring_base.h"
+#include "net/transport_base.h"
+#include "platform/client_front_base.h"
+#include "platform/platform_client_base.h"
+#include "platform/wire_func.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+
+namespace mimosapier
+{
+
+static constexpr Milliseconds LeaderTick{10}; // starts and holds are at most this late
+static constexpr Milliseconds FollowerTick{25};
+static constexpr std::size_t BatchSize = 256; // events of one ring handled in a row
+// The ingress notices after two checks, one second apart, that a daemon is not ready.
+static constexpr Milliseconds DrainTime{2'300};
+static constexpr Milliseconds IdleGrace{400}; // for requests under way on an idle connection
+static constexpr Milliseconds StopMargin{900}; // kept of the platform's grace period for closing the connections
+
+struct LeaveCell
+{
+};
+
+using CellEvent = std::variant<ClientRequest, KvReply, RunnerReply, PolicyAnswer, Event, LeaveCell>;
+using PlatformCall = std::variant<KvCall, RunnerCall, PolicyQuery>;
+using CellPeerCommand = std::variant<PeerSend, PeerSet>;
+
+struct CellProcess::State
+{
+    explicit State(const Settings &settings);
+
+    ControlSettings controlSettings() const;
+    TransportSettings transportSettings() const;
+    void run();
+    void handle(CellEvent &event);
+    bool takeBatch(Ring<CellEvent> &ring);
+    void perform();
+    CellTime now() const;
+    void pollLeave();
+    void finish(bool inTime);
+    void stopThreads();
+
+    Settings settings_;
+    SystemClock clock_;
+    SystemWallClock wallClock_;
+    DaemonId self_;
+    std::uint64_t seed_;
+    Metrics metrics_;
+    IoThread clientThread_;
+    IoThread callThread_;
+    PeerTransport transport_;
+    std::thread transportThread_;
+    Wakeup wakeup_;
+    Ring<CellEvent> clients_;
+    Ring<CellEvent> results_;
+    Ring<CellEvent> peerEvents_;
+    Ring<ClientAnswer> answers_;
+    Ring<PlatformCall> calls_;
+    Ring<CellPeerCommand> peerCommands_;
+    std::unique_ptr<ClientFront> front_;
+    std::unique_ptr<PlatformClient> platform_;
+    std::unique_ptr<Control> control_; // used by the decision thread only
+    ControlActions actions_;
+    std::vector<CellEvent> batch_;
+    std::thread decisions_;
+    std::atomic<bool> ready_{false};
+    std::atomic<bool> stopping_{false};
+    std::atomic<bool> leaving_{false};
+    bool frontStopping_ = false;
+    TimePoint leaveAt_;
+    std::mutex mutex_; // guards finished_
+    std::condition_variable ended_;
+    bool finished_ = false;
+    std::atomic<bool> inTime_{true};
+};
+
+static DaemonId newCellDaemonId(const std::string &name)
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto millis = std::chrono::duration_cast<Milliseconds>(now).count();
+    constexpr std::uint32_t RandomMask = 0xffffU; // in case the wall clock was set back
+    return DaemonId(name + "#" + std::to_string(millis) + "-" + std::to_string(std::random_device{}() & RandomMask));
+}
+
+template <typename T, typename Use>
+static void drainRing(Ring<T> &ring, Use use)
+{
+    std::vector<T> items;
+    ring.take(items, SIZE_MAX);
+    for (T &item : items) {
+        use(item);
+    }
+}
+
+CellProcess::State::State(const Settings &settings)
+    : settings_(settings)
+    , self_(newCellDaemonId(settings.name_))
+    , seed_(settings.seed_ ? *settings.seed_ : std::random_device{}())
+    , transport_(
+          transportSettings(), [this](Event event) { peerEvents_.put(CellEvent(std::move(event))); }, clock_)
+    , clients_(settings.limits_.callerRing_, [this] { wakeup_.notify(); })
+    , results_(settings.limits_.workerRing_, [this] { wakeup_.notify(); })
+    , peerEvents_(settings.limits_.peerRing_, [this] { wakeup_.notify(); })
+    , answers_(settings.limits_.callerRing_,
+               [this] {
+                   clientThread_.post([this] {
+                       drainRing(answers_, [this](const ClientAnswer &answer) { front_->answer(answer); });
+                   });
+               })
+    , calls_(settings.limits_.workerRing_,
+             [this] {
+                 callThread_.post([this] {
+                     drainRing(calls_, [this](const PlatformCall &call) {
+                         std::visit([this](const auto &item) { platform_->submit(item); }, call);
+                     });
+                 });
+             })
+    , peerCommands_(settings.limits_.peerRing_, [this] {
+        transport_.post([this] {
+            drainRing(peerCommands_, [this](const CellPeerCommand &command) {
+                if (const auto *send = std::get_if<PeerSend>(&command)) {
+                    transport_.send(send->to_, send->message_);
+                } else {
+                    transport_.setPeers(std::get<PeerSet>(command));
+                }
+            });
+        });
+    })
+{
+    ClientFrontSettings front;
+    front.address_ = settings_.callerAddress_;
+    front.readyAddress_ = settings_.cell_.readyAddress_;
+    front.maxBodyBytes_ = settings_.limits_.maxBodyBytes_;
+    front.maxOpenRequests_ = settings_.limits_.maxOpenRequests_;
+    ClientFrontLinks links;
+    links.submit_ = [this](ClientRequest &request) {
+        CellEvent event(std::move(request));
+        if (clients_.offer(event)) {
+            return true;
+        }
+        request = std::get<ClientRequest>(std::move(event));
+        return false;
+    };
+    links.ready_ = [this] { return ready_ && !leaving_; };
+    front_ = std::make_unique<ClientFront>(std::move(front), clientThread_, std::move(links));
+    PlatformSinks sinks;
+    sinks.kv_ = [this](KvReply reply) { results_.force(CellEvent(std::move(reply))); };
+    sinks.runner_ = [this](RunnerReply reply) { results_.force(CellEvent(std::move(reply))); };
+    sinks.policy_ = [this](PolicyAnswer answer) { results_.force(CellEvent(std::move(answer))); };
+    platform_ = std::make_unique<PlatformClient>(
+        PlatformClientSettings{settings_.storeAddress_, settings_.cell_.policyAddress_}, callThread_,
+        std::move(sinks), clock_);
+}
+
+ControlSettings CellProcess::State::controlSettings() const
+{
+    const CellDeployment &cell = settings_.cell_;
+    ControlSettings control;
+    control.self_ = self_;
+    control.peerAddress_ = settings_.peerAddress_;
+    control.seed_ = seed_;
+    control.cell_.name_ = settings_.name_;
+    control.cell_.zone_ = settings_.zone_;
+    control.cell_.holdMax_ = Milliseconds(cell.holdMaxMs_);
+    control.cell_.stopTimeout_ = Milliseconds(cell.stopTimeoutMs_);
+    control.cell_.gangTimeout_ = Milliseconds(cell.gangTimeoutMs_);
+    control.cell_.revoke_ = Milliseconds(cell.revokeMs_);
+    control.cell_.statusKept_ = std::chrono::seconds(cell.statusS_);
+    control.cell_.remoteFactor_ = cell.remoteFactor_;
+    control.cell_.storeWritesPerSecond_ = static_cast<double>(cell.storeWritesPerS_);
+    control.cell_.minLease_ = Milliseconds(cell.storeMinLeaseMs_);
+    return control;
+}
+
+TransportSettings CellProcess::State::transportSettings() const
+{
+    TransportSettings transport;
+    transport.self_ = self_;
+    transport.region_ = RegionId(settings_.region_);
+    transport.listenAddress_ = settings_.peerAddress_;
+    transport.addressOverrides_ = settings_.peerAddressOverrides_;
+    transport.seed_ = seed_;
+    return transport;
+}
+
+CellTime CellProcess::State::now() const
+{
+    return {clock_.now(), wallClock_.unixMs()};
+}
+
+void CellProcess::State::run()
+{
+    control_ = makeControl(controlSettings(), {decodeCellConfig, decodeRunnerRecord}, clock_.now());
+    bool left = false;
+    TimePoint nextTick = clock_.now();
+    while (!stopping_) {
+        if (!left) {
+            wakeup_.waitUntil(nextTick);
+        }
+        // Results first: they free what the other events ask for.
+        left = takeBatch(results_);
+        left = takeBatch(peerEvents_) || left;
+        left = takeBatch(clients_) || left;
+        const CellTime time = now();
+        finishBatch(*control_, time, actions_);
+        perform();
+        ready_ = isServing(*control_, time.steady_);
+        pollLeave();
+        nextTick = time.steady_ + (control_->cell_ ? LeaderTick : FollowerTick);
+    }
+    control_.reset();
+}
+
+bool CellProcess::State::takeBatch(Ring<CellEvent> &ring)
+{
+    batch_.clear();
+    const bool left = ring.take(batch_, BatchSize);
+    for (CellEvent &event : batch_) {
+        handle(event);
+    }
+    return left;
+}
+
+void CellProcess::State::handle(CellEvent &event)
+{
+    Control &control = *control_;
+    if (auto *request = std::get_if<ClientRequest>(&event)) {
+        clientRequest(control, std::move(*request), now(), actions_);
+    } else if (const auto *kv = std::get_if<KvReply>(&event)) {
+        kvReply(control, *kv, now(), actions_);
+    } else if (const auto *runner = std::get_if<RunnerReply>(&event)) {
+        runnerReply(control, *runner, now(), actions_);
+    } else if (const auto *policy = std::get_if<PolicyAnswer>(&event)) {
+        policyAnswered(control, *policy, now(), actions_);
+    } else if (const auto *peer = std::get_if<Event>(&event)) {
+        if (const auto *received = std::get_if<PeerReceived>(peer)) {
+            peerMessage(control, received->from_, received->message_, now(), actions_);
+        } else if (const auto *up = std::get_if<PeerUp>(peer)) {
+            peerUp(control, up->daemon_, now());
+        } else if (const auto *down = std::get_if<PeerDown>(peer)) {
+            peerDown(control, down->daemon_, now());
+        }
+    } else {
+        beginLeaving(control, now(), actions_);
+    }
+}
+
+// Hands the actions to the other threads. The rings grow over their size rather than lose a reply or a call.
+void CellProcess::State::perform()
+{
+    for (const LogLine &line : actions_.cell_.log_) {
+        writeStructuredLog(line.level_, line.text_);
+    }
+    if (actions_.peerSet_) {
+        peerCommands_.force(std::move(*actions_.peerSet_));
+    }
+    for (PeerSend &send : actions_.peers_) {
+        peerCommands_.force(std::move(send));
+    }
+    for (KvCall &call : actions_.cell_.kv_) {
+        calls_.force(std::move(call));
+    }
+    for (RunnerCall &call : actions_.cell_.runners_) {
+        calls_.force(std::move(call));
+    }
+    for (PolicyQuery &query : actions_.queries_) {
+        calls_.force(std::move(query));
+    }
+    for (ClientAnswer &answer : actions_.answers_) {
+        answers_.force(std::move(answer));
+    }
+    actions_ = {};
+}
+
+// Closes the clients' connections when the ingress sends no more and the leader's place was handed over.
+void CellProcess::State::pollLeave()
+{
+    if (!leaving_ || frontStopping_) {
+        return;
+    }
+    const Milliseconds limit = Milliseconds(settings_.cell_.graceMs_) - StopMargin;
+    const TimePoint time = clock_.now();
+    if ((time >= leaveAt_ + DrainTime && hasLeft(*control_)) || time >= leaveAt_ + limit) {
+        frontStopping_ = true;
+        const auto rest = std::max(std::chrono::duration_cast<Milliseconds>(leaveAt_ + limit - time), Milliseconds(1));
+        clientThread_.post([this, rest] {
+            front_->stop(std::min(rest, IdleGrace), rest, [this] { finish(true); });
+        });
+    }
+}
+
+void CellProcess::State::finish(bool inTime)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        finished_ = true;
+        inTime_ = inTime_ && inTime;
+    }
+    ended_.notify_all();
+}
+
+void CellProcess::State::stopThreads()
+{
+    stopping_ = true;
+    peerEvents_.close();
+    wakeup_.notify();
+    if (decisions_.joinable()) {
+        decisions_.join();
+    }
+    clientThread_.stop();
+    callThread_.stop();
+    if (transportThread_.joinable()) {
+        transport_.stop();
+        transportThread_.join();
+    }
+}
+
+CellProcess::CellProcess(const Settings &settings)
+    : state_(std::make_unique<State>(settings))
+{
+}
+
+CellProcess::~CellProcess()
+{
+    state_->stopThreads();
+}
+
+std::error_code CellProcess::start(std::string &detail)
+{
+    State &state = *state_;
+    detail = "peer_address " + state.settings_.peerAddress_;
+    if (const std::error_code error = state.transport_.listen()) {
+        return error;
+    }
+    if (const std::error_code error = state.front_->listen(detail)) {
+        return error;
+    }
+    detail = "metrics_address " + state.settings_.metricsAddress_;
+    if (!state.settings_.metricsAddress_.empty()) {
+        if (const std::error_code error = state.metrics_.expose(state.settings_.metricsAddress_)) {
+            return error;
+        }
+    }
+    detail.clear();
+    writeStructuredLog(LogLevel::Info, R"({"event":"started","daemon":")" + state.self_.value_ + "\"}");
+    state.clientThread_.start();
+    state.callThread_.start();
+    state.transportThread_ = std::thread([&state] { state.transport_.run(); });
+    state.decisions_ = std::thread([&state] { state.run(); });
+    return {};
+}
+
+void CellProcess::requestLeave()
+{
+    State &state = *state_;
+    if (state.leaving_) {
+        return;
+    }
+    state.leaveAt_ = state.clock_.now();
+    state.leaving_ = true;
+    state.clientThread_.post([&state] { state.front_->drain(); });
+    const Milliseconds grace(state.settings_.cell_.graceMs_);
+    state.clientThread_.after(grace - StopMargin / 2, [&state] { state.finish(false); });
+    state.results_.force(CellEvent(LeaveCell{}));
+}
+
+bool CellProcess::waitForEnd()
+{
+    State &state = *state_;
+    std::unique_lock lock(state.mutex_);
+    state.ended_.wait(lock, [&state] { return state.finished_; });
+    return state.inTime_;
+}
+
+} // namespace mimosapier
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -25,6 +25,13 @@
     return name == "error" ? log4cxx::Level::getError() : log4cxx::Level::getInfo();
 }
 
+static constexpr int StructuredQueue = 4'096; // lines; about 1 MB
+
+static log4cxx::LoggerPtr structuredLogger()
+{
+    return log4cxx::Logger::getLogger(LOG4CXX_STR("structured"));
+}
+
 void startLog(std::string_view level)
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{ISO8601} %-5p %m%n"));
@@ -36,6 +43,35 @@
     root->removeAllAppenders();
     root->addAppender(async);
     root->setLevel(levelOf(level));
+
+    const auto lines = std::make_shared<log4cxx::PatternLayout>(
+        LOG4CXX_STR("{\"time\":\"%d{yyyy-MM-dd HH:mm:ss.SSS}\",\"level\":\"%p\",%m%n"));
+    const auto output = std::make_shared<log4cxx::ConsoleAppender>(lines, LOG4CXX_STR("System.out"));
+    const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->addAppender(output);
+    queue->setBlocking(false);
+    queue->setBufferSize(StructuredQueue);
+    const log4cxx::LoggerPtr structured = structuredLogger();
+    structured->removeAllAppenders();
+    structured->setAdditivity(false);
+    structured->addAppender(queue);
+}
+
+void writeStructuredLog(LogLevel level, std::string_view object)
+{
+    static const log4cxx::LoggerPtr Logger = structuredLogger();
+    object.remove_prefix(object.starts_with('{') ? 1 : 0); // the layout begins the object
+    switch (level) {
+    case LogLevel::Info:
+        LOG4CXX_INFO(Logger, std::string(object));
+        break;
+    case LogLevel::Warning:
+        LOG4CXX_WARN(Logger, std::string(object));
+        break;
+    case LogLevel::Error:
+        LOG4CXX_ERROR(Logger, std::string(object));
+        break;
+    }
 }
 
 void writeLog(LogLevel level, std::string_view text)
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,4 +1,5 @@
 // mimosapierd: reads the settings, runs the daemon, and leaves gracefully on SIGTERM or SIGINT.
+#include "daemon/cell_process_base.h"
 #include "daemon/command_line_func.h"
 #include "daemon/log_func.h"
 #include "daemon/process_base.h"
@@ -6,13 +7,37 @@
 
 #include <csignal>
 #include <iostream>
-#include <thread>
+#include <string>
 
 using namespace mimosapier;
 
 static constexpr int ExitBadSettings = 2;
 static constexpr int ExitCannotStart = 1;
 
+// Runs the process until SIGTERM or SIGINT. SIGHUP says that the settings file has changed: settings are read at the start
+// only, so it is logged and has no effect.
+template <typename AnyProcess>
+static int runProcess(const Settings &settings, const sigset_t &signals)
+{
+    AnyProcess process(settings);
+    std::string detail;
+    if (const std::error_code error = process.start(detail)) {
+        writeLog(LogLevel::Error, "[daemon] Cannot start: " + detail + ": " + error.message());
+        return ExitCannotStart;
+    }
+    int received = 0;
+    sigwait(&signals, &received);
+    while (received == SIGHUP) {
+        writeStructuredLog(LogLevel::Info, R"({"event":"reload","outcome":"ignored-until-restart"})");
+        sigwait(&signals, &received);
+    }
+    process.requestLeave();
+    if (!process.waitForEnd()) {
+        writeLog(LogLevel::Warning, "[daemon] Stopped at the shutdown limit.");
+    }
+    return 0;
+}
+
 int main(int argc, char **argv)
 {
     const CommandLine line = parseCommandLine(argc, argv);
@@ -32,26 +57,15 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 
     startLog(reading.settings_.logLevel_);
-    int exitCode = 0;
-    {
-        Process process(reading.settings_);
-        std::string detail;
-        if (const std::error_code error = process.start(detail)) {
-            writeLog(LogLevel::Error, "[daemon] Cannot start: " + detail + ": " + error.message());
-            exitCode = ExitCannotStart;
-        } else {
-            int received = 0;
-            sigwait(&signals, &received);
-            process.requestLeave();
-            if (!process.waitForEnd()) {
-                writeLog(LogLevel::Warning, "[daemon] Stopped at the shutdown limit.");
-            }
-        }
-    }
+    const bool cell = !reading.settings_.cell_.readyAddress_.empty();
+    const int exitCode = cell ? runProcess<CellProcess>(reading.settings_, signals)
+                              : runProcess<Process>(reading.settings_, signals);
+    writeStructuredLog(LogLevel::Info, R"({"event":"stopped"})");
     writeLog(LogLevel::Info, "[daemon] Stopped.");
     stopLog();
     return exitCode;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -13,6 +13,7 @@
 {
 
 static constexpr std::size_t MaxNameLength = 64;
+static constexpr std::string_view InstanceListKey = "instance_list_address";
 static constexpr std::array<std::string_view, 4> Levels{"debug", "info", "warning", "error"};
 
 static bool isName(std::string_view text)
@@ -27,6 +28,12 @@
     return error == std::errc{} && end == text.data() + text.size() && !text.empty();
 }
 
+static bool readRatio(std::string_view text, double &ratio)
+{
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), ratio);
+    return error == std::errc{} && end == text.data() + text.size() && !text.empty();
+}
+
 static std::string allowedText(const SettingRow &row)
 {
     switch (row.rule_) {
@@ -42,6 +49,8 @@
         return "debug, info, warning or error";
     case SettingRule::Seed:
         return "an integer from 0 to 18446744073709551615";
+    case SettingRule::Ratio:
+        return "a number from " + std::to_string(row.min_) + " to " + std::to_string(row.max_);
     case SettingRule::Count:
         break;
     }
@@ -84,7 +93,7 @@
         if (!isAllowedText(row.rule_, value)) {
             return false;
         }
-        settings.*row.text_ = value;
+        (row.cellText_ != nullptr ? settings.cell_.*row.cellText_ : settings.*row.text_) = value;
         return true;
     case SettingRule::Seed:
         if (!readCount(value, count)) {
@@ -92,13 +101,22 @@
         }
         settings.seed_ = count;
         return true;
+    case SettingRule::Ratio: {
+        double ratio = 0;
+        if (!readRatio(value, ratio) || ratio < static_cast<double>(row.min_)
+            || ratio > static_cast<double>(row.max_)) {
+            return false;
+        }
+        settings.cell_.*row.cellRatio_ = ratio;
+        return true;
+    }
     case SettingRule::Count:
         break;
     }
     if (!readCount(value, count) || count < row.min_ || count > row.max_) {
         return false;
     }
-    settings.limits_.*row.count_ = count;
+    (row.cellCount_ != nullptr ? settings.cell_.*row.cellCount_ : settings.limits_.*row.count_) = count;
     return true;
 }
 
@@ -162,8 +180,11 @@
             reading.problems_.push_back(problem(setting, allowedText(*row)));
         }
     }
+    // A daemon of a cell reads the runners from the store.
+    const bool hasInstanceList = stored.contains(InstanceListKey) || stored.contains("cell.ready_address");
     for (const SettingRow &row : SettingTable) {
-        if (row.required_ && !stored.contains(row.key_)) {
+        const bool required = row.required_ || (row.key_ == InstanceListKey && !hasInstanceList);
+        if (required && !stored.contains(row.key_)) {
             reading.problems_.push_back(std::string(row.key_) + ": missing; allowed: " + allowedText(row));
         }
     }
--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -23,6 +23,22 @@
     std::uint64_t shutdownMs_ = 30'000; // longest graceful shutdown
 };
 
+// What the users' platform says about itself; used by a daemon of a cell.
+struct CellDeployment
+{
+    std::string readyAddress_; // "ip:port" of the readiness check; not empty: the daemon serves a cell
+    std::string policyAddress_; // "ip:port" of the policy service; empty: none
+    std::uint64_t holdMaxMs_ = 10'000; // longest lease of a task
+    std::uint64_t stopTimeoutMs_ = 900; // longest time that a runner takes to stop a task
+    std::uint64_t gangTimeoutMs_ = 3'000; // a member of a gang waits this long for the others
+    std::uint64_t revokeMs_ = 5'000; // a withdrawn key works at most this long
+    std::uint64_t statusS_ = 120; // a job's final state is shown at least this long
+    std::uint64_t graceMs_ = 6'000; // from SIGTERM to SIGKILL
+    std::uint64_t storeWritesPerS_ = 400; // of all daemons together
+    std::uint64_t storeMinLeaseMs_ = 1'000; // shortest lease of the store
+    double remoteFactor_ = 2; // slow-down of tasks away from their data
+};
+
 struct Settings
 {
     std::string name_; // of the daemon; unique among live daemons
@@ -38,6 +54,7 @@
     std::string logLevel_ = "info"; // debug, info, warning or error
     std::optional<std::uint64_t> seed_; // of jitter and sampling; random when missing
     Limits limits_;
+    CellDeployment cell_;
 };
 
 } // namespace mimosapier
--- a/src/daemon/table/settings_table.h
+++ b/src/daemon/table/settings_table.h
@@ -17,6 +17,7 @@
     Level,
     Seed,
     Count,
+    Ratio, // a decimal number
 };
 
 struct SettingRow
@@ -28,8 +29,35 @@
     std::uint64_t Limits::*count_ = nullptr; // for Count
     std::uint64_t min_ = 0; // of Count
     std::uint64_t max_ = 0;
+    std::string CellDeployment::*cellText_ = nullptr; // instead of text_ and count_, for the section "cell"
+    std::uint64_t CellDeployment::*cellCount_ = nullptr;
+    double CellDeployment::*cellRatio_ = nullptr;
 };
 
+// Rows of the section "cell".
+constexpr SettingRow cellAddress(std::string_view key, SettingRule rule, std::string CellDeployment::*text)
+{
+    SettingRow row{key, rule, false};
+    row.cellText_ = text;
+    return row;
+}
+
+constexpr SettingRow cellCount(std::string_view key, std::uint64_t CellDeployment::*count, std::uint64_t min,
+                               std::uint64_t max)
+{
+    SettingRow row{key, SettingRule::Count, false, nullptr, nullptr, min, max};
+    row.cellCount_ = count;
+    return row;
+}
+
+constexpr SettingRow cellRatio(std::string_view key, double CellDeployment::*ratio, std::uint64_t min,
+                               std::uint64_t max)
+{
+    SettingRow row{key, SettingRule::Ratio, false, nullptr, nullptr, min, max};
+    row.cellRatio_ = ratio;
+    return row;
+}
+
 // A map setting: its members have the key "<key>.<member>".
 struct MapSettingRow
 {
@@ -48,7 +76,7 @@
     SettingRow{"peer_address", SettingRule::Address, true, &Settings::peerAddress_},
     SettingRow{"metrics_address", SettingRule::OptionalListenAddress, false, &Settings::metricsAddress_},
     SettingRow{"store_address", SettingRule::Address, true, &Settings::storeAddress_},
-    SettingRow{"instance_list_address", SettingRule::Address, true, &Settings::instanceListAddress_},
+    SettingRow{"instance_list_address", SettingRule::Address, false, &Settings::instanceListAddress_},
     SettingRow{"log_level", SettingRule::Level, false, &Settings::logLevel_},
     SettingRow{"seed", SettingRule::Seed, false},
     SettingRow{"limits.max_body_bytes", SettingRule::Count, false, nullptr, &Limits::maxBodyBytes_, 1024, 16'777'216},
@@ -59,6 +87,17 @@
     SettingRow{"limits.worker_ring", SettingRule::Count, false, nullptr, &Limits::workerRing_, 16, MaxRing},
     SettingRow{"limits.drain_ms", SettingRule::Count, false, nullptr, &Limits::drainMs_, 0, 30'000},
     SettingRow{"limits.shutdown_ms", SettingRule::Count, false, nullptr, &Limits::shutdownMs_, 0, 30'000},
+    cellAddress("cell.ready_address", SettingRule::ListenAddress, &CellDeployment::readyAddress_),
+    cellAddress("cell.policy_address", SettingRule::Address, &CellDeployment::policyAddress_),
+    cellCount("cell.hold_max_ms", &CellDeployment::holdMaxMs_, 1'000, 600'000),
+    cellCount("cell.stop_timeout_ms", &CellDeployment::stopTimeoutMs_, 0, 600'000),
+    cellCount("cell.gang_timeout_ms", &CellDeployment::gangTimeoutMs_, 100, 600'000),
+    cellCount("cell.revoke_ms", &CellDeployment::revokeMs_, 2'000, 600'000),
+    cellCount("cell.status_s", &CellDeployment::statusS_, 1, 86'400),
+    cellCount("cell.grace_ms", &CellDeployment::graceMs_, 1'500, 600'000),
+    cellCount("cell.store_writes_per_s", &CellDeployment::storeWritesPerS_, 1, 1'000'000),
+    cellCount("cell.store_min_lease_ms", &CellDeployment::storeMinLeaseMs_, 1, 600'000),
+    cellRatio("cell.remote_factor", &CellDeployment::remoteFactor_, 1, 1'000),
 };
 
 inline constexpr std::array MapSettingTable{
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -30,6 +30,7 @@
     std::string body_;
     std::string contentType_ = "application/json";
     std::string entityTag_{}; // value of the ETag header; empty for none
+    std::vector<HttpHeader> headers_{}; // further ones
 };
 
 // An address "ip:port" or "[ip]:port" in parts.
--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -198,6 +198,9 @@
     if (!response.entityTag_.empty()) {
         message->set(http::field::etag, response.entityTag_);
     }
+    for (const HttpHeader &header : response.headers_) {
+        message->set(header.name_, header.value_);
+    }
     message->body() = std::move(response.body_);
     if (server_->draining_) {
         exchange->keepAlive_ = false;
--- /dev/null
+++ b/src/platform/service_wire.cpp
@@ -0,0 +1,430 @@
+// Messages of the store, the runners and the policy service.
+#include "daemon/base64_func.h"
+#include "http/json_func.h"
+#include "platform/wire_func.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace mimosapier
+{
+
+static constexpr unsigned StatusOk = 200;
+static constexpr unsigned StatusBadRequest = 400;
+static constexpr unsigned StatusNotFound = 404;
+static constexpr unsigned StatusConflict = 409;
+static constexpr unsigned StatusHistoryGone = 410;
+static constexpr unsigned StatusConditionFailed = 412;
+static constexpr unsigned StatusOtherInstance = 421;
+static constexpr unsigned StatusTooMany = 429;
+static constexpr unsigned StatusUnavailable = 503;
+
+// Prefix of a space's keys in the store, indexed by KvSpace.
+static constexpr std::array<std::string_view, 3> SpacePrefixes{"mimosapier/", "op/", "servers/"};
+
+static std::string_view prefixOf(KvSpace space)
+{
+    return SpacePrefixes.at(static_cast<std::size_t>(space));
+}
+
+static std::string fullKey(KvSpace space, std::string_view key)
+{
+    return std::string(prefixOf(space)) + std::string(key);
+}
+
+static std::string percentEncode(std::string_view text)
+{
+    static constexpr std::string_view Digits = "0123456789ABCDEF";
+    static constexpr std::string_view Plain = "-._~/";
+    constexpr unsigned LowNibble = 0xfU;
+    std::string encoded;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (std::isalnum(byte) != 0 || Plain.find(c) != std::string_view::npos) {
+            encoded += c;
+        } else {
+            encoded += '%';
+            encoded += Digits[byte >> 4U];
+            encoded += Digits[byte & LowNibble];
+        }
+    }
+    return encoded;
+}
+
+// ---- store ----
+
+static std::string encodeCommit(const KvCall &call)
+{
+    Json conditions = Json::array();
+    for (const KvCondition &condition : call.conditions_) {
+        // The name says "expected revision"; 0 means that the key must not exist.
+        conditions.push_back({{"Key", fullKey(call.space_, condition.key_)}, {"Revision", condition.revision_}});
+    }
+    Json writes = Json::array();
+    for (const KvWrite &write : call.writes_) {
+        Json entry{{"Key", fullKey(call.space_, write.key_)}, {"Value", encodeBase64(write.value_)}};
+        if (write.lease_ != 0) {
+            entry["LeaseId"] = write.lease_;
+        }
+        writes.push_back(std::move(entry));
+    }
+    Json removes = Json::array();
+    for (const std::string &key : call.removes_) {
+        removes.push_back(fullKey(call.space_, key));
+    }
+    return dumpJson(
+        {{"ExpectedRev", std::move(conditions)}, {"Writes", std::move(writes)}, {"Remove", std::move(removes)}});
+}
+
+HttpRequest encodeKvCall(const KvCall &call)
+{
+    HttpRequest request;
+    request.method_ = "GET";
+    const std::string key = percentEncode(fullKey(call.space_, call.key_));
+    switch (call.op_) {
+    case KvOp::Get:
+        request.target_ = "/kv-key?Key=" + key;
+        break;
+    case KvOp::Range:
+        request.target_ = "/kv-range?Prefix=" + key;
+        if (!call.after_.empty()) {
+            request.target_ += "&After=" + percentEncode(fullKey(call.space_, call.after_));
+        }
+        break;
+    case KvOp::Watch:
+        request.target_ = "/kv-watch?Prefix=" + key + "&After=" + std::to_string(call.afterRevision_)
+            + "&WaitMs=" + std::to_string(call.wait_.count());
+        break;
+    case KvOp::Commit:
+        request.method_ = "POST";
+        request.target_ = "/kv-txn";
+        request.body_ = encodeCommit(call);
+        break;
+    case KvOp::GrantLease:
+        request.method_ = "POST";
+        request.target_ = "/kv-lease";
+        request.body_ = dumpJson({{"TtlMs", call.ttl_.count()}});
+        break;
+    case KvOp::KeepLease:
+        request.method_ = "POST";
+        request.target_ = "/kv-keep/" + std::to_string(call.lease_);
+        break;
+    case KvOp::EndLease:
+        request.method_ = "DELETE";
+        request.target_ = "/kv-lease-end/" + std::to_string(call.lease_);
+        break;
+    }
+    return request;
+}
+
+static bool decodeItem(const Json &json, std::string_view prefix, KvItem &item)
+{
+    std::string value;
+    if (!json.is_object() || !readField(json, "Key", item.key_) || !readField(json, "Value", value)
+        || !readField(json, "Revision", item.revision_) || !item.key_.starts_with(prefix)) {
+        return false;
+    }
+    item.key_.erase(0, prefix.size());
+    // "Compacted" marks the event of a removal; it has nothing to do with the store's history.
+    item.removed_ = json.contains("Compacted") || !json.contains("Value");
+    return item.removed_ || decodeBase64(value, item.value_);
+}
+
+static KvStatus kvStatus(const KvCall &call, unsigned status)
+{
+    switch (status) {
+    case StatusOk:
+        return KvStatus::Ok;
+    case StatusNotFound:
+        return KvStatus::NotFound;
+    case StatusHistoryGone:
+        return call.op_ == KvOp::Watch ? KvStatus::HistoryLost : KvStatus::NotDone;
+    case StatusConditionFailed:
+        return KvStatus::Conflict;
+    case StatusTooMany:
+    case StatusUnavailable:
+    case StatusBadRequest:
+        return KvStatus::NotDone;
+    default:
+        return KvStatus::Unknown;
+    }
+}
+
+void decodeKvReply(const KvCall &call, unsigned status, std::string_view body, KvReply &reply)
+{
+    reply.httpStatus_ = status;
+    reply.status_ = kvStatus(call, status);
+    if (reply.status_ != KvStatus::Ok && reply.status_ != KvStatus::Conflict) {
+        return;
+    }
+    Json json = Json::object();
+    if (!body.empty() && (!parseJson(body, json) || !json.is_object())) {
+        reply.status_ = KvStatus::Unknown;
+        return;
+    }
+    std::int64_t ttl = 0;
+    bool valid = readField(json, "HasMore", reply.more_) && readField(json, "LeaseId", reply.lease_)
+        && readField(json, "TtlMs", ttl)
+        && readField(json, call.op_ == KvOp::Commit ? "Revision" : "AtRev", reply.revision_);
+    reply.ttl_ = Milliseconds(ttl);
+    const std::string_view prefix = prefixOf(call.space_);
+    if (call.op_ == KvOp::Get) {
+        valid = valid && decodeItem(json, prefix, reply.items_.emplace_back());
+    }
+    for (const char *list : {"items", "events"}) {
+        const auto found = json.find(list);
+        if (found == json.end() || !found->is_array()) {
+            continue;
+        }
+        for (const Json &element : *found) {
+            KvItem item;
+            if (decodeItem(element, prefix, item)) {
+                reply.items_.push_back(std::move(item));
+            } else {
+                valid = false;
+            }
+        }
+    }
+    if (!valid) {
+        reply.status_ = KvStatus::Unknown;
+        reply.items_.clear();
+    }
+}
+
+// ---- runners ----
+
+std::string encodeTask(const StagedTask &task)
+{
+    constexpr std::size_t IdDigits = 16;
+    std::array<char, IdDigits> digits{};
+    constexpr int Hexadecimal = 16;
+    const auto [end, error]
+        = std::to_chars(digits.data(), digits.data() + digits.size(), task.job_.value_, Hexadecimal);
+    const auto length = static_cast<std::size_t>(end - digits.data());
+    std::string text(IdDigits - length, '0');
+    text.append(digits.data(), length);
+    for (const std::uint32_t part : {task.occurrence_, task.step_, task.index_}) {
+        text += '.';
+        text += std::to_string(part);
+    }
+    return text;
+}
+
+template <typename T>
+static bool takeNumber(std::string_view &text, int base, bool last, T &out)
+{
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out, base);
+    const auto used = static_cast<std::size_t>(end - text.data());
+    if (error != std::errc{} || (last ? used != text.size() : used >= text.size() || text[used] != '.')) {
+        return false;
+    }
+    text.remove_prefix(std::min(used + 1, text.size()));
+    return true;
+}
+
+bool decodeTask(std::string_view text, StagedTask &task)
+{
+    constexpr int Hexadecimal = 16;
+    constexpr int Decimal = 10;
+    return takeNumber(text, Hexadecimal, false, task.job_.value_) && takeNumber(text, Decimal, false, task.occurrence_)
+        && takeNumber(text, Decimal, false, task.step_) && takeNumber(text, Decimal, true, task.index_);
+}
+
+HttpRequest encodeRunnerCall(const RunnerCall &call)
+{
+    HttpRequest request;
+    request.headers_.push_back({"X-Expect-Instance", call.runner_.value_});
+    Json body{{"FencingToken", call.token_.value_}};
+    if (call.op_ != RunnerOp::Hold) {
+        body["Task"] = encodeTask(call.task_);
+        body["RunId"] = call.run_.value_;
+    }
+    if (call.untilMs_ > 0) {
+        body["UntilMs"] = call.untilMs_;
+    }
+    switch (call.op_) {
+    case RunnerOp::Start:
+        request.target_ = "/run-start";
+        body["Spec"] = call.spec_;
+        if (!call.checkpoint_.empty()) {
+            body["Checkpoint"] = call.checkpoint_;
+        }
+        if (!call.ticket_.empty()) {
+            body["Ticket"] = call.ticket_;
+        }
+        break;
+    case RunnerOp::Stop:
+        request.target_ = "/run-stop";
+        break;
+    case RunnerOp::Hold:
+        request.target_ = "/hold";
+        // Ends up to this number are forgotten by the runner, so it acknowledges them.
+        body["LastSeen"] = call.acknowledgedEnd_;
+        if (call.wait_.count() > 0) {
+            body["WaitMs"] = call.wait_.count();
+        }
+        break;
+    }
+    request.body_ = dumpJson(body);
+    return request;
+}
+
+namespace
+{
+
+struct EndName
+{
+    std::string_view name_;
+    RunEnd end_;
+};
+
+} // namespace
+
+static constexpr std::array EndNames{EndName{"done", RunEnd::Done},       EndName{"failed", RunEnd::Failed},
+                                     EndName{"stopped", RunEnd::Stopped}, EndName{"lapsed", RunEnd::Lapsed},
+                                     EndName{"broken", RunEnd::Broken},   EndName{"alone", RunEnd::Alone}};
+
+// [task, run, checkpoint, percent, usage]; the last two may be missing.
+static bool decodeActive(const Json &row, ActiveRun &active)
+{
+    if (!row.is_array() || row.size() < 3 || !row[0].is_string() || !row[1].is_number_unsigned()
+        || !decodeTask(row[0].get_ref<const std::string &>(), active.task_)) {
+        return false;
+    }
+    active.run_.value_ = row[1].get<std::uint64_t>();
+    active.checkpoint_ = row[2].is_string() ? row[2].get<std::string>() : "";
+    constexpr std::size_t PercentColumn = 3;
+    constexpr std::size_t UsageColumn = 4;
+    if (row.size() > PercentColumn && row[PercentColumn].is_number()) {
+        active.percent_ = row[PercentColumn].get<std::int64_t>();
+    }
+    if (row.size() > UsageColumn && row[UsageColumn].is_number()) {
+        active.usage_ = row[UsageColumn].get<std::int64_t>();
+    }
+    return true;
+}
+
+// [number, task, run, how, checkpoint]
+static bool decodeFinished(const Json &row, FinishedRun &finished)
+{
+    constexpr std::size_t HowColumn = 3;
+    constexpr std::size_t CheckpointColumn = 4;
+    if (!row.is_array() || row.size() <= HowColumn || !row[0].is_number_unsigned() || !row[1].is_string()
+        || !row[2].is_number_unsigned() || !row[HowColumn].is_string()
+        || !decodeTask(row[1].get_ref<const std::string &>(), finished.task_)) {
+        return false;
+    }
+    finished.number_ = row[0].get<std::uint64_t>();
+    finished.run_.value_ = row[2].get<std::uint64_t>();
+    const auto &how = row[HowColumn].get_ref<const std::string &>();
+    const auto name
+        = std::find_if(EndNames.begin(), EndNames.end(), [&how](const EndName &entry) { return entry.name_ == how; });
+    if (name == EndNames.end()) {
+        return false;
+    }
+    finished.end_ = name->end_;
+    if (row.size() > CheckpointColumn && row[CheckpointColumn].is_string()) {
+        finished.checkpoint_ = row[CheckpointColumn].get<std::string>();
+    }
+    return true;
+}
+
+static RunnerStatus runnerStatus(unsigned status, const Json &json)
+{
+    std::string reason;
+    switch (status) {
+    case StatusOk:
+        return RunnerStatus::Ok;
+    case StatusConflict:
+        readField(json, "Reason", reason);
+        if (reason == "fence") {
+            return RunnerStatus::Fenced;
+        }
+        if (reason == "old") { // that run, or a later one of the task, has ended or was stopped there
+            return RunnerStatus::Superseded;
+        }
+        if (reason == "late") {
+            return RunnerStatus::Late;
+        }
+        return reason == "ticket" ? RunnerStatus::BadTicket : RunnerStatus::NoRoom;
+    case StatusBadRequest:
+        return RunnerStatus::Malformed;
+    case StatusOtherInstance:
+        return RunnerStatus::OtherLife;
+    case StatusTooMany:
+    case StatusUnavailable:
+        return RunnerStatus::Unhealthy;
+    default:
+        return RunnerStatus::Unknown;
+    }
+}
+
+template <typename Row, typename Decode>
+static bool decodeRows(const Json &json, const char *name, std::vector<Row> &rows, Decode decode)
+{
+    const auto found = json.find(name);
+    if (found == json.end() || !found->is_array()) {
+        return false;
+    }
+    return std::all_of(found->begin(), found->end(),
+                       [&rows, &decode](const Json &row) { return decode(row, rows.emplace_back()); });
+}
+
+void decodeRunnerReply(const RunnerCall &call, unsigned status, std::string_view body, RunnerReply &reply)
+{
+    Json json = Json::object();
+    if (!body.empty() && (!parseJson(body, json) || !json.is_object())) {
+        json = Json::object();
+    }
+    reply.status_ = runnerStatus(status, json);
+    if (!readField(json, "ClockMs", reply.clockMs_) || !readField(json, "born", reply.bornUnixMs_)) {
+        reply.status_ = RunnerStatus::Unknown;
+        return;
+    }
+    if (call.op_ == RunnerOp::Hold && reply.status_ == RunnerStatus::Ok
+        && (!decodeRows(json, "Active", reply.active_, decodeActive)
+            || !decodeRows(json, "Finished", reply.finished_, decodeFinished))) {
+        reply.status_ = RunnerStatus::Unknown; // an incomplete list proves nothing
+        reply.active_.clear();
+        reply.finished_.clear();
+    }
+}
+
+// ---- policy service ----
+
+HttpRequest encodePolicyQuery(const PolicyQuery &query)
+{
+    HttpRequest request;
+    request.target_ = "/advise";
+    Json runners = Json::array();
+    for (const RunnerId &id : query.runners_) {
+        runners.push_back(id.value_);
+    }
+    std::string step = encodeTask({query.job_, query.occurrence_, query.step_, 0});
+    step.erase(step.rfind('.'));
+    request.body_ = dumpJson({{"StepId", std::move(step)}, {"Workers", std::move(runners)}});
+    return request;
+}
+
+void decodePolicyAnswer(unsigned status, std::string_view body, PolicyAnswer &answer)
+{
+    Json json;
+    if (status != StatusOk || !parseJson(body, json) || !json.is_object()) {
+        return;
+    }
+    const auto allowed = json.find("Allowed");
+    if (allowed == json.end() || !allowed->is_array()) {
+        return;
+    }
+    for (const Json &row : *allowed) {
+        if (!row.is_array() || row.size() < 2 || !row[0].is_string() || !row[1].is_string()) {
+            answer.allowed_.clear();
+            return;
+        }
+        answer.allowed_.push_back({RunnerId(row[0].get<std::string>()), row[1].get<std::string>()});
+    }
+    answer.answered_ = true;
+}
+
+} // namespace mimosapier
