Fix: [message] Ratios that are whole numbers decode

Cause: msgpack packs a double without a fraction as an integer; the decoder refused the frame, and the peer connection was closed.

--- a/src/core/control/control.cpp
+++ b/src/core/control/control.cpp
@@ -44,8 +44,11 @@
     return control.leaving_ && !control.cell_ && control.requests_.empty();
 }
 
-void peerUp(Control &control, const DaemonId &daemon, CellTime now)
+void peerUp(Control &control, const DaemonId &daemon, CellTime now, ControlActions &actions)
 {
+    JsonObject line = controlEvent("peer-up");
+    line.text("daemon", daemon.value_);
+    controlLog(actions, line);
     ClusterMember &member = control.members_[daemon];
     member.connected_ = true;
     member.seenAt_ = now.steady_;
@@ -53,8 +56,11 @@
     control.nextBeaconAt_ = now.steady_;
 }
 
-void peerDown(Control &control, const DaemonId &daemon, CellTime now)
+void peerDown(Control &control, const DaemonId &daemon, CellTime now, ControlActions &actions)
 {
+    JsonObject line = controlEvent("peer-down");
+    line.text("daemon", daemon.value_);
+    controlLog(actions, line, LogLevel::Warning);
     ClusterMember &member = control.members_[daemon];
     member.connected_ = false;
     member.seenAt_ = now.steady_;
--- a/src/core/control/control_func.h
+++ b/src/core/control/control_func.h
@@ -10,8 +10,8 @@
 
 // Events. finishBatch() has to follow a batch of them, also when there were none for a tick.
 void clientRequest(Control &control, ClientRequest request, CellTime now, ControlActions &actions);
-void peerUp(Control &control, const DaemonId &daemon, CellTime now);
-void peerDown(Control &control, const DaemonId &daemon, CellTime now);
+void peerUp(Control &control, const DaemonId &daemon, CellTime now, ControlActions &actions);
+void peerDown(Control &control, const DaemonId &daemon, CellTime now, ControlActions &actions);
 void peerMessage(Control &control, const DaemonId &from, const PeerMessage &message, CellTime now,
                  ControlActions &actions);
 void kvReply(Control &control, const KvReply &reply, CellTime now, ControlActions &actions);
--- a/src/core/message/pack_func.h
+++ b/src/core/message/pack_func.h
@@ -155,10 +155,16 @@
         value = Milliseconds(count);
         return valid;
     } else if constexpr (std::is_same_v<T, double>) {
-        if (object.type != msgpack::type::FLOAT64 && object.type != msgpack::type::FLOAT32) {
+        // The library packs whole numbers as integers.
+        if (object.type == msgpack::type::POSITIVE_INTEGER) {
+            value = static_cast<double>(object.via.u64);
+        } else if (object.type == msgpack::type::NEGATIVE_INTEGER) {
+            value = static_cast<double>(object.via.i64);
+        } else if (object.type == msgpack::type::FLOAT64 || object.type == msgpack::type::FLOAT32) {
+            value = object.via.f64;
+        } else {
             return false;
         }
-        value = object.via.f64;
         return true;
     } else if constexpr (std::is_same_v<T, bool>) {
         value = object.type == msgpack::type::BOOLEAN && object.via.boolean;
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -246,9 +246,9 @@
         if (const auto *received = std::get_if<PeerReceived>(peer)) {
             peerMessage(control, received->from_, received->message_, now(), actions_);
         } else if (const auto *up = std::get_if<PeerUp>(peer)) {
-            peerUp(control, up->daemon_, now());
+            peerUp(control, up->daemon_, now(), actions_);
         } else if (const auto *down = std::get_if<PeerDown>(peer)) {
-            peerDown(control, down->daemon_, now());
+            peerDown(control, down->daemon_, now(), actions_);
         }
     } else {
         beginLeaving(control, now(), actions_);
--- a/tests/message/test_codec.cpp
+++ b/tests/message/test_codec.cpp
@@ -30,6 +30,21 @@
     cr_assert(received == sent);
 }
 
+// Guards against the library's packing of whole-number ratios as integers, which the decoder refused as malformed.
+Test(codec, wholeNumberRatio)
+{
+    CellRequest request;
+    request.verb_ = CellVerb::Submit;
+    request.job_ = StagedJobId{0xfedcba9876543210};
+    request.policy_.slackFactor_ = 2;
+    request.policy_.decideMs_ = 390.5;
+    request.submitted_.steps_.resize(2);
+    request.submitted_.steps_[1].after_ = {0};
+    PeerMessage received;
+    cr_assert(!decodeMessage(encodeMessage(request), received));
+    cr_assert(received == PeerMessage(request));
+}
+
 // Guards against a truncated frame being accepted in part.
 Test(codec, truncatedFrameIsRefused)
 {
