--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -29,7 +29,7 @@
     TaskState state_ = TaskState::Waiting;
     std::uint64_t run_ = 0; // highest run number used; 0: never started
     std::uint64_t endedRun_ = 0; // highest run whose end was counted
-    std::uint32_t failures_ = 0; // runs that ended as failed
+    std::vector<std::uint64_t> failedRuns_; // runs that ended as failed; not for long-running tasks
     std::string checkpoint_; // where the next run resumes; empty: from the beginning
     RunnerId runner_; // while Placed; afterwards the last one
     TimePoint notBefore_; // a retry waits until then
@@ -50,8 +50,7 @@
     std::vector<TaskRecord> tasks_;
     std::uint32_t done_ = 0; // tasks in state Done
     std::uint32_t waiting_ = 0; // tasks in state Waiting
-    std::uint32_t gangFailures_ = 0; // runs of the gang that ended as failed
-    std::uint64_t gangFailedRun_ = 0; // last run that was counted there; several members may fail in one run
+    std::vector<std::uint64_t> gangFailedRuns_; // runs of the gang in which a member failed
     bool ready_ = false; // all steps that it depends on are done
     bool queued_ = false; // has an entry in Cell::ready_
     bool querying_ = false; // a policy query is queued or under way
@@ -117,6 +116,7 @@
     TimePoint startedAt_; // when the start was first sent
     TimePoint settledAt_; // last answer after which a list without the task proves that it is gone
     TimePoint retryAt_; // the call is sent again at this time
+    std::int64_t untilMs_ = 0; // lease that the start asked for; its repeats ask for the same
 };
 
 // An end that was handled but may not be acknowledged before the store has the job's version.
@@ -234,6 +234,7 @@
     std::vector<std::string> cleanups_; // keys to remove
     std::uint64_t nextId_ = 1; // of calls
     bool opened_ = false; // tasks of recovered jobs may start
+    bool predecessorEnded_ = false; // the former leader certainly sends no more calls
     bool dirtyPlacement_ = true; // something changed that may let a task start
     bool superseded_ = false; // a runner or the store has seen a later leader
     bool storeTrouble_ = false; // a transaction has waited for long
--- a/src/core/cell/placement.cpp
+++ b/src/core/cell/placement.cpp
@@ -214,27 +214,37 @@
     return chosen;
 }
 
-// Result: true when no task of the step waits any more.
-static bool placeGang(Cell &cell, const StepContext &context, CellTime now, CellActions &actions)
+namespace
+{
+
+enum class PlaceResult : std::uint8_t {
+    Placed, // no task of the step waits any more
+    Held, // neither room nor tickets would help now
+    Short, // runners with room, or tickets for them, are missing
+};
+
+} // namespace
+
+static PlaceResult placeGang(Cell &cell, const StepContext &context, CellTime now, CellActions &actions)
 {
     StepState &step = context.step_;
     if (step.waiting_ < step.tasks_.size()) {
-        return false; // members of the last run have not ended yet
+        return PlaceResult::Held; // members of the last run have not ended yet
     }
     std::uint64_t used = 0;
     for (const TaskRecord &task : step.tasks_) {
         if (task.notBefore_ > now.steady_) {
-            return false;
+            return PlaceResult::Held;
         }
         used = std::max(used, task.run_);
     }
     if (accountRoom(cell, context.job_, context.spec_.size_) < context.spec_.count_) {
-        return false;
+        return PlaceResult::Held;
     }
     std::vector<Candidate> candidates = candidatesOf(cell, context, now.steady_);
     const std::vector<std::size_t> chosen = chooseForGang(context, candidates);
     if (chosen.empty()) {
-        return false;
+        return PlaceResult::Short;
     }
     // All members carry the same checkpoint; the latest that any of them has reported.
     std::string checkpoint;
@@ -245,15 +255,15 @@
         step.tasks_[i].checkpoint_ = checkpoint;
         startTask(cell, context, i, candidates[chosen[i]], nextRun(context.job_, used), now, actions);
     }
-    return true;
+    return PlaceResult::Placed;
 }
 
-static bool placeTasks(Cell &cell, const StepContext &context, CellTime now, CellActions &actions)
+static PlaceResult placeTasks(Cell &cell, const StepContext &context, CellTime now, CellActions &actions)
 {
     StepState &step = context.step_;
     std::uint32_t room = accountRoom(cell, context.job_, context.spec_.size_);
     if (room == 0) {
-        return false;
+        return PlaceResult::Held;
     }
     std::vector<Candidate> candidates = candidatesOf(cell, context, now.steady_);
     const Resources size = reservedSize(context.spec_);
@@ -262,14 +272,17 @@
         if (task.state_ != TaskState::Waiting || task.notBefore_ > now.steady_) {
             continue;
         }
-        Candidate *best = bestCandidate(candidates, size, task.failures_ > 0 ? task.runner_ : RunnerId{});
+        Candidate *best = bestCandidate(candidates, size, task.failedRuns_.empty() ? RunnerId{} : task.runner_);
         if (best == nullptr) {
-            return false;
+            return PlaceResult::Short;
         }
         startTask(cell, context, i, *best, nextRun(context.job_, task.run_), now, actions);
         --room;
     }
-    return step.waiting_ == 0;
+    if (step.waiting_ == 0) {
+        return PlaceResult::Placed;
+    }
+    return candidates.empty() ? PlaceResult::Short : PlaceResult::Held;
 }
 
 static std::optional<StepContext> contextOf(Cell &cell, const StepRef &ref)
@@ -323,9 +336,9 @@
         if (!context || !context->job_.stored_ || (context->job_.recovered_ && !cell.opened_)) {
             continue;
         }
-        const bool placed = context->spec_.gang_ ? placeGang(cell, *context, now, actions)
+        const PlaceResult result = context->spec_.gang_ ? placeGang(cell, *context, now, actions)
                                                  : placeTasks(cell, *context, now, actions);
-        if (!placed && context->job_.policy_.policyQueries_) {
+        if (result == PlaceResult::Short && context->job_.policy_.policyQueries_) {
             requestQuery(cell, context->job_, ref.occurrence_, ref.step_, now.steady_);
         }
     }
--- a/src/core/cell/records.cpp
+++ b/src/core/cell/records.cpp
@@ -21,9 +21,9 @@
     std::uint32_t occurrence_ = 0;
     std::uint32_t step_ = 0;
     std::string done_; // one character for each task: '1' when done; empty when none is
-    std::vector<std::uint32_t> failures_;
+    std::vector<std::vector<std::uint64_t>> failedRuns_;
     std::vector<std::uint64_t> endedRuns_;
-    std::uint32_t gangFailures_ = 0;
+    std::vector<std::uint64_t> gangFailedRuns_;
 };
 
 struct ProgressDocument
@@ -49,7 +49,7 @@
 };
 
 MIMOSAPIER_FIELDS(JobDocument, s.id_, s.account_, s.policy_, s.submitted_, s.acceptedUnixMs_)
-MIMOSAPIER_FIELDS(StepDocument, s.occurrence_, s.step_, s.done_, s.failures_, s.endedRuns_, s.gangFailures_)
+MIMOSAPIER_FIELDS(StepDocument, s.occurrence_, s.step_, s.done_, s.failedRuns_, s.endedRuns_, s.gangFailedRuns_)
 MIMOSAPIER_FIELDS(ProgressDocument, s.state_, s.occurrencesDone_, s.steps_, s.doneOccurrences_, s.endedUnixMs_)
 MIMOSAPIER_FIELDS(RunnerDocument, s.id_, s.service_, s.address_, s.capacity_)
 MIMOSAPIER_FIELDS(RunnersDocument, s.runners_)
@@ -85,11 +85,11 @@
     StepDocument document;
     document.occurrence_ = occurrence;
     document.step_ = index;
-    document.gangFailures_ = step.gangFailures_;
+    document.gangFailedRuns_ = step.gangFailedRuns_;
     bool failed = false;
     bool ended = false;
     for (const TaskRecord &task : step.tasks_) {
-        failed = failed || task.failures_ > 0;
+        failed = failed || !task.failedRuns_.empty();
         ended = ended || task.endedRun_ > 0;
     }
     for (const TaskRecord &task : step.tasks_) {
@@ -97,7 +97,7 @@
             document.done_.push_back(task.state_ == TaskState::Done ? '1' : '0');
         }
         if (failed) {
-            document.failures_.push_back(task.failures_);
+            document.failedRuns_.push_back(task.failedRuns_);
         }
         if (ended) {
             document.endedRuns_.push_back(task.endedRun_);
@@ -135,16 +135,15 @@
             ++step.done_;
             --step.waiting_;
         }
-        if (i < document.failures_.size()) {
-            task.failures_ = document.failures_[i];
+        if (i < document.failedRuns_.size()) {
+            task.failedRuns_ = document.failedRuns_[i];
         }
         if (i < document.endedRuns_.size()) {
             task.endedRun_ = document.endedRuns_[i];
             task.run_ = task.endedRun_;
-            step.gangFailedRun_ = std::max(step.gangFailedRun_, task.endedRun_);
         }
     }
-    step.gangFailures_ = document.gangFailures_;
+    step.gangFailedRuns_ = document.gangFailedRuns_;
 }
 
 static Occurrence &occurrenceOf(Job &job, std::uint32_t number)
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -38,6 +38,13 @@
     return until;
 }
 
+// Time after which a lease that a leader has just asked for has certainly ended.
+static Milliseconds longestLease()
+{
+    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(TaskLease.count()) / SlowestClock))
+        + LeaseMargin;
+}
+
 static RunnerCall makeCall(Cell &cell, const Runner &runner, RunnerOp op)
 {
     RunnerCall call;
@@ -55,8 +62,10 @@
     RunnerCall call = makeCall(cell, runner, RunnerOp::Hold);
     call.acknowledgedEnd_ = runner.acknowledgedEnd_;
     if (runner.held_) {
-        call.untilMs_ = leaseUntil(runner, now.steady_);
-        call.wait_ = runner.tasks_.empty() ? Milliseconds(0) : HoldWait;
+        // A runner that does not answer is only asked. Asking for more time would put off the moment at which its tasks
+        // have certainly ended, with each repeat.
+        call.untilMs_ = runner.failedCalls_ == 0 ? leaseUntil(runner, now.steady_) : 0;
+        call.wait_ = runner.tasks_.empty() || runner.failedCalls_ > 0 ? Milliseconds(0) : HoldWait;
     }
     runner.holdOpen_ = true;
     actions.runners_.push_back(std::move(call));
@@ -142,11 +151,12 @@
     call.spec_ = job->submitted_.spec_;
     call.checkpoint_ = placement.checkpoint_;
     call.ticket_ = placement.ticket_;
-    call.untilMs_ = leaseUntil(runner, now.steady_);
     placement.callOpen_ = true;
     if (placement.tries_++ == 0) {
         placement.startedAt_ = now.steady_;
+        placement.untilMs_ = leaseUntil(runner, now.steady_);
     }
+    call.untilMs_ = placement.untilMs_;
     actions.runners_.push_back(std::move(call));
 }
 
@@ -269,29 +279,35 @@
     }
 }
 
-// Result: true when something changed that has to be stored.
-static bool countFailure(Cell &cell, Job &job, const StagedTask &id, const FinishedRun &end, CellTime now,
+// Adds a run to those that were counted as failed. Result: false when it was there already.
+static bool addFailedRun(std::vector<std::uint64_t> &runs, std::uint64_t run)
+{
+    if (std::find(runs.begin(), runs.end(), run) != runs.end()) {
+        return false;
+    }
+    runs.push_back(run);
+    return true;
+}
+
+// Counts a failed run of the task, or of its gang. Each run counts once, in whatever order the runners' lists arrive
+// after a change of leader.
+static void countFailure(Cell &cell, Job &job, const StagedTask &id, const FinishedRun &end, CellTime now,
                          CellActions &actions)
 {
     StepState *step = nullptr;
     TaskRecord *task = findTask(job, id, &step);
     const StepSpec &spec = stepSpec(job, id.step_);
-    if (task == nullptr || task->state_ == TaskState::Done) {
-        return false;
+    if (task == nullptr || task->state_ == TaskState::Done || spec.longRunning_) {
+        return;
     }
-    std::uint32_t failures = ++task->failures_;
-    if (spec.gang_) {
-        if (end.run_.value_ > step->gangFailedRun_) {
-            step->gangFailedRun_ = end.run_.value_;
-            ++step->gangFailures_;
-        }
-        failures = step->gangFailures_;
+    std::vector<std::uint64_t> &runs = spec.gang_ ? step->gangFailedRuns_ : task->failedRuns_;
+    if (!addFailedRun(runs, end.run_.value_)) {
+        return;
     }
     markDirty(cell, job);
-    if (!spec.longRunning_ && failures >= job.policy_.maxAttempts_) {
+    if (runs.size() >= job.policy_.maxAttempts_) {
         finishJob(cell, job, StagedState::Failed, now, actions);
     }
-    return true;
 }
 
 static void noteRunnerQuality(Runner &runner, const FinishedRun &end, CellTime now, CellActions &actions)
@@ -327,17 +343,18 @@
             materialize(cell, *job, now);
             task = findTask(*job, end.task_, &step);
         }
-        if (task != nullptr && end.run_.value_ > task->endedRun_) {
-            task->endedRun_ = end.run_.value_;
+        if (task != nullptr) {
+            const bool latest = end.run_.value_ > task->endedRun_;
+            task->endedRun_ = std::max(task->endedRun_, end.run_.value_);
             task->run_ = std::max(task->run_, end.run_.value_);
+            if (latest) {
+                retryTask(*job, end.task_, end, now);
+            }
             if (end.end_ == RunEnd::Done && !stepSpec(*job, end.task_.step_).longRunning_) {
                 job->started_ = true;
                 taskDone(cell, *job, end.task_, now, actions);
             } else if (end.end_ == RunEnd::Failed) {
-                retryTask(*job, end.task_, end, now);
                 countFailure(cell, *job, end.task_, end, now, actions);
-            } else {
-                retryTask(*job, end.task_, end, now);
             }
         }
     }
@@ -473,10 +490,7 @@
         if (!runner.held_) {
             runner.held_ = true;
             runner.legacy_ = false;
-            // An earlier leader may have extended the leases as far as the platform allows.
-            const auto longest = Milliseconds(static_cast<std::int64_t>(
-                static_cast<double>(cell.settings_.holdMax_.count()) / SlowestClock));
-            runner.leaseEndsBy_ = now.steady_ + longest + LeaseMargin;
+            runner.leaseEndsBy_ = now.steady_ + longestLease(); // an earlier leader may just have extended it
             JsonObject line = logEvent("runner-held");
             line.text("runner", runner.record_.id_.value_).text("service", runner.record_.service_);
             line.number("active", static_cast<std::int64_t>(reply.active_.size()));
@@ -578,9 +592,8 @@
         return;
     }
     if (runner.legacy_ && !runner.held_) {
-        const auto longest = Milliseconds(static_cast<std::int64_t>(
-            static_cast<double>((cell.settings_.holdMax_ + LeaderGrace).count()) / SlowestClock));
-        if (now.steady_ > cell.acquiredAt_ + longest + LeaseMargin) {
+        const Milliseconds grace = cell.predecessorEnded_ ? Milliseconds(0) : LeaderGrace;
+        if (now.steady_ > cell.acquiredAt_ + grace + longestLease()) {
             loseRunner(cell, runner, "legacy-lease-ended", now, actions);
             return;
         }
--- a/src/core/control/control.cpp
+++ b/src/core/control/control.cpp
@@ -77,6 +77,7 @@
     ClusterMember &member = control.members_[from];
     member.seenAt_ = now.steady_;
     member.lastBeacon_ = std::max(member.lastBeacon_, beacon.sequence_);
+    control.retiredSeen_ = std::max(control.retiredSeen_, beacon.retired_);
     learnEpoch(control, beacon.epoch_, beacon.leader_, from.value_, now, actions);
     if (beacon.configVersion_ > control.config_.version_) {
         actions.peers_.push_back({from, CellConfigWanted{beacon.configVersion_}});
@@ -103,6 +104,7 @@
         ? UINT32_MAX
         : static_cast<std::uint32_t>(ageMs(now.steady_, control.configProofAt_));
     beacon.storeReached_ = control.storeReached_;
+    beacon.retired_ = control.retired_;
     member.beaconTimes_[beacon.sequence_] = now.steady_;
     if (member.beaconTimes_.size() > BeaconsRemembered) {
         member.beaconTimes_.erase(member.beaconTimes_.begin());
--- a/src/core/control/control_base.h
+++ b/src/core/control/control_base.h
@@ -86,7 +86,11 @@
     CellEpoch epoch_; // highest known
     std::uint64_t epochRevision_ = 0; // of its key; 0: the key does not exist
     DaemonId leader_; // of epoch_; empty: none known
+    DaemonId epochLeader_; // last leader known, also after it has stopped
     bool leaderListed_ = false; // the leader key exists
+    DaemonId predecessor_; // leader before this daemon; empty: none
+    CellEpoch retired_; // highest epoch in which this daemon led and then stopped
+    CellEpoch retiredSeen_; // highest epoch whose leader is known to have stopped
     bool electing_ = false;
     TimePoint electAt_; // earliest
 
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -50,6 +50,9 @@
     }
     control.epoch_ = epoch;
     control.leader_ = leader;
+    if (!leader.empty()) {
+        control.epochLeader_ = leader;
+    }
     JsonObject line = controlEvent("leader");
     line.number("epoch", static_cast<std::int64_t>(epoch.value_)).text("leader", leader.value_);
     line.text("source", source);
@@ -64,6 +67,7 @@
 {
     control.epochRevision_ = revision;
     control.leaderListed_ = true;
+    control.predecessor_ = control.epoch_.value_ == 0 ? DaemonId{} : control.epochLeader_;
     const std::array<std::uint64_t, LaneCount> lanes{revision, revision};
     control.cell_ = makeCell(control.settings_.cell_, control.settings_.self_, epoch, revision, lanes, now.steady_);
     applyConfig(*control.cell_, control.config_);
@@ -88,6 +92,9 @@
     line.text("cause", cause).number("epoch", static_cast<std::int64_t>(control.cell_->epoch_.value_));
     line.number("jobs", static_cast<std::int64_t>(control.cell_->jobs_.size()));
     controlLog(actions, line, LogLevel::Warning);
+    control.retired_ = std::max(control.retired_, control.cell_->epoch_);
+    control.retiredSeen_ = std::max(control.retiredSeen_, control.retired_);
+    control.nextBeaconAt_ = now.steady_; // lets the next leader rely on it
     control.cell_.reset();
     control.stage_ = RecoveryStage::None;
     control.runnerFeed_ = {};
@@ -176,8 +183,27 @@
     }
 }
 
+// The former leader sends no more calls when it says so, or when another process has its name.
+static bool predecessorEnded(const Control &control)
+{
+    const std::string &former = control.predecessor_.value_;
+    if (former.empty() || control.retiredSeen_.value_ + 1 >= control.epoch_.value_) {
+        return true;
+    }
+    const std::string name = former.substr(0, former.find('#')) + "#";
+    const auto replaces = [&](const DaemonId &daemon) {
+        return daemon != control.predecessor_ && daemon.value_.starts_with(name);
+    };
+    return replaces(control.settings_.self_)
+        || std::any_of(control.members_.begin(), control.members_.end(),
+                       [&](const auto &entry) { return entry.second.listed_ && replaces(entry.first); });
+}
+
 void pollElection(Control &control, CellTime now, ControlActions &actions)
 {
+    if (control.cell_ && !control.cell_->predecessorEnded_) {
+        control.cell_->predecessorEnded_ = predecessorEnded(control);
+    }
     if (control.cell_ && control.cell_->superseded_) {
         stepDown(control, "superseded", now, actions);
         control.clusterFeed_.read_ = false; // a read tells who leads
--- /dev/null
+++ b/tests/cell/cell_world.h
@@ -0,0 +1,279 @@
+// A leader of a cell with fake runners, a fake store and a fake policy service, driven by a clock of the test.
+#pragma once
+
+#include "core/cell/cell_func.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mimosapier
+{
+
+// A runner that follows the published rules for tokens, runs and lists of ends.
+struct FakeRunner
+{
+    RunnerRecord record_;
+    bool reachable_ = true;
+    bool rejectTickets_ = false;
+    std::uint64_t token_ = 0;
+    std::int64_t bornUnixMs_ = 1;
+    std::int64_t clockMs_ = 1'000; // at the start of the test
+    std::int64_t leaseUntilMs_ = 0;
+    std::map<StagedTask, std::uint64_t> active_; // run
+    std::vector<FinishedRun> finished_;
+    std::uint64_t lastEnd_ = 0;
+    std::vector<std::pair<StagedTask, std::uint64_t>> starts_; // all that began here, with the run
+};
+
+struct CellWorld
+{
+    explicit CellWorld(std::uint64_t epoch = 1, int runners = 4, bool policy = false)
+    {
+        const std::uint64_t revisions[] = {10, 10};
+        cell_ = makeCell(CellSettings{}, DaemonId("d1"), CellEpoch{epoch}, 10, revisions, now_);
+        cell_->predecessorEnded_ = epoch == 1;
+        config_.version_ = 1;
+        QueueConfig queue;
+        queue.policy_.queue_ = "q";
+        queue.policy_.service_ = "s";
+        queue.policy_.maxAttempts_ = 2;
+        queue.policy_.targetCompletion_ = Milliseconds(10'000);
+        queue.policy_.policyQueries_ = policy;
+        queue.policy_.decideMs_ = 20;
+        queue.policy_.ticketValid_ = Milliseconds(1'500);
+        config_.queues_ = {queue};
+        config_.accounts_ = {{"a", {"key"}, 1, {}}};
+        applyConfig(*cell_, config_);
+        for (int i = 0; i < runners; ++i) {
+            FakeRunner runner;
+            runner.record_.id_ = RunnerId("r" + std::to_string(i));
+            runner.record_.service_ = "s";
+            runner.record_.address_ = "10.0.0.1:1";
+            runner.record_.capacity_ = {10'000, 10'000, 0, 0};
+            runners_[runner.record_.id_] = runner;
+        }
+    }
+
+    void listRunners()
+    {
+        for (const auto &[id, runner] : runners_) {
+            updateRunner(*cell_, runner.record_, time(), actions_);
+        }
+        const DaemonId self("d1");
+        setAskers(*cell_, std::span(&self, 1));
+    }
+
+    CellTime time() const { return {now_, 1'000'000 + std::chrono::duration_cast<Milliseconds>(now_ - start_).count()}; }
+
+    CellRequest submission(std::uint64_t id, std::uint32_t count, std::int64_t milliCpus, bool gang = false)
+    {
+        CellRequest request;
+        request.call_ = CallId{++call_};
+        request.verb_ = CellVerb::Submit;
+        request.job_ = StagedJobId{id};
+        request.account_ = "a";
+        request.policy_ = config_.queues_[0].policy_;
+        request.remaining_ = Milliseconds(2'000);
+        StepSpec step;
+        step.count_ = count;
+        step.size_ = {milliCpus, 100, 0, 0};
+        step.estimate_ = Milliseconds(1'000);
+        step.gang_ = gang;
+        request.submitted_.steps_ = {step};
+        return request;
+    }
+
+    std::uint64_t submit(std::uint64_t id, std::uint32_t count = 1, std::int64_t milliCpus = 1'000, bool gang = false)
+    {
+        return send(submission(id, count, milliCpus, gang));
+    }
+
+    std::uint64_t send(const CellRequest &request)
+    {
+        handleRequest(*cell_, DaemonId("d1"), request, time(), actions_);
+        return request.call_.value_;
+    }
+
+    std::uint64_t ask(std::uint64_t id, CellVerb verb)
+    {
+        CellRequest request;
+        request.call_ = CallId{++call_};
+        request.verb_ = verb;
+        request.job_ = StagedJobId{id};
+        request.policy_.queue_ = "q";
+        return send(request);
+    }
+
+    // Lets time pass in steps of 5 ms; calls are answered one step after they were made.
+    void run(Milliseconds duration)
+    {
+        const TimePoint end = now_ + duration;
+        while (now_ < end) {
+            now_ += Milliseconds(5);
+            CellActions sent;
+            std::swap(sent, actions_);
+            carryOut(sent);
+            settle(*cell_, time(), actions_);
+        }
+    }
+
+    void carryOut(const CellActions &sent)
+    {
+        for (const CellReplyTo &reply : sent.replies_) {
+            replies_[reply.reply_.call_.value_] = reply.reply_;
+        }
+        for (const KvCall &call : sent.kv_) {
+            answerStore(call);
+        }
+        for (const RunnerCall &call : sent.runners_) {
+            answerRunner(call);
+        }
+        for (const PolicyDispatch &dispatch : sent.policy_) {
+            ++queries_;
+            PolicyAnswer answer;
+            answer.call_ = dispatch.query_.call_;
+            answer.answered_ = true;
+            for (const RunnerId &id : dispatch.query_.runners_) {
+                if (!forbidden_.contains(id)) {
+                    answer.allowed_.push_back({id, "t"});
+                }
+            }
+            handlePolicyAnswer(*cell_, dispatch.to_, answer, time(), actions_);
+        }
+    }
+
+    void answerStore(const KvCall &call)
+    {
+        ++transactions_;
+        KvReply reply;
+        reply.id_ = call.id_;
+        reply.purpose_ = call.purpose_;
+        reply.lane_ = call.lane_;
+        reply.sentAt_ = now_;
+        reply.status_ = KvStatus::NotDone;
+        if (storeUp_) {
+            const std::string lane = laneKey(call.lane_);
+            const bool holds = call.conditions_[1].revision_ == laneRevisions_[call.lane_];
+            if (holds) {
+                laneRevisions_[call.lane_] = ++revision_;
+                for (const KvWrite &write : call.writes_) {
+                    stored_[write.key_] = write.value_;
+                    ++writes_[write.key_];
+                }
+                for (const std::string &key : call.removes_) {
+                    stored_.erase(key);
+                }
+                reply.status_ = loseAnswers_ > 0 ? KvStatus::Unknown : KvStatus::Ok;
+                reply.revision_ = revision_;
+                loseAnswers_ -= loseAnswers_ > 0 ? 1 : 0;
+            } else {
+                reply.status_ = KvStatus::Conflict;
+                reply.items_.push_back({std::string(LeaderKey), "d1", 10, false});
+                reply.items_.push_back({lane, stored_[lane], laneRevisions_[call.lane_], false});
+            }
+        }
+        handleLaneReply(*cell_, reply, time(), actions_);
+    }
+
+    std::int64_t clockOf(const FakeRunner &runner) const
+    {
+        return runner.clockMs_ + std::chrono::duration_cast<Milliseconds>(now_ - start_).count();
+    }
+
+    void answerRunner(const RunnerCall &call)
+    {
+        RunnerReply reply;
+        reply.id_ = call.id_;
+        reply.op_ = call.op_;
+        reply.runner_ = call.runner_;
+        reply.task_ = call.task_;
+        reply.run_ = call.run_;
+        reply.sentAt_ = now_;
+        FakeRunner &runner = runners_.at(call.runner_);
+        if (runner.reachable_) {
+            carryOutCall(runner, call, reply);
+        }
+        handleRunnerReply(*cell_, reply, time(), actions_);
+    }
+
+    void carryOutCall(FakeRunner &runner, const RunnerCall &call, RunnerReply &reply)
+    {
+        reply.clockMs_ = clockOf(runner);
+        reply.bornUnixMs_ = runner.bornUnixMs_;
+        reply.status_ = RunnerStatus::Ok;
+        if (call.token_.value_ < runner.token_) {
+            reply.status_ = RunnerStatus::Fenced;
+            return;
+        }
+        runner.token_ = call.token_.value_;
+        runner.leaseUntilMs_ = std::max(runner.leaseUntilMs_, call.untilMs_);
+        if (call.op_ == RunnerOp::Start) {
+            if (runner.active_.emplace(call.task_, call.run_.value_).second) {
+                runner.starts_.emplace_back(call.task_, call.run_.value_);
+            }
+        } else if (call.op_ == RunnerOp::Stop) {
+            end(runner.record_.id_, call.task_, RunEnd::Stopped);
+        } else {
+            std::erase_if(runner.finished_,
+                          [&call](const FinishedRun &run) { return run.number_ <= call.acknowledgedEnd_; });
+            reply.finished_ = runner.finished_;
+            for (const auto &[task, run] : runner.active_) {
+                reply.active_.push_back({task, RunNumber{run}, "", 100, 0});
+            }
+        }
+    }
+
+    // A run ends at a runner.
+    void end(const RunnerId &id, const StagedTask &task, RunEnd how)
+    {
+        FakeRunner &runner = runners_.at(id);
+        const auto found = runner.active_.find(task);
+        if (found != runner.active_.end()) {
+            runner.finished_.push_back({++runner.lastEnd_, task, RunNumber{found->second}, how, ""});
+            runner.active_.erase(found);
+        }
+    }
+
+    // The runner where the task runs, or none.
+    RunnerId where(const StagedTask &task) const
+    {
+        for (const auto &[id, runner] : runners_) {
+            if (runner.active_.contains(task)) {
+                return id;
+            }
+        }
+        return {};
+    }
+
+    std::size_t starts() const
+    {
+        std::size_t count = 0;
+        for (const auto &[id, runner] : runners_) {
+            count += runner.starts_.size();
+        }
+        return count;
+    }
+
+    TimePoint start_{std::chrono::hours(1)};
+    TimePoint now_ = start_;
+    CellConfig config_;
+    std::map<RunnerId, FakeRunner> runners_;
+    std::unique_ptr<Cell> cell_;
+    CellActions actions_;
+    std::map<std::uint64_t, CellReply> replies_; // by call
+    std::uint64_t call_ = 0;
+    std::uint64_t queries_ = 0;
+    std::set<RunnerId> forbidden_; // by the policy service
+    bool storeUp_ = true;
+    int loseAnswers_ = 0; // transactions that take effect without an answer
+    std::uint64_t transactions_ = 0;
+    std::uint64_t revision_ = 10;
+    std::map<std::uint32_t, std::uint64_t> laneRevisions_{{0, 10}, {1, 10}};
+    std::map<std::string, std::string> stored_;
+    std::map<std::string, int> writes_; // times that a key was written
+};
+
+} // namespace mimosapier
--- /dev/null
+++ b/tests/cell/test_cell.cpp
@@ -0,0 +1,215 @@
+// Guards the decisions of a cell's leader: each test names the failure that it guards against.
+#include "cell/cell_world.h"
+
+#include <criterion/criterion.h>
+
+#include <random>
+
+using namespace mimosapier;
+
+static constexpr StagedTask FirstTask{StagedJobId{1}, 0, 0, 0};
+
+// Guards against a job that is accepted, run and never shown as completed.
+Test(cell, jobRunsToCompletion)
+{
+    CellWorld world;
+    world.listRunners();
+    const auto call = world.submit(1, 2);
+    world.run(Milliseconds(300));
+    cr_assert(world.replies_.at(call).outcome_ == CellOutcome::Ok);
+    cr_assert_eq(world.starts(), 2);
+    for (std::uint32_t i = 0; i < 2; ++i) {
+        const StagedTask task{StagedJobId{1}, 0, 0, i};
+        world.end(world.where(task), task, RunEnd::Done);
+    }
+    world.run(Milliseconds(400));
+    const auto query = world.ask(1, CellVerb::Query);
+    world.run(Milliseconds(10));
+    cr_assert(world.replies_.at(query).state_ == StagedState::Completed);
+    cr_assert(!world.stored_.contains("job/0000000000000001"));
+    cr_assert(world.stored_.contains("progress/0000000000000001"));
+}
+
+// Guards against a task that is started again after its last allowed failure: a new leader read the list of the later
+// failed run first and did not count the earlier one.
+Test(cell, failedRunsCountInAnyOrderOfTheLists)
+{
+    CellWorld world(2);
+    CellWorld before;
+    before.listRunners();
+    before.submit(1);
+    before.run(Milliseconds(100));
+    recoverJob(*world.cell_, {"job/0000000000000001", before.stored_.at("job/0000000000000001"), 5, false},
+               world.time(), world.actions_);
+    world.runners_.at(RunnerId("r0")).finished_ = {{1, FirstTask, RunNumber{2}, RunEnd::Failed, ""}};
+    world.runners_.at(RunnerId("r1")).finished_ = {{1, FirstTask, RunNumber{1}, RunEnd::Failed, ""}};
+    world.listRunners();
+    finishRecovery(*world.cell_, world.time(), world.actions_);
+    world.run(Milliseconds(500));
+    cr_assert_eq(world.starts(), 0);
+    const auto query = world.ask(1, CellVerb::Query);
+    world.run(Milliseconds(10));
+    cr_assert(world.replies_.at(query).state_ == StagedState::Failed);
+}
+
+// Guards against a task that never starts again: each unanswered hold put off the end of the lease of a runner that had
+// left without a word.
+Test(cell, tasksOfASilentRunnerStartElsewhere)
+{
+    CellWorld world;
+    world.listRunners();
+    world.submit(1);
+    world.run(Milliseconds(300));
+    const RunnerId first = world.where(FirstTask);
+    cr_assert(!first.empty());
+    FakeRunner &silent = world.runners_.at(first);
+    silent.reachable_ = false;
+    const std::int64_t until = silent.leaseUntilMs_;
+    while (world.starts() == 1 && world.now_ < world.start_ + std::chrono::seconds(12)) {
+        world.run(Milliseconds(50));
+    }
+    cr_assert_eq(world.starts(), 2);
+    cr_assert(world.clockOf(silent) >= until, "started elsewhere %lld ms before the end of the lease",
+              static_cast<long long>(until - world.clockOf(silent)));
+}
+
+// Guards against policy queries without end for a gang of which one member is still placed at a silent runner.
+Test(cell, gangWithAPlacedMemberAsksNothing)
+{
+    CellWorld world(1, 4, true);
+    world.listRunners();
+    world.submit(1, 8, 4'000, true);
+    world.run(Milliseconds(400));
+    cr_assert_eq(world.starts(), 8);
+    const RunnerId silent = world.where(FirstTask);
+    world.runners_.at(silent).reachable_ = false;
+    for (std::uint32_t i = 0; i < 8; ++i) {
+        const StagedTask task{StagedJobId{1}, 0, 0, i};
+        if (world.where(task) != silent) {
+            world.end(world.where(task), task, RunEnd::Broken);
+        }
+    }
+    const std::uint64_t before = world.queries_;
+    world.run(Milliseconds(3'000));
+    cr_assert_eq(world.queries_, before);
+}
+
+// Guards against two runs of a task: a recovered job must not start while a runner that may have it has not answered.
+Test(cell, recoveredJobWaitsForEveryRunner)
+{
+    CellWorld before;
+    before.listRunners();
+    before.submit(1);
+    before.run(Milliseconds(300));
+    CellWorld world(2);
+    recoverJob(*world.cell_, {"job/0000000000000001", before.stored_.at("job/0000000000000001"), 5, false},
+               world.time(), world.actions_);
+    recoverRunners(*world.cell_, before.stored_.at("runners"));
+    world.runners_ = before.runners_;
+    const RunnerId holder = before.where(FirstTask);
+    world.runners_.at(holder).reachable_ = false;
+    world.listRunners();
+    finishRecovery(*world.cell_, world.time(), world.actions_);
+    const auto call = world.submit(2);
+    world.run(Milliseconds(5'000));
+    cr_assert_eq(world.starts(), 2, "only the new job may start");
+    cr_assert(world.replies_.at(call).outcome_ == CellOutcome::Ok);
+    world.runners_.at(holder).reachable_ = true;
+    world.run(Milliseconds(1'000));
+    cr_assert_eq(world.starts(), 2, "the task that runs is found and not started again");
+}
+
+// Guards against a job that is stored twice or refused although stored, when the answer of a transaction is lost.
+Test(cell, lostAnswerOfATransaction)
+{
+    CellWorld world;
+    world.listRunners();
+    world.loseAnswers_ = 3;
+    const auto call = world.submit(1);
+    world.run(Milliseconds(1'500));
+    cr_assert(world.replies_.at(call).outcome_ == CellOutcome::Ok);
+    cr_assert_eq(world.writes_.at("job/0000000000000001"), 1);
+    cr_assert_eq(world.starts(), 1);
+}
+
+// Guards against clients that wait for a store that is away, and against a refused job that runs later.
+Test(cell, storeAwayRefusesAtOnce)
+{
+    CellWorld world;
+    world.listRunners();
+    world.run(Milliseconds(100));
+    world.storeUp_ = false;
+    world.submit(1); // its transaction is under way: its outcome is not known
+    world.run(Milliseconds(700));
+    const auto call = world.submit(2);
+    world.run(Milliseconds(10));
+    cr_assert(world.replies_.at(call).outcome_ == CellOutcome::Unavailable);
+    cr_assert(world.replies_.at(call).retryAfter_ >= Milliseconds(1'000));
+    world.storeUp_ = true;
+    world.run(Milliseconds(2'000));
+    cr_assert(!world.stored_.contains("job/0000000000000002"));
+    cr_assert(world.replies_.contains(1), "the first is stored and accepted late");
+    cr_assert_eq(world.starts(), 1);
+}
+
+// Guards against a cancel that is acknowledged before it is stored, and tasks that run on after it.
+Test(cell, cancelIsStoredBeforeItIsAcknowledged)
+{
+    CellWorld world;
+    world.listRunners();
+    world.submit(1, 3);
+    world.run(Milliseconds(200));
+    cr_assert_eq(world.starts(), 3);
+    world.storeUp_ = false;
+    const auto cancel = world.ask(1, CellVerb::Cancel);
+    world.run(Milliseconds(300));
+    cr_assert(!world.replies_.contains(cancel));
+    for (std::uint32_t i = 0; i < 3; ++i) {
+        cr_assert(world.where({StagedJobId{1}, 0, 0, i}).empty());
+    }
+    world.storeUp_ = true;
+    world.run(Milliseconds(1'500));
+    cr_assert(world.replies_.at(cancel).outcome_ == CellOutcome::Ok);
+    cr_assert_eq(world.starts(), 3);
+}
+
+// Guards against runners above their capacity and accounts above their limit, under random ends, silent runners and
+// refusals of the store. The check counts what the fake runners have, not what the cell believes.
+Test(cell, capacityAndLimitsHoldUnderRandomEvents)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        std::mt19937_64 random(seed);
+        CellWorld world;
+        world.config_.accounts_[0].cap_ = {25'000, 0, 0, 0};
+        applyConfig(*world.cell_, world.config_);
+        world.listRunners();
+        std::uint64_t next = 0;
+        for (int round = 0; round < 400; ++round) {
+            if (random() % 3 == 0) {
+                const bool gang = random() % 3 == 0;
+                ++next;
+                world.submit(next, 1 + random() % 5, 1'000 + static_cast<std::int64_t>(random() % 4) * 1'000, gang);
+            }
+            for (auto &[id, runner] : world.runners_) {
+                runner.reachable_ = random() % 50 != 0;
+                if (!runner.active_.empty() && random() % 3 == 0) {
+                    const StagedTask task = runner.active_.begin()->first;
+                    world.end(id, task, random() % 8 == 0 ? RunEnd::Failed : RunEnd::Done);
+                }
+            }
+            world.storeUp_ = random() % 30 != 0;
+            world.run(Milliseconds(40));
+            std::int64_t total = 0;
+            for (const auto &[id, runner] : world.runners_) {
+                std::int64_t used = 0;
+                for (const auto &[task, run] : runner.active_) {
+                    const Job &job = *world.cell_->jobs_.at(task.job_);
+                    used += job.submitted_.steps_[task.step_].size_.milliCpus_;
+                }
+                cr_assert(used <= 10'000, "seed %lu: %ld on one runner", seed, used);
+                total += used;
+            }
+            cr_assert(total <= 25'000, "seed %lu: %ld of the account", seed, total);
+        }
+    }
+}
--- /dev/null
+++ b/tests/platform/test_wire.cpp
@@ -0,0 +1,198 @@
+// Guards the codec of the platform's messages: published examples decode to what they mean, and malformed input of every
+// kind gives a refusal or "unknown", never a crash or a wrong belief.
+#include "platform/wire_func.h"
+
+#include "daemon/base64_func.h"
+
+#include <criterion/criterion.h>
+
+#include <random>
+
+using namespace mimosapier;
+
+static constexpr std::string_view JobBody
+    = R"({"Spec":"x","Steps":[{"Count":4,"Cpu":500,"MemMb":256,"EstimateMs":900,"Affinity":"r1-3"},)"
+      R"({"Count":20,"Cpu":2000,"MemMb":1024,"EstimateMs":7000,"After":[0],"Checkpointing":true,"Gang":true}]})";
+static constexpr std::string_view ConfigText
+    = R"({"Version":7,"Routes":[{"Name":"r","Host":"h.example","Prefix":"/p/","Kind":"unsafe","TimeoutMs":3000,)"
+      R"("TargetCompletionMs":1200,"Priority":1,"Service":"s","MaxAttempts":3,"SlackFactor":2.2,)"
+      R"("Advice":{"DecideMs":390.0,"PerWorkerMs":5.5,"ValidMs":1500},"Public":false}],)"
+      R"("Services":[{"Name":"s","EnforcesCapacity":false}],"Limits":{},)"
+      R"("Tenants":[{"Name":"t","ApiKeys":["k1","k2"],"Weight":27,"Cap":{"Cpu":1760128,"MemMb":5729015,"Gpu":0}}]})";
+static constexpr std::string_view RunnerText
+    = R"({"Service":"s","Address":"10.128.0.9:8080","Zone":"z","Version":"v1","Slots":8,"State":"ready",)"
+      R"("Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":0},"Labels":["a","r1-3"],"ClockMs":482113,"Sequence":4,)"
+      R"("born":1767414076038})";
+static constexpr std::string_view HoldText
+    = R"({"ClockMs":482113,"born":5,"Active":[["5c0e7a21d94b36f8.0.1.17",2,"0b",41]],)"
+      R"("Finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
+
+// Guards against fields of a job that are lost or mixed up.
+Test(wire, submittedJob)
+{
+    SubmittedJob job;
+    cr_assert(decodeSubmittedJob(JobBody, job));
+    cr_assert_eq(job.steps_.size(), 2);
+    cr_assert_eq(job.steps_[0].affinityRack_, "r1-3");
+    cr_assert_eq(job.steps_[1].size_.milliCpus_, 2'000);
+    cr_assert_eq(job.steps_[1].after_.at(0), 0);
+    cr_assert(job.steps_[1].gang_ && job.steps_[1].checkpointing_);
+}
+
+// Guards against jobs that could never run being accepted.
+Test(wire, malformedJobsAreRefused)
+{
+    for (const std::string_view body :
+         {"", "[]", "{", "{}", R"({"Steps":[]})", R"({"Steps":[{}]})", R"({"Steps":[{"Count":"4"}]})",
+          R"({"Steps":[{"Count":1,"After":[0]}]})", R"({"Steps":[{"Count":1,"After":[-1]}]})",
+          R"({"Steps":[{"Count":1,"Cpu":-5}]})", R"({"Steps":[{"Count":1}],"Spec":5})",
+          R"({"Steps":[{"Count":1,"Gang":1}]})", R"({"Steps":{"Count":1}})", R"({"Steps":[7]})",
+          R"({"Steps":[{"Count":4000000000}]})"}) {
+        SubmittedJob job;
+        cr_assert(!decodeSubmittedJob(body, job), "%s", std::string(body).c_str());
+    }
+}
+
+// Guards against a configuration that is applied in part.
+Test(wire, configuration)
+{
+    CellConfig config;
+    cr_assert(decodeCellConfig(ConfigText, config));
+    cr_assert_eq(config.version_, 7);
+    cr_assert(config.queues_.at(0).policy_.policyQueries_);
+    cr_assert_eq(config.accounts_.at(0).cap_.milliCpus_, 1'760'128);
+    cr_assert(config.accounts_.at(0).keys_.contains("k2"));
+    for (const std::string_view text : {"", "{}", R"({"Version":"7"})", R"({"Version":7,"Routes":[5]})",
+                                        R"({"Version":7,"Tenants":[{"ApiKeys":[5]}]})", "\xff\xfe"}) {
+        CellConfig other;
+        cr_assert(!decodeCellConfig(text, other));
+    }
+}
+
+// Guards against entries of other writers that would be taken for runners.
+Test(wire, discoveryEntriesOfOtherWriters)
+{
+    RunnerRecord record;
+    cr_assert(decodeRunnerRecord("i-1", RunnerText, record));
+    cr_assert_eq(record.rack_, "r1-3");
+    cr_assert_eq(record.bornUnixMs_, 1'767'414'076'038);
+    cr_assert(!record.draining_);
+    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{
+             {"\"ready\"", "\"resting\""},
+             {"\"ready\"", "7"},
+             {"10.128.0.9:8080", "somewhere"},
+             {"\"Capacity\"", "\"Room\""},
+             {"16000", "\"16000\""},
+             {"[\"a\"", "[1"},
+             {"\"Service\":\"s\"", "\"Service\":null"},
+         }) {
+        std::string text(RunnerText);
+        text.replace(text.find(from), from.size(), to);
+        RunnerRecord other;
+        cr_assert(!decodeRunnerRecord("i-1", text, other), "%s", text.c_str());
+    }
+}
+
+// Guards against a list of runs that is read in part: what it leaves out would count as ended.
+Test(wire, incompleteListsProveNothing)
+{
+    RunnerCall call;
+    RunnerReply reply;
+    decodeRunnerReply(call, 200, HoldText, reply);
+    cr_assert(reply.status_ == RunnerStatus::Ok);
+    cr_assert_eq(reply.active_.at(0).task_.index_, 17);
+    cr_assert(reply.finished_.at(0).end_ == RunEnd::Done);
+    for (const std::string_view body :
+         {"", "{}", R"({"ClockMs":1,"Active":[]})", R"({"ClockMs":1,"Active":[["x",1,""]],"Finished":[]})",
+          R"({"ClockMs":1,"Active":[["5c0e7a21d94b36f8.0.1",1,""]],"Finished":[]})",
+          R"({"ClockMs":1,"Active":[],"Finished":[[1,"5c0e7a21d94b36f8.0.1.1",1,"vanished",""]]})",
+          R"({"ClockMs":"1","Active":[],"Finished":[]})", R"({"ClockMs":1,"Active":{},"Finished":[]})"}) {
+        RunnerReply other;
+        decodeRunnerReply(call, 200, body, other);
+        cr_assert(other.status_ == RunnerStatus::Unknown, "%s", std::string(body).c_str());
+        cr_assert(other.active_.empty() && other.finished_.empty());
+    }
+}
+
+// Guards against a refusal of the store that is taken for an unknown outcome, or the other way round.
+Test(wire, storeStatuses)
+{
+    KvCall call;
+    call.op_ = KvOp::Commit;
+    const std::vector<std::pair<unsigned, KvStatus>> rows{{200, KvStatus::Ok},      {412, KvStatus::Conflict},
+                                                          {404, KvStatus::NotFound}, {429, KvStatus::NotDone},
+                                                          {503, KvStatus::NotDone},  {502, KvStatus::Unknown},
+                                                          {504, KvStatus::Unknown},  {500, KvStatus::Unknown}};
+    for (const auto &[status, expected] : rows) {
+        KvReply reply;
+        decodeKvReply(call, status, R"({"Revision":3})", reply);
+        cr_assert(reply.status_ == expected, "%u", status);
+    }
+    KvReply half;
+    decodeKvReply(call, 200, R"({"Revision":)", half);
+    cr_assert(half.status_ == KvStatus::Unknown, "half an answer says nothing");
+    call.op_ = KvOp::Watch;
+    KvReply gone;
+    decodeKvReply(call, 410, "", gone);
+    cr_assert(gone.status_ == KvStatus::HistoryLost);
+}
+
+// Guards against a removal that is read as an empty value.
+Test(wire, watchEvents)
+{
+    KvCall call;
+    call.op_ = KvOp::Watch;
+    KvReply reply;
+    decodeKvReply(call, 200,
+                  R"({"events":[{"Key":"mimosapier/a","Value":"bm9kZS0x","Revision":4,"LeaseId":0},)"
+                  R"({"Key":"mimosapier/b","Revision":5,"Compacted":true}],"AtRev":5})",
+                  reply);
+    cr_assert(reply.status_ == KvStatus::Ok);
+    cr_assert_eq(reply.items_.at(0).value_, "node-1");
+    cr_assert(!reply.items_.at(0).removed_);
+    cr_assert_eq(reply.items_.at(1).key_, "b");
+    cr_assert(reply.items_.at(1).removed_);
+}
+
+// Guards against a refusal that tells no time to come back, and one that claims "not run" for an unknown outcome.
+Test(wire, answersToClients)
+{
+    ClientAnswer answer;
+    answer.verb_ = CellVerb::Query;
+    answer.state_ = StagedState::Running;
+    cr_assert_eq(encodeClientAnswer(answer).body_, R"({"State":"running"})");
+    answer.error_ = ErrorKind::Overloaded;
+    answer.retryAfter_ = Milliseconds(1'200);
+    const HttpResponse refused = encodeClientAnswer(answer);
+    cr_assert_eq(refused.status_, 429);
+    cr_assert_eq(refused.headers_.at(0).value_, "2");
+    answer.error_ = ErrorKind::OutcomeUnknown;
+    cr_assert_eq(encodeClientAnswer(answer).status_, 504);
+}
+
+// Guards against crashes on corrupted bytes of any message.
+Test(wire, corruptedBytesNeverCrash)
+{
+    std::mt19937_64 random(3);
+    for (const std::string_view text : {JobBody, ConfigText, RunnerText, HoldText}) {
+        for (int round = 0; round < 3'000; ++round) {
+            std::string bytes(text);
+            for (int change = 0; change < 3; ++change) {
+                bytes[random() % bytes.size()] = static_cast<char>(random());
+            }
+            bytes.resize(bytes.size() - random() % 4);
+            SubmittedJob job;
+            decodeSubmittedJob(bytes, job);
+            CellConfig config;
+            decodeCellConfig(bytes, config);
+            RunnerRecord record;
+            decodeRunnerRecord("i", bytes, record);
+            RunnerReply reply;
+            decodeRunnerReply(RunnerCall{}, 200, bytes, reply);
+            KvReply kv;
+            decodeKvReply(KvCall{}, 200, bytes, kv);
+            PolicyAnswer policy;
+            decodePolicyAnswer(200, bytes, policy);
+        }
+    }
+}
