--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -56,7 +56,7 @@
     job->runFloor_ = cell.epoch_.value_ * RunsPerEpoch;
     const auto age = Milliseconds(std::max<std::int64_t>(0, now.unixMs_ - job->acceptedUnixMs_));
     job->submittedAt_ = now.steady_ - age;
-    job->objectiveAt_ = job->submittedAt_ + objectiveOf(*job);
+    setObjectives(*job);
     const StagedJobId id = job->id_;
     cell.jobs_.insert_or_assign(id, std::move(job));
 }
@@ -110,12 +110,13 @@
         return;
     }
     for (RunnerRecord &record : records) {
-        auto runner = std::make_unique<Runner>();
-        runner->legacy_ = true;
-        runner->persisted_ = true;
-        const RunnerId id = record.id_;
-        runner->record_ = std::move(record);
-        cell.runners_.insert_or_assign(id, std::move(runner));
+        auto &slot = cell.runners_[record.id_];
+        if (!slot) { // not in the discovery list
+            slot = std::make_unique<Runner>();
+            slot->record_ = std::move(record);
+        }
+        slot->legacy_ = true;
+        slot->persisted_ = true;
     }
 }
 
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -78,6 +78,9 @@
     std::int64_t acceptedUnixMs_ = 0;
     TimePoint submittedAt_;
     TimePoint objectiveAt_; // the job is worth most when completed by then
+    TimePoint lateAt_; // and less up to then
+    std::vector<Milliseconds> tails_; // by step: estimated work from its start to the end of the longest chain
+    bool excess_ = false; // beyond the account's share of submissions
     std::map<std::uint32_t, Occurrence> occurrences_; // those that are due or were; emptied when the job is final
     std::uint32_t occurrencesDone_ = 0;
     std::uint64_t runFloor_ = 0; // run numbers are above it
@@ -156,6 +159,8 @@
 {
     AccountConfig config_;
     Resources used_;
+    double tokens_ = 0; // submissions that are within the share; refilled by weight_ each second
+    TimePoint refilledAt_;
 };
 
 struct StepRef
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -57,6 +57,8 @@
 void advanceOccurrences(Cell &cell, CellTime now);
 void forgetEnded(Cell &cell, CellTime now);
 Milliseconds objectiveOf(const Job &job);
+// Sets the times that follow from the job's steps and submittedAt_.
+void setObjectives(Job &job);
 
 // runners.cpp
 Placement &addPlacement(Cell &cell, Runner &runner, Job &job, const StagedTask &task, RunNumber run);
--- a/src/core/cell/jobs.cpp
+++ b/src/core/cell/jobs.cpp
@@ -88,6 +88,22 @@
     return job.policy_.targetCompletion_ + Milliseconds(static_cast<std::int64_t>(work));
 }
 
+void setObjectives(Job &job)
+{
+    constexpr int LateFactor = 3; // published: up to three times the objective a job is worth a part
+    const Milliseconds objective = objectiveOf(job);
+    job.objectiveAt_ = job.submittedAt_ + objective;
+    job.lateAt_ = job.submittedAt_ + objective * LateFactor;
+    const auto &steps = job.submitted_.steps_;
+    job.tails_.assign(steps.size(), Milliseconds(0));
+    for (std::size_t i = steps.size(); i-- > 0;) {
+        job.tails_[i] += steps[i].estimate_;
+        for (const std::uint32_t before : steps[i].after_) {
+            job.tails_[before] = std::max(job.tails_[before], job.tails_[i]);
+        }
+    }
+}
+
 static void addOccurrence(Cell &cell, Job &job, std::uint32_t number, std::int64_t due)
 {
     const auto [entry, inserted] = job.occurrences_.try_emplace(number);
--- a/src/core/cell/placement.cpp
+++ b/src/core/cell/placement.cpp
@@ -1,7 +1,8 @@
 // Placement: which waiting tasks start now, and where.
 //
-// Load pattern answered: bursts of urgent jobs over a fleet that batch work and gangs keep full. Steps are tried by
-// priority, then by objective; a task goes to the runner that it leaves with the least room, so that large tasks and
+// Load pattern answered: bursts of urgent jobs over a fleet that batch work and gangs keep full, and backlogs after an
+// outage. Jobs that can still meet their objective go first, then those that are worth something late, then the rest;
+// within these, by priority, then by objective. So a backlog that is late anyway does not make the next jobs late. A task goes to the runner that it leaves with the least room, so that large tasks and
 // gangs still find runners with room; a gang is placed whole or not at all.
 #include "core/cell/cell_internal.h"
 
@@ -298,11 +299,30 @@
     return StepContext{*job, occurrence->second, occurrence->second.steps_[ref.step_], stepSpec(*job, ref.step_), ref};
 }
 
-static void sortByUrgency(Cell &cell)
+// What a start of the step can still bring.
+enum class Prospect : std::uint8_t { InTime, Late, None };
+
+static Prospect prospectOf(const Job &job, std::uint32_t step, TimePoint now)
+{
+    if (job.excess_) {
+        return Prospect::None;
+    }
+    if (job.submitted_.repeatCount_ > 0 || stepSpec(job, step).longRunning_) {
+        return Prospect::InTime;
+    }
+    // Estimates are rough: a job counts as late only when four fifths of the estimate do not fit any more.
+    const Milliseconds work = job.tails_[step] * 4 / 5;
+    if (now + work <= job.objectiveAt_) {
+        return Prospect::InTime;
+    }
+    return now + work <= job.lateAt_ ? Prospect::Late : Prospect::None;
+}
+
+static void sortByUrgency(Cell &cell, TimePoint now)
 {
     struct Entry
     {
-        std::tuple<std::uint32_t, TimePoint, StepRef> key_;
+        std::tuple<Prospect, std::uint32_t, TimePoint, StepRef> key_;
     };
     std::vector<Entry> entries;
     entries.reserve(cell.ready_.size());
@@ -315,12 +335,13 @@
             context->step_.queued_ = false;
             continue;
         }
-        entries.push_back({{context->job_.policy_.priority_, context->job_.objectiveAt_, ref}});
+        entries.push_back({{prospectOf(context->job_, ref.step_, now), context->job_.policy_.priority_,
+                            context->job_.objectiveAt_, ref}});
     }
     std::sort(entries.begin(), entries.end(), [](const Entry &a, const Entry &b) { return a.key_ < b.key_; });
     cell.ready_.clear();
     for (const Entry &entry : entries) {
-        cell.ready_.push_back(std::get<2>(entry.key_));
+        cell.ready_.push_back(std::get<StepRef>(entry.key_));
     }
 }
 
@@ -329,7 +350,7 @@
     if (cell.superseded_) {
         return;
     }
-    sortByUrgency(cell);
+    sortByUrgency(cell, now.steady_);
     const std::vector<StepRef> refs = cell.ready_;
     for (const StepRef &ref : refs) {
         const auto context = contextOf(cell, ref);
--- a/src/core/cell/submit_cmd.cpp
+++ b/src/core/cell/submit_cmd.cpp
@@ -11,8 +11,13 @@
 static constexpr Milliseconds MinAcceptTime{60}; // a submit that has less time left is not begun
 static constexpr Milliseconds StoreRetryAfter{2'000}; // outages of the store last seconds
 static constexpr Milliseconds LoadRetryAfter{1'000}; // the shortest that Retry-After, in whole seconds, can say
-// Work that waits may take this many objectives' time ahead of a new job; a job is late, and worth a fifth, up to three.
-static constexpr double MaxWaitObjectives = 2.5;
+// Work that waits may take this many objectives' time ahead of a new job. A job is worth a fifth up to three objectives,
+// but the estimates of work are rough, and a client that is refused early can come back after the burst.
+static constexpr double MaxWaitObjectives = 1.5;
+// An account's submissions may come this many seconds' worth at once before they count as beyond its share.
+static constexpr double ShareBurstSeconds = 2;
+// With less work than this ahead, submissions beyond the share are accepted all the same.
+static constexpr Milliseconds IdleWait{250};
 
 static void reply(CellActions &actions, const DaemonId &to, const CellReply &content)
 {
@@ -51,7 +56,7 @@
 
 // Estimated wait of a job until the work that goes before it has been placed. Answers a burst: what could only end
 // long after its objective is refused while it costs nothing.
-static Milliseconds expectedWait(const Cell &cell, const Job &job)
+static Milliseconds expectedWait(const Cell &cell, const Job &job, TimePoint now)
 {
     double ahead = 0;
     double capacity = 0;
@@ -61,7 +66,8 @@
         }
     }
     for (const auto &[id, other] : cell.jobs_) {
-        if (!isFinal(*other) && other->policy_.priority_ <= job.policy_.priority_ && !other->started_) {
+        if (!isFinal(*other) && other->policy_.priority_ <= job.policy_.priority_ && !other->started_
+            && !other->excess_ && now < other->lateAt_) {
             ahead += workOf(*other);
         }
     }
@@ -70,9 +76,30 @@
     return capacity <= 0 ? Milliseconds(0) : Milliseconds(static_cast<std::int64_t>(ahead / (capacity * UsableShare)));
 }
 
+// Takes one submission from the account's share. Result: false when it has used its share up.
+static bool takeToken(Cell &cell, const std::string &name, TimePoint now)
+{
+    const auto found = cell.accounts_.find(name);
+    if (found == cell.accounts_.end() || found->second.config_.weight_ <= 0) {
+        return true;
+    }
+    Account &account = found->second;
+    const double most = std::max(1.0, account.config_.weight_ * ShareBurstSeconds);
+    const double seconds = std::chrono::duration<double>(now - account.refilledAt_).count();
+    account.tokens_ = account.refilledAt_ == TimePoint{}
+        ? most
+        : std::min(most, account.tokens_ + seconds * account.config_.weight_);
+    account.refilledAt_ = now;
+    if (account.tokens_ < 1) {
+        return false;
+    }
+    account.tokens_ -= 1;
+    return true;
+}
+
 // Checks a submit without changing anything. Result: the refusal, or nothing.
 static std::optional<CellReply> checkSubmit(const Cell &cell, const CellRequest &request, const Job &job,
-                                            std::string_view &reason)
+                                            TimePoint now, std::string_view &reason)
 {
     CellReply refusal{request.call_, CellOutcome::Refused, {}, 0, LoadRetryAfter};
     if (cell.leaving_ || cell.superseded_) {
@@ -94,7 +121,12 @@
     if (!reason.empty()) {
         return refusal;
     }
-    const Milliseconds wait = expectedWait(cell, job);
+    const Milliseconds wait = expectedWait(cell, job, now);
+    if (job.excess_ && wait > IdleWait) {
+        reason = "beyond-share";
+        refusal.retryAfter_ = std::max<Milliseconds>(LoadRetryAfter, wait);
+        return refusal;
+    }
     const auto most = Milliseconds(
         static_cast<std::int64_t>(static_cast<double>(objectiveOf(job).count()) * MaxWaitObjectives));
     if (wait > most && job.submitted_.repeatCount_ == 0) {
@@ -122,9 +154,10 @@
     job->submitted_ = request.submitted_;
     job->acceptedUnixMs_ = now.unixMs_;
     job->submittedAt_ = now.steady_;
-    job->objectiveAt_ = now.steady_ + objectiveOf(*job);
+    setObjectives(*job);
+    job->excess_ = !takeToken(cell, job->account_, now.steady_);
     std::string_view reason;
-    const auto refusal = checkSubmit(cell, request, *job, reason);
+    const auto refusal = checkSubmit(cell, request, *job, now.steady_, reason);
     JsonObject line = logEvent(refusal ? "submit-refused" : "submit");
     line.text("job", jobText(job->id_)).text("account", job->account_).text("queue", job->policy_.queue_);
     line.text("from", from.value_).number("steps", static_cast<std::int64_t>(job->submitted_.steps_.size()));
--- a/src/core/control/control.cpp
+++ b/src/core/control/control.cpp
@@ -15,6 +15,7 @@
 static constexpr std::size_t Neighbours = 2; // on either side, in the order of the ids
 static constexpr std::size_t BeaconsRemembered = 16;
 static constexpr Milliseconds HandoverLimit{900}; // a leaving leader gives its place up at the latest then
+static constexpr Milliseconds ReleaseRetry{250};
 static constexpr double LatencyWeight = 0.2;
 
 std::unique_ptr<Control> makeControl(const ControlSettings &settings, CellDecoders decoders, TimePoint now)
@@ -229,17 +230,21 @@
         break;
     case KvPurpose::GrantSession:
     case KvPurpose::KeepSession:
-    case KvPurpose::EndSession:
     case KvPurpose::Register:
         sessionReply(control, reply, now, actions);
         break;
+    case KvPurpose::ReleasePlace:
+        control.releasing_ = false;
+        control.placeReleased_ = reply.status_ == KvStatus::Ok || reply.status_ == KvStatus::Conflict;
+        control.releaseAt_ = now.steady_ + ReleaseRetry;
+        break;
     case KvPurpose::Elect:
         electionReply(control, reply, now, actions);
         break;
     case KvPurpose::RecoverJobs:
     case KvPurpose::RecoverProgress:
     case KvPurpose::RecoverRunners:
-        recoveryReply(control, reply, now, actions);
+        recoveryReply(control, reply, now);
         break;
     case KvPurpose::Lane:
     case KvPurpose::Cleanup:
@@ -273,6 +278,10 @@
     }
     control.leaving_ = true;
     control.leaveAt_ = now.steady_;
+    control.leaveBy_ = now.steady_ + control.settings_.leaveLimit_;
+    for (auto &[call, open] : control.requests_) {
+        open.deadline_ = std::min(open.deadline_, control.leaveBy_);
+    }
     if (control.cell_) {
         control.cell_->leaving_ = true;
     }
@@ -281,22 +290,25 @@
     controlLog(actions, line);
 }
 
-// A leaving leader gives its place up once the store has all that it decided.
+// A leaving leader gives its place up once the store has all that it decided. The member record stays until the process
+// ends, so that later leaders connect to this daemon and answer its last clients.
 static void pollLeaving(Control &control, CellTime now, ControlActions &actions)
 {
-    if (!control.leaving_ || control.sessionEnded_) {
+    if (!control.leaving_) {
         return;
     }
-    if (control.cell_ && !isFlushed(*control.cell_) && now.steady_ < control.leaveAt_ + HandoverLimit) {
-        return;
+    if (control.cell_ && (isFlushed(*control.cell_) || now.steady_ >= control.leaveAt_ + HandoverLimit)) {
+        control.releasedRevision_ = control.cell_->leaderRevision_;
+        stepDown(control, "leaving", now, actions);
     }
-    stepDown(control, "leaving", now, actions);
-    control.sessionEnded_ = true;
-    if (control.session_.lease_ != 0) {
+    if (control.releasedRevision_ != 0 && !control.placeReleased_ && !control.releasing_
+        && now.steady_ >= control.releaseAt_) {
         KvCall call;
-        call.purpose_ = KvPurpose::EndSession;
-        call.op_ = KvOp::EndLease;
-        call.lease_ = control.session_.lease_;
+        call.purpose_ = KvPurpose::ReleasePlace;
+        call.op_ = KvOp::Commit;
+        call.conditions_ = {{std::string(LeaderKey), control.releasedRevision_}};
+        call.removes_ = {std::string(LeaderKey)};
+        control.releasing_ = true;
         kvSend(control, std::move(call), actions);
     }
 }
--- a/src/core/control/control_base.h
+++ b/src/core/control/control_base.h
@@ -39,7 +39,19 @@
     std::map<std::uint64_t, TimePoint> beaconTimes_; // of the latest beacons sent
 };
 
-enum class RecoveryStage : std::uint8_t { None, Jobs, Progress, Runners, Discovery, Done };
+enum class RecoveryStage : std::uint8_t { None, Reading, Done };
+
+// One of the reads of a recovery; they run side by side.
+struct RecoveryRead
+{
+    std::vector<KvItem> items_;
+    std::string after_; // last key of the page before
+    bool open_ = false;
+    bool done_ = false;
+    TimePoint retryAt_;
+};
+
+enum RecoveryPart : std::uint8_t { JobsPart, ProgressPart, RunnersPart, RecoveryParts };
 
 // A read followed by watches of one key space.
 struct Feed
@@ -96,9 +108,8 @@
 
     std::unique_ptr<Cell> cell_;
     RecoveryStage stage_ = RecoveryStage::None;
-    std::string recoveryAfter_; // last key of the page before
-    bool recoveryOpen_ = false;
-    TimePoint recoveryRetryAt_;
+    std::array<RecoveryRead, RecoveryParts> recovery_;
+    std::string runnersAfter_; // last key of the discovery page before
     std::set<RunnerId> readRunners_; // ids of the pages read so far
     std::vector<std::pair<DaemonId, CellRequest>> deferred_; // until the recovery has read the jobs
 
@@ -108,7 +119,11 @@
     PeerSet peerSet_; // last one given to the transport
     bool leaving_ = false;
     TimePoint leaveAt_;
-    bool sessionEnded_ = false; // the lease was given back
+    TimePoint leaveBy_; // all requests are answered by then
+    std::uint64_t releasedRevision_ = 0; // of the leader key when this daemon gave its place up; 0: it did not lead
+    bool placeReleased_ = false; // the leader key does not name this daemon any more
+    bool releasing_ = false; // the call that releases it is under way
+    TimePoint releaseAt_; // earliest time of that call
 };
 
 } // namespace mimosapier
--- a/src/core/control/control_internal.h
+++ b/src/core/control/control_internal.h
@@ -53,7 +53,7 @@
 void electionReply(Control &control, const KvReply &reply, CellTime now, ControlActions &actions);
 void stepDown(Control &control, std::string_view cause, CellTime now, ControlActions &actions);
 void pollRecovery(Control &control, CellTime now, ControlActions &actions);
-void recoveryReply(Control &control, const KvReply &reply, CellTime now, ControlActions &actions);
+void recoveryReply(Control &control, const KvReply &reply, CellTime now);
 bool leads(const Control &control);
 
 // requests.cpp
--- a/src/core/control/control_type.h
+++ b/src/core/control/control_type.h
@@ -51,6 +51,7 @@
     CellSettings cell_;
     DaemonId self_;
     std::string peerAddress_;
+    Milliseconds leaveLimit_{5'000}; // a leaving daemon answers all requests within this time
     std::uint64_t seed_ = 1; // of jitter
 };
 
--- a/src/core/control/feeds.cpp
+++ b/src/core/control/feeds.cpp
@@ -51,7 +51,7 @@
         call.purpose_ = plan.read_;
         call.op_ = KvOp::Range;
         if (plan.read_ == KvPurpose::ReadRunners) {
-            call.after_ = control.recoveryAfter_;
+            call.after_ = control.runnersAfter_;
         }
     }
     feed.open_ = true;
@@ -62,8 +62,7 @@
 {
     for (const FeedPlan &plan : Plans) {
         const Feed &feed = control.*plan.feed_;
-        if (plan.read_ == KvPurpose::ReadRunners
-            && (!leads(control) || control.stage_ < RecoveryStage::Discovery)) {
+        if (plan.read_ == KvPurpose::ReadRunners && !leads(control)) {
             continue;
         }
         if (!feed.open_ && now.steady_ >= feed.nextAt_) {
@@ -145,11 +144,11 @@
         runnerItem(control, item, now, actions);
     }
     if (reply.more_ && !reply.items_.empty()) {
-        control.recoveryAfter_ = reply.items_.back().key_;
+        control.runnersAfter_ = reply.items_.back().key_;
         control.runnerFeed_.read_ = false;
         return;
     }
-    control.recoveryAfter_.clear();
+    control.runnersAfter_.clear();
     if (control.cell_) {
         std::vector<RunnerId> gone;
         for (const auto &[id, runner] : control.cell_->runners_) {
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -71,9 +71,9 @@
     const std::array<std::uint64_t, LaneCount> lanes{revision, revision};
     control.cell_ = makeCell(control.settings_.cell_, control.settings_.self_, epoch, revision, lanes, now.steady_);
     applyConfig(*control.cell_, control.config_);
-    control.stage_ = RecoveryStage::Jobs;
-    control.recoveryAfter_.clear();
-    control.recoveryOpen_ = false;
+    control.stage_ = RecoveryStage::Reading;
+    control.recovery_ = {};
+    control.runnersAfter_.clear();
     control.readRunners_.clear();
     control.runnerFeed_ = {};
     JsonObject line = controlEvent("elected");
@@ -256,74 +256,92 @@
 
 // ---- recovery ----
 
-static void recoveryCall(Control &control, KvPurpose purpose, KvOp op, std::string key, ControlActions &actions)
+namespace
 {
-    KvCall call;
-    call.purpose_ = purpose;
-    call.op_ = op;
-    call.key_ = std::move(key);
-    call.after_ = control.recoveryAfter_;
-    control.recoveryOpen_ = true;
-    kvSend(control, std::move(call), actions);
+
+struct RecoveryPlan
+{
+    KvPurpose purpose_;
+    KvOp op_;
+    std::string_view key_;
+};
+
+} // namespace
+
+static constexpr std::array<RecoveryPlan, RecoveryParts> RecoveryPlans{
+    RecoveryPlan{KvPurpose::RecoverJobs, KvOp::Range, "job/"},
+    RecoveryPlan{KvPurpose::RecoverProgress, KvOp::Range, "progress/"},
+    RecoveryPlan{KvPurpose::RecoverRunners, KvOp::Get, "runners"}};
+
+static void finishReading(Control &control, CellTime now, ControlActions &actions)
+{
+    Cell &cell = *control.cell_;
+    for (const KvItem &item : control.recovery_[JobsPart].items_) {
+        recoverJob(cell, item, now, actions.cell_);
+    }
+    for (const KvItem &item : control.recovery_[ProgressPart].items_) {
+        recoverProgress(cell, item, now, actions.cell_);
+    }
+    for (const KvItem &item : control.recovery_[RunnersPart].items_) {
+        recoverRunners(cell, item.value_);
+    }
+    finishRecovery(cell, now, actions.cell_);
+    control.recovery_ = {};
+    control.stage_ = RecoveryStage::Done;
+    for (const auto &[from, request] : control.deferred_) {
+        handleRequest(cell, from, request, now, actions.cell_);
+    }
+    control.deferred_.clear();
 }
 
 void pollRecovery(Control &control, CellTime now, ControlActions &actions)
 {
-    if (!control.cell_ || control.recoveryOpen_ || now.steady_ < control.recoveryRetryAt_) {
+    if (!control.cell_ || control.stage_ != RecoveryStage::Reading) {
         return;
     }
-    switch (control.stage_) {
-    case RecoveryStage::Jobs:
-        recoveryCall(control, KvPurpose::RecoverJobs, KvOp::Range, "job/", actions);
-        break;
-    case RecoveryStage::Progress:
-        recoveryCall(control, KvPurpose::RecoverProgress, KvOp::Range, "progress/", actions);
-        break;
-    case RecoveryStage::Runners:
-        recoveryCall(control, KvPurpose::RecoverRunners, KvOp::Get, "runners", actions);
-        break;
-    case RecoveryStage::Discovery:
-        if (control.runnerFeed_.read_) {
-            finishRecovery(*control.cell_, now, actions.cell_);
-            control.stage_ = RecoveryStage::Done;
-            for (const auto &[from, request] : control.deferred_) {
-                handleRequest(*control.cell_, from, request, now, actions.cell_);
-            }
-            control.deferred_.clear();
+    for (std::size_t part = 0; part < RecoveryParts; ++part) {
+        RecoveryRead &read = control.recovery_[part];
+        if (read.open_ || read.done_ || now.steady_ < read.retryAt_) {
+            continue;
         }
-        break;
-    case RecoveryStage::None:
-    case RecoveryStage::Done:
-        break;
+        KvCall call;
+        call.purpose_ = RecoveryPlans[part].purpose_;
+        call.op_ = RecoveryPlans[part].op_;
+        call.key_ = std::string(RecoveryPlans[part].key_);
+        call.after_ = read.after_;
+        call.lane_ = static_cast<std::uint32_t>(control.cell_->epoch_.value_); // replies of an earlier one are ignored
+        read.open_ = true;
+        kvSend(control, std::move(call), actions);
+    }
+    if (control.runnerFeed_.read_
+        && std::all_of(control.recovery_.begin(), control.recovery_.end(),
+                       [](const RecoveryRead &read) { return read.done_; })) {
+        finishReading(control, now, actions);
     }
 }
 
-void recoveryReply(Control &control, const KvReply &reply, CellTime now, ControlActions &actions)
+void recoveryReply(Control &control, const KvReply &reply, CellTime now)
 {
-    control.recoveryOpen_ = false;
-    if (!control.cell_) {
+    const auto plan = std::find_if(RecoveryPlans.begin(), RecoveryPlans.end(), [&reply](const RecoveryPlan &candidate) {
+        return candidate.purpose_ == reply.purpose_;
+    });
+    if (!control.cell_ || plan == RecoveryPlans.end() || control.stage_ != RecoveryStage::Reading
+        || reply.lane_ != static_cast<std::uint32_t>(control.cell_->epoch_.value_)) {
         return;
     }
-    const bool none = reply.purpose_ == KvPurpose::RecoverRunners && reply.status_ == KvStatus::NotFound;
+    RecoveryRead &read = control.recovery_[static_cast<std::size_t>(plan - RecoveryPlans.begin())];
+    read.open_ = false;
+    const bool none = plan->op_ == KvOp::Get && reply.status_ == KvStatus::NotFound;
     if (reply.status_ != KvStatus::Ok && !none) {
-        control.recoveryRetryAt_ = now.steady_ + RecoveryRetry;
+        read.retryAt_ = now.steady_ + RecoveryRetry;
         return;
     }
-    for (const KvItem &item : reply.items_) {
-        if (reply.purpose_ == KvPurpose::RecoverJobs) {
-            recoverJob(*control.cell_, item, now, actions.cell_);
-        } else if (reply.purpose_ == KvPurpose::RecoverProgress) {
-            recoverProgress(*control.cell_, item, now, actions.cell_);
-        } else {
-            recoverRunners(*control.cell_, item.value_);
-        }
-    }
+    read.items_.insert(read.items_.end(), reply.items_.begin(), reply.items_.end());
     if (reply.more_ && !reply.items_.empty()) {
-        control.recoveryAfter_ = reply.items_.back().key_;
-        return;
+        read.after_ = reply.items_.back().key_;
+    } else {
+        read.done_ = true;
     }
-    control.recoveryAfter_.clear();
-    control.stage_ = static_cast<RecoveryStage>(static_cast<int>(control.stage_) + 1);
 }
 
 } // namespace mimosapier::detail
--- a/src/core/control/requests.cpp
+++ b/src/core/control/requests.cpp
@@ -13,6 +13,8 @@
 static constexpr Milliseconds LeaderWait{1'000};
 static constexpr Milliseconds LeaderRetryAfter{1'000};
 static constexpr Milliseconds StaleRetryAfter{2'000};
+// A leaving daemon refuses requests that come later than this before its end: they could not be answered in full.
+static constexpr Milliseconds LastRequestTime{900};
 static constexpr std::size_t MaxOpenRequests = 4'000; // memory: about 2 KB each
 static constexpr std::size_t JobIdDigits = 16;
 
@@ -229,22 +231,31 @@
 {
     OpenRequest open;
     open.request_.call_ = request.call_;
-    const ErrorKind error = control.requests_.size() >= MaxOpenRequests
-        ? ErrorKind::Overloaded
-        : checkRequest(control, request, now.steady_, open.request_);
+    ErrorKind error = ErrorKind::None;
+    if (control.leaving_ && now.steady_ + LastRequestTime > control.leaveBy_) {
+        error = ErrorKind::ShuttingDown;
+    } else if (control.requests_.size() >= MaxOpenRequests) {
+        error = ErrorKind::Overloaded;
+    } else {
+        error = checkRequest(control, request, now.steady_, open.request_);
+    }
     if (error != ErrorKind::None) {
         JsonObject line = controlEvent("request-rejected");
         line.text("path", request.path_).text("host", request.host_).text("error", errorName(error));
         line.number("config_version", static_cast<std::int64_t>(control.config_.version_));
         line.number("config_proof_age_ms", ageMs(now.steady_, control.configProofAt_));
         controlLog(actions, line, LogLevel::Warning);
-        const bool retry = error == ErrorKind::ConfigStale || error == ErrorKind::Overloaded;
+        const bool retry = error == ErrorKind::ConfigStale || error == ErrorKind::Overloaded
+            || error == ErrorKind::ShuttingDown;
         actions.answers_.push_back(
             failure(request.call_, open.request_.verb_, error, retry ? StaleRetryAfter : Milliseconds(0)));
         return;
     }
     open.arrivedAt_ = now.steady_;
     open.deadline_ = now.steady_ + std::max(request.remaining_ - AnswerReserve, Milliseconds(1));
+    if (control.leaving_) {
+        open.deadline_ = std::min(open.deadline_, control.leaveBy_);
+    }
     const std::uint64_t call = request.call_.value_;
     OpenRequest &stored = control.requests_.insert_or_assign(call, std::move(open)).first->second;
     forward(control, stored, now, actions);
--- a/src/core/control/session.cpp
+++ b/src/core/control/session.cpp
@@ -52,9 +52,6 @@
 void pollSession(Control &control, CellTime now, ControlActions &actions)
 {
     Session &session = control.session_;
-    if (control.sessionEnded_) {
-        return;
-    }
     if (session.lease_ != 0 && !session.registered_ && !session.registering_ && now.steady_ >= session.nextAt_) {
         registerMember(control, actions);
     }
@@ -96,9 +93,6 @@
         registered(control, reply, now, actions);
         return;
     }
-    if (reply.purpose_ == KvPurpose::EndSession) {
-        return;
-    }
     session.callOpen_ = false;
     if (reply.status_ == KvStatus::Ok) {
         session.failures_ = 0;
--- a/src/core/message/kv_type.h
+++ b/src/core/message/kv_type.h
@@ -49,7 +49,7 @@
     WatchMembers,
     GrantSession,
     KeepSession,
-    EndSession,
+    ReleasePlace,
     Register,
     Elect,
     RecoverJobs,
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -24,6 +24,7 @@
 static constexpr std::size_t BatchSize = 256; // events of one ring handled in a row
 // The ingress notices after two checks, one second apart, that a daemon is not ready.
 static constexpr Milliseconds DrainTime{2'300};
+static constexpr Milliseconds AnswerMargin{200}; // the last answers are written before the connections close
 static constexpr Milliseconds IdleGrace{400}; // for requests under way on an idle connection
 static constexpr Milliseconds StopMargin{900}; // kept of the platform's grace period for closing the connections
 
@@ -169,6 +170,7 @@
     control.self_ = self_;
     control.peerAddress_ = settings_.peerAddress_;
     control.seed_ = seed_;
+    control.leaveLimit_ = Milliseconds(cell.graceMs_) - StopMargin - AnswerMargin;
     control.cell_.name_ = settings_.name_;
     control.cell_.zone_ = settings_.zone_;
     control.cell_.holdMax_ = Milliseconds(cell.holdMaxMs_);
