--- a/src/core/cell/cell_type.h
+++ b/src/core/cell/cell_type.h
@@ -59,6 +59,7 @@
     Milliseconds revoke_{5'000}; // a withdrawn key works at most this long
     Milliseconds statusKept_{120'000}; // a final state is shown at least this long
     double remoteFactor_ = 2; // slow-down away from the data or over several racks
+    double processorShare_ = 1; // processors of this instance
     double storeWritesPerSecond_ = 400; // of all daemons together
     Milliseconds minLease_{1'000}; // shortest lease of the store
 };
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -10,9 +10,12 @@
 namespace mimosapier::detail
 {
 
-static constexpr Milliseconds FirstElection{400}; // after the start, so that daemons near the store come first
+// After the start, so that daemons near the store and those with more processor come first.
+static constexpr Milliseconds FirstElection{400};
 static constexpr Milliseconds MaxLatencyDelay{400};
 static constexpr int LatencyFactor = 4; // daemons near the store stand first: each accepted job waits for it
+static constexpr double ShareDelayMs = 25; // a quarter of a processor waits 100 ms, an eighth 200 ms
+static constexpr double SmallestShare = 0.05;
 static constexpr int JitterMs = 30;
 static constexpr Milliseconds ElectionRetry{120};
 static constexpr Milliseconds RecoveryRetry{100};
@@ -25,7 +28,11 @@
 static Milliseconds electionDelay(Control &control)
 {
     std::uniform_int_distribution<int> jitter(0, JitterMs);
-    return std::min(MaxLatencyDelay, control.storeLatency_ * LatencyFactor) + Milliseconds(jitter(control.random_));
+    // The leader makes all calls to runners: instances with more processor stand first.
+    const double share = std::max(control.settings_.cell_.processorShare_, SmallestShare);
+    const auto smallness = Milliseconds(static_cast<std::int64_t>(ShareDelayMs / share));
+    return std::min(MaxLatencyDelay, control.storeLatency_ * LatencyFactor) + smallness
+        + Milliseconds(jitter(control.random_));
 }
 
 // "<epoch> <daemon>"
@@ -120,6 +127,8 @@
             controlLog(actions, line, LogLevel::Warning);
             // A leader whose session lapsed while the store was away continues; the others stand back a little.
             control.electAt_ = now.steady_ + (leads(control) ? Milliseconds(0) : electionDelay(control));
+        } else if (item.removed_ && control.electAt_ == TimePoint{}) {
+            control.electAt_ = std::max(now.steady_, control.startedAt_ + FirstElection) + electionDelay(control);
         }
         return;
     }
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -178,6 +178,7 @@
     control.cell_.revoke_ = Milliseconds(cell.revokeMs_);
     control.cell_.statusKept_ = std::chrono::seconds(cell.statusS_);
     control.cell_.remoteFactor_ = cell.remoteFactor_;
+    control.cell_.processorShare_ = cell.processorShare_;
     control.cell_.storeWritesPerSecond_ = static_cast<double>(cell.storeWritesPerS_);
     control.cell_.minLease_ = Milliseconds(cell.storeMinLeaseMs_);
     return control;
--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -37,6 +37,7 @@
     std::uint64_t storeWritesPerS_ = 400; // of all daemons together
     std::uint64_t storeMinLeaseMs_ = 1'000; // shortest lease of the store
     double remoteFactor_ = 2; // slow-down of tasks away from their data
+    double processorShare_ = 1; // processors of this instance
 };
 
 struct Settings
