Change: [control] A leader that all peers have lost is replaced before its session ends; planned stops end in time

Replacing a leader that lives after all is safe: lanes and runners fence it. Ruled out: shorter sessions, which end when the store is slow (60 to 70 times 4 ms).

--- a/src/core/control/control.cpp
+++ b/src/core/control/control.cpp
@@ -29,11 +29,8 @@
     return control;
 }
 
-bool isServing(const Control &control, TimePoint now)
+bool detail::seesLeader(const Control &control)
 {
-    if (control.leaving_ || !configIsFresh(control, now) || control.leader_.empty()) {
-        return false;
-    }
     if (control.leader_ == control.settings_.self_) {
         return control.cell_ != nullptr;
     }
@@ -41,6 +38,11 @@
     return leader != control.members_.end() && leader->second.connected_;
 }
 
+bool isServing(const Control &control, TimePoint now)
+{
+    return !control.leaving_ && configIsFresh(control, now) && !control.leader_.empty() && seesLeader(control);
+}
+
 bool hasLeft(const Control &control)
 {
     return control.leaving_ && !control.cell_ && control.requests_.empty();
@@ -66,6 +68,10 @@
     ClusterMember &member = control.members_[daemon];
     member.connected_ = false;
     member.seenAt_ = now.steady_;
+    if (daemon == control.leader_) {
+        control.leaderLostAt_ = now.steady_;
+        control.nextBeaconAt_ = now.steady_; // the others learn that it is not only their own connection
+    }
     for (auto &[call, open] : control.requests_) {
         if (open.sentTo_ == daemon) {
             open.sentTo_ = {}; // sent again once the daemon, or another leader, can be reached
@@ -79,6 +85,9 @@
     ClusterMember &member = control.members_[from];
     member.seenAt_ = now.steady_;
     member.lastBeacon_ = std::max(member.lastBeacon_, beacon.sequence_);
+    member.epoch_ = beacon.epoch_;
+    member.leaderSeen_ = beacon.leaderSeen_;
+    member.beaconAt_ = now.steady_;
     control.retiredSeen_ = std::max(control.retiredSeen_, beacon.retired_);
     learnEpoch(control, beacon.epoch_, beacon.leader_, from.value_, now, actions);
     if (beacon.configVersion_ > control.config_.version_) {
@@ -107,6 +116,7 @@
         : static_cast<std::uint32_t>(ageMs(now.steady_, control.configProofAt_));
     beacon.storeReached_ = control.storeReached_;
     beacon.retired_ = control.retired_;
+    beacon.leaderSeen_ = seesLeader(control);
     member.beaconTimes_[beacon.sequence_] = now.steady_;
     if (member.beaconTimes_.size() > BeaconsRemembered) {
         member.beaconTimes_.erase(member.beaconTimes_.begin());
--- a/src/core/control/control_base.h
+++ b/src/core/control/control_base.h
@@ -34,6 +34,9 @@
     bool listed_ = false; // its entry is in the store
     TimePoint seenAt_; // listed, or connected, at this time
     bool connected_ = false;
+    CellEpoch epoch_; // that its last beacon named
+    bool leaderSeen_ = false; // it was connected to the leader then
+    TimePoint beaconAt_; // when that beacon came
     std::uint64_t beaconsSent_ = 0;
     std::uint64_t lastBeacon_ = 0; // highest sequence got from it
     std::map<std::uint64_t, TimePoint> beaconTimes_; // of the latest beacons sent
@@ -100,6 +103,9 @@
     DaemonId leader_; // of epoch_; empty: none known
     DaemonId epochLeader_; // last leader known, also after it has stopped
     bool leaderListed_ = false; // the leader key exists
+    std::uint64_t leaderKeyRevision_ = 0;
+    bool leaderLost_ = false; // this daemon and its peers have lost the leader
+    TimePoint leaderLostAt_; // when the connection to the leader was lost
     DaemonId predecessor_; // leader before this daemon; empty: none
     CellEpoch retired_; // highest epoch in which this daemon led and then stopped
     CellEpoch retiredSeen_; // highest epoch whose leader is known to have stopped
--- a/src/core/control/control_internal.h
+++ b/src/core/control/control_internal.h
@@ -55,6 +55,7 @@
 void pollRecovery(Control &control, CellTime now, ControlActions &actions);
 void recoveryReply(Control &control, const KvReply &reply, CellTime now);
 bool leads(const Control &control);
+bool seesLeader(const Control &control);
 
 // requests.cpp
 void routeRequests(Control &control, CellTime now, ControlActions &actions);
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -17,6 +17,7 @@
 static constexpr double ShareDelayMs = 25; // a quarter of a processor waits 100 ms, an eighth 200 ms
 static constexpr double SmallestShare = 0.05;
 static constexpr int JitterMs = 30;
+static constexpr Milliseconds LostLeaderWait{200}; // for the beacons of the others; 20 ms between regions
 static constexpr Milliseconds ElectionRetry{120};
 static constexpr Milliseconds RecoveryRetry{100};
 
@@ -74,6 +75,7 @@
 {
     control.epochRevision_ = revision;
     control.leaderListed_ = true;
+    control.leaderKeyRevision_ = revision;
     control.predecessor_ = control.epoch_.value_ == 0 ? DaemonId{} : control.epochLeader_;
     const std::array<std::uint64_t, LaneCount> lanes{revision, revision};
     control.cell_ = makeCell(control.settings_.cell_, control.settings_.self_, epoch, revision, lanes, now.steady_);
@@ -121,6 +123,7 @@
     if (item.key_ == LeaderKey) {
         const bool wasListed = control.leaderListed_;
         control.leaderListed_ = !item.removed_;
+        control.leaderKeyRevision_ = item.removed_ ? 0 : item.revision_;
         if (wasListed && item.removed_) {
             JsonObject line = controlEvent("leader-key-gone");
             line.text("leader", control.leader_.value_).number("revision", static_cast<std::int64_t>(item.revision_));
@@ -207,6 +210,27 @@
                        [&](const auto &entry) { return entry.second.listed_ && replaces(entry.first); });
 }
 
+// True when the leader does not have to be waited for until its session ends: this daemon and all its peers have lost
+// their connections to it. Replacing a leader that lives after all is safe, since the store and the runners fence it.
+static bool leaderIsLost(const Control &control, TimePoint now)
+{
+    if (control.leader_.empty() || control.leader_ == control.settings_.self_ || seesLeader(control)
+        || control.leaderLostAt_ == TimePoint{} || now < control.leaderLostAt_ + LostLeaderWait) {
+        return false;
+    }
+    std::size_t witnesses = 0;
+    for (const auto &[daemon, member] : control.members_) {
+        if (!member.connected_) {
+            continue;
+        }
+        if (member.epoch_ != control.epoch_ || member.leaderSeen_ || member.beaconAt_ < control.leaderLostAt_) {
+            return false;
+        }
+        ++witnesses;
+    }
+    return witnesses > 0;
+}
+
 void pollElection(Control &control, CellTime now, ControlActions &actions)
 {
     if (control.cell_ && !control.cell_->predecessorEnded_) {
@@ -221,14 +245,24 @@
     }
     const bool ready = control.clusterFeed_.read_ && control.session_.lease_ != 0
         && now.steady_ < control.session_.endsAt_ && control.session_.registered_;
-    if (!ready || control.leaderListed_ || control.electing_ || control.leaving_ || now.steady_ < control.electAt_
-        || now.steady_ < control.startedAt_ + FirstElection || control.config_.version_ == 0) {
+    const bool lost = control.leaderListed_ && leaderIsLost(control, now.steady_);
+    if (lost && !control.leaderLost_) {
+        control.electAt_ = now.steady_ + electionDelay(control);
+        JsonObject line = controlEvent("leader-lost");
+        line.text("leader", control.leader_.value_).number("lost_ms", ageMs(now.steady_, control.leaderLostAt_));
+        controlLog(actions, line, LogLevel::Warning);
+    }
+    control.leaderLost_ = lost;
+    if (!ready || (control.leaderListed_ && !lost) || control.electing_ || control.leaving_
+        || now.steady_ < control.electAt_ || now.steady_ < control.startedAt_ + FirstElection
+        || control.config_.version_ == 0) {
         return;
     }
     KvCall call;
     call.purpose_ = KvPurpose::Elect;
     call.op_ = KvOp::Commit;
-    call.conditions_ = {{std::string(LeaderKey), 0}, {std::string(EpochKey), control.epochRevision_}};
+    call.conditions_
+        = {{std::string(LeaderKey), control.leaderKeyRevision_}, {std::string(EpochKey), control.epochRevision_}};
     call.writes_ = {{std::string(LeaderKey), control.settings_.self_.value_, control.session_.lease_}};
     if (!control.cell_ || control.cell_->epoch_ != control.epoch_) {
         const std::uint64_t next = control.epoch_.value_ + 1;
--- a/src/core/message/cell_type.h
+++ b/src/core/message/cell_type.h
@@ -143,6 +143,7 @@
     std::uint64_t configVersion_ = 0; // 0: none
     std::uint32_t configProofAgeMs_ = 0; // since the sender last knew that this version is the newest
     bool storeReached_ = false;
+    bool leaderSeen_ = false; // the sender leads, or is connected to the leader of epoch_
     CellEpoch retired_; // highest epoch in which the sender led and then stopped leading; 0: none
     bool operator==(const CellBeacon &) const = default;
 };
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -26,7 +26,10 @@
 static constexpr Milliseconds DrainTime{2'300};
 static constexpr Milliseconds AnswerMargin{200}; // the last answers are written before the connections close
 static constexpr Milliseconds IdleGrace{400}; // for requests under way on an idle connection
-static constexpr Milliseconds StopMargin{900}; // kept of the platform's grace period for closing the connections
+// Kept of the platform's grace period: half a second for closing connections, as much for ending the threads, twice.
+static constexpr Milliseconds StopMargin{1'500};
+// New connections are refused from then on even while requests are open: in a zone with one daemon they never stop.
+static constexpr Milliseconds LongestDrain{3'300};
 
 struct LeaveCell
 {
@@ -292,7 +295,8 @@
     }
     const Milliseconds limit = Milliseconds(settings_.cell_.graceMs_) - StopMargin;
     const TimePoint time = clock_.now();
-    if ((time >= leaveAt_ + DrainTime && hasLeft(*control_)) || time >= leaveAt_ + limit) {
+    const bool drained = time >= leaveAt_ + DrainTime && hasLeft(*control_);
+    if (drained || time >= leaveAt_ + std::min(LongestDrain, limit)) {
         frontStopping_ = true;
         const auto rest = std::max(std::chrono::duration_cast<Milliseconds>(leaveAt_ + limit - time), Milliseconds(1));
         clientThread_.post([this, rest] { front_->stop(std::min(rest, IdleGrace), rest, [this] { finish(true); }); });
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -46,6 +46,27 @@
     cr_assert(answerOf(entry, query)->state_ == StagedState::Running);
 }
 
+// Guards against seconds without a leader after its process was killed: its session ends 2.5 s later.
+Test(control, killedLeaderIsReplacedWithinASecond)
+{
+    ControlWorld world(4);
+    world.run(Start);
+    world.leader()->alive_ = false;
+    world.run(Milliseconds(1'000));
+    cr_assert(world.leader() != nullptr, "no new leader after 1 s");
+}
+
+// Guards against a daemon that replaces a sound leader because its own connections are cut.
+Test(control, daemonThatIsCutOffDoesNotReplaceTheLeader)
+{
+    ControlWorld world(4);
+    world.run(Start);
+    const TestNode *before = world.leader();
+    world.cut_.insert(world.follower().id_);
+    world.run(Milliseconds(4'000));
+    cr_assert(world.leader() == before);
+}
+
 // Guards against a former leader that starts tasks after it was replaced while it stood still.
 Test(control, pausedLeaderIsFenced)
 {
