--- a/src/core/control/control.cpp
+++ b/src/core/control/control.cpp
@@ -72,6 +72,7 @@
         control.leaderLostAt_ = now.steady_;
         control.nextBeaconAt_ = now.steady_; // the others learn that it is not only their own connection
     }
+    expireRelayed(control, daemon, now, actions);
     for (auto &[call, open] : control.requests_) {
         if (open.sentTo_ == daemon) {
             open.sentTo_ = {}; // sent again once the daemon, or another leader, can be reached
@@ -199,6 +200,10 @@
         handleForwarded(control, from, *request, now, actions);
     } else if (const auto *reply = std::get_if<CellReply>(&message)) {
         cellReply(control, from, *reply, now, actions);
+    } else if (const auto *calls = std::get_if<RelayedCalls>(&message)) {
+        makeRelayedCalls(control, from, *calls, actions);
+    } else if (const auto *replies = std::get_if<RelayedReplies>(&message)) {
+        takeRelayedReplies(control, *replies, now, actions);
     } else if (const auto *query = std::get_if<PolicyQuery>(&message)) {
         actions.queries_.push_back(*query);
     } else if (const auto *answer = std::get_if<PolicyAnswer>(&message)) {
@@ -265,13 +270,6 @@
     }
 }
 
-void runnerReply(Control &control, const RunnerReply &reply, CellTime now, ControlActions &actions)
-{
-    if (control.cell_) {
-        handleRunnerReply(*control.cell_, reply, now, actions.cell_);
-    }
-}
-
 void policyAnswered(Control &control, const PolicyAnswer &answer, CellTime now, ControlActions &actions)
 {
     if (control.cell_ && control.leader_ == control.settings_.self_) {
@@ -333,6 +331,8 @@
         settle(*control.cell_, now, actions.cell_);
     }
     pollLeaving(control, now, actions);
+    relayCalls(control, now, actions);
+    relayReplies(control, actions);
     takeReplies(control, now, actions);
     if (now.steady_ >= control.nextScanAt_) {
         control.nextScanAt_ = now.steady_ + ScanInterval;
@@ -340,6 +340,7 @@
         routeRequests(control, now, actions);
         takeReplies(control, now, actions);
         scanRequests(control, now, actions);
+        expireRelayed(control, DaemonId{}, now, actions);
     }
     sendBeacons(control, now, actions);
 }
--- a/src/core/control/control_base.h
+++ b/src/core/control/control_base.h
@@ -31,6 +31,7 @@
 struct ClusterMember
 {
     std::string address_;
+    std::string zone_; // availability zone
     bool listed_ = false; // its entry is in the store
     TimePoint seenAt_; // listed, or connected, at this time
     bool connected_ = false;
@@ -77,6 +78,14 @@
     std::uint32_t failures_ = 0; // in a row
 };
 
+// A call to a runner that another daemon makes for this one.
+struct RelayedCall
+{
+    DaemonId relay_;
+    RunnerReply blank_; // what is known of the reply beforehand
+    TimePoint expiresAt_;
+};
+
 struct Control
 {
     ControlSettings settings_;
@@ -122,6 +131,10 @@
     std::map<std::uint64_t, OpenRequest> requests_; // by call id
     TimePoint nextBeaconAt_;
     TimePoint nextScanAt_;
+    std::map<std::uint64_t, RelayedCall> relayed_; // calls that others make, by id
+    std::map<std::uint64_t, std::pair<DaemonId, std::uint64_t>> relaying_; // calls for others: origin and its id
+    std::uint64_t nextRelayId_ = 0;
+    std::map<DaemonId, RelayedReplies> relayReplies_; // of this batch
     PeerSet peerSet_; // last one given to the transport
     bool leaving_ = false;
     TimePoint leaveAt_;
--- a/src/core/control/control_internal.h
+++ b/src/core/control/control_internal.h
@@ -64,7 +64,13 @@
 void scanRequests(Control &control, CellTime now, ControlActions &actions);
 bool configIsFresh(const Control &control, TimePoint now);
 
-// peers.cpp
+// relay.cpp
+void relayCalls(Control &control, CellTime now, ControlActions &actions);
+void relayReplies(Control &control, ControlActions &actions);
+void makeRelayedCalls(Control &control, const DaemonId &from, const RelayedCalls &calls, ControlActions &actions);
+void takeRelayedReplies(Control &control, const RelayedReplies &replies, CellTime now, ControlActions &actions);
+void expireRelayed(Control &control, const DaemonId &gone, CellTime now, ControlActions &actions);
+
 void sendBeacons(Control &control, CellTime now, ControlActions &actions);
 void updatePeerSet(Control &control, CellTime now, ControlActions &actions);
 
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -166,7 +166,9 @@
         }
         member.listed_ = !item.removed_;
         if (!item.removed_) {
-            member.address_ = item.value_;
+            const std::size_t space = item.value_.find(' ');
+            member.address_ = item.value_.substr(0, space);
+            member.zone_ = space == std::string::npos ? "" : item.value_.substr(space + 1);
             member.seenAt_ = now.steady_;
         }
     }
--- a/src/core/control/session.cpp
+++ b/src/core/control/session.cpp
@@ -43,8 +43,8 @@
     KvCall call;
     call.purpose_ = KvPurpose::Register;
     call.op_ = KvOp::Commit;
-    call.writes_ = {{std::string(MemberPrefix) + control.settings_.self_.value_, control.settings_.peerAddress_,
-                     control.session_.lease_}};
+    call.writes_ = {{std::string(MemberPrefix) + control.settings_.self_.value_,
+                     control.settings_.peerAddress_ + " " + control.settings_.cell_.zone_, control.session_.lease_}};
     control.session_.registering_ = true;
     kvSend(control, std::move(call), actions);
 }
--- a/src/core/message/fields.h
+++ b/src/core/message/fields.h
@@ -58,5 +58,14 @@
 MIMOSAPIER_FIELDS(PolicyAnswer, s.call_, s.answered_, s.allowed_)
 MIMOSAPIER_FIELDS(CellConfigWanted, s.version_)
 MIMOSAPIER_FIELDS(CellConfigText, s.version_, s.text_)
+MIMOSAPIER_FIELDS(StagedTask, s.job_, s.occurrence_, s.step_, s.index_)
+MIMOSAPIER_FIELDS(RunnerCall, s.id_, s.op_, s.runner_, s.address_, s.task_, s.run_, s.spec_, s.checkpoint_, s.ticket_,
+                  s.token_, s.untilMs_, s.acknowledgedEnd_, s.wait_, s.timeout_)
+MIMOSAPIER_FIELDS(ActiveRun, s.task_, s.run_, s.checkpoint_, s.percent_, s.usage_)
+MIMOSAPIER_FIELDS(FinishedRun, s.number_, s.task_, s.run_, s.end_, s.checkpoint_)
+MIMOSAPIER_FIELDS(RunnerReply, s.id_, s.op_, s.runner_, s.task_, s.run_, s.status_, s.clockMs_, s.bornUnixMs_,
+                  s.active_, s.finished_)
+MIMOSAPIER_FIELDS(RelayedCalls, s.calls_)
+MIMOSAPIER_FIELDS(RelayedReplies, s.replies_)
 
 } // namespace mimosapier
--- a/src/core/message/peer_type.h
+++ b/src/core/message/peer_type.h
@@ -5,6 +5,7 @@
 #include "core/common/id_type.h"
 #include "core/common/work_type.h"
 #include "core/message/cell_type.h"
+#include "core/message/runner_type.h"
 
 #include <cstdint>
 #include <string>
@@ -202,6 +203,6 @@
 using PeerMessage
     = std::variant<Heartbeat, TaskOffer, TaskAnswer, TaskAck, TaskCancel, JobSubmit, JobQuery, JobCancel, JobAnswer,
                    ConfigAnnounce, ConfigAnnounceAck, ConfigPush, Handover, AllowanceWanted, CellBeacon, CellRequest,
-                   CellReply, PolicyQuery, PolicyAnswer, CellConfigWanted, CellConfigText>;
+                   CellReply, PolicyQuery, PolicyAnswer, CellConfigWanted, CellConfigText, RelayedCalls, RelayedReplies>;
 
 } // namespace mimosapier
--- a/src/core/message/runner_type.h
+++ b/src/core/message/runner_type.h
@@ -58,6 +58,7 @@
     std::uint64_t acknowledgedEnd_ = 0; // Hold: ends up to this number may be forgotten
     Milliseconds wait_{0}; // Hold: longest wait for an end
     Milliseconds timeout_{1000}; // added to wait_
+    bool operator==(const RunnerCall &) const = default;
 };
 
 struct ActiveRun
@@ -67,6 +68,7 @@
     std::string checkpoint_; // latest; empty: none
     std::int64_t percent_ = 100; // share at which it works
     std::int64_t usage_ = 0; // serving tasks: tail of the response time in ms; others: thousandths of a processor
+    bool operator==(const ActiveRun &) const = default;
 };
 
 enum class RunEnd : std::uint8_t {
@@ -85,6 +87,7 @@
     RunNumber run_;
     RunEnd end_ = RunEnd::Stopped;
     std::string checkpoint_;
+    bool operator==(const FinishedRun &) const = default;
 };
 
 enum class RunnerStatus : std::uint8_t {
@@ -113,9 +116,38 @@
     std::int64_t bornUnixMs_ = 0; // 0: not given
     std::vector<ActiveRun> active_; // Hold
     std::vector<FinishedRun> finished_; // Hold
-    TimePoint sentAt_;
+    TimePoint sentAt_; // of this process; not sent to others
+    bool operator==(const RunnerReply &) const = default;
 };
 
+// Calls that the leader asks a daemon near the runners to make, and the replies.
+struct RelayedCalls
+{
+    std::vector<RunnerCall> calls_;
+    bool operator==(const RelayedCalls &) const = default;
+};
+
+struct RelayedReplies
+{
+    std::vector<RunnerReply> replies_;
+    bool operator==(const RelayedReplies &) const = default;
+};
+
+constexpr bool isValid(RunnerOp value)
+{
+    return value <= RunnerOp::Hold;
+}
+
+constexpr bool isValid(RunEnd value)
+{
+    return value <= RunEnd::Alone;
+}
+
+constexpr bool isValid(RunnerStatus value)
+{
+    return value <= RunnerStatus::Unknown;
+}
+
 std::string_view runEndName(RunEnd end);
 std::string_view runnerStatusName(RunnerStatus status);
 
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -21,6 +21,7 @@
 
 static constexpr Milliseconds LeaderTick{10}; // starts and holds are at most this late
 static constexpr Milliseconds FollowerTick{25};
+static constexpr Milliseconds BatchInterval{2}; // shorter than any way between instances and clients
 static constexpr std::size_t BatchSize = 256; // events of one ring handled in a row
 // The ingress notices after two checks, one second apart, that a daemon is not ready.
 static constexpr Milliseconds DrainTime{2'300};
@@ -208,10 +209,14 @@
     control_ = makeControl(controlSettings(), {decodeCellConfig, decodeRunnerRecord}, clock_.now());
     bool left = false;
     TimePoint nextTick = clock_.now();
+    TimePoint batchAt = nextTick;
     while (!stopping_) {
         if (!left) {
             wakeup_.waitUntil(nextTick);
         }
+        // Events that come close together are handled in one batch: each wake-up of a thread costs processor time.
+        std::this_thread::sleep_until(batchAt);
+        batchAt = clock_.now() + BatchInterval;
         // Results first: they free what the other events ask for.
         left = takeBatch(results_);
         left = takeBatch(peerEvents_) || left;
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -122,6 +122,38 @@
     cr_assert(world.leader()->control_->cell_->predecessorEnded_);
 }
 
+// Guards against calls to runners that are lost between the leader and the daemons that make them in a large cluster.
+Test(control, largeClusterRelaysCalls)
+{
+    ControlWorld world(14);
+    world.run(Milliseconds(3'000));
+    cr_assert(world.leader() != nullptr);
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        world.request(world.follower(), ClientMethod::Submit, id);
+    }
+    world.run(Milliseconds(500));
+    cr_assert_eq(world.starts(), 6);
+    std::set<DaemonId> callers;
+    for (const auto &node : world.nodes_) {
+        if (node->control_->nextRelayId_ > 0) {
+            callers.insert(node->id_);
+        }
+    }
+    cr_assert(!callers.empty() && !callers.contains(world.leader()->id_));
+    const DaemonId former = world.leader()->id_;
+    for (const DaemonId &relay : callers) {
+        world.find(relay)->alive_ = false;
+    }
+    world.run(Milliseconds(5'000));
+    cr_assert(world.leader() != nullptr && world.leader()->id_ == former);
+    for (const auto &[id, runner] : world.runners_) {
+        for (const FinishedRun &end : runner.finished_) {
+            cr_assert(end.end_ != RunEnd::Lapsed, "the leases were not renewed through other daemons");
+        }
+    }
+    cr_assert_eq(world.starts(), 6);
+}
+
 // Guards against a withdrawn key that works at a daemon that the store turns away.
 Test(control, withdrawnKeyIsHeardThroughPeers)
 {
