Fix: [control] A watch that was cut goes on where it was; log lines are written in batches

Now only a lost history needs a read. Ruled out: a lost draining event (the list was not read at all between 29.3 s and 34 s). Each line of the log was an event of the library; a batch is one now.

--- a/src/core/control/feeds.cpp
+++ b/src/core/control/feeds.cpp
@@ -10,6 +10,8 @@
 static constexpr Milliseconds ConfigWait{1'000}; // of a watch; its answer proves that the configuration is the newest
 static constexpr Milliseconds ClusterWait{2'000};
 static constexpr Milliseconds RunnerWait{2'000};
+// Of a read of a whole space: 350 runners are about 200 KB, over links of 10 Mbit/s and to a busy instance.
+static constexpr Milliseconds ReadTimeout{3'000};
 static constexpr Milliseconds RetryPause{150}; // doubles; refused calls are priced
 static constexpr unsigned MaxDoublings = 2;
 static constexpr std::string_view ConfigKey = "config";
@@ -50,6 +52,7 @@
     } else {
         call.purpose_ = plan.read_;
         call.op_ = KvOp::Range;
+        call.timeout_ = ReadTimeout;
         if (plan.read_ == KvPurpose::ReadRunners) {
             call.after_ = control.runnersAfter_;
         }
@@ -234,9 +237,12 @@
     if (feed.failures_ == 0 || reply.status_ == KvStatus::HistoryLost) {
         controlLog(actions, line, LogLevel::Warning);
     }
-    // A failed watch may have hidden changes behind a history that is gone; a read is certain.
-    feed.read_ = false;
-    feed.revision_ = 0;
+    // A watch that was cut goes on from the revision it had reached; only a lost history needs a read of the whole
+    // space, which is large and would fail again while this daemon or the store is busy.
+    if (reply.status_ == KvStatus::HistoryLost) {
+        feed.read_ = false;
+        feed.revision_ = 0;
+    }
     feed.nextAt_ = reply.status_ == KvStatus::HistoryLost
         ? now.steady_
         : now.steady_ + RetryPause * (1U << std::min(feed.failures_, MaxDoublings));
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -13,12 +13,13 @@
 // After the start, so that daemons near the store and those with more processor come first.
 static constexpr Milliseconds FirstElection{400};
 static constexpr Milliseconds MaxLatencyDelay{400};
-static constexpr int LatencyFactor = 4; // daemons near the store stand first: each accepted job waits for it
-static constexpr double ShareDelayMs = 25; // a quarter of a processor waits 100 ms, an eighth 200 ms
+static constexpr int LatencyFactor = 2; // daemons near the store stand first: each accepted job waits for it
+static constexpr double ShareDelayMs = 60; // half a processor waits 120 ms, a quarter 240 ms, an eighth 480 ms
 static constexpr double SmallestShare = 0.05;
 static constexpr int JitterMs = 30;
 static constexpr Milliseconds LostLeaderWait{200}; // for the beacons of the others; 20 ms between regions
 static constexpr Milliseconds ElectionRetry{120};
+static constexpr Milliseconds ReadTimeout{3'000}; // a page is up to 1 MB
 static constexpr Milliseconds RecoveryRetry{100};
 
 bool leads(const Control &control)
@@ -352,6 +353,7 @@
         call.op_ = RecoveryPlans[part].op_;
         call.key_ = std::string(RecoveryPlans[part].key_);
         call.after_ = read.after_;
+        call.timeout_ = ReadTimeout;
         call.lane_ = static_cast<std::uint32_t>(control.cell_->epoch_.value_); // replies of an earlier one are ignored
         read.open_ = true;
         kvSend(control, std::move(call), actions);
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -268,9 +268,7 @@
 // Hands the actions to the other threads. The rings grow over their size rather than lose a reply or a call.
 void CellProcess::State::perform()
 {
-    for (const LogLine &line : actions_.cell_.log_) {
-        writeStructuredLog(line.level_, line.text_);
-    }
+    writeStructuredLog(actions_.cell_.log_);
     if (actions_.peerSet_) {
         peerCommands_.force(std::move(*actions_.peerSet_));
     }
@@ -361,7 +359,8 @@
         }
     }
     detail.clear();
-    writeStructuredLog(LogLevel::Info, R"({"event":"started","daemon":")" + state.self_.value_ + "\"}");
+    const LogLine started{LogLevel::Info, R"({"event":"started","daemon":")" + state.self_.value_ + "\"}"};
+    writeStructuredLog(std::span(&started, 1));
     state.clientThread_.start();
     state.callThread_.start();
     state.transportThread_ = std::thread([&state] { state.transport_.run(); });
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -8,6 +8,10 @@
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
 #include <memory>
 #include <string>
 
@@ -25,7 +29,7 @@
     return name == "error" ? log4cxx::Level::getError() : log4cxx::Level::getInfo();
 }
 
-static constexpr int StructuredQueue = 4'096; // lines; about 1 MB
+static constexpr int StructuredQueue = 2'048; // batches of lines; a batch is about 1 KB
 
 static log4cxx::LoggerPtr structuredLogger()
 {
@@ -44,8 +48,7 @@
     root->addAppender(async);
     root->setLevel(levelOf(level));
 
-    const auto lines = std::make_shared<log4cxx::PatternLayout>(
-        LOG4CXX_STR("{\"time\":\"%d{yyyy-MM-dd HH:mm:ss.SSS}\",\"level\":\"%p\",%m%n"));
+    const auto lines = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
     const auto output = std::make_shared<log4cxx::ConsoleAppender>(lines, LOG4CXX_STR("System.out"));
     const auto queue = std::make_shared<log4cxx::AsyncAppender>();
     queue->addAppender(output);
@@ -57,21 +60,49 @@
     structured->addAppender(queue);
 }
 
-void writeStructuredLog(LogLevel level, std::string_view object)
+// "2026-01-31 23:59:59.999", in UTC.
+static std::string timeText(std::chrono::system_clock::time_point time)
+{
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+    constexpr std::int64_t MillisPerSecond = 1'000;
+    const auto seconds = static_cast<std::time_t>(millis / MillisPerSecond);
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 32> text{};
+    const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%d %H:%M:%S", &parts);
+    std::array<char, 8> fraction{};
+    std::snprintf(fraction.data(), fraction.size(), ".%03d", static_cast<int>(millis % MillisPerSecond));
+    return std::string(text.data(), length) + fraction.data();
+}
+
+static std::string_view levelName(LogLevel level)
 {
-    static const log4cxx::LoggerPtr logger = structuredLogger();
-    object.remove_prefix(object.starts_with('{') ? 1 : 0); // the layout begins the object
     switch (level) {
     case LogLevel::Info:
-        LOG4CXX_INFO(logger, std::string(object));
         break;
     case LogLevel::Warning:
-        LOG4CXX_WARN(logger, std::string(object));
-        break;
+        return "WARN";
     case LogLevel::Error:
-        LOG4CXX_ERROR(logger, std::string(object));
-        break;
+        return "ERROR";
+    }
+    return "INFO";
+}
+
+void writeStructuredLog(std::span<const LogLine> lines)
+{
+    if (lines.empty()) {
+        return;
+    }
+    static const log4cxx::LoggerPtr logger = structuredLogger();
+    // One event of the library for the batch: its cost is that of an event, not of a line.
+    const std::string head = "{\"time\":\"" + timeText(std::chrono::system_clock::now()) + "\",\"level\":\"";
+    std::string text;
+    for (const LogLine &line : lines) {
+        std::string_view object = line.text_;
+        object.remove_prefix(object.starts_with('{') ? 1 : 0); // the head begins the object
+        text.append(text.empty() ? "" : "\n").append(head).append(levelName(line.level_)).append("\",").append(object);
     }
+    logger->forcedLog(log4cxx::Level::getInfo(), text);
 }
 
 void writeLog(LogLevel level, std::string_view text)
--- a/src/daemon/log_func.h
+++ b/src/daemon/log_func.h
@@ -4,6 +4,7 @@
 
 #include "core/message/event_type.h"
 
+#include <span>
 #include <string_view>
 
 namespace mimosapier
@@ -15,9 +16,9 @@
 // Writes a line; it starts with the prefix of its part, for example "[peer]". May be called from any thread.
 void writeLog(LogLevel level, std::string_view text);
 
-// Writes one JSON object to stdout, with time and level added. Lines are dropped, and the library says how many, when
-// the output is stuck or the queue is full. May be called from any thread.
-void writeStructuredLog(LogLevel level, std::string_view object);
+// Writes JSON objects to stdout, one a line, with time and level added. Lines are dropped, and the library says how
+// many, when the output is stuck or the queue is full. May be called from any thread.
+void writeStructuredLog(std::span<const LogLine> lines);
 
 // Writes out what is pending.
 void stopLog();
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -28,7 +28,8 @@
     int received = 0;
     sigwait(&signals, &received);
     while (received == SIGHUP) {
-        writeStructuredLog(LogLevel::Info, R"({"event":"reload","outcome":"ignored-until-restart"})");
+        const LogLine line{LogLevel::Info, R"({"event":"reload","outcome":"ignored-until-restart"})"};
+        writeStructuredLog(std::span(&line, 1));
         sigwait(&signals, &received);
     }
     process.requestLeave();
@@ -65,7 +66,8 @@
     const bool cell = !reading.settings_.cell_.readyAddress_.empty();
     const int exitCode
         = cell ? runProcess<CellProcess>(reading.settings_, signals) : runProcess<Process>(reading.settings_, signals);
-    writeStructuredLog(LogLevel::Info, R"({"event":"stopped"})");
+    const LogLine stopped{LogLevel::Info, R"({"event":"stopped"})"};
+    writeStructuredLog(std::span(&stopped, 1));
     writeLog(LogLevel::Info, "[daemon] Stopped.");
     stopLog();
     return exitCode;
--- a/tests/control/control_world.h
+++ b/tests/control/control_world.h
@@ -26,6 +26,8 @@
     bool alive_ = true;
     bool paused_ = false;
     bool storeReachable_ = true;
+    bool refuseReads_ = false; // of whole key spaces
+    bool cutWatches_ = false; // each watch ends without an answer
     std::set<DaemonId> wanted_; // peer set
     std::map<std::uint64_t, ClientAnswer> answers_; // by call
     std::uint64_t lastCall_ = 0;
@@ -255,8 +257,10 @@
         if (node == nullptr) {
             return;
         }
-        if (!storeUp_ || !node->storeReachable_) {
-            if (now_ < call.sentAt_ + call.call_.timeout_) {
+        const bool refused = node->refuseReads_ && call.call_.op_ == KvOp::Range;
+        const bool cut = node->cutWatches_ && call.call_.op_ == KvOp::Watch;
+        if (!storeUp_ || !node->storeReachable_ || refused || cut) {
+            if (now_ < call.sentAt_ + call.call_.timeout_ && !node->cutWatches_) {
                 calls_.push_back(call);
                 return;
             }
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -189,6 +189,25 @@
     cr_assert(!isServing(*cut.control_, world.now_));
 }
 
+// Guards against starts on a runner that leaves: after one failed watch the leader read the whole list again, which
+// failed for as long as it was busy, and heard of no change meanwhile.
+Test(control, cutWatchGoesOnWhereItWas)
+{
+    ControlWorld world;
+    world.run(Start);
+    TestNode &leader = *world.leader();
+    leader.cutWatches_ = true;
+    world.run(Milliseconds(200));
+    leader.cutWatches_ = false;
+    leader.refuseReads_ = true;
+    FakeRunner &runner = world.runners_.at(RunnerId("r0"));
+    runner.record_.draining_ = true;
+    world.store_.write(KvSpace::Discovery, "r0", "leaving");
+    world.run(Milliseconds(1'500));
+    cr_assert(world.leader() == &leader);
+    cr_assert(leader.control_->cell_->runners_.at(RunnerId("r0"))->record_.draining_);
+}
+
 // Guards against running tasks that lapse, and a change of leader, while the store is away for a few seconds.
 Test(control, storeAwayForSeconds)
 {
