--- a/src/core/control/control_type.h
+++ b/src/core/control/control_type.h
@@ -37,6 +37,7 @@
     StagedState state_ = StagedState::Queued; // for Query
     std::uint64_t pending_ = 0; // for CountPending
     Milliseconds retryAfter_{0}; // for refusals; 0: not given
+    Duration age_{0}; // since the request arrived
 };
 
 // How the bytes that others have written to the store are read. Each returns false for bytes that are not what it
--- a/src/core/control/relay.cpp
+++ b/src/core/control/relay.cpp
@@ -1,5 +1,6 @@
-// Relaying of calls to runners. In a large cluster the leader's processor would go into thousands of HTTP calls a second;
-// instead a daemon in the runner's availability zone makes them, and the leader exchanges batches with the daemons.
+// Relaying of calls to runners. In a large cluster the leader's processor would go into thousands of HTTP calls a
+// second; instead a daemon in the runner's availability zone makes them, and the leader exchanges batches with the
+// daemons.
 #include "core/control/control_internal.h"
 
 #include <algorithm>
--- a/src/core/control/requests.cpp
+++ b/src/core/control/requests.cpp
@@ -137,6 +137,7 @@
         controlLog(actions, line, LogLevel::Warning);
     }
     actions.answers_.push_back(answer);
+    actions.answers_.back().age_ = now.steady_ - open.arrivedAt_;
     control.requests_.erase(found);
 }
 
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -50,6 +50,8 @@
     void handle(CellEvent &event);
     bool takeBatch(Ring<CellEvent> &ring);
     void perform();
+    void countActions();
+    void addMetricSources();
     CellTime now() const;
     void pollLeave();
     void finish(bool inTime);
@@ -223,6 +225,7 @@
         left = takeBatch(clients_) || left;
         const CellTime time = now();
         finishBatch(*control_, time, actions_);
+        metrics_.observeStep(clock_.now() - time.steady_);
         perform();
         ready_ = isServing(*control_, time.steady_);
         pollLeave();
@@ -245,10 +248,14 @@
 {
     Control &control = *control_;
     if (auto *request = std::get_if<ClientRequest>(&event)) {
+        static constexpr std::array<std::string_view, 3> MethodNames{"submit", "read", "cancel"}; // by ClientMethod
+        metrics_.countRequest(MethodNames.at(static_cast<std::size_t>(request->method_)));
         clientRequest(control, std::move(*request), now(), actions_);
     } else if (const auto *kv = std::get_if<KvReply>(&event)) {
         kvReply(control, *kv, now(), actions_);
     } else if (const auto *runner = std::get_if<RunnerReply>(&event)) {
+        static constexpr std::array<std::string_view, 3> OpNames{"start", "stop", "hold"}; // by RunnerOp
+        metrics_.countRunnerCall(OpNames.at(static_cast<std::size_t>(runner->op_)), runnerStatusName(runner->status_));
         runnerReply(control, *runner, now(), actions_);
     } else if (const auto *policy = std::get_if<PolicyAnswer>(&event)) {
         policyAnswered(control, *policy, now(), actions_);
@@ -265,10 +272,40 @@
     }
 }
 
+static constexpr std::array<std::string_view, 4> VerbNames{"submit", "query", "cancel", "count"}; // by CellVerb
+static constexpr std::array<std::string_view, 7> KvNames{"get",   "range",      "watch",    "commit",
+                                                         "grant", "keep-lease", "end-lease"}; // by KvOp
+
+void CellProcess::State::countActions()
+{
+    for (const ClientAnswer &answer : actions_.answers_) {
+        const bool done = answer.error_ == ErrorKind::None || answer.error_ == ErrorKind::UnknownJob;
+        const Outcome refused = answer.error_ == ErrorKind::OutcomeUnknown ? Outcome::Unknown : Outcome::NotRun;
+        metrics_.countAnswer(done ? Outcome::Done : refused, answer.error_);
+        metrics_.observeRequest(VerbNames.at(static_cast<std::size_t>(answer.verb_)), answer.age_);
+    }
+    for (const KvCall &call : actions_.cell_.kv_) {
+        metrics_.countStoreCall(KvNames.at(static_cast<std::size_t>(call.op_)));
+    }
+}
+
+void CellProcess::State::addMetricSources()
+{
+    metrics_.addRing("callers", [this] { return clients_.depth(); });
+    metrics_.addRing("results", [this] { return results_.depth(); });
+    metrics_.addRing("peer-events", [this] { return peerEvents_.depth(); });
+    metrics_.addRing("answers", [this] { return answers_.depth(); });
+    metrics_.addRing("platform-calls", [this] { return calls_.depth(); });
+    metrics_.addRing("peer-commands", [this] { return peerCommands_.depth(); });
+    metrics_.addRing("open-requests", [this] { return front_->open(); });
+    metrics_.setTransport([this] { return transport_.counters(); });
+}
+
 // Hands the actions to the other threads. The rings grow over their size rather than lose a reply or a call.
 void CellProcess::State::perform()
 {
     writeStructuredLog(actions_.cell_.log_);
+    countActions();
     if (actions_.peerSet_) {
         peerCommands_.force(std::move(*actions_.peerSet_));
     }
@@ -353,6 +390,7 @@
         return error;
     }
     detail = "metrics_address " + state.settings_.metricsAddress_;
+    state.addMetricSources();
     if (!state.settings_.metricsAddress_.empty()) {
         if (const std::error_code error = state.metrics_.expose(state.settings_.metricsAddress_)) {
             return error;
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -101,6 +101,11 @@
     CounterFamily &storeCalls_ = counter("mimosapier_store_calls_total", "Calls of the store; a watch counts as one.");
     CounterFamily &storeResults_ = counter("mimosapier_store_results_total", "Results of store calls by status.");
     CounterFamily &workerCalls_ = counter("mimosapier_worker_calls_total", "Calls of workers by kind and status.");
+    CounterFamily &runnerCalls_ = counter("mimosapier_runner_calls_total", "Calls of runners by kind and status.");
+    prometheus::Family<prometheus::Histogram> &latencies_ = prometheus::BuildHistogram()
+                                                                .Name("mimosapier_request_seconds")
+                                                                .Help("Time from a request's arrival to its answer.")
+                                                                .Register(*registry_);
     prometheus::Histogram &steps_
         = prometheus::BuildHistogram()
               .Name("mimosapier_step_seconds")
@@ -174,6 +179,18 @@
         .Increment();
 }
 
+void Metrics::observeRequest(std::string_view kind, Duration duration)
+{
+    static const prometheus::Histogram::BucketBoundaries bounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5};
+    state_->latencies_.Add({{"kind", std::string(kind)}}, bounds)
+        .Observe(std::chrono::duration<double>(duration).count());
+}
+
+void Metrics::countRunnerCall(std::string_view operation, std::string_view status)
+{
+    state_->runnerCalls_.Add({{"operation", std::string(operation)}, {"status", std::string(status)}}).Increment();
+}
+
 void Metrics::observeStep(Duration duration)
 {
     state_->steps_.Observe(std::chrono::duration<double>(duration).count());
--- a/src/daemon/metrics_base.h
+++ b/src/daemon/metrics_base.h
@@ -37,6 +37,8 @@
     void countStoreResult(StoreStatus status);
     void countWorkerCall(std::string_view operation, WorkerStatus status);
     void observeStep(Duration duration);
+    void observeRequest(std::string_view kind, Duration duration); // from arrival to answer
+    void countRunnerCall(std::string_view operation, std::string_view status);
 
     // Text of /metrics.
     [[nodiscard]] std::string render() const;
