--- a/src/core/cell/cell_func.h
+++ b/src/core/cell/cell_func.h
@@ -57,6 +57,9 @@
 // A leadership that was lost and won again, with no other in between.
 void renewLeadership(Cell &cell, std::uint64_t leaderRevision);
 
+// Text form "<16 hex digits>" of a job's id, used in keys and logs.
+std::string jobText(StagedJobId id);
+
 // True when nothing waits for the store.
 bool isFlushed(const Cell &cell);
 
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -39,8 +39,6 @@
 const StepSpec &stepSpec(const Job &job, std::uint32_t step);
 bool isFinal(const Job &job);
 
-// Text form "<16 hex digits>" of a job's id, used in keys and logs.
-std::string jobText(StagedJobId id);
 std::string taskText(const StagedTask &task);
 
 // Adds a line to the log.
--- a/src/core/cell/jobs.cpp
+++ b/src/core/cell/jobs.cpp
@@ -5,6 +5,21 @@
 #include <charconv>
 #include <functional>
 
+namespace mimosapier
+{
+
+std::string jobText(StagedJobId id)
+{
+    std::string text(16, '0');
+    std::array<char, 16> digits{};
+    const auto [end, error] = std::to_chars(digits.data(), digits.data() + digits.size(), id.value_, 16);
+    const auto length = static_cast<std::size_t>(end - digits.data());
+    std::copy_n(digits.data(), length, text.begin() + static_cast<std::ptrdiff_t>(text.size() - length));
+    return text;
+}
+
+} // namespace mimosapier
+
 namespace mimosapier::detail
 {
 
@@ -40,16 +55,6 @@
     return &state.tasks_[task.index_];
 }
 
-std::string jobText(StagedJobId id)
-{
-    std::string text(16, '0');
-    std::array<char, 16> digits{};
-    const auto [end, error] = std::to_chars(digits.data(), digits.data() + digits.size(), id.value_, 16);
-    const auto length = static_cast<std::size_t>(end - digits.data());
-    std::copy_n(digits.data(), length, text.begin() + static_cast<std::ptrdiff_t>(text.size() - length));
-    return text;
-}
-
 std::string taskText(const StagedTask &task)
 {
     std::string text = jobText(task.job_);
--- a/src/core/control/relay.cpp
+++ b/src/core/control/relay.cpp
@@ -12,11 +12,13 @@
 static constexpr std::size_t RelayFrom = 12;
 // Added to the time that the call itself may take: ways between regions, and a relay that is busy.
 static constexpr Milliseconds RelayMargin{600};
+// A daemon that was not heard for this long, two beacons, is not chosen: its connections may be dead.
+static constexpr Milliseconds RelaySilence{1'100};
 // Ids of calls that are made for others; those of a leader's own calls begin with its epoch.
 static constexpr std::uint64_t RelayIds = std::uint64_t{1} << 63U;
 
 // The daemon that calls the runner, the same one as long as the members do not change; nullptr: this daemon.
-static const DaemonId *chooseRelay(const Control &control, const RunnerCall &call)
+static const DaemonId *chooseRelay(const Control &control, const RunnerCall &call, TimePoint now)
 {
     const auto runner = control.cell_->runners_.find(call.runner_);
     if (runner == control.cell_->runners_.end()) {
@@ -25,7 +27,8 @@
     const DaemonId *best = nullptr;
     std::size_t bestHash = 0;
     for (const auto &[daemon, member] : control.members_) {
-        if (member.connected_ && member.listed_ && member.zone_ == runner->second->record_.zone_) {
+        if (member.connected_ && member.listed_ && now < member.beaconAt_ + RelaySilence
+            && member.zone_ == runner->second->record_.zone_) {
             const std::size_t hash = std::hash<std::string>{}(daemon.value_ + call.runner_.value_);
             if (best == nullptr || hash > bestHash) {
                 best = &daemon;
@@ -44,7 +47,7 @@
     std::map<DaemonId, RelayedCalls> batches;
     std::vector<RunnerCall> own;
     for (RunnerCall &call : actions.cell_.runners_) {
-        const DaemonId *relay = (call.id_ & RelayIds) == 0 ? chooseRelay(control, call) : nullptr;
+        const DaemonId *relay = (call.id_ & RelayIds) == 0 ? chooseRelay(control, call, now.steady_) : nullptr;
         if (relay == nullptr) {
             own.push_back(std::move(call));
             continue;
--- a/src/core/control/requests.cpp
+++ b/src/core/control/requests.cpp
@@ -130,7 +130,8 @@
     const OpenRequest &open = found->second;
     if (answer.error_ != ErrorKind::None && answer.error_ != ErrorKind::UnknownJob) {
         JsonObject line = controlEvent("request-failed");
-        line.number("call", static_cast<std::int64_t>(call)).number("job", 0);
+        line.number("call", static_cast<std::int64_t>(call)).text("job", jobText(open.request_.job_));
+        line.text("account", open.request_.account_).text("queue", open.request_.policy_.queue_);
         line.text("error", errorName(answer.error_)).text("leader", open.sentTo_.value_);
         line.number("age_ms", ageMs(now.steady_, open.arrivedAt_));
         line.number("leaders_asked", open.sent_);
