--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -244,7 +244,6 @@
     bool superseded_ = false; // a runner or the store has seen a later leader
     bool storeTrouble_ = false; // a transaction has waited for long
     bool leaving_ = false; // no new work is taken
-    bool startsHeld_ = false; // which runners are leaving is not known any more
     TimePoint nextTickAt_;
     TimePoint nextTimersAt_;
     TimePoint nextPlacementAt_;
--- a/src/core/cell/cell_type.h
+++ b/src/core/cell/cell_type.h
@@ -56,7 +56,6 @@
     Milliseconds holdMax_{10'000}; // longest lease of a task
     Milliseconds stopTimeout_{900}; // longest time that a stop takes
     Milliseconds gangTimeout_{3'000}; // a member of a gang waits this long for the others
-    Milliseconds drain_{2'500}; // a runner that leaves gets no task later than this after it has said so
     Milliseconds revoke_{5'000}; // a withdrawn key works at most this long
     Milliseconds statusKept_{120'000}; // a final state is shown at least this long
     double remoteFactor_ = 2; // slow-down away from the data or over several racks
--- a/src/core/cell/placement.cpp
+++ b/src/core/cell/placement.cpp
@@ -347,7 +347,7 @@
 
 void placeWaiting(Cell &cell, CellTime now, CellActions &actions)
 {
-    if (cell.superseded_ || cell.startsHeld_) {
+    if (cell.superseded_) {
         return;
     }
     sortByUrgency(cell, now.steady_);
--- a/src/core/control/control_base.h
+++ b/src/core/control/control_base.h
@@ -64,7 +64,6 @@
     bool read_ = false; // the state was read; watches follow
     std::uint64_t revision_ = 0; // changes up to it are known
     TimePoint nextAt_;
-    TimePoint provenAt_; // what was read was complete at this time
     std::uint32_t failures_ = 0; // in a row
 };
 
--- a/src/core/control/feeds.cpp
+++ b/src/core/control/feeds.cpp
@@ -9,8 +9,7 @@
 
 static constexpr Milliseconds ConfigWait{1'000}; // of a watch; its answer proves that the configuration is the newest
 static constexpr Milliseconds ClusterWait{2'000};
-// A list is proven at the sending of a watch, so it is up to two waits old: less than the time to heed a drain, 2.5 s.
-static constexpr Milliseconds RunnerWait{900};
+static constexpr Milliseconds RunnerWait{2'000};
 // Of a read of a whole space: 350 runners are about 200 KB, over links of 10 Mbit/s and to a busy instance.
 static constexpr Milliseconds ReadTimeout{3'000};
 static constexpr Milliseconds RetryPause{150}; // doubles; refused calls are priced
@@ -226,7 +225,6 @@
         }
         feed.failures_ = 0;
         feed.read_ = true;
-        feed.provenAt_ = std::max(feed.provenAt_, reply.sentAt_);
         feed.revision_ = std::max(feed.revision_, reply.revision_);
         feed.nextAt_ = now.steady_;
         applyItems(control, reply, now, actions);
--- a/src/core/control/relay.cpp
+++ b/src/core/control/relay.cpp
@@ -14,8 +14,6 @@
 static constexpr Milliseconds RelayMargin{600};
 // A daemon that was not heard for this long, two beacons, is not chosen: its connections may be dead.
 static constexpr Milliseconds RelaySilence{1'100};
-// For the way of a start from the leader over a daemon to the runner.
-static constexpr Milliseconds ListMargin{400};
 // Ids of calls that are made for others; those of a leader's own calls begin with its epoch.
 static constexpr std::uint64_t RelayIds = std::uint64_t{1} << 63U;
 
@@ -41,27 +39,11 @@
     return best;
 }
 
-// A leader that the store has turned away would go on to start tasks through sound daemons, on runners that have said
-// that they leave. It stops when its list of runners is too old for that.
-static void holdStarts(Control &control, CellTime now, ControlActions &actions)
-{
-    const Milliseconds limit = control.settings_.cell_.drain_ - ListMargin;
-    const bool held = now.steady_ > control.runnerFeed_.provenAt_ + limit;
-    if (held != control.cell_->startsHeld_) {
-        control.cell_->startsHeld_ = held;
-        control.cell_->dirtyPlacement_ = true;
-        JsonObject line = controlEvent(held ? "starts-held" : "starts-resumed");
-        line.number("list_age_ms", ageMs(now.steady_, control.runnerFeed_.provenAt_));
-        controlLog(actions, line, LogLevel::Warning);
-    }
-}
-
 void relayCalls(Control &control, CellTime now, ControlActions &actions)
 {
     if (!control.cell_ || control.members_.size() < RelayFrom) {
         return;
     }
-    holdStarts(control, now, actions);
     std::map<DaemonId, RelayedCalls> batches;
     std::vector<RunnerCall> own;
     for (RunnerCall &call : actions.cell_.runners_) {
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -181,7 +181,6 @@
     control.cell_.holdMax_ = Milliseconds(cell.holdMaxMs_);
     control.cell_.stopTimeout_ = Milliseconds(cell.stopTimeoutMs_);
     control.cell_.gangTimeout_ = Milliseconds(cell.gangTimeoutMs_);
-    control.cell_.drain_ = Milliseconds(cell.drainMs_);
     control.cell_.revoke_ = Milliseconds(cell.revokeMs_);
     control.cell_.statusKept_ = std::chrono::seconds(cell.statusS_);
     control.cell_.remoteFactor_ = cell.remoteFactor_;
--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -36,7 +36,6 @@
     std::uint64_t graceMs_ = 6'000; // from SIGTERM to SIGKILL
     std::uint64_t storeWritesPerS_ = 400; // of all daemons together
     std::uint64_t storeMinLeaseMs_ = 1'000; // shortest lease of the store
-    std::uint64_t drainMs_ = 2'500; // a runner that leaves gets no task later than this after it has said so
     double remoteFactor_ = 2; // slow-down of tasks away from their data
     double processorShare_ = 1; // processors of this instance
 };
--- a/src/daemon/table/settings_table.h
+++ b/src/daemon/table/settings_table.h
@@ -92,7 +92,6 @@
     cellCount("cell.hold_max_ms", &CellDeployment::holdMaxMs_, 1'000, 600'000),
     cellCount("cell.stop_timeout_ms", &CellDeployment::stopTimeoutMs_, 0, 600'000),
     cellCount("cell.gang_timeout_ms", &CellDeployment::gangTimeoutMs_, 100, 600'000),
-    cellCount("cell.drain_ms", &CellDeployment::drainMs_, 1'000, 600'000),
     cellCount("cell.revoke_ms", &CellDeployment::revokeMs_, 2'000, 600'000),
     cellCount("cell.status_s", &CellDeployment::statusS_, 1, 86'400),
     cellCount("cell.grace_ms", &CellDeployment::graceMs_, 1'500, 600'000),
