--- a/src/core/message/peer_type.h
+++ b/src/core/message/peer_type.h
@@ -200,9 +200,9 @@
     bool operator==(const AllowanceWanted &) const = default;
 };
 
-using PeerMessage
-    = std::variant<Heartbeat, TaskOffer, TaskAnswer, TaskAck, TaskCancel, JobSubmit, JobQuery, JobCancel, JobAnswer,
-                   ConfigAnnounce, ConfigAnnounceAck, ConfigPush, Handover, AllowanceWanted, CellBeacon, CellRequest,
-                   CellReply, PolicyQuery, PolicyAnswer, CellConfigWanted, CellConfigText, RelayedCalls, RelayedReplies>;
+using PeerMessage = std::variant<Heartbeat, TaskOffer, TaskAnswer, TaskAck, TaskCancel, JobSubmit, JobQuery, JobCancel,
+                                 JobAnswer, ConfigAnnounce, ConfigAnnounceAck, ConfigPush, Handover, AllowanceWanted,
+                                 CellBeacon, CellRequest, CellReply, PolicyQuery, PolicyAnswer, CellConfigWanted,
+                                 CellConfigText, RelayedCalls, RelayedReplies>;
 
 } // namespace mimosapier
