--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -57,7 +57,6 @@
     TimePoint queryNotBefore_; // after a query without an answer
     std::map<RunnerId, PolicyVerdict> verdicts_;
     std::map<RunnerId, std::uint32_t> perRunner_; // placed tasks; for anti-affinity
-    bool waitLogged_ = false; // the reason of a wait is logged once
 };
 
 struct Occurrence
@@ -152,7 +151,6 @@
     TimePoint avoidUntil_; // nothing is placed there after failures
     std::uint32_t failedCalls_ = 0; // in a row
     std::uint32_t failedRuns_ = 0; // runs in a row that ended as failed
-    double slowness_ = 1; // run time against the estimate, compared with all runners; smoothed
 };
 
 struct Account
--- a/src/core/cell/cell_func.h
+++ b/src/core/cell/cell_func.h
@@ -45,7 +45,7 @@
 void updateRunner(Cell &cell, const RunnerRecord &record, CellTime now, CellActions &actions);
 void removeRunner(Cell &cell, const RunnerId &id, CellTime now, CellActions &actions);
 
-// Replies of runners, of the policy service and of the store (purposes Lane and Cleanup).
+// Replies of runners, of the policy service and of the store (purpose Lane).
 void handleRunnerReply(Cell &cell, const RunnerReply &reply, CellTime now, CellActions &actions);
 void handlePolicyAnswer(Cell &cell, const DaemonId &from, const PolicyAnswer &answer, CellTime now,
                         CellActions &actions);
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -46,6 +46,9 @@
 void logTo(CellActions &actions, JsonObject &object, LogLevel level = LogLevel::Info);
 
 // jobs.cpp
+std::int64_t dueOf(const Job &job, std::uint32_t number);
+// The occurrence with that number, created with all its tasks waiting when it is not there.
+Occurrence &createOccurrence(Job &job, std::uint32_t number, std::int64_t due);
 void materialize(Cell &cell, Job &job, CellTime now);
 void refreshReady(Cell &cell, Job &job, std::uint32_t occurrence);
 void queueStep(Cell &cell, Job &job, std::uint32_t occurrence, std::uint32_t step);
--- a/src/core/cell/jobs.cpp
+++ b/src/core/cell/jobs.cpp
@@ -109,17 +109,29 @@
     }
 }
 
-static void addOccurrence(Cell &cell, Job &job, std::uint32_t number, std::int64_t due)
+std::int64_t dueOf(const Job &job, std::uint32_t number)
+{
+    return job.submitted_.firstRunUnixMs_ + number * job.submitted_.intervalMs_;
+}
+
+Occurrence &createOccurrence(Job &job, std::uint32_t number, std::int64_t due)
 {
     const auto [entry, inserted] = job.occurrences_.try_emplace(number);
+    Occurrence &occurrence = entry->second;
     if (inserted) {
-        entry->second.dueUnixMs_ = due;
+        occurrence.dueUnixMs_ = due;
         for (const StepSpec &spec : job.submitted_.steps_) {
-            StepState &step = entry->second.steps_.emplace_back();
+            StepState &step = occurrence.steps_.emplace_back();
             step.tasks_.resize(spec.count_);
             step.waiting_ = spec.count_;
         }
     }
+    return occurrence;
+}
+
+static void addOccurrence(Cell &cell, Job &job, std::uint32_t number, std::int64_t due)
+{
+    createOccurrence(job, number, due);
     refreshReady(cell, job, number);
 }
 
@@ -134,7 +146,7 @@
         return;
     }
     for (std::uint32_t number = 0; number < job.submitted_.repeatCount_; ++number) {
-        const std::int64_t due = job.submitted_.firstRunUnixMs_ + number * job.submitted_.intervalMs_;
+        const std::int64_t due = dueOf(job, number);
         if (due > now.unixMs_ || job.occurrences_.size() - job.occurrencesDone_ >= MaxOccurrencesAhead) {
             break;
         }
--- a/src/core/cell/records.cpp
+++ b/src/core/cell/records.cpp
@@ -146,21 +146,6 @@
     step.gangFailedRuns_ = document.gangFailedRuns_;
 }
 
-static Occurrence &occurrenceOf(Job &job, std::uint32_t number)
-{
-    const auto [entry, inserted] = job.occurrences_.try_emplace(number);
-    Occurrence &occurrence = entry->second;
-    if (inserted) {
-        occurrence.dueUnixMs_ = job.submitted_.firstRunUnixMs_ + number * job.submitted_.intervalMs_;
-        for (const StepSpec &spec : job.submitted_.steps_) {
-            StepState &step = occurrence.steps_.emplace_back();
-            step.tasks_.resize(spec.count_);
-            step.waiting_ = spec.count_;
-        }
-    }
-    return occurrence;
-}
-
 bool decodeProgress(std::string_view bytes, Job &job)
 {
     ProgressDocument document;
@@ -174,7 +159,7 @@
     }
     job.occurrencesDone_ = document.occurrencesDone_;
     for (const std::uint32_t number : document.doneOccurrences_) {
-        Occurrence &occurrence = occurrenceOf(job, number);
+        Occurrence &occurrence = createOccurrence(job, number, dueOf(job, number));
         occurrence.stepsDone_ = static_cast<std::uint32_t>(occurrence.steps_.size());
         for (StepState &step : occurrence.steps_) {
             step.done_ = static_cast<std::uint32_t>(step.tasks_.size());
@@ -188,7 +173,7 @@
         if (step.step_ >= job.submitted_.steps_.size()) {
             return false;
         }
-        Occurrence &occurrence = occurrenceOf(job, step.occurrence_);
+        Occurrence &occurrence = createOccurrence(job, step.occurrence_, dueOf(job, step.occurrence_));
         StepState &state = occurrence.steps_[step.step_];
         applyStep(step, state);
         if (state.done_ == state.tasks_.size()) {
--- a/src/core/control/control.cpp
+++ b/src/core/control/control.cpp
@@ -262,7 +262,6 @@
         recoveryReply(control, reply, now);
         break;
     case KvPurpose::Lane:
-    case KvPurpose::Cleanup:
         if (control.cell_) {
             handleLaneReply(*control.cell_, reply, now, actions.cell_);
         }
--- a/src/core/message/kv_type.h
+++ b/src/core/message/kv_type.h
@@ -58,7 +58,6 @@
     ReadRunners,
     WatchRunners,
     Lane,
-    Cleanup,
 };
 
 struct KvCall
