Fix: [tests] The fake node answers a held request that reaches it after LeaveRequested

process::openRequestsAreBounded failed in about 1 of 80 runs beside load. The front had the held request, but the decision thread took LeaveRequested first: the two come through different rings. The fake node then held the request for ever, and the client gave up after 5 s. Ruled out: a lost answer in the HTTP server (the node never answered) and a refusal of the held request (the poll for 429 would fail first). The daemon's own node answers such requests, so only the fake changes; the check and its bound stay.

--- a/tests/daemon/fake_node.cpp
+++ b/tests/daemon/fake_node.cpp
@@ -1,5 +1,5 @@
 // A node that answers callers by itself, in place of the decision logic. The payload of a submission decides:
-// "hold" is answered when the daemon leaves, "never" is never answered, "slow" blocks the step for a moment,
+// "hold" is answered once the daemon leaves, "never" is never answered, "slow" blocks the step for a moment,
 // "store" is answered with the status of a store operation, anything else is done at once.
 #include "core/node/node_func.h"
 
@@ -13,6 +13,7 @@
 {
     std::vector<CallId> held_;
     std::map<StoreOpId, CallId> asked_;
+    bool leaving_ = false;
 };
 
 template <>
@@ -42,8 +43,11 @@
 
 static void submit(Node &node, CallId call, const SubmitRequest &request, Actions &actions)
 {
-    if (request.payload_ == "hold") {
+    // A request can come after LeaveRequested although its front had it before: the two take different rings.
+    if (request.payload_ == "hold" && !node.leaving_) {
         node.held_.push_back(call);
+    } else if (request.payload_ == "hold") {
+        answer(call, Outcome::Done, "held", actions);
     } else if (request.payload_ == "store") {
         const StoreOpId id{actions.nextId()};
         node.asked_[id] = call;
@@ -67,6 +71,7 @@
     } else if (const auto *result = std::get_if<StoreResult>(&event)) {
         answer(node.asked_[result->id_], Outcome::Done, std::to_string(static_cast<int>(result->status_)), actions);
     } else if (std::holds_alternative<LeaveRequested>(event)) {
+        node.leaving_ = true;
         for (const CallId call : node.held_) {
             answer(call, Outcome::Done, "held", actions);
         }
