--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -196,6 +196,7 @@
     std::vector<std::pair<StagedJobId, std::uint64_t>> progressed_; // with the version
     std::vector<RunnerId> runners_; // stored list of runners, when it is part
     bool storesRunners_ = false;
+    bool uncertain_ = false; // a try may have taken effect, or may do so later
     bool callOpen_ = false;
     TimePoint firstSentAt_;
     TimePoint retryAt_;
--- a/src/core/cell/lanes.cpp
+++ b/src/core/cell/lanes.cpp
@@ -16,6 +16,7 @@
     return "lane/" + std::to_string(lane);
 }
 
+static constexpr std::string_view JobPrefix = "job/";
 static constexpr Milliseconds FirstRetry{40}; // doubles up to MaxRetry; calls to the store are priced
 static constexpr Milliseconds MaxRetry{600};
 static constexpr unsigned MaxDoublings = 4;
@@ -26,7 +27,7 @@
         const Job *job = findJob(cell, cell.accepting_.front());
         cell.accepting_.pop_front();
         if (job != nullptr && !job->stored_) {
-            transaction.call_.writes_.push_back({"job/" + jobText(job->id_), encodeJob(*job), 0});
+            transaction.call_.writes_.push_back({std::string(JobPrefix) + jobText(job->id_), encodeJob(*job), 0});
             transaction.accepted_.push_back(job->id_);
         }
     }
@@ -61,7 +62,7 @@
         job->storingVersion_ = job->version_;
         transaction.call_.writes_.push_back({"progress/" + jobText(job->id_), encodeProgress(*job), 0});
         if (isFinal(*job)) {
-            transaction.call_.removes_.push_back("job/" + jobText(job->id_));
+            transaction.call_.removes_.push_back(std::string(JobPrefix) + jobText(job->id_));
         }
         transaction.progressed_.emplace_back(job->id_, job->version_);
     }
@@ -91,6 +92,37 @@
     actions.kv_.push_back(call);
 }
 
+// Tells the clients of a job that is certainly not stored so, and forgets it.
+static void refuseSubmit(Cell &cell, StagedJobId id, CellActions &actions)
+{
+    const Job *job = findJob(cell, id);
+    if (job == nullptr) {
+        return;
+    }
+    constexpr Milliseconds RetryAfter{2'000}; // outages of the store last seconds
+    for (const auto &[daemon, call] : job->acceptWaiting_) {
+        actions.replies_.push_back({daemon, {call, CellOutcome::Unavailable, {}, 0, RetryAfter}});
+    }
+    for (const auto &[version, waiting] : job->storeWaiting_) { // cancelled while it was being stored
+        actions.replies_.push_back({waiting.first, {waiting.second, CellOutcome::Gone, {}, 0, {}}});
+    }
+    JsonObject line = logEvent("submit-refused");
+    line.text("job", jobText(id)).text("reason", "store-unavailable");
+    logTo(actions, line);
+    cell.jobs_.erase(id);
+}
+
+// Refuses the jobs of a transaction of which every try was refused: none of them can take effect any more. The
+// transaction goes on without them, to notice the store's return.
+static void withdrawAccepts(Cell &cell, LaneTransaction &transaction, CellActions &actions)
+{
+    for (const StagedJobId id : transaction.accepted_) {
+        refuseSubmit(cell, id, actions);
+    }
+    transaction.accepted_.clear();
+    std::erase_if(transaction.call_.writes_, [](const KvWrite &write) { return write.key_.starts_with(JobPrefix); });
+}
+
 void detail::flushLanes(Cell &cell, CellTime now, CellActions &actions)
 {
     bool trouble = false;
@@ -129,20 +161,8 @@
     if (!cell.storeTrouble_) {
         return;
     }
-    // Jobs that no transaction carries have certainly not been accepted; their clients are told so at once.
-    for (const StagedJobId id : cell.accepting_) {
-        const Job *job = findJob(cell, id);
-        if (job == nullptr) {
-            continue;
-        }
-        for (const auto &[daemon, call] : job->acceptWaiting_) {
-            constexpr Milliseconds RetryAfter{2'000}; // outages of the store last seconds
-            actions.replies_.push_back({daemon, {call, CellOutcome::Unavailable, {}, 0, RetryAfter}});
-        }
-        JsonObject line = logEvent("submit-refused");
-        line.text("job", jobText(id)).text("reason", "store-unavailable");
-        logTo(actions, line);
-        cell.jobs_.erase(id);
+    for (const StagedJobId id : cell.accepting_) { // no transaction carries them
+        refuseSubmit(cell, id, actions);
     }
     cell.accepting_.clear();
 }
@@ -261,6 +281,10 @@
         conflicted(cell, reply.lane_, reply, now, actions);
         break;
     default: {
+        transaction.uncertain_ = transaction.uncertain_ || reply.status_ != KvStatus::NotDone;
+        if (!transaction.uncertain_ && now.steady_ - transaction.firstSentAt_ > StoreTroubleAfter) {
+            withdrawAccepts(cell, transaction, actions);
+        }
         const Milliseconds pause
             = std::min(MaxRetry, FirstRetry * (1U << std::min(transaction.tries_ - 1, MaxDoublings)));
         transaction.retryAt_ = now.steady_ + pause;
--- a/tests/control/fake_kv.h
+++ b/src/standin/kv_model.h
@@ -1,8 +1,11 @@
-// A store with revisions, transactions, leases and watches, as the platform publishes them.
+// A store with revisions, transactions, leases and watches, as the platform publishes them. Time is the caller's, so
+// that tests can replay runs; the stand-in of the platform serves it over HTTP.
 #pragma once
 
 #include "core/message/kv_type.h"
 
+#include <array>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -12,8 +15,10 @@
 namespace mimosapier
 {
 
-struct FakeKv
+struct KvModel
 {
+    static constexpr std::size_t HistoryKept = 4'096; // changes that watches can go on from
+
     struct Entry
     {
         std::string value_;
@@ -21,24 +26,34 @@
         std::uint64_t lease_ = 0;
     };
 
-    std::map<std::string, Entry> entries_[3]; // by space
-    std::vector<std::pair<KvSpace, KvItem>> history_;
+    std::array<std::map<std::string, Entry>, 3> entries_; // by space
+    std::deque<std::pair<KvSpace, KvItem>> history_; // ascending by revision
+    std::uint64_t forgotten_ = 0; // changes up to this revision are no longer in history_
     std::map<std::uint64_t, std::pair<TimePoint, Milliseconds>> leases_; // end and length
     std::uint64_t revision_ = 0;
     std::uint64_t nextLease_ = 100;
 
-    std::map<std::string, Entry> &space(KvSpace space) { return entries_[static_cast<std::size_t>(space)]; }
+    std::map<std::string, Entry> &space(KvSpace space) { return entries_.at(static_cast<std::size_t>(space)); }
 
     void put(KvSpace where, const std::string &key, const std::string &value, std::uint64_t lease)
     {
         space(where)[key] = {value, revision_, lease};
-        history_.push_back({where, {key, value, revision_, false}});
+        remember(where, {key, value, revision_, false});
+    }
+
+    void remember(KvSpace where, KvItem item)
+    {
+        history_.emplace_back(where, std::move(item));
+        if (history_.size() > HistoryKept) {
+            forgotten_ = history_.front().second.revision_;
+            history_.pop_front();
+        }
     }
 
     void erase(KvSpace where, const std::string &key)
     {
         if (space(where).erase(key) > 0) {
-            history_.push_back({where, {key, "", revision_, true}});
+            remember(where, {key, "", revision_, true});
         }
     }
 
@@ -86,9 +101,14 @@
             read(call, reply);
             break;
         case KvOp::Watch:
-            for (const auto &[where, item] : history_) {
-                if (where == call.space_ && item.revision_ > call.afterRevision_ && item.key_.starts_with(call.key_)) {
-                    reply.items_.push_back(item);
+            if (call.afterRevision_ < forgotten_) {
+                reply.status_ = KvStatus::HistoryLost;
+                break;
+            }
+            for (auto change = history_.rbegin();
+                 change != history_.rend() && change->second.revision_ > call.afterRevision_; ++change) {
+                if (change->first == call.space_ && change->second.key_.starts_with(call.key_)) {
+                    reply.items_.insert(reply.items_.begin(), change->second);
                 }
             }
             if (reply.items_.empty() && now < sentAt + call.wait_) {
--- a/tests/cell/fake_runner.h
+++ b/src/standin/runner_model.h
@@ -11,7 +11,7 @@
 namespace mimosapier
 {
 
-struct FakeRunner
+struct RunnerModel
 {
     RunnerRecord record_;
     bool reachable_ = true;
@@ -21,6 +21,7 @@
     std::int64_t leaseUntilMs_ = 0;
     std::map<StagedTask, std::uint64_t> active_; // run
     std::vector<FinishedRun> finished_;
+    std::map<StagedTask, std::uint64_t> endedRuns_; // highest run that was stopped or ended here
     std::uint64_t lastEnd_ = 0;
     std::vector<std::pair<StagedTask, std::uint64_t>> starts_; // all that began here, with the run
 
@@ -39,6 +40,7 @@
         const auto found = active_.find(task);
         if (found != active_.end()) {
             finished_.push_back({++lastEnd_, task, RunNumber{found->second}, how, ""});
+            endedRuns_[task] = std::max(endedRuns_[task], found->second);
             active_.erase(found);
         }
     }
@@ -65,11 +67,15 @@
         token_ = call.token_.value_;
         leaseUntilMs_ = std::max(leaseUntilMs_, call.untilMs_);
         if (call.op_ == RunnerOp::Start) {
-            if (active_.emplace(call.task_, call.run_.value_).second) {
+            const auto ended = endedRuns_.find(call.task_);
+            if (ended != endedRuns_.end() && call.run_.value_ <= ended->second) {
+                reply.status_ = RunnerStatus::Superseded;
+            } else if (active_.emplace(call.task_, call.run_.value_).second) {
                 starts_.emplace_back(call.task_, call.run_.value_);
             }
         } else if (call.op_ == RunnerOp::Stop) {
             end(call.task_, RunEnd::Stopped);
+            endedRuns_[call.task_] = std::max(endedRuns_[call.task_], call.run_.value_);
         } else {
             std::erase_if(finished_, [&call](const FinishedRun &run) { return run.number_ <= call.acknowledgedEnd_; });
             reply.finished_ = finished_;
--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -1,8 +1,8 @@
 // A leader of a cell with fake runners, a fake store and a fake policy service, driven by a clock of the test.
 #pragma once
 
-#include "cell/fake_runner.h"
 #include "core/cell/cell_func.h"
+#include "standin/runner_model.h"
 
 #include <deque>
 #include <map>
@@ -33,7 +33,7 @@
         config_.accounts_ = {{"a", {"key"}, 1, {}}};
         applyConfig(*cell_, config_);
         for (int i = 0; i < runners; ++i) {
-            FakeRunner runner;
+            RunnerModel runner;
             runner.record_.id_ = RunnerId("r" + std::to_string(i));
             runner.record_.service_ = "s";
             runner.record_.address_ = "10.0.0.1:1";
@@ -141,7 +141,7 @@
         reply.purpose_ = call.purpose_;
         reply.lane_ = call.lane_;
         reply.sentAt_ = now_;
-        reply.status_ = KvStatus::NotDone;
+        reply.status_ = downStatus_;
         if (storeUp_) {
             const std::string lane = laneKey(call.lane_);
             const bool holds = call.conditions_[1].revision_ == laneRevisions_[call.lane_];
@@ -168,7 +168,7 @@
 
     std::int64_t elapsedMs() const { return std::chrono::duration_cast<Milliseconds>(now_ - start_).count(); }
 
-    std::int64_t clockOf(const FakeRunner &runner) const { return runner.clockOffsetMs_ + elapsedMs(); }
+    std::int64_t clockOf(const RunnerModel &runner) const { return runner.clockOffsetMs_ + elapsedMs(); }
 
     void answerRunner(const RunnerCall &call)
     {
@@ -201,7 +201,7 @@
     TimePoint start_{std::chrono::hours(1)};
     TimePoint now_ = start_;
     CellConfig config_;
-    std::map<RunnerId, FakeRunner> runners_;
+    std::map<RunnerId, RunnerModel> runners_;
     std::unique_ptr<Cell> cell_;
     CellActions actions_;
     std::map<std::uint64_t, CellReply> replies_; // by call
@@ -209,6 +209,7 @@
     std::uint64_t queries_ = 0;
     std::set<RunnerId> forbidden_; // by the policy service
     bool storeUp_ = true;
+    KvStatus downStatus_ = KvStatus::NotDone; // of its answers while it is not up; Unknown: there is no answer
     int loseAnswers_ = 0; // transactions that take effect without an answer
     std::uint64_t transactions_ = 0;
     std::uint64_t revision_ = 10;
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -62,7 +62,7 @@
     world.run(Milliseconds(300));
     const RunnerId first = world.where(FirstTask);
     cr_assert(!first.empty());
-    FakeRunner &silent = world.runners_.at(first);
+    RunnerModel &silent = world.runners_.at(first);
     silent.reachable_ = false;
     const std::int64_t until = silent.leaseUntilMs_;
     while (world.starts() == 1 && world.now_ < world.start_ + std::chrono::seconds(12)) {
@@ -139,6 +139,7 @@
     world.listRunners();
     world.run(Milliseconds(100));
     world.storeUp_ = false;
+    world.downStatus_ = KvStatus::Unknown;
     world.submit(1); // its transaction is under way: its outcome is not known
     world.run(Milliseconds(700));
     const auto call = world.submit(2);
@@ -213,3 +214,41 @@
         }
     }
 }
+
+// Guards against submissions that wait for the client's deadline, and get "unknown", while the store refuses every try:
+// nothing was done, so they can be refused at once and truthfully.
+Test(cell, submitsAreRefusedWhenTheStoreRefuses)
+{
+    CellWorld world;
+    world.listRunners();
+    world.run(Milliseconds(100));
+    world.storeUp_ = false;
+    const auto call = world.submit(1);
+    world.run(Milliseconds(900));
+    cr_assert(world.replies_.contains(call), "no answer after 0.9 s");
+    cr_assert(world.replies_.at(call).outcome_ == CellOutcome::Unavailable);
+    world.storeUp_ = true;
+    world.run(Milliseconds(700));
+    cr_assert(!world.stored_.contains("job/0000000000000001"), "a refused job must never be stored");
+    const auto again = world.submit(1);
+    world.run(Milliseconds(100));
+    cr_assert(world.replies_.at(again).outcome_ == CellOutcome::Ok);
+    cr_assert_eq(world.starts(), 1);
+}
+
+// Guards against "not run" for a job that may have been stored: one try got no answer.
+Test(cell, submitsWithALostAnswerAreNotRefused)
+{
+    CellWorld world;
+    world.listRunners();
+    world.run(Milliseconds(100));
+    world.loseAnswers_ = 1;
+    const auto call = world.submit(1);
+    world.run(Milliseconds(10));
+    world.storeUp_ = false;
+    world.run(Milliseconds(1'500));
+    cr_assert(!world.replies_.contains(call));
+    world.storeUp_ = true;
+    world.run(Milliseconds(700));
+    cr_assert(world.replies_.at(call).outcome_ == CellOutcome::Ok);
+}
--- a/tests/control/control_world.h
+++ b/tests/control/control_world.h
@@ -2,9 +2,9 @@
 // test's own, so that a run repeats exactly.
 #pragma once
 
-#include "cell/fake_runner.h"
-#include "control/fake_kv.h"
 #include "core/control/control_func.h"
+#include "standin/kv_model.h"
+#include "standin/runner_model.h"
 
 #include <cstdio>
 #include <deque>
@@ -41,7 +41,7 @@
     {
         store_.revision_ = 1;
         for (int i = 0; i < runners; ++i) {
-            FakeRunner runner;
+            RunnerModel runner;
             runner.record_.id_ = RunnerId("r" + std::to_string(i));
             runner.record_.service_ = "s";
             runner.record_.address_ = "10.0.0.1:1";
@@ -312,10 +312,10 @@
 
     TimePoint start_{std::chrono::hours(1)};
     TimePoint now_ = start_;
-    FakeKv store_;
+    KvModel store_;
     bool storeUp_ = true;
     std::set<DaemonId> cut_; // from all other daemons
-    std::map<RunnerId, FakeRunner> runners_;
+    std::map<RunnerId, RunnerModel> runners_;
     std::vector<std::unique_ptr<TestNode>> nodes_;
     std::deque<StoreCall> calls_;
     std::deque<std::pair<DaemonId, RunnerCall>> runnerCalls_;
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -200,7 +200,7 @@
     world.run(Milliseconds(200));
     leader.cutWatches_ = false;
     leader.refuseReads_ = true;
-    FakeRunner &runner = world.runners_.at(RunnerId("r0"));
+    RunnerModel &runner = world.runners_.at(RunnerId("r0"));
     runner.record_.draining_ = true;
     world.store_.write(KvSpace::Discovery, "r0", "leaving");
     world.run(Milliseconds(1'500));
--- a/tests/daemon/http_helper.h
+++ b/tests/daemon/http_helper.h
@@ -9,6 +9,7 @@
 #include <future>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace mimosapier::testing
 {
@@ -37,7 +38,7 @@
     TestClient() { thread_.start(); }
 
     std::future<HttpResult> send(const std::string &address, const std::string &method, const std::string &target,
-                                 const std::string &body = {})
+                                 const std::string &body = {}, std::vector<HttpHeader> headers = {})
     {
         auto promise = std::make_shared<std::promise<HttpResult>>();
         std::future<HttpResult> future = promise->get_future();
@@ -45,6 +46,7 @@
         request.method_ = method;
         request.target_ = target;
         request.body_ = body;
+        request.headers_ = std::move(headers);
         client_.send(address, std::move(request), Milliseconds(5000),
                      [promise](HttpResult result) { promise->set_value(std::move(result)); });
         return future;
