Change: [cell] Decisions whose cost does not grow with full runners and waiting work

Now: an index of runners with room for one pass, so that full runners are not looked at; queries stop when no daemon is free; the waiting work is summed up every 20 ms; starts and stops are scanned for repeats only when one is due; texts of log lines without special characters are copied whole.

--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -58,6 +58,7 @@
     job->submittedAt_ = now.steady_ - age;
     setObjectives(*job);
     const StagedJobId id = job->id_;
+    cell.unstarted_.insert(id);
     cell.jobs_.insert_or_assign(id, std::move(job));
 }
 
@@ -152,6 +153,10 @@
         cell.nextTickAt_ = now.steady_ + SlowTick;
         advanceOccurrences(cell, now);
         forgetEnded(cell, now);
+        std::erase_if(cell.unstarted_, [&cell](StagedJobId id) {
+            const Job *job = findJob(cell, id);
+            return job == nullptr || job->started_ || isFinal(*job);
+        });
         expireQueries(cell, now, actions);
         cell.dirtyPlacement_ = true; // retries that have become due
     }
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace mimosapier
 {
@@ -117,7 +118,7 @@
     std::uint32_t tries_ = 0; // of the call in the present phase
     TimePoint startedAt_; // when the start was first sent
     TimePoint settledAt_; // last answer after which a list without the task proves that it is gone
-    TimePoint retryAt_; // the call is sent again at this time
+    TimePoint retryAt_; // the call is sent again at this time; not before Runner::callsDueAt_
     std::int64_t untilMs_ = 0; // lease that the start asked for; its repeats ask for the same
 };
 
@@ -143,6 +144,7 @@
     std::uint64_t acknowledgedEnd_ = 0;
     std::deque<UnstoredEnd> unstored_; // ascending by number
     bool holdOpen_ = false;
+    TimePoint callsDueAt_ = TimePoint::max(); // no start or stop is to be repeated before
     TimePoint nextHoldAt_;
     std::int64_t bornUnixMs_ = 0; // of the life that the state belongs to
     std::int64_t clockMs_ = -1; // its clock when clockReadAt_ was; -1: unknown
@@ -212,6 +214,14 @@
     TimePoint nextAt_; // earliest time of the next transaction
 };
 
+// Work of jobs that have not started, in thousandths of a processor times milliseconds.
+struct WaitingWork
+{
+    TimePoint countedAt_;
+    std::map<std::pair<std::string, std::uint32_t>, double> inTime_; // by service and priority; not what is late anyway
+    std::map<std::string, double> all_; // by service
+};
+
 enum CellLane : std::uint8_t { AcceptLane, ProgressLane, LaneCount };
 
 struct Cell
@@ -239,6 +249,11 @@
     std::uint64_t nextId_ = 1; // of calls
     bool opened_ = false; // tasks of recovered jobs may start
     bool predecessorEnded_ = false; // the former leader certainly sends no more calls
+    std::unordered_set<StagedJobId> unstarted_; // jobs that have not started; may hold others until the next slow tick
+    WaitingWork waitingWork_;
+    std::map<std::string, double> serviceCapacity_; // thousandths of a processor on runners that take work, by service
+    bool capacityStale_ = true; // serviceCapacity_ is to be computed anew
+    std::uint64_t runnersLookedAt_ = 0; // by placement and policy queries; the cost of decisions under load
     bool dirtyPlacement_ = true; // something changed that may let a task start
     bool superseded_ = false; // a runner or the store has seen a later leader
     bool storeTrouble_ = false; // a transaction has waited for long
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -73,10 +73,35 @@
 bool usable(const Cell &cell, const Runner &runner, TimePoint now);
 void acknowledgeEnds(Cell &cell, Runner &runner);
 
+// rooms.cpp
+
+// A usable runner with free processors.
+struct RunnerRoom
+{
+    Runner *runner_ = nullptr;
+    std::int64_t milliCpus_ = 0; // free when the index was made; not less than what is free during the pass
+};
+
+// Usable runners of each service, those with the most free processors first. Valid for one pass over the queue, in
+// which room only shrinks: a task that does not fit the first runners fits none, so that a full fleet costs one look a
+// task instead of one a runner.
+class RoomIndex
+{
+public:
+    RoomIndex(Cell &cell, TimePoint now);
+    // Runners of a service that had at least that much free.
+    std::span<const RunnerRoom> withRoom(const std::string &service, std::int64_t milliCpus);
+
+private:
+    std::map<std::string, std::vector<RunnerRoom>> rooms_;
+    Cell &cell_;
+};
+
+bool hasLabel(const StepSpec &spec, const Runner &runner);
+Resources reservedSize(const StepSpec &spec);
+
 // placement.cpp, policy.cpp, lanes.cpp
 void placeWaiting(Cell &cell, CellTime now, CellActions &actions);
-bool mayPlaceOn(const Cell &cell, const Job &job, const StepSpec &spec, const Runner &runner, TimePoint now);
-Resources reservedSize(const StepSpec &spec);
 void requestQuery(Cell &cell, Job &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
 void sendQueries(Cell &cell, CellTime now, CellActions &actions);
 void expireQueries(Cell &cell, CellTime now, CellActions &actions);
--- a/src/core/cell/placement.cpp
+++ b/src/core/cell/placement.cpp
@@ -13,17 +13,6 @@
 namespace mimosapier::detail
 {
 
-// What a task reserves on a runner. Fill work uses the processors that others leave.
-Resources reservedSize(const StepSpec &spec)
-{
-    Resources size = spec.size_;
-    size.slots_ = 0;
-    if (spec.fill_) {
-        size.milliCpus_ = 0;
-    }
-    return size;
-}
-
 static Resources freeOn(const Runner &runner)
 {
     Resources free = runner.record_.capacity_ - runner.used_;
@@ -31,15 +20,6 @@
     return free;
 }
 
-bool mayPlaceOn(const Cell &cell, const Job &job, const StepSpec &spec, const Runner &runner, TimePoint now)
-{
-    if (!usable(cell, runner, now) || runner.record_.service_ != job.policy_.service_) {
-        return false;
-    }
-    const auto &labels = runner.record_.labels_;
-    return spec.requiredLabel_.empty() || std::find(labels.begin(), labels.end(), spec.requiredLabel_) != labels.end();
-}
-
 namespace
 {
 
@@ -82,18 +62,22 @@
     return room;
 }
 
-static std::vector<Candidate> candidatesOf(Cell &cell, const StepContext &context, TimePoint now)
+static std::vector<Candidate> candidatesOf(RoomIndex &rooms, const StepContext &context, TimePoint now)
 {
     std::vector<Candidate> candidates;
     const Resources size = reservedSize(context.spec_);
-    for (const auto &[id, runner] : cell.runners_) {
-        if (!mayPlaceOn(cell, context.job_, context.spec_, *runner, now)
-            || (context.job_.policy_.policyQueries_ && !hasTicket(context.step_, *runner, now))) {
+    const QueuePolicy &policy = context.job_.policy_;
+    if (policy.policyQueries_ && context.step_.verdicts_.empty()) {
+        return candidates;
+    }
+    for (const RunnerRoom &room : rooms.withRoom(policy.service_, std::max<std::int64_t>(size.milliCpus_, 0))) {
+        Runner *runner = room.runner_;
+        if (!hasLabel(context.spec_, *runner) || (policy.policyQueries_ && !hasTicket(context.step_, *runner, now))) {
             continue;
         }
-        Candidate candidate{runner.get(), freeOn(*runner), context.spec_.count_, true};
+        Candidate candidate{runner, freeOn(*runner), context.spec_.count_, true};
         if (context.spec_.antiAffinity_ > 0) {
-            const auto placed = context.step_.perRunner_.find(id);
+            const auto placed = context.step_.perRunner_.find(runner->record_.id_);
             const std::uint32_t there = placed == context.step_.perRunner_.end() ? 0 : placed->second;
             candidate.most_ = context.spec_.antiAffinity_ - std::min(there, context.spec_.antiAffinity_);
         }
@@ -226,7 +210,8 @@
 
 } // namespace
 
-static PlaceResult placeGang(Cell &cell, const StepContext &context, CellTime now, CellActions &actions)
+static PlaceResult placeGang(Cell &cell, RoomIndex &rooms, const StepContext &context, CellTime now,
+                             CellActions &actions)
 {
     StepState &step = context.step_;
     if (step.waiting_ < step.tasks_.size()) {
@@ -242,7 +227,7 @@
     if (accountRoom(cell, context.job_, context.spec_.size_) < context.spec_.count_) {
         return PlaceResult::Held;
     }
-    std::vector<Candidate> candidates = candidatesOf(cell, context, now.steady_);
+    std::vector<Candidate> candidates = candidatesOf(rooms, context, now.steady_);
     const std::vector<std::size_t> chosen = chooseForGang(context, candidates);
     if (chosen.empty()) {
         return PlaceResult::Short;
@@ -259,14 +244,15 @@
     return PlaceResult::Placed;
 }
 
-static PlaceResult placeTasks(Cell &cell, const StepContext &context, CellTime now, CellActions &actions)
+static PlaceResult placeTasks(Cell &cell, RoomIndex &rooms, const StepContext &context, CellTime now,
+                              CellActions &actions)
 {
     StepState &step = context.step_;
     std::uint32_t room = accountRoom(cell, context.job_, context.spec_.size_);
     if (room == 0) {
         return PlaceResult::Held;
     }
-    std::vector<Candidate> candidates = candidatesOf(cell, context, now.steady_);
+    std::vector<Candidate> candidates = candidatesOf(rooms, context, now.steady_);
     const Resources size = reservedSize(context.spec_);
     for (std::uint32_t i = 0; i < step.tasks_.size() && room > 0 && !candidates.empty(); ++i) {
         TaskRecord &task = step.tasks_[i];
@@ -351,14 +337,15 @@
         return;
     }
     sortByUrgency(cell, now.steady_);
+    RoomIndex rooms(cell, now.steady_);
     const std::vector<StepRef> refs = cell.ready_;
     for (const StepRef &ref : refs) {
         const auto context = contextOf(cell, ref);
         if (!context || !context->job_.stored_ || (context->job_.recovered_ && !cell.opened_)) {
             continue;
         }
-        const PlaceResult result
-            = context->spec_.gang_ ? placeGang(cell, *context, now, actions) : placeTasks(cell, *context, now, actions);
+        const PlaceResult result = context->spec_.gang_ ? placeGang(cell, rooms, *context, now, actions)
+                                                        : placeTasks(cell, rooms, *context, now, actions);
         if (result == PlaceResult::Short && context->job_.policy_.policyQueries_) {
             requestQuery(cell, context->job_, ref.occurrence_, ref.step_, now.steady_);
         }
--- a/src/core/cell/policy.cpp
+++ b/src/core/cell/policy.cpp
@@ -55,8 +55,8 @@
 }
 
 // Runners worth asking about for the waiting tasks; empty when no answer could let them start now.
-static std::vector<RunnerId> chooseRunners(const Cell &cell, const Job &job, std::uint32_t index, const StepState &step,
-                                           TimePoint now)
+static std::vector<RunnerId> chooseRunners(const Cell &cell, RoomIndex &rooms, const Job &job, std::uint32_t index,
+                                           const StepState &step, TimePoint now)
 {
     struct Entry
     {
@@ -72,8 +72,10 @@
     bool unknown = false;
     double ticketed = 0;
     double total = 0;
-    for (const auto &[id, runner] : cell.runners_) {
-        if (!mayPlaceOn(cell, job, spec, *runner, now)) {
+    for (const RunnerRoom &entry : rooms.withRoom(job.policy_.service_, size.milliCpus_)) {
+        const Runner *runner = entry.runner_;
+        const RunnerId &id = runner->record_.id_;
+        if (!hasLabel(spec, *runner)) {
             continue;
         }
         const auto verdict = step.verdicts_.find(id);
@@ -147,7 +149,7 @@
     return best;
 }
 
-static bool sendQuery(Cell &cell, const StepRef &ref, CellTime now, CellActions &actions)
+static bool sendQuery(Cell &cell, RoomIndex &rooms, const StepRef &ref, CellTime now, CellActions &actions)
 {
     Job *job = findJob(cell, ref.job_);
     if (job == nullptr || isFinal(*job) || !job->occurrences_.contains(ref.occurrence_)) {
@@ -158,7 +160,11 @@
         step.querying_ = false;
         return true;
     }
-    const std::vector<RunnerId> runners = chooseRunners(cell, *job, ref.step_, step, now.steady_);
+    // The least that a query of this queue can cost; choosing the runners is not worth while when no daemon is free.
+    if (chooseAsker(cell, serviceMs(job->policy_, 1), now.steady_) == nullptr) {
+        return false;
+    }
+    const std::vector<RunnerId> runners = chooseRunners(cell, rooms, *job, ref.step_, step, now.steady_);
     if (runners.empty()) {
         step.querying_ = false;
         return true;
@@ -193,14 +199,28 @@
     if (cell.queries_.empty() || cell.superseded_) {
         return;
     }
-    const auto urgency = [&cell](const StepRef &ref) {
-        const Job *job = findJob(cell, ref.job_);
-        return job == nullptr ? std::make_tuple(UINT32_MAX, TimePoint::max())
-                              : std::make_tuple(job->policy_.priority_, job->objectiveAt_);
-    };
-    std::stable_sort(cell.queries_.begin(), cell.queries_.end(),
-                     [&urgency](const StepRef &a, const StepRef &b) { return urgency(a) < urgency(b); });
-    std::erase_if(cell.queries_, [&](const StepRef &ref) { return sendQuery(cell, ref, now, actions); });
+    // Free daemons are few under load; without one, the queue need not be looked at.
+    if (chooseAsker(cell, 0, now.steady_) == nullptr) {
+        return;
+    }
+    std::vector<std::tuple<std::uint32_t, TimePoint, StepRef>> queue; // by urgency
+    queue.reserve(cell.queries_.size());
+    for (const StepRef &ref : cell.queries_) {
+        if (const Job *job = findJob(cell, ref.job_)) {
+            queue.emplace_back(job->policy_.priority_, job->objectiveAt_, ref);
+        }
+    }
+    std::sort(queue.begin(), queue.end());
+    cell.queries_.clear();
+    RoomIndex rooms(cell, now.steady_);
+    bool daemonFree = true;
+    for (const auto &[priority, objective, ref] : queue) {
+        const bool sent = daemonFree && sendQuery(cell, rooms, ref, now, actions);
+        if (!sent) {
+            cell.queries_.push_back(ref);
+            daemonFree = daemonFree && chooseAsker(cell, 0, now.steady_) != nullptr;
+        }
+    }
 }
 
 static void endQuery(Cell &cell, const OpenQuery &query, bool answered, TimePoint now)
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -503,10 +503,11 @@
     }
 }
 
-static void scheduleRetry(Placement &placement, TimePoint now)
+static void scheduleRetry(Runner &runner, Placement &placement, TimePoint now)
 {
     constexpr unsigned MaxDoublings = 4;
     placement.retryAt_ = now + StartRetry * (1U << std::min(placement.tries_ - 1, MaxDoublings));
+    runner.callsDueAt_ = std::min(runner.callsDueAt_, placement.retryAt_);
 }
 
 // The runner certainly does not have the run; the task waits again.
@@ -552,7 +553,7 @@
         }
         break;
     case RunnerStatus::Unknown:
-        scheduleRetry(placement, now.steady_);
+        scheduleRetry(runner, placement, now.steady_);
         break;
     case RunnerStatus::Fenced:
     case RunnerStatus::OtherLife:
@@ -579,27 +580,22 @@
         found->second.settledAt_ = now.steady_;
         runner.nextHoldAt_ = std::min(runner.nextHoldAt_, now.steady_);
     } else {
-        scheduleRetry(found->second, now.steady_);
+        scheduleRetry(runner, found->second, now.steady_);
     }
 }
 
-// Timers of one runner: repeated calls, holds, end of the leases.
-static void runnerTimer(Cell &cell, Runner &runner, CellTime now, CellActions &actions)
+// Repeats starts and stops that got no answer; withdraws starts that got none for long.
+static void repeatCalls(Cell &cell, Runner &runner, CellTime now, CellActions &actions)
 {
-    if (!runner.tasks_.empty() && runner.leaseEndsBy_ != TimePoint{} && now.steady_ > runner.leaseEndsBy_) {
-        loseRunner(cell, runner, "lease-ended", now, actions);
-        return;
-    }
-    if (runner.legacy_ && !runner.held_) {
-        const Milliseconds grace = cell.predecessorEnded_ ? Milliseconds(0) : LeaderGrace;
-        if (now.steady_ > cell.acquiredAt_ + grace + longestLease()) {
-            loseRunner(cell, runner, "legacy-lease-ended", now, actions);
-            return;
-        }
-    }
+    runner.callsDueAt_ = TimePoint::max();
     std::vector<StagedTask> withdraw;
     for (auto &[task, placement] : runner.tasks_) {
-        if (placement.callOpen_ || now.steady_ < placement.retryAt_ || placement.settledAt_ != TimePoint{}) {
+        const bool repeats = placement.phase_ != PlacementPhase::Running;
+        if (!repeats || placement.callOpen_ || placement.settledAt_ != TimePoint{}) {
+            continue;
+        }
+        if (now.steady_ < placement.retryAt_) {
+            runner.callsDueAt_ = std::min(runner.callsDueAt_, placement.retryAt_);
             continue;
         }
         if (placement.phase_ == PlacementPhase::Starting) {
@@ -608,7 +604,7 @@
             } else {
                 sendStart(cell, runner, task, placement, now, actions);
             }
-        } else if (placement.phase_ == PlacementPhase::Stopping) {
+        } else {
             sendStop(cell, runner, task, placement, actions);
         }
     }
@@ -616,6 +612,25 @@
         stopPlacement(cell, runner, task, now, actions);
         abandonGang(cell, task, now, actions);
     }
+}
+
+// Timers of one runner: repeated calls, holds, end of the leases.
+static void runnerTimer(Cell &cell, Runner &runner, CellTime now, CellActions &actions)
+{
+    if (!runner.tasks_.empty() && runner.leaseEndsBy_ != TimePoint{} && now.steady_ > runner.leaseEndsBy_) {
+        loseRunner(cell, runner, "lease-ended", now, actions);
+        return;
+    }
+    if (runner.legacy_ && !runner.held_) {
+        const Milliseconds grace = cell.predecessorEnded_ ? Milliseconds(0) : LeaderGrace;
+        if (now.steady_ > cell.acquiredAt_ + grace + longestLease()) {
+            loseRunner(cell, runner, "legacy-lease-ended", now, actions);
+            return;
+        }
+    }
+    if (now.steady_ >= runner.callsDueAt_) {
+        repeatCalls(cell, runner, now, actions);
+    }
     const bool wanted = !runner.held_ || !runner.tasks_.empty() || !runner.unstored_.empty() || runner.failedCalls_ > 0
         || runner.acknowledgedEnd_ < runner.processedEnd_;
     if (wanted && !runner.holdOpen_ && now.steady_ >= runner.nextHoldAt_) {
@@ -677,6 +692,7 @@
     }
     runner.listed_ = true;
     runner.record_ = record;
+    cell.capacityStale_ = true;
 }
 
 void removeRunner(Cell &cell, const RunnerId &id, CellTime now, CellActions &actions)
@@ -686,6 +702,7 @@
         return;
     }
     runner->listed_ = false;
+    cell.capacityStale_ = true;
     JsonObject line = logEvent("runner-unlisted");
     line.text("runner", id.value_).number("tasks", static_cast<std::int64_t>(runner->tasks_.size()));
     line.number("answer_age_ms", std::chrono::duration_cast<Milliseconds>(now.steady_ - runner->clockReadAt_).count());
--- a/src/core/cell/submit_cmd.cpp
+++ b/src/core/cell/submit_cmd.cpp
@@ -54,23 +54,66 @@
     return work;
 }
 
-// Estimated wait of a job until the work that goes before it has been placed. Answers a burst: what could only end
-// long after its objective is refused while it costs nothing.
-static Milliseconds expectedWait(const Cell &cell, const Job &job, TimePoint now)
+static double capacityOf(Cell &cell, const std::string &service)
 {
-    double ahead = 0;
-    double capacity = 0;
-    for (const auto &[id, runner] : cell.runners_) {
-        if (runner->listed_ && !runner->record_.draining_ && runner->record_.service_ == job.policy_.service_) {
-            capacity += static_cast<double>(runner->record_.capacity_.milliCpus_);
+    if (cell.capacityStale_) {
+        cell.capacityStale_ = false;
+        cell.serviceCapacity_.clear();
+        for (const auto &[id, runner] : cell.runners_) {
+            if (runner->listed_ && !runner->record_.draining_) {
+                cell.serviceCapacity_[runner->record_.service_]
+                    += static_cast<double>(runner->record_.capacity_.milliCpus_);
+            }
+        }
+    }
+    const auto found = cell.serviceCapacity_.find(service);
+    return found == cell.serviceCapacity_.end() ? 0 : found->second;
+}
+
+static void addWaitingWork(Cell &cell, const Job &job, TimePoint now)
+{
+    const double work = workOf(job);
+    cell.waitingWork_.all_[job.policy_.service_] += work;
+    if (!job.excess_ && now < job.lateAt_) {
+        cell.waitingWork_.inTime_[{job.policy_.service_, job.policy_.priority_}] += work;
+    }
+}
+
+// Sums up the work that has not started. The sums stay in use for a moment, in which accepted jobs are added.
+static void refreshWaitingWork(Cell &cell, TimePoint now)
+{
+    // A job that starts meanwhile counts as waiting; at the target size that is 60 jobs of some thousand.
+    constexpr Milliseconds Refresh{20};
+    if (now < cell.waitingWork_.countedAt_ + Refresh) {
+        return;
+    }
+    cell.waitingWork_ = {now, {}, {}};
+    for (const StagedJobId id : cell.unstarted_) {
+        const Job *job = findJob(cell, id);
+        if (job != nullptr && !isFinal(*job) && !job->started_) {
+            addWaitingWork(cell, *job, now);
         }
     }
-    for (const auto &[id, other] : cell.jobs_) {
-        if (!isFinal(*other) && other->policy_.priority_ <= job.policy_.priority_ && !other->started_ && !other->excess_
-            && now < other->lateAt_) {
-            ahead += workOf(*other);
+}
+
+// Estimated wait of a job until the work that goes before it has been placed. Answers a burst: what could only end
+// long after its objective is refused while it costs nothing. Work beyond an account's share goes last, behind all.
+static Milliseconds expectedWait(Cell &cell, const Job &job, TimePoint now)
+{
+    refreshWaitingWork(cell, now);
+    const std::string &service = job.policy_.service_;
+    double ahead = 0;
+    if (job.excess_) {
+        const auto all = cell.waitingWork_.all_.find(service);
+        ahead = all == cell.waitingWork_.all_.end() ? 0 : all->second;
+    } else {
+        const auto &inTime = cell.waitingWork_.inTime_;
+        for (auto sum = inTime.lower_bound({service, 0});
+             sum != inTime.end() && sum->first <= std::pair(service, job.policy_.priority_); ++sum) {
+            ahead += sum->second;
         }
     }
+    const double capacity = capacityOf(cell, service);
     // Gangs and tickets keep about a quarter of the capacity from being used.
     constexpr double UsableShare = 0.75;
     return capacity <= 0 ? Milliseconds(0) : Milliseconds(static_cast<std::int64_t>(ahead / (capacity * UsableShare)));
@@ -98,7 +141,7 @@
 }
 
 // Checks a submit without changing anything. Result: the refusal, or nothing.
-static std::optional<CellReply> checkSubmit(const Cell &cell, const CellRequest &request, const Job &job, TimePoint now,
+static std::optional<CellReply> checkSubmit(Cell &cell, const CellRequest &request, const Job &job, TimePoint now,
                                             std::string_view &reason)
 {
     CellReply refusal{request.call_, CellOutcome::Refused, {}, 0, LoadRetryAfter};
@@ -171,6 +214,8 @@
     logTo(actions, line);
     job->acceptWaiting_.emplace_back(from, request.call_);
     cell.accepting_.push_back(job->id_);
+    cell.unstarted_.insert(job->id_);
+    addWaitingWork(cell, *job, now.steady_);
     cell.jobs_.emplace(job->id_, std::move(job));
 }
 
@@ -210,9 +255,10 @@
 
 static void countPending(Cell &cell, const DaemonId &from, const CellRequest &request, CellActions &actions)
 {
-    const auto pending = std::count_if(cell.jobs_.begin(), cell.jobs_.end(), [&request](const auto &entry) {
-        const Job &job = *entry.second;
-        return job.stored_ && !job.started_ && !isFinal(job) && job.policy_.queue_ == request.policy_.queue_;
+    const auto pending = std::count_if(cell.unstarted_.begin(), cell.unstarted_.end(), [&](StagedJobId id) {
+        const Job *job = findJob(cell, id);
+        return job != nullptr && job->stored_ && !job->started_ && !isFinal(*job)
+            && job->policy_.queue_ == request.policy_.queue_;
     });
     reply(actions, from, {request.call_, CellOutcome::Ok, {}, static_cast<std::uint64_t>(pending), {}});
 }
--- a/src/core/common/json.cpp
+++ b/src/core/common/json.cpp
@@ -1,6 +1,7 @@
 // JSON text output.
 #include "core/common/json_func.h"
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <cstdio>
@@ -11,6 +12,12 @@
 void appendJsonString(std::string &out, std::string_view text)
 {
     out += '"';
+    const auto needsEscape = [](char c) { return c == '"' || c == '\\' || static_cast<unsigned char>(c) < 0x20; };
+    if (std::none_of(text.begin(), text.end(), needsEscape)) { // as nearly all texts of log lines
+        out += text;
+        out += '"';
+        return;
+    }
     for (const char c : text) {
         if (c == '"' || c == '\\') {
             out += '\\';
--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -116,8 +116,13 @@
         for (const KvCall &call : sent.kv_) {
             answerStore(call);
         }
+        std::vector<std::pair<TimePoint, RunnerCall>> waiting;
+        std::swap(waiting, waitingHolds_);
+        for (auto &[since, call] : waiting) {
+            offerRunner(call, since);
+        }
         for (const RunnerCall &call : sent.runners_) {
-            answerRunner(call);
+            offerRunner(call, now_);
         }
         for (const PolicyDispatch &dispatch : sent.policy_) {
             ++queries_;
@@ -170,6 +175,18 @@
 
     std::int64_t clockOf(const RunnerModel &runner) const { return runner.clockOffsetMs_ + elapsedMs(); }
 
+    // A hold waits for an end, as the runners do, when holdsWait_ is set.
+    void offerRunner(const RunnerCall &call, TimePoint since)
+    {
+        const RunnerModel &runner = runners_.at(call.runner_);
+        if (holdsWait_ && call.op_ == RunnerOp::Hold && runner.lastEnd_ <= call.acknowledgedEnd_
+            && now_ < since + call.wait_) {
+            waitingHolds_.emplace_back(since, call);
+        } else {
+            answerRunner(call);
+        }
+    }
+
     void answerRunner(const RunnerCall &call)
     {
         handleRunnerReply(*cell_, runners_.at(call.runner_).answer(call, now_, elapsedMs()), time(), actions_);
@@ -208,6 +225,8 @@
     std::uint64_t call_ = 0;
     std::uint64_t queries_ = 0;
     std::set<RunnerId> forbidden_; // by the policy service
+    bool holdsWait_ = false;
+    std::vector<std::pair<TimePoint, RunnerCall>> waitingHolds_; // with the time of arrival
     bool storeUp_ = true;
     KvStatus downStatus_ = KvStatus::NotDone; // of its answers while it is not up; Unknown: there is no answer
     int loseAnswers_ = 0; // transactions that take effect without an answer
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -252,3 +252,42 @@
     world.run(Milliseconds(700));
     cr_assert(world.replies_.at(call).outcome_ == CellOutcome::Ok);
 }
+
+// Replays a fleet that is full while many jobs wait. Guards against a leader whose processor goes into looking at full
+// runners again and again: at 120% of the load of 350 runners that took more than a whole processor.
+Test(cell, fullRunnersAreNotLookedAt)
+{
+    for (const bool policy : {false, true}) {
+        CellWorld world(1, 100, policy);
+        world.config_.accounts_[0].weight_ = 1'000;
+        applyConfig(*world.cell_, world.config_);
+        world.listRunners();
+        world.run(Milliseconds(200));
+        for (std::uint64_t id = 1; id <= 350; ++id) {
+            world.submit(id, 1, 5'000);
+            world.run(Milliseconds(5));
+        }
+        world.run(Milliseconds(1'000));
+        cr_assert_eq(world.starts(), 200, "%zu started on 100 runners with room for two each", world.starts());
+        const std::uint64_t before = world.cell_->runnersLookedAt_;
+        world.run(Milliseconds(1'000));
+        const std::uint64_t looks = world.cell_->runnersLookedAt_ - before;
+        cr_assert_eq(looks, 0, "%llu looks at full runners in a second", static_cast<unsigned long long>(looks));
+    }
+}
+
+// Replays an account that sends many times its share. Guards against a queue without bound: work beyond the share was
+// not counted, so all of it was accepted.
+Test(cell, workBeyondTheShareIsBounded)
+{
+    CellWorld world; // four runners with ten processors each; the account's weight is one submission a second
+    world.listRunners();
+    world.run(Milliseconds(100));
+    std::size_t refused = 0;
+    for (std::uint64_t id = 1; id <= 200; ++id) {
+        const auto call = world.submit(id, 4, 5'000);
+        world.run(Milliseconds(20));
+        refused += world.replies_.at(call).outcome_ == CellOutcome::Refused ? 1 : 0;
+    }
+    cr_assert_gt(refused, 180, "%zu of 200 were refused; the runners hold two jobs at a time", refused);
+}
