--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -1,6 +1,7 @@
 // Threads of a cell's daemon: clients, calls to the platform, peers, and the decisions, joined by rings.
 #include "daemon/cell_process_base.h"
 
+#include "core/common/json_func.h"
 #include "core/control/control_func.h"
 #include "daemon/io_thread_base.h"
 #include "daemon/log_func.h"
@@ -55,6 +56,7 @@
     CellTime now() const;
     void pollLeave();
     void finish(bool inTime);
+    [[nodiscard]] LogLine startedLine() const;
     void stopThreads();
 
     Settings settings_;
@@ -353,6 +355,26 @@
     ended_.notify_all();
 }
 
+// The settings are part of the line: a template that leaves one out would go unnoticed, as each has a default.
+LogLine CellProcess::State::startedLine() const
+{
+    const CellDeployment &cell = settings_.cell_;
+    JsonObject line;
+    line.text("event", "started").text("daemon", self_.value_).text("zone", settings_.zone_);
+    line.real("processor_share", cell.processorShare_).real("remote_factor", cell.remoteFactor_);
+    const auto number
+        = [&line](std::string_view name, std::uint64_t value) { line.number(name, static_cast<std::int64_t>(value)); };
+    number("hold_max_ms", cell.holdMaxMs_);
+    number("stop_timeout_ms", cell.stopTimeoutMs_);
+    number("gang_timeout_ms", cell.gangTimeoutMs_);
+    number("revoke_ms", cell.revokeMs_);
+    number("status_s", cell.statusS_);
+    number("grace_ms", cell.graceMs_);
+    number("store_writes_per_s", cell.storeWritesPerS_);
+    number("store_min_lease_ms", cell.storeMinLeaseMs_);
+    return {LogLevel::Info, line.finish()};
+}
+
 void CellProcess::State::stopThreads()
 {
     stopping_ = true;
@@ -397,8 +419,8 @@
         }
     }
     detail.clear();
-    const LogLine started{LogLevel::Info, R"({"event":"started","daemon":")" + state.self_.value_ + "\"}"};
-    writeStructuredLog(std::span(&started, 1));
+    const LogLine line = state.startedLine();
+    writeStructuredLog(std::span(&line, 1));
     state.clientThread_.start();
     state.callThread_.start();
     state.transportThread_ = std::thread([&state] { state.transport_.run(); });
