--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -599,7 +599,9 @@
             continue;
         }
         if (placement.phase_ == PlacementPhase::Starting) {
-            if (placement.tries_ >= StartTries) {
+            // A gang is done with the first end of a member, while starts of others may be without an answer.
+            const Job *job = findJob(cell, task.job_);
+            if (placement.tries_ >= StartTries || job == nullptr || isFinal(*job)) {
                 withdraw.push_back(task);
             } else {
                 sendStart(cell, runner, task, placement, now, actions);
--- a/src/standin/runner_model.h
+++ b/src/standin/runner_model.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -15,6 +16,7 @@
 {
     RunnerRecord record_;
     bool reachable_ = true;
+    bool mute_ = false; // carries calls out and does not answer
     std::uint64_t token_ = 0;
     std::int64_t bornUnixMs_ = 1;
     std::int64_t clockOffsetMs_ = 1'000; // its clock when the test begins
@@ -22,6 +24,7 @@
     std::map<StagedTask, std::uint64_t> active_; // run
     std::vector<FinishedRun> finished_;
     std::map<StagedTask, std::uint64_t> endedRuns_; // highest run that was stopped or ended here
+    std::vector<std::string> startSpecs_; // of all start calls, repeats included
     std::uint64_t lastEnd_ = 0;
     std::vector<std::pair<StagedTask, std::uint64_t>> starts_; // all that began here, with the run
 
@@ -46,6 +49,19 @@
     }
 
     RunnerReply answer(const RunnerCall &call, TimePoint now, std::int64_t elapsedMs)
+    {
+        RunnerReply reply = carryOut(call, now, elapsedMs);
+        if (mute_) {
+            reply.status_ = RunnerStatus::Unknown;
+            reply.clockMs_ = -1;
+            reply.bornUnixMs_ = 0;
+            reply.active_.clear();
+            reply.finished_.clear();
+        }
+        return reply;
+    }
+
+    RunnerReply carryOut(const RunnerCall &call, TimePoint now, std::int64_t elapsedMs)
     {
         RunnerReply reply;
         reply.id_ = call.id_;
@@ -67,6 +83,7 @@
         token_ = call.token_.value_;
         leaseUntilMs_ = std::max(leaseUntilMs_, call.untilMs_);
         if (call.op_ == RunnerOp::Start) {
+            startSpecs_.push_back(call.spec_);
             const auto ended = endedRuns_.find(call.task_);
             if (ended != endedRuns_.end() && call.run_.value_ <= ended->second) {
                 reply.status_ = RunnerStatus::Superseded;
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -291,3 +291,30 @@
     }
     cr_assert_gt(refused, 180, "%zu of 200 were refused; the runners hold two jobs at a time", refused);
 }
+
+// Guards against a start without its text: a gang was completed by the end of one member, and the start of another, to
+// a runner that gave no answer, was repeated although the job's text had been dropped.
+Test(cell, startsOfACompletedGangAreNotRepeated)
+{
+    CellWorld world(1, 2);
+    world.listRunners();
+    world.run(Milliseconds(200));
+    world.runners_.at(RunnerId("r0")).mute_ = true;
+    CellRequest request = world.submission(1, 2, 8'000, true);
+    request.submitted_.spec_ = "work";
+    world.send(request);
+    world.run(Milliseconds(20));
+    for (std::uint32_t i = 0; i < 2; ++i) {
+        const StagedTask member{StagedJobId{1}, 0, 0, i};
+        if (world.where(member) == RunnerId("r1")) {
+            world.end(RunnerId("r1"), member, RunEnd::Done);
+        }
+    }
+    world.run(Milliseconds(1'000));
+    for (const std::string &spec : world.runners_.at(RunnerId("r0")).startSpecs_) {
+        cr_assert_eq(spec, "work");
+    }
+    const auto query = world.ask(1, CellVerb::Query);
+    world.run(Milliseconds(10));
+    cr_assert(world.replies_.at(query).state_ == StagedState::Completed);
+}
