Change: [control] A leader that the store turns away gives its place up when others are answered

Beacons now say how old the last answer of the store is. A leader without an answer for 700 ms retires when a member had one after the leader's first call that failed; its beacon says so, and the others elect at once, as also after a planned stop. control::leaderWithoutTheStoreGivesItsPlaceUp fails without the change; control::leaderKeepsItsPlaceWhileTheStoreIsAway and control::storeAwayForSeconds guard the other side: an outage for all changes no leader.

--- a/src/core/control/control.cpp
+++ b/src/core/control/control.cpp
@@ -89,6 +89,9 @@
     member.epoch_ = beacon.epoch_;
     member.leaderSeen_ = beacon.leaderSeen_;
     member.beaconAt_ = now.steady_;
+    if (beacon.storeAnswerAgeMs_ != UINT32_MAX) {
+        member.storeAnsweredAt_ = now.steady_ - Milliseconds(beacon.storeAnswerAgeMs_);
+    }
     control.retiredSeen_ = std::max(control.retiredSeen_, beacon.retired_);
     learnEpoch(control, beacon.epoch_, beacon.leader_, from.value_, now, actions);
     if (beacon.configVersion_ > control.config_.version_) {
@@ -103,6 +106,11 @@
     }
 }
 
+static std::uint32_t ageOrMost(TimePoint now, TimePoint then)
+{
+    return then == TimePoint{} ? UINT32_MAX : static_cast<std::uint32_t>(ageMs(now, then));
+}
+
 static void sendBeacon(Control &control, const DaemonId &to, ClusterMember &member, CellTime now,
                        ControlActions &actions)
 {
@@ -112,10 +120,8 @@
     beacon.epoch_ = control.epoch_;
     beacon.leader_ = control.leader_;
     beacon.configVersion_ = control.config_.version_;
-    beacon.configProofAgeMs_ = control.configProofAt_ == TimePoint{}
-        ? UINT32_MAX
-        : static_cast<std::uint32_t>(ageMs(now.steady_, control.configProofAt_));
-    beacon.storeReached_ = control.storeReached_;
+    beacon.configProofAgeMs_ = ageOrMost(now.steady_, control.configProofAt_);
+    beacon.storeAnswerAgeMs_ = ageOrMost(now.steady_, control.storeAnsweredAt_);
     beacon.retired_ = control.retired_;
     beacon.leaderSeen_ = seesLeader(control);
     member.beaconTimes_[beacon.sequence_] = now.steady_;
@@ -223,8 +229,19 @@
 static void noteStore(Control &control, const KvReply &reply, TimePoint now)
 {
     const bool answered = reply.status_ != KvStatus::Unknown && reply.status_ != KvStatus::NotDone;
-    control.storeReached_ = answered;
-    if (answered && (reply.purpose_ == KvPurpose::ReadConfig || reply.purpose_ == KvPurpose::KeepSession)) {
+    if (!answered) {
+        // A failure proves nothing when a later call was answered.
+        if (control.storeFailingSince_ == TimePoint{} && reply.sentAt_ > control.storeProvenAt_) {
+            control.storeFailingSince_ = reply.sentAt_;
+        }
+        return;
+    }
+    control.storeAnsweredAt_ = now;
+    control.storeProvenAt_ = std::max(control.storeProvenAt_, reply.sentAt_);
+    if (control.storeProvenAt_ > control.storeFailingSince_) {
+        control.storeFailingSince_ = {};
+    }
+    if (reply.purpose_ == KvPurpose::ReadConfig || reply.purpose_ == KvPurpose::KeepSession) {
         const auto took = static_cast<double>(ageMs(now, reply.sentAt_));
         const auto smoothed = static_cast<double>(control.storeLatency_.count());
         control.storeLatency_ = Milliseconds(std::lround(smoothed + LatencyWeight * (took - smoothed)));
--- a/src/core/control/control_base.h
+++ b/src/core/control/control_base.h
@@ -38,6 +38,7 @@
     CellEpoch epoch_; // that its last beacon named
     bool leaderSeen_ = false; // it was connected to the leader then
     TimePoint beaconAt_; // when that beacon came
+    TimePoint storeAnsweredAt_; // the store had answered the member by then; empty: never
     std::uint64_t beaconsSent_ = 0;
     std::uint64_t lastBeacon_ = 0; // highest sequence got from it
     std::map<std::uint64_t, TimePoint> beaconTimes_; // of the latest beacons sent
@@ -103,7 +104,9 @@
     Feed configFeed_;
     Feed clusterFeed_;
     Feed runnerFeed_;
-    bool storeReached_ = false; // the last call to the store was answered
+    TimePoint storeAnsweredAt_; // last answer of the store
+    TimePoint storeProvenAt_; // latest time at which a call was sent that was answered
+    TimePoint storeFailingSince_; // when the first call was sent after which none was answered; empty: none
     Milliseconds storeLatency_{20}; // of reads, smoothed
 
     std::map<DaemonId, ClusterMember> members_; // without this daemon
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -18,6 +18,11 @@
 static constexpr double SmallestShare = 0.05;
 static constexpr int JitterMs = 30;
 static constexpr Milliseconds LostLeaderWait{200}; // for the beacons of the others; 20 ms between regions
+// A leader without an answer of the store for this long gives its place up when others are answered. Two calls to a
+// busy store, or one over a connection that has gone silent, take less.
+static constexpr Milliseconds StoreHandover{700};
+// Answers that others had this long after the leader's first call without one show that only the leader is cut off.
+static constexpr Milliseconds StoreEvidence{200};
 static constexpr Milliseconds ElectionRetry{120};
 static constexpr Milliseconds ReadTimeout{3'000}; // a page is up to 1 MB
 static constexpr Milliseconds RecoveryRetry{100};
@@ -234,6 +239,16 @@
     return witnesses > 0;
 }
 
+// True when the store answers others but not this daemon.
+static bool isCutOffFromStore(const Control &control, TimePoint now)
+{
+    const TimePoint since = control.storeFailingSince_;
+    return since != TimePoint{} && now >= since + StoreHandover
+        && std::any_of(control.members_.begin(), control.members_.end(), [since](const auto &entry) {
+               return entry.second.connected_ && entry.second.storeAnsweredAt_ >= since + StoreEvidence;
+           });
+}
+
 void pollElection(Control &control, CellTime now, ControlActions &actions)
 {
     if (control.cell_ && !control.cell_->predecessorEnded_) {
@@ -246,13 +261,20 @@
     if (control.cell_ && now.steady_ > control.session_.endsAt_ + LeaderGrace) {
         stepDown(control, "no-session", now, actions);
     }
+    if (control.cell_ && isCutOffFromStore(control, now.steady_)) {
+        stepDown(control, "store-answers-others", now, actions);
+    }
     const bool ready = control.clusterFeed_.read_ && control.session_.lease_ != 0
-        && now.steady_ < control.session_.endsAt_ && control.session_.registered_;
-    const bool lost = control.leaderListed_ && leaderIsLost(control, now.steady_);
+        && now.steady_ < control.session_.endsAt_ && control.session_.registered_
+        && control.storeFailingSince_ == TimePoint{};
+    // A leader that has retired does not have to be waited for either.
+    const bool retired = control.epoch_.value_ != 0 && control.retiredSeen_ >= control.epoch_;
+    const bool lost = control.leaderListed_ && (retired || leaderIsLost(control, now.steady_));
     if (lost && !control.leaderLost_) {
         control.electAt_ = now.steady_ + electionDelay(control);
         JsonObject line = controlEvent("leader-lost");
-        line.text("leader", control.leader_.value_).number("lost_ms", ageMs(now.steady_, control.leaderLostAt_));
+        line.text("leader", control.leader_.value_).boolean("retired", retired);
+        line.number("lost_ms", ageMs(now.steady_, control.leaderLostAt_));
         controlLog(actions, line, LogLevel::Warning);
     }
     control.leaderLost_ = lost;
--- a/src/core/message/cell_type.h
+++ b/src/core/message/cell_type.h
@@ -142,7 +142,7 @@
     DaemonId leader_; // of that epoch; empty when unknown
     std::uint64_t configVersion_ = 0; // 0: none
     std::uint32_t configProofAgeMs_ = 0; // since the sender last knew that this version is the newest
-    bool storeReached_ = false;
+    std::uint32_t storeAnswerAgeMs_ = UINT32_MAX; // since the store last answered the sender; UINT32_MAX: never
     bool leaderSeen_ = false; // the sender leads, or is connected to the leader of epoch_
     CellEpoch retired_; // highest epoch in which the sender led and then stopped leading; 0: none
     bool operator==(const CellBeacon &) const = default;
--- a/src/core/message/fields.h
+++ b/src/core/message/fields.h
@@ -50,7 +50,7 @@
 MIMOSAPIER_FIELDS(QueuePolicy, s.queue_, s.service_, s.priority_, s.maxAttempts_, s.slackFactor_, s.targetCompletion_,
                   s.policyQueries_, s.decideMs_, s.perRunnerMs_, s.ticketValid_)
 MIMOSAPIER_FIELDS(CellBeacon, s.sequence_, s.echo_, s.epoch_, s.leader_, s.configVersion_, s.configProofAgeMs_,
-                  s.storeReached_, s.retired_, s.leaderSeen_)
+                  s.storeAnswerAgeMs_, s.retired_, s.leaderSeen_)
 MIMOSAPIER_FIELDS(CellRequest, s.call_, s.verb_, s.job_, s.account_, s.policy_, s.submitted_, s.remaining_)
 MIMOSAPIER_FIELDS(CellReply, s.call_, s.outcome_, s.state_, s.pending_, s.retryAfter_)
 MIMOSAPIER_FIELDS(PolicyTicket, s.runner_, s.ticket_)
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -56,6 +56,19 @@
     cr_assert(world.leader() != nullptr, "no new leader after 1 s");
 }
 
+// Guards against seconds in which nothing is accepted because the store turns away the leader alone: its session ends
+// 2.5 s later.
+Test(control, leaderWithoutTheStoreGivesItsPlaceUp)
+{
+    ControlWorld world(4);
+    world.run(Start);
+    TestNode &former = *world.leader();
+    former.storeReachable_ = false;
+    world.run(Milliseconds(1'700));
+    cr_assert(world.leader() != nullptr && world.leader() != &former, "no other leader after 1.7 s");
+    cr_assert(!former.control_->cell_);
+}
+
 // Guards against a daemon that replaces a sound leader because its own connections are cut.
 Test(control, daemonThatIsCutOffDoesNotReplaceTheLeader)
 {
