Codechange: [daemon] [control] [platform] One copy of the process's end and id, of the retry times and of a task's name

newDaemonId, drain, finish and waitForEnd were in both processes, encodeTask and taskText were the same text, and three constants of the control were there twice. No change of behaviour. test_cell, test_control, test_platform, test_wire and test_process pass.

--- a/src/core/cell/cell_func.h
+++ b/src/core/cell/cell_func.h
@@ -60,6 +60,9 @@
 // Text form "<16 hex digits>" of a job's id, used in keys and logs.
 std::string jobText(StagedJobId id);
 
+// "<16 hex digits>.<occurrence>.<step>.<index>": in logs, and the name that runners know the task by.
+std::string taskText(const StagedTask &task);
+
 // True when nothing waits for the store.
 bool isFlushed(const Cell &cell);
 
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -39,8 +39,6 @@
 const StepSpec &stepSpec(const Job &job, std::uint32_t step);
 bool isFinal(const Job &job);
 
-std::string taskText(const StagedTask &task);
-
 // Adds a line to the log.
 JsonObject logEvent(std::string_view event);
 void logTo(CellActions &actions, JsonObject &object, LogLevel level = LogLevel::Info);
--- a/src/core/cell/jobs.cpp
+++ b/src/core/cell/jobs.cpp
@@ -18,6 +18,16 @@
     return text;
 }
 
+std::string taskText(const StagedTask &task)
+{
+    std::string text = jobText(task.job_);
+    for (const std::uint32_t part : {task.occurrence_, task.step_, task.index_}) {
+        text += '.';
+        text += std::to_string(part);
+    }
+    return text;
+}
+
 } // namespace mimosapier
 
 namespace mimosapier::detail
@@ -55,16 +65,6 @@
     return &state.tasks_[task.index_];
 }
 
-std::string taskText(const StagedTask &task)
-{
-    std::string text = jobText(task.job_);
-    for (const std::uint32_t part : {task.occurrence_, task.step_, task.index_}) {
-        text += '.';
-        text += std::to_string(part);
-    }
-    return text;
-}
-
 JsonObject logEvent(std::string_view event)
 {
     JsonObject object;
--- a/src/core/control/control_internal.h
+++ b/src/core/control/control_internal.h
@@ -10,6 +10,11 @@
 // Requests kept while a new leader reads the jobs; about 50 s of arrivals at today's sizes.
 constexpr std::size_t MaxDeferred = 2'000;
 
+constexpr Milliseconds RetryPause{150}; // after a call without an answer; doubles, since refused calls are priced
+constexpr unsigned MaxDoublings = 2; // of RetryPause
+// Of a read of a whole space: 350 runners are about 200 KB, over links of 10 Mbit/s and to a busy instance.
+constexpr Milliseconds ReadTimeout{3'000};
+
 constexpr std::string_view EpochKey = "cluster/epoch";
 constexpr std::string_view ClusterPrefix = "cluster/";
 constexpr std::string_view MemberPrefix = "cluster/member/";
--- a/src/core/control/feeds.cpp
+++ b/src/core/control/feeds.cpp
@@ -10,10 +10,6 @@
 static constexpr Milliseconds ConfigWait{1'000}; // of a watch; its answer proves that the configuration is the newest
 static constexpr Milliseconds ClusterWait{2'000};
 static constexpr Milliseconds RunnerWait{2'000};
-// Of a read of a whole space: 350 runners are about 200 KB, over links of 10 Mbit/s and to a busy instance.
-static constexpr Milliseconds ReadTimeout{3'000};
-static constexpr Milliseconds RetryPause{150}; // doubles; refused calls are priced
-static constexpr unsigned MaxDoublings = 2;
 static constexpr std::string_view ConfigKey = "config";
 
 namespace
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -24,7 +24,6 @@
 // Answers that others had this long after the leader's first call without one show that only the leader is cut off.
 static constexpr Milliseconds StoreEvidence{200};
 static constexpr Milliseconds ElectionRetry{120};
-static constexpr Milliseconds ReadTimeout{3'000}; // a page is up to 1 MB
 static constexpr Milliseconds RecoveryRetry{100};
 
 bool leads(const Control &control)
--- a/src/core/control/session.cpp
+++ b/src/core/control/session.cpp
@@ -11,8 +11,6 @@
 static constexpr Milliseconds SessionTtl{2'500};
 static constexpr Milliseconds KeepInterval{650}; // three renewals may be lost
 static constexpr Milliseconds KeepTimeout{900};
-static constexpr Milliseconds RetryPause{150}; // doubles up to MaxPause; refused calls are priced
-static constexpr unsigned MaxDoublings = 2;
 
 void kvSend(Control &control, KvCall call, ControlActions &actions)
 {
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -6,6 +6,7 @@
 #include "daemon/io_thread_base.h"
 #include "daemon/log_func.h"
 #include "daemon/metrics_base.h"
+#include "daemon/process_end_base.h"
 #include "daemon/ring_base.h"
 #include "net/transport_base.h"
 #include "platform/client_front_base.h"
@@ -13,8 +14,6 @@
 #include "platform/wire_func.h"
 
 #include <atomic>
-#include <condition_variable>
-#include <mutex>
 #include <random>
 
 namespace mimosapier
@@ -55,7 +54,6 @@
     void addMetricSources();
     CellTime now() const;
     void pollLeave();
-    void finish(bool inTime);
     [[nodiscard]] LogLine startedLine() const;
     void stopThreads();
 
@@ -87,33 +85,12 @@
     std::atomic<bool> leaving_{false};
     bool frontStopping_ = false;
     TimePoint leaveAt_;
-    std::mutex mutex_; // guards finished_
-    std::condition_variable ended_;
-    bool finished_ = false;
-    std::atomic<bool> inTime_{true};
+    ProcessEnd end_;
 };
 
-static DaemonId newCellDaemonId(const std::string &name)
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    const auto millis = std::chrono::duration_cast<Milliseconds>(now).count();
-    constexpr std::uint32_t RandomMask = 0xffffU; // in case the wall clock was set back
-    return DaemonId(name + "#" + std::to_string(millis) + "-" + std::to_string(std::random_device{}() & RandomMask));
-}
-
-template <typename T, typename Use>
-static void drainRing(Ring<T> &ring, Use use)
-{
-    std::vector<T> items;
-    ring.take(items, SIZE_MAX);
-    for (T &item : items) {
-        use(item);
-    }
-}
-
 CellProcess::State::State(const Settings &settings)
     : settings_(settings)
-    , self_(newCellDaemonId(settings.name_))
+    , self_(newDaemonId(settings.name_))
     , seed_(settings.seed_ ? *settings.seed_ : std::random_device{}())
     , transport_(
           transportSettings(), [this](Event event) { peerEvents_.put(CellEvent(std::move(event))); }, clock_)
@@ -341,18 +318,9 @@
     if (drained || time >= leaveAt_ + std::min(LongestDrain, limit)) {
         frontStopping_ = true;
         const auto rest = std::max(std::chrono::duration_cast<Milliseconds>(leaveAt_ + limit - time), Milliseconds(1));
-        clientThread_.post([this, rest] { front_->stop(std::min(rest, IdleGrace), rest, [this] { finish(true); }); });
-    }
-}
-
-void CellProcess::State::finish(bool inTime)
-{
-    {
-        const std::lock_guard lock(mutex_);
-        finished_ = true;
-        inTime_ = inTime_ && inTime;
+        clientThread_.post(
+            [this, rest] { front_->stop(std::min(rest, IdleGrace), rest, [this] { end_.finish(true); }); });
     }
-    ended_.notify_all();
 }
 
 // The settings are part of the line: a template that leaves one out would go unnoticed, as each has a default.
@@ -438,16 +406,13 @@
     state.leaving_ = true;
     state.clientThread_.post([&state] { state.front_->drain(); });
     const Milliseconds grace(state.settings_.cell_.graceMs_);
-    state.clientThread_.after(grace - StopMargin / 2, [&state] { state.finish(false); });
+    state.clientThread_.after(grace - StopMargin / 2, [&state] { state.end_.finish(false); });
     state.results_.force(CellEvent(LeaveCell{}));
 }
 
 bool CellProcess::waitForEnd()
 {
-    State &state = *state_;
-    std::unique_lock lock(state.mutex_);
-    state.ended_.wait(lock, [&state] { return state.finished_; });
-    return state.inTime_;
+    return state_->end_.wait();
 }
 
 } // namespace mimosapier
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -7,12 +7,11 @@
 #include "daemon/io_thread_base.h"
 #include "daemon/log_func.h"
 #include "daemon/metrics_base.h"
+#include "daemon/process_end_base.h"
 #include "daemon/store_client_base.h"
 #include "daemon/worker_client_base.h"
 #include "net/transport_base.h"
 
-#include <condition_variable>
-#include <mutex>
 #include <optional>
 #include <random>
 
@@ -22,26 +21,6 @@
 static constexpr Milliseconds InstanceInterval{2000};
 static constexpr Milliseconds StopMargin{1000}; // kept of the shutdown limit for closing the connections
 
-// Id of this process: a restarted daemon is another daemon.
-static DaemonId newDaemonId(const std::string &name)
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(now).count();
-    const std::uint32_t random = std::random_device{}() & 0xffffU; // in case the wall clock was set back
-    return DaemonId(name + "#" + std::to_string(micros) + "-" + std::to_string(random));
-}
-
-// Calls `use` for each item of a ring.
-template <typename T, typename Use>
-static void drain(Ring<T> &ring, Use use)
-{
-    std::vector<T> items;
-    ring.take(items, SIZE_MAX);
-    for (T &item : items) {
-        use(std::move(item));
-    }
-}
-
 struct Process::State
 {
     explicit State(const Settings &settings);
@@ -57,7 +36,6 @@
     void onLeft();
     void stopFront();
     void abandonCallers();
-    void finish();
     void stopThreads();
 
     Settings settings_;
@@ -78,10 +56,7 @@
     std::atomic<bool> leaving_{false};
     TimePoint drained_; // connections are accepted until then
     TimePoint deadline_; // of the shutdown
-    std::mutex mutex_; // guards finished_
-    std::condition_variable ended_;
-    bool finished_ = false;
-    std::atomic<bool> inTime_{true}; // false when open requests were given up
+    ProcessEnd end_;
 };
 
 Process::State::State(const Settings &settings)
@@ -143,26 +118,27 @@
     return {.answers_ =
                 [this] {
                     callerThread_.post([this] {
-                        drain(decisions_.answers(), [this](const CallerAnswer &answer) { front_->answer(answer); });
+                        drainRing(decisions_.answers(), [this](const CallerAnswer &answer) { front_->answer(answer); });
                     });
                 },
             .peers_ =
                 [this] {
                     transport_.post([this] {
-                        drain(decisions_.peers(), [this](PeerCommand command) { sendToPeer(std::move(command)); });
+                        drainRing(decisions_.peers(), [this](PeerCommand command) { sendToPeer(std::move(command)); });
                     });
                 },
             .store_ =
                 [this] {
                     storeThread_.post([this] {
-                        drain(decisions_.store(), [this](StoreRequest request) { store_->submit(std::move(request)); });
+                        drainRing(decisions_.store(),
+                                  [this](StoreRequest request) { store_->submit(std::move(request)); });
                     });
                 },
             .workers_ =
                 [this] {
                     workerThread_.post([this] {
-                        drain(decisions_.workers(),
-                              [this](WorkerRequest request) { workers_->submit(std::move(request)); });
+                        drainRing(decisions_.workers(),
+                                  [this](WorkerRequest request) { workers_->submit(std::move(request)); });
                     });
                 }};
 }
@@ -219,26 +195,17 @@
 {
     // The decisions keep running, because requests that are under way are still answered.
     const auto rest = std::chrono::duration_cast<Milliseconds>(deadline_ - clock_.now());
-    front_->stop(std::max(rest, Milliseconds(0)), [this] { finish(); });
+    front_->stop(std::max(rest, Milliseconds(0)), [this] { end_.finish(true); });
 }
 
 void Process::State::abandonCallers()
 {
     writeLog(LogLevel::Warning, "[daemon] The shutdown limit is near; open requests are answered as unknown.");
-    inTime_ = false;
+    end_.setLate();
     front_->abandon();
     stopFront();
 }
 
-void Process::State::finish()
-{
-    {
-        const std::lock_guard lock(mutex_);
-        finished_ = true;
-    }
-    ended_.notify_all();
-}
-
 void Process::State::stopThreads()
 {
     decisions_.stop();
@@ -301,16 +268,13 @@
     state.deadline_ = state.clock_.now() + limit;
     state.callerThread_.post([&state] { state.front_->drain(); });
     state.callerThread_.after(std::max(limit - StopMargin, Milliseconds(0)), [&state] { state.abandonCallers(); });
-    state.callerThread_.after(limit, [&state] { state.finish(); });
+    state.callerThread_.after(limit, [&state] { state.end_.finish(false); });
     state.decisions_.leave();
 }
 
 bool Process::waitForEnd()
 {
-    State &state = *state_;
-    std::unique_lock lock(state.mutex_);
-    state.ended_.wait(lock, [&state] { return state.finished_; });
-    return state.inTime_;
+    return state_->end_.wait();
 }
 
 std::string Process::callerAddress() const
--- a/src/daemon/ring_base.h
+++ b/src/daemon/ring_base.h
@@ -125,4 +125,15 @@
     std::function<void()> wake_;
 };
 
+// Calls `use` for each item of a ring.
+template <typename T, typename Use>
+void drainRing(Ring<T> &ring, Use use)
+{
+    std::vector<T> items;
+    ring.take(items, SIZE_MAX);
+    for (T &item : items) {
+        use(std::move(item));
+    }
+}
+
 } // namespace mimosapier
--- a/src/platform/service_wire.cpp
+++ b/src/platform/service_wire.cpp
@@ -1,4 +1,5 @@
 // Messages of the store, the runners and the policy service.
+#include "core/cell/cell_func.h"
 #include "daemon/base64_func.h"
 #include "http/json_func.h"
 #include "platform/wire_func.h"
@@ -194,23 +195,6 @@
 
 // ---- runners ----
 
-std::string encodeTask(const StagedTask &task)
-{
-    constexpr std::size_t IdDigits = 16;
-    std::array<char, IdDigits> digits{};
-    constexpr int Hexadecimal = 16;
-    const auto [end, error]
-        = std::to_chars(digits.data(), digits.data() + digits.size(), task.job_.value_, Hexadecimal);
-    const auto length = static_cast<std::size_t>(end - digits.data());
-    std::string text(IdDigits - length, '0');
-    text.append(digits.data(), length);
-    for (const std::uint32_t part : {task.occurrence_, task.step_, task.index_}) {
-        text += '.';
-        text += std::to_string(part);
-    }
-    return text;
-}
-
 template <typename T>
 static bool takeNumber(std::string_view &text, int base, bool last, T &out)
 {
@@ -237,7 +221,7 @@
     request.headers_.push_back({"X-Expect-Instance", call.runner_.value_});
     Json body{{"FencingToken", call.token_.value_}};
     if (call.op_ != RunnerOp::Hold) {
-        body["Task"] = encodeTask(call.task_);
+        body["Task"] = taskText(call.task_);
         body["RunId"] = call.run_.value_;
     }
     if (call.untilMs_ > 0) {
@@ -401,7 +385,7 @@
     for (const RunnerId &id : query.runners_) {
         runners.push_back(id.value_);
     }
-    std::string step = encodeTask({query.job_, query.occurrence_, query.step_, 0});
+    std::string step = taskText({query.job_, query.occurrence_, query.step_, 0});
     step.erase(step.rfind('.'));
     request.body_ = dumpJson({{"StepId", std::move(step)}, {"Workers", std::move(runners)}});
     return request;
--- a/src/platform/wire_func.h
+++ b/src/platform/wire_func.h
@@ -41,8 +41,7 @@
 HttpRequest encodePolicyQuery(const PolicyQuery &query);
 void decodePolicyAnswer(unsigned status, std::string_view body, PolicyAnswer &answer);
 
-// "<16 hex digits>.<occurrence>.<step>.<index>"
-std::string encodeTask(const StagedTask &task);
+// Reads the name of a task, see taskText().
 bool decodeTask(std::string_view text, StagedTask &task);
 
 } // namespace mimosapier
--- a/src/standin/platform_service.cpp
+++ b/src/standin/platform_service.cpp
@@ -1,6 +1,7 @@
 // HTTP interfaces of the platform's stand-in.
 #include "standin/platform_service.h"
 
+#include "core/cell/cell_func.h"
 #include "daemon/base64_func.h"
 #include "platform/wire_func.h"
 
@@ -355,12 +356,12 @@
     if (call.op_ == RunnerOp::Hold) {
         Json active = Json::array();
         for (const ActiveRun &run : reply.active_) {
-            active.push_back({encodeTask(run.task_), run.run_.value_, run.checkpoint_, run.percent_, run.usage_});
+            active.push_back({taskText(run.task_), run.run_.value_, run.checkpoint_, run.percent_, run.usage_});
         }
         Json finished = Json::array();
         for (const FinishedRun &run : reply.finished_) {
             if (finished.size() < MostEnds) {
-                finished.push_back({run.number_, encodeTask(run.task_), run.run_.value_,
+                finished.push_back({run.number_, taskText(run.task_), run.run_.value_,
                                     EndNames.at(static_cast<std::size_t>(run.end_)), run.checkpoint_});
             }
         }
