Fix: [cell] Work beyond an account's share is refused by what of its kind waits, not by all waiting work

All waiting work counted against submissions beyond the share, and one large job that waits for a policy answer counts as 0.4 s of the whole fleet. Now the earlier estimate holds, and the waiting excess itself is bounded to one second of the fleet. cell::workBeyondTheShareIsBounded still passes.

--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -219,7 +219,7 @@
 {
     TimePoint countedAt_;
     std::map<std::pair<std::string, std::uint32_t>, double> inTime_; // by service and priority; not what is late anyway
-    std::map<std::string, double> all_; // by service
+    std::map<std::string, double> excess_; // beyond the accounts' shares, by service
 };
 
 enum CellLane : std::uint8_t { AcceptLane, ProgressLane, LaneCount };
--- a/src/core/cell/submit_cmd.cpp
+++ b/src/core/cell/submit_cmd.cpp
@@ -18,6 +18,8 @@
 static constexpr double ShareBurstSeconds = 2;
 // With less work than this ahead, submissions beyond the share are accepted all the same.
 static constexpr Milliseconds IdleWait{250};
+// Waiting work beyond the shares, in time of the whole capacity. More could wait for as long as the others keep coming.
+static constexpr Milliseconds MostExcess{1'000};
 
 static void reply(CellActions &actions, const DaemonId &to, const CellReply &content)
 {
@@ -73,8 +75,9 @@
 static void addWaitingWork(Cell &cell, const Job &job, TimePoint now)
 {
     const double work = workOf(job);
-    cell.waitingWork_.all_[job.policy_.service_] += work;
-    if (!job.excess_ && now < job.lateAt_) {
+    if (job.excess_) {
+        cell.waitingWork_.excess_[job.policy_.service_] += work;
+    } else if (now < job.lateAt_) {
         cell.waitingWork_.inTime_[{job.policy_.service_, job.policy_.priority_}] += work;
     }
 }
@@ -96,27 +99,37 @@
     }
 }
 
+// Time in which the runners of a service carry an amount of work.
+static Milliseconds timeFor(Cell &cell, double work, const std::string &service)
+{
+    // Gangs and tickets keep about a quarter of the capacity from being used.
+    constexpr double UsableShare = 0.75;
+    const double capacity = capacityOf(cell, service);
+    return capacity <= 0 ? Milliseconds(0) : Milliseconds(static_cast<std::int64_t>(work / (capacity * UsableShare)));
+}
+
 // Estimated wait of a job until the work that goes before it has been placed. Answers a burst: what could only end
-// long after its objective is refused while it costs nothing. Work beyond an account's share goes last, behind all.
+// long after its objective is refused while it costs nothing.
 static Milliseconds expectedWait(Cell &cell, const Job &job, TimePoint now)
 {
     refreshWaitingWork(cell, now);
     const std::string &service = job.policy_.service_;
+    const auto &inTime = cell.waitingWork_.inTime_;
     double ahead = 0;
-    if (job.excess_) {
-        const auto all = cell.waitingWork_.all_.find(service);
-        ahead = all == cell.waitingWork_.all_.end() ? 0 : all->second;
-    } else {
-        const auto &inTime = cell.waitingWork_.inTime_;
-        for (auto sum = inTime.lower_bound({service, 0});
-             sum != inTime.end() && sum->first <= std::pair(service, job.policy_.priority_); ++sum) {
-            ahead += sum->second;
-        }
+    for (auto sum = inTime.lower_bound({service, 0});
+         sum != inTime.end() && sum->first <= std::pair(service, job.policy_.priority_); ++sum) {
+        ahead += sum->second;
     }
-    const double capacity = capacityOf(cell, service);
-    // Gangs and tickets keep about a quarter of the capacity from being used.
-    constexpr double UsableShare = 0.75;
-    return capacity <= 0 ? Milliseconds(0) : Milliseconds(static_cast<std::int64_t>(ahead / (capacity * UsableShare)));
+    return timeFor(cell, ahead, service);
+}
+
+// Time that the waiting work beyond the accounts' shares would take. It goes behind all other work.
+static Milliseconds excessWait(Cell &cell, const Job &job, TimePoint now)
+{
+    refreshWaitingWork(cell, now);
+    const auto excess = cell.waitingWork_.excess_.find(job.policy_.service_);
+    return excess == cell.waitingWork_.excess_.end() ? Milliseconds(0)
+                                                     : timeFor(cell, excess->second, job.policy_.service_);
 }
 
 // Takes one submission from the account's share. Result: false when it has used its share up.
@@ -165,7 +178,7 @@
         return refusal;
     }
     const Milliseconds wait = expectedWait(cell, job, now);
-    if (job.excess_ && wait > IdleWait) {
+    if (job.excess_ && (wait > IdleWait || excessWait(cell, job, now) > MostExcess)) {
         reason = "beyond-share";
         refusal.retryAfter_ = std::max<Milliseconds>(LoadRetryAfter, wait);
         return refusal;
