Change: [control] A leader that leaves turns no work away, and does not wait for progress to be stored

New work now waits for the next leader, and the place is given up once all accepted jobs are stored, after 150 ms at most for progress, which the next leader reads from the runners. control::leavingLeaderTurnsNoWorkAway fails without the change.

--- a/src/core/cell/cell_func.h
+++ b/src/core/cell/cell_func.h
@@ -65,5 +65,7 @@
 
 // True when nothing waits for the store.
 bool isFlushed(const Cell &cell);
+// True when no job waits for being stored.
+bool acceptsFlushed(const Cell &cell);
 
 } // namespace mimosapier
--- a/src/core/cell/lanes.cpp
+++ b/src/core/cell/lanes.cpp
@@ -306,6 +306,11 @@
     }
 }
 
+bool acceptsFlushed(const Cell &cell)
+{
+    return cell.accepting_.empty() && !cell.lanes_[AcceptLane].open_;
+}
+
 bool isFlushed(const Cell &cell)
 {
     return cell.accepting_.empty() && cell.dirty_.empty()
--- a/src/core/control/control.cpp
+++ b/src/core/control/control.cpp
@@ -16,6 +16,8 @@
 static constexpr std::size_t Neighbours = 2; // on either side, in the order of the ids
 static constexpr std::size_t BeaconsRemembered = 16;
 static constexpr Milliseconds HandoverLimit{900}; // a leaving leader gives its place up at the latest then
+// Progress that is not stored by then is read from the runners by the next leader; under load there is always some.
+static constexpr Milliseconds ProgressLimit{150};
 static constexpr Milliseconds ReleaseRetry{250};
 static constexpr double LatencyWeight = 0.2;
 
@@ -190,7 +192,7 @@
 {
     if (!control.cell_ || control.deferred_.size() >= MaxDeferred) {
         actions.peers_.push_back({from, CellReply{request.call_, CellOutcome::NotLeader, {}, 0, {}}});
-    } else if (control.stage_ != RecoveryStage::Done) {
+    } else if (control.stage_ != RecoveryStage::Done || waitsForNextLeader(control, request)) {
         control.deferred_.emplace_back(from, request);
     } else {
         handleRequest(*control.cell_, from, request, now, actions.cell_);
@@ -321,7 +323,9 @@
     if (!control.leaving_) {
         return;
     }
-    if (control.cell_ && (isFlushed(*control.cell_) || now.steady_ >= control.leaveAt_ + HandoverLimit)) {
+    if (control.cell_
+        && (isFlushed(*control.cell_) || now.steady_ >= control.leaveAt_ + HandoverLimit
+            || (acceptsFlushed(*control.cell_) && now.steady_ >= control.leaveAt_ + ProgressLimit))) {
         control.releasedRevision_ = control.cell_->leaderRevision_;
         stepDown(control, "leaving", now, actions);
     }
--- a/src/core/control/control_internal.h
+++ b/src/core/control/control_internal.h
@@ -63,6 +63,7 @@
 bool seesLeader(const Control &control);
 
 // requests.cpp
+bool waitsForNextLeader(const Control &control, const CellRequest &request);
 void routeRequests(Control &control, CellTime now, ControlActions &actions);
 void takeReplies(Control &control, CellTime now, ControlActions &actions);
 void cellReply(Control &control, const DaemonId &from, const CellReply &reply, CellTime now, ControlActions &actions);
--- a/src/core/control/requests.cpp
+++ b/src/core/control/requests.cpp
@@ -88,6 +88,12 @@
     return ErrorKind::None;
 }
 
+// New work that comes while this daemon gives its place up; the next leader takes it a moment later.
+bool waitsForNextLeader(const Control &control, const CellRequest &request)
+{
+    return control.leaving_ && request.verb_ == CellVerb::Submit;
+}
+
 static void forward(Control &control, OpenRequest &open, CellTime now, ControlActions &actions)
 {
     if (control.leader_.empty() || open.sentTo_ == control.leader_) {
@@ -100,7 +106,7 @@
         }
         open.sentTo_ = control.leader_;
         ++open.sent_;
-        if (control.stage_ == RecoveryStage::Done) {
+        if (control.stage_ == RecoveryStage::Done && !waitsForNextLeader(control, open.request_)) {
             handleRequest(*control.cell_, control.settings_.self_, open.request_, now, actions.cell_);
         } else if (control.deferred_.size() < MaxDeferred) {
             control.deferred_.emplace_back(control.settings_.self_, open.request_);
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -123,6 +123,26 @@
     cr_assert(world.now_ < leaving.control_->leaveBy_);
 }
 
+// Guards against work that is turned away while the leader gives its place up, although the next one takes it a moment
+// later.
+Test(control, leavingLeaderTurnsNoWorkAway)
+{
+    ControlWorld world(4);
+    world.run(Start);
+    TestNode &former = *world.leader();
+    TestNode &entry = world.follower();
+    former.storeReachable_ = false; // its last writes hang, so that it leads on until the hand-over limit
+    world.request(entry, ClientMethod::Submit, 21);
+    world.run(Milliseconds(20));
+    beginLeaving(*former.control_, world.time(), former.actions_);
+    world.run(Milliseconds(500));
+    const auto call = world.request(entry, ClientMethod::Submit, 22);
+    world.run(Milliseconds(1'500));
+    cr_assert(answerOf(entry, call) != nullptr, "no answer");
+    cr_assert(answerOf(entry, call)->error_ == ErrorKind::None, "%s",
+              std::string(errorName(answerOf(entry, call)->error_)).c_str());
+}
+
 // Guards against a pause of seconds after a planned stop of the leader.
 Test(control, leavingLeaderHandsOverAtOnce)
 {
