Change: [cell] A runner that was silent before a change of leader does not hold recovered jobs up

The stored list of runners now says which ones are quiescent (silent, lost or not used yet) and what may run there; nothing starts on them before the list says that they are in use again. The next leader keeps just those tasks back. A runner that falls silent with the leader's death still holds all up. Ruled out: trusting the discovery list (a runner cut off from the store alone runs on), a wall-clock time of the lease's end (clocks jump). cell::runnerThatWasSilentDoesNotHoldUpTheNextLeader fails without the change. When a runner is used again without the list saying so, cell::recoveredJobWaitsForEveryRunner fails; cell::runnerThatIsUsedAgainIsNotTakenForSilent guards the same over two outages and was not seen to fail.

--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -106,21 +106,41 @@
 
 void recoverRunners(Cell &cell, std::string_view stored)
 {
-    std::vector<RunnerRecord> records;
-    if (!decodeRunners(stored, records)) {
+    std::vector<StoredRunner> runners;
+    if (!decodeRunners(stored, runners)) {
         return;
     }
-    for (RunnerRecord &record : records) {
-        auto &slot = cell.runners_[record.id_];
+    for (StoredRunner &entry : runners) {
+        auto &slot = cell.runners_[entry.record_.id_];
         if (!slot) { // not in the discovery list
             slot = std::make_unique<Runner>();
-            slot->record_ = std::move(record);
+            slot->record_ = std::move(entry.record_);
         }
-        slot->legacy_ = true;
-        slot->persisted_ = true;
+        slot->legacy_ = !entry.quiescent_ || !entry.tasks_.empty();
+        slot->persisted_ = !entry.quiescent_;
+        slot->storedTasks_ = std::move(entry.tasks_);
     }
 }
 
+// Places what may still run on a runner that was silent when the former leader wrote about it. Everything else can be
+// started without its answer.
+static void placeStoredTasks(Cell &cell, Runner &runner)
+{
+    for (const PlacedRun &placed : runner.storedTasks_) {
+        Job *job = findJob(cell, placed.task_.job_);
+        const TaskRecord *task = job != nullptr && !isFinal(*job) ? findTask(*job, placed.task_, nullptr) : nullptr;
+        if (task != nullptr && task->state_ == TaskState::Waiting && placed.run_.value_ > task->endedRun_) {
+            Placement &placement = addPlacement(cell, runner, *job, placed.task_, placed.run_);
+            placement.phase_ = PlacementPhase::Running;
+            placement.startedAt_ = cell.acquiredAt_;
+            job->started_ = true;
+            placement.settledAt_ = cell.acquiredAt_; // the first list of this leadership tells what is there
+        }
+    }
+    runner.knownTasks_ = runner.legacy_ && !runner.persisted_;
+    runner.storedTasks_.clear();
+}
+
 void finishRecovery(Cell &cell, CellTime now, CellActions &actions)
 {
     for (auto &[id, job] : cell.jobs_) {
@@ -128,6 +148,9 @@
             materialize(cell, *job, now);
         }
     }
+    for (auto &[id, runner] : cell.runners_) {
+        placeStoredTasks(cell, *runner);
+    }
     JsonObject line = logEvent("recovering");
     line.number("epoch", static_cast<std::int64_t>(cell.epoch_.value_));
     line.number("jobs", static_cast<std::int64_t>(cell.jobs_.size()));
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -122,6 +122,13 @@
     std::int64_t untilMs_ = 0; // lease that the start asked for; its repeats ask for the same
 };
 
+// A run that a runner may have.
+struct PlacedRun
+{
+    StagedTask task_;
+    RunNumber run_;
+};
+
 // An end that was handled but may not be acknowledged before the store has the job's version.
 struct UnstoredEnd
 {
@@ -136,7 +143,9 @@
     bool listed_ = false; // is in the discovery list
     bool held_ = false; // has answered this leader in its present life
     bool legacy_ = false; // may have tasks of an earlier leader that are not known yet
-    bool persisted_ = false; // is in the stored list of runners
+    bool knownTasks_ = false; // legacy_, but tasks_ has all that may run there
+    std::vector<PlacedRun> storedTasks_; // until the jobs are recovered: what may run there, by the stored list
+    bool persisted_ = false; // the stored list names it as in use, see isQuiescent()
     Resources used_;
     std::unordered_map<StagedTask, Placement> tasks_;
     std::uint32_t orphans_ = 0; // placements with orphan_
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -68,6 +68,9 @@
 void stopPlacement(Cell &cell, Runner &runner, const StagedTask &task, CellTime now, CellActions &actions);
 void stopJobTasks(Cell &cell, const Job &job, CellTime now, CellActions &actions);
 void runnerTimers(Cell &cell, CellTime now, CellActions &actions);
+// True when nothing is started there before the stored list says that the runner is in use: it is silent, or lost, or
+// was not used yet. A new leader then knows what may run there without its answer.
+bool isQuiescent(const Runner &runner);
 bool usable(const Cell &cell, const Runner &runner, TimePoint now);
 void acknowledgeEnds(Cell &cell, Runner &runner);
 
@@ -113,6 +116,14 @@
 // Applies stored progress to a recovered job, or creates a final one.
 bool decodeProgress(std::string_view bytes, Job &job);
 std::string encodeRunners(const Cell &cell);
-bool decodeRunners(std::string_view bytes, std::vector<RunnerRecord> &runners);
+// A runner of the stored list.
+struct StoredRunner
+{
+    RunnerRecord record_;
+    bool quiescent_ = false; // see isQuiescent(); then tasks_ has all that may run there
+    std::vector<PlacedRun> tasks_;
+};
+
+bool decodeRunners(std::string_view bytes, std::vector<StoredRunner> &runners);
 
 } // namespace mimosapier::detail
--- a/src/core/cell/lanes.cpp
+++ b/src/core/cell/lanes.cpp
@@ -40,7 +40,7 @@
         transaction.storesRunners_ = true;
         transaction.call_.writes_.push_back({"runners", encodeRunners(cell), 0});
         for (const auto &[id, runner] : cell.runners_) {
-            if (runner->listed_) {
+            if (runner->listed_ && !isQuiescent(*runner)) {
                 transaction.runners_.push_back(id);
             }
         }
--- a/src/core/cell/placement.cpp
+++ b/src/core/cell/placement.cpp
@@ -105,7 +105,7 @@
               }
               // What runs on runners that have not answered a new leader yet is not known: they count as full.
               for (const auto &[id, runner] : cell.runners_) {
-                  if (runner->legacy_ && !cell.opened_) {
+                  if (runner->legacy_ && !runner->knownTasks_ && !cell.opened_) {
                       used += runner->record_.capacity_.*dimension;
                   }
               }
--- a/src/core/cell/records.cpp
+++ b/src/core/cell/records.cpp
@@ -41,6 +41,9 @@
     std::string service_;
     std::string address_;
     Resources capacity_;
+    bool quiescent_ = false;
+    std::vector<StagedTask> tasks_; // for a quiescent runner
+    std::vector<std::uint64_t> runs_; // of tasks_
 };
 
 struct RunnersDocument
@@ -51,7 +54,7 @@
 MIMOSAPIER_FIELDS(JobDocument, s.id_, s.account_, s.policy_, s.submitted_, s.acceptedUnixMs_)
 MIMOSAPIER_FIELDS(StepDocument, s.occurrence_, s.step_, s.done_, s.failedRuns_, s.endedRuns_, s.gangFailedRuns_)
 MIMOSAPIER_FIELDS(ProgressDocument, s.state_, s.occurrencesDone_, s.steps_, s.doneOccurrences_, s.endedUnixMs_)
-MIMOSAPIER_FIELDS(RunnerDocument, s.id_, s.service_, s.address_, s.capacity_)
+MIMOSAPIER_FIELDS(RunnerDocument, s.id_, s.service_, s.address_, s.capacity_, s.quiescent_, s.tasks_, s.runs_)
 MIMOSAPIER_FIELDS(RunnersDocument, s.runners_)
 
 } // namespace mimosapier
@@ -187,27 +190,39 @@
 {
     RunnersDocument document;
     for (const auto &[id, runner] : cell.runners_) {
-        if (runner->held_ || runner->legacy_ || !runner->tasks_.empty() || runner->listed_) {
-            document.runners_.push_back(
-                {id, runner->record_.service_, runner->record_.address_, runner->record_.capacity_});
+        if (!runner->held_ && !runner->legacy_ && runner->tasks_.empty() && !runner->listed_) {
+            continue;
         }
+        RunnerDocument entry{id, runner->record_.service_, runner->record_.address_, runner->record_.capacity_, {}, {},
+                             {}};
+        entry.quiescent_ = isQuiescent(*runner);
+        if (entry.quiescent_) {
+            for (const auto &[task, placement] : runner->tasks_) {
+                entry.tasks_.push_back(task);
+                entry.runs_.push_back(placement.run_.value_);
+            }
+        }
+        document.runners_.push_back(std::move(entry));
     }
     return packToString(document);
 }
 
-bool decodeRunners(std::string_view bytes, std::vector<RunnerRecord> &runners)
+bool decodeRunners(std::string_view bytes, std::vector<StoredRunner> &runners)
 {
     RunnersDocument document;
     if (!unpackFromString(bytes, document)) {
         return false;
     }
     for (RunnerDocument &entry : document.runners_) {
-        RunnerRecord record;
-        record.id_ = std::move(entry.id_);
-        record.service_ = std::move(entry.service_);
-        record.address_ = std::move(entry.address_);
-        record.capacity_ = entry.capacity_;
-        runners.push_back(std::move(record));
+        StoredRunner &stored = runners.emplace_back();
+        stored.record_.id_ = std::move(entry.id_);
+        stored.record_.service_ = std::move(entry.service_);
+        stored.record_.address_ = std::move(entry.address_);
+        stored.record_.capacity_ = entry.capacity_;
+        stored.quiescent_ = entry.quiescent_ && entry.tasks_.size() == entry.runs_.size();
+        for (std::size_t i = 0; stored.quiescent_ && i < entry.tasks_.size(); ++i) {
+            stored.tasks_.push_back({entry.tasks_[i], RunNumber{entry.runs_[i]}});
+        }
     }
     return true;
 }
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -18,6 +18,11 @@
         && runner.failedCalls_ == 0 && now >= runner.avoidUntil_ && !cell.superseded_;
 }
 
+bool isQuiescent(const Runner &runner)
+{
+    return runner.held_ ? runner.failedCalls_ > 0 : !runner.legacy_ || runner.knownTasks_;
+}
+
 // Remembers that the leases there may run until `untilMs` on the runner's clock.
 static void extendLease(Runner &runner, std::int64_t untilMs)
 {
@@ -235,8 +240,10 @@
         releasePlacement(cell, runner, task);
         abandonGang(cell, task, now, actions);
     }
+    cell.runnersDirty_ = cell.runnersDirty_ || !isQuiescent(runner);
     runner.held_ = false;
     runner.legacy_ = false;
+    runner.knownTasks_ = false;
     runner.clockMs_ = -1;
     runner.leaseEndsBy_ = {};
     cell.dirtyPlacement_ = true;
@@ -451,11 +458,19 @@
     }
 }
 
+static void noteFailedCall(Cell &cell, Runner &runner)
+{
+    const bool wasQuiescent = isQuiescent(runner);
+    ++runner.failedCalls_;
+    cell.runnersDirty_ = cell.runnersDirty_ || wasQuiescent != isQuiescent(runner);
+}
+
 static void handleHold(Cell &cell, Runner &runner, const RunnerReply &reply, CellTime now, CellActions &actions)
 {
     runner.holdOpen_ = false;
+    const bool wasQuiescent = isQuiescent(runner);
     if (reply.status_ != RunnerStatus::Ok) {
-        ++runner.failedCalls_;
+        noteFailedCall(cell, runner);
         runner.nextHoldAt_ = now.steady_ + HoldRetry;
         if (runner.failedCalls_ == 1) {
             JsonObject line = logEvent("runner-silent");
@@ -489,6 +504,7 @@
         if (!runner.held_) {
             runner.held_ = true;
             runner.legacy_ = false;
+            runner.knownTasks_ = false;
             runner.leaseEndsBy_ = now.steady_ + longestLease(); // an earlier leader may just have extended it
             JsonObject line = logEvent("runner-held");
             line.text("runner", runner.record_.id_.value_).text("service", runner.record_.service_);
@@ -498,6 +514,11 @@
             cell.dirtyPlacement_ = true;
         }
     }
+    if (wasQuiescent && !isQuiescent(runner)) {
+        // Used again once the stored list says so: a later leader must not rely on what it says now.
+        runner.persisted_ = false;
+        cell.runnersDirty_ = true;
+    }
     if (!runner.held_ || !runner.tasks_.empty()) {
         runner.nextHoldAt_ = runner.held_ ? runner.nextHoldAt_ : now.steady_;
     }
@@ -657,7 +678,7 @@
         cell.runnersDirty_ = true;
     }
     if (!cell.opened_ && std::none_of(cell.runners_.begin(), cell.runners_.end(), [](const auto &entry) {
-            return entry.second->legacy_;
+            return entry.second->legacy_ && !entry.second->knownTasks_;
         })) {
         cell.opened_ = true;
         cell.dirtyPlacement_ = true;
@@ -732,7 +753,7 @@
             runner->nextHoldAt_ = now.steady_ + HoldRetry;
         }
         loseRunner(cell, *runner, "address-taken-by-other-life", now, actions);
-        ++runner->failedCalls_;
+        noteFailedCall(cell, *runner);
         return;
     }
     if (reply.bornUnixMs_ != 0 && reply.bornUnixMs_ != runner->bornUnixMs_) {
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -119,6 +119,86 @@
     cr_assert_eq(world.starts(), 2, "the task that runs is found and not started again");
 }
 
+// Hands the work of a leader over to the next one.
+static void recoverFrom(CellWorld &world, const CellWorld &before, std::initializer_list<std::uint64_t> jobs)
+{
+    for (const std::uint64_t id : jobs) {
+        const std::string key = "job/" + jobText(StagedJobId{id});
+        recoverJob(*world.cell_, {key, before.stored_.at(key), 5, false}, world.time(), world.actions_);
+    }
+    recoverRunners(*world.cell_, before.stored_.at("runners"));
+    world.runners_ = before.runners_;
+    world.listRunners();
+    finishRecovery(*world.cell_, world.time(), world.actions_);
+}
+
+// Guards against seconds in which a new leader starts none of the recovered jobs, because one runner is silent: its
+// tasks were stored when it fell silent. Guards against a second run of those, too.
+Test(cell, runnerThatWasSilentDoesNotHoldUpTheNextLeader)
+{
+    CellWorld before;
+    before.listRunners();
+    before.run(Milliseconds(100));
+    before.submit(1, 1, 8'000);
+    before.run(Milliseconds(300));
+    const RunnerId holder = before.where(FirstTask);
+    before.runners_.at(holder).reachable_ = false;
+    before.run(Milliseconds(400));
+    for (std::uint64_t id = 2; id <= 5; ++id) { // more than the others have room for
+        before.submit(id, 1, 8'000);
+        before.run(Milliseconds(50));
+    }
+    CellWorld world(2);
+    recoverFrom(world, before, {1, 2, 3, 4, 5});
+    const std::size_t started = world.starts();
+    for (std::uint64_t id = 2; id <= 4; ++id) {
+        const StagedTask task{StagedJobId{id}, 0, 0, 0};
+        world.end(world.where(task), task, RunEnd::Done);
+    }
+    world.run(Milliseconds(600));
+    cr_assert_eq(world.starts(), started + 1, "the waiting job has not started");
+    world.run(Milliseconds(4'000));
+    cr_assert_eq(world.runners_.at(holder).starts_.size(), 1);
+    cr_assert_eq(world.starts(), started + 1, "a task that may still run was started again");
+    world.runners_.at(holder).reachable_ = true;
+    world.run(Milliseconds(1'000));
+    cr_assert_eq(world.starts(), started + 1, "the task that runs is found and not started again");
+}
+
+// Guards against a second run of a task after two changes of leader: a runner that was silent is used again, and falls
+// silent once more, so that what was stored about it no longer holds.
+Test(cell, runnerThatIsUsedAgainIsNotTakenForSilent)
+{
+    CellWorld before;
+    before.listRunners();
+    before.run(Milliseconds(100));
+    for (auto &[id, runner] : before.runners_) {
+        runner.reachable_ = false;
+    }
+    before.submit(1, 1, 8'000);
+    before.run(Milliseconds(900));
+    for (auto &[id, runner] : before.runners_) {
+        runner.reachable_ = true;
+    }
+    before.run(Milliseconds(1'500));
+    before.submit(2, 1, 8'000);
+    before.run(Milliseconds(100));
+    const StagedTask second{StagedJobId{2}, 0, 0, 0};
+    const RunnerId holder = before.where(second);
+    cr_assert(!holder.empty());
+    CellWorld world(2);
+    before.runners_.at(holder).reachable_ = false;
+    recoverFrom(world, before, {1, 2});
+    world.run(Milliseconds(4'000));
+    cr_assert(world.where(second) == holder);
+    std::size_t runs = 0;
+    for (const auto &[id, runner] : world.runners_) {
+        runs += static_cast<std::size_t>(std::count_if(runner.starts_.begin(), runner.starts_.end(),
+                                                       [&](const auto &start) { return start.first == second; }));
+    }
+    cr_assert_eq(runs, 1, "started again while it may still run");
+}
+
 // Guards against a job that is stored twice or refused although stored, when the answer of a transaction is lost.
 Test(cell, lostAnswerOfATransaction)
 {
