Change: [control] A leader whose instance has started again is replaced at once

Now a listed process with the leader's name and another start shows that it has ended. Writes and runners are fenced in any case. control::leaderWhoseInstanceRestartedIsReplaced fails without the change.

--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -202,21 +202,24 @@
     }
 }
 
-// The former leader sends no more calls when it says so, or when another process has its name.
-static bool predecessorEnded(const Control &control)
+// True when another process has the daemon's name: an instance runs one at a time, so the daemon has ended.
+static bool isReplaced(const Control &control, const DaemonId &daemon)
 {
-    const std::string &former = control.predecessor_.value_;
-    if (former.empty() || control.retiredSeen_.value_ + 1 >= control.epoch_.value_) {
-        return true;
-    }
-    const std::string name = former.substr(0, former.find('#')) + "#";
+    const std::string name = daemon.value_.substr(0, daemon.value_.find('#')) + "#";
     const auto replaces
-        = [&](const DaemonId &daemon) { return daemon != control.predecessor_ && daemon.value_.starts_with(name); };
+        = [&](const DaemonId &candidate) { return candidate != daemon && candidate.value_.starts_with(name); };
     return replaces(control.settings_.self_)
         || std::any_of(control.members_.begin(), control.members_.end(),
                        [&](const auto &entry) { return entry.second.listed_ && replaces(entry.first); });
 }
 
+// The former leader sends no more calls when it says so, or when another process has its name.
+static bool predecessorEnded(const Control &control)
+{
+    return control.predecessor_.empty() || control.retiredSeen_.value_ + 1 >= control.epoch_.value_
+        || isReplaced(control, control.predecessor_);
+}
+
 // True when the leader does not have to be waited for until its session ends: this daemon and all its peers have lost
 // their connections to it. Replacing a leader that lives after all is safe, since the store and the runners fence it.
 static bool leaderIsLost(const Control &control, TimePoint now)
@@ -266,13 +269,14 @@
     const bool ready = control.clusterFeed_.read_ && control.session_.lease_ != 0
         && now.steady_ < control.session_.endsAt_ && control.session_.registered_
         && control.storeFailingSince_ == TimePoint{};
-    // A leader that has retired does not have to be waited for either.
+    // A leader that has retired or whose instance has started again does not have to be waited for either.
     const bool retired = control.epoch_.value_ != 0 && control.retiredSeen_ >= control.epoch_;
-    const bool lost = control.leaderListed_ && (retired || leaderIsLost(control, now.steady_));
+    const bool replaced = !control.leader_.empty() && isReplaced(control, control.leader_);
+    const bool lost = control.leaderListed_ && (retired || replaced || leaderIsLost(control, now.steady_));
     if (lost && !control.leaderLost_) {
         control.electAt_ = now.steady_ + electionDelay(control);
         JsonObject line = controlEvent("leader-lost");
-        line.text("leader", control.leader_.value_).boolean("retired", retired);
+        line.text("leader", control.leader_.value_).boolean("retired", retired).boolean("replaced", replaced);
         line.number("lost_ms", ageMs(now.steady_, control.leaderLostAt_));
         controlLog(actions, line, LogLevel::Warning);
     }
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -123,6 +123,24 @@
     cr_assert(world.now_ < leaving.control_->leaveBy_);
 }
 
+// Guards against a wait for the end of the former leader's session after all daemons lost power: it has 2.5 s, and its
+// instance has started again long before.
+Test(control, leaderWhoseInstanceRestartedIsReplaced)
+{
+    ControlWorld world;
+    world.run(Start);
+    for (const auto &node : world.nodes_) {
+        node->alive_ = false;
+    }
+    world.run(Milliseconds(300));
+    for (int i = 0; i < 3; ++i) {
+        world.addNode("d" + std::to_string(i) + "#2");
+    }
+    world.run(Milliseconds(1'200));
+    cr_assert(world.leader() != nullptr, "no leader 1.2 s after the restart");
+    cr_assert(world.leader()->control_->cell_->predecessorEnded_);
+}
+
 // Guards against work that is turned away while the leader gives its place up, although the next one takes it a moment
 // later.
 Test(control, leavingLeaderTurnsNoWorkAway)
