Fix: [control] The record of an earlier start does not replace a leader

Found by reading again: isReplaced() took any other listed record with the leader's name for a later process. After a restart the record of the earlier start is listed until its session ends, up to 2.5 s, so daemons replaced the new leader, and predecessorEnded() could hold it for ended. Now the store's revisions tell which registered later; this daemon's own name, or its own leadership, need no comparison. The case also reads the list only while there is a leader. control::leaderWhoseInstanceRestartedIsReplaced, extended by 2.5 s without another change of leader, fails without the change. Ruled out: comparing the start times in the names (clocks jump).

--- a/src/core/control/control_base.h
+++ b/src/core/control/control_base.h
@@ -33,6 +33,7 @@
     std::string address_;
     std::string zone_; // availability zone
     bool listed_ = false; // its entry is in the store
+    std::uint64_t registeredRevision_ = 0; // of its entry; 0: none was seen
     TimePoint seenAt_; // listed, or connected, at this time
     bool connected_ = false;
     CellEpoch epoch_; // that its last beacon named
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -171,6 +171,7 @@
         }
         member.listed_ = !item.removed_;
         if (!item.removed_) {
+            member.registeredRevision_ = item.revision_;
             const std::size_t space = item.value_.find(' ');
             member.address_ = item.value_.substr(0, space);
             member.zone_ = space == std::string::npos ? "" : item.value_.substr(space + 1);
@@ -202,15 +203,25 @@
     }
 }
 
-// True when another process has the daemon's name: an instance runs one at a time, so the daemon has ended.
+// True when a later process has the daemon's name: an instance runs one at a time, so the daemon has ended. The store's
+// revisions tell which registered later; the record of an earlier start is listed until its session ends.
 static bool isReplaced(const Control &control, const DaemonId &daemon)
 {
+    const DaemonId &self = control.settings_.self_;
+    if (daemon == self) {
+        return false;
+    }
     const std::string name = daemon.value_.substr(0, daemon.value_.find('#')) + "#";
-    const auto replaces
-        = [&](const DaemonId &candidate) { return candidate != daemon && candidate.value_.starts_with(name); };
-    return replaces(control.settings_.self_)
-        || std::any_of(control.members_.begin(), control.members_.end(),
-                       [&](const auto &entry) { return entry.second.listed_ && replaces(entry.first); });
+    if (self.value_.starts_with(name)) {
+        return true;
+    }
+    const auto known = control.members_.find(daemon);
+    const std::uint64_t registered = known == control.members_.end() ? 0 : known->second.registeredRevision_;
+    return std::any_of(control.members_.begin(), control.members_.end(), [&](const auto &entry) {
+        const auto &[candidate, member] = entry;
+        return member.listed_ && candidate != daemon && candidate.value_.starts_with(name)
+            && member.registeredRevision_ > registered;
+    });
 }
 
 // The former leader sends no more calls when it says so, or when another process has its name.
@@ -271,7 +282,7 @@
         && control.storeFailingSince_ == TimePoint{};
     // A leader that has retired or whose instance has started again does not have to be waited for either.
     const bool retired = control.epoch_.value_ != 0 && control.retiredSeen_ >= control.epoch_;
-    const bool replaced = !control.leader_.empty() && isReplaced(control, control.leader_);
+    const bool replaced = control.leaderListed_ && !control.leader_.empty() && isReplaced(control, control.leader_);
     const bool lost = control.leaderListed_ && (retired || replaced || leaderIsLost(control, now.steady_));
     if (lost && !control.leaderLost_) {
         control.electAt_ = now.steady_ + electionDelay(control);
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -139,6 +139,11 @@
     world.run(Milliseconds(1'200));
     cr_assert(world.leader() != nullptr, "no leader 1.2 s after the restart");
     cr_assert(world.leader()->control_->cell_->predecessorEnded_);
+    // The records of the earlier starts are listed until their sessions end; they do not replace the new leader.
+    const CellEpoch epoch = world.leader()->control_->epoch_;
+    world.run(Milliseconds(2'500));
+    cr_assert(world.leader() != nullptr);
+    cr_assert_eq(world.leader()->control_->epoch_.value_, epoch.value_, "another change of leader");
 }
 
 // Guards against work that is turned away while the leader gives its place up, although the next one takes it a moment
