Codechange: [cell] [control] One Retry-After for store outages, one name of a feed; members that nothing reads are gone

Job::storingVersion_ and Job::placed_ were written and never read, the name of a feed was worked out twice, and a condition of the next hold reduced to one case. A comment named a function that does not exist. No change of behaviour. test_cell, test_control and test_platform pass.

--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -86,12 +86,10 @@
     std::uint64_t runFloor_ = 0; // run numbers are above it
     std::uint64_t version_ = 0; // rises with each change that has to be stored
     std::uint64_t storedVersion_ = 0;
-    std::uint64_t storingVersion_ = 0; // version in the transaction under way; 0: none
     bool stored_ = false; // the job itself is in the store
     bool recovered_ = false; // accepted by an earlier leader
     bool started_ = false; // a task has started
     bool dirtyQueued_ = false; // has an entry in Cell::dirty_
-    std::uint32_t placed_ = 0; // tasks in state Placed
     std::vector<std::pair<DaemonId, CallId>> acceptWaiting_; // submits without a reply
     std::vector<std::pair<std::uint64_t, std::pair<DaemonId, CallId>>> storeWaiting_; // cancels, by version
     TimePoint endedAt_; // when it became final
--- a/src/core/cell/cell_func.h
+++ b/src/core/cell/cell_func.h
@@ -26,7 +26,7 @@
                                std::uint64_t leaderRevision, std::span<const std::uint64_t> laneRevisions,
                                TimePoint now);
 
-// Recovery, in this order: jobs, progress, stored list of runners, discovery; then beginRecovery().
+// Recovery, in this order: jobs, progress, stored list of runners, discovery; then finishRecovery().
 void recoverJob(Cell &cell, const KvItem &item, CellTime now, CellActions &actions);
 void recoverProgress(Cell &cell, const KvItem &item, CellTime now, CellActions &actions);
 void recoverRunners(Cell &cell, std::string_view stored);
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -26,6 +26,7 @@
 constexpr std::size_t WritesPerTransaction = 26; // the store takes 32 entries, conditions and lane key included
 constexpr std::array<Milliseconds, LaneCount> LaneGaps{Milliseconds(8), Milliseconds(25)}; // groups writes
 constexpr Milliseconds StoreTroubleAfter{500}; // a transaction without an answer for this long: submits are refused
+constexpr Milliseconds StoreRetryAfter{2'000}; // outages of the store last seconds
 constexpr Milliseconds StatusMargin{10'000}; // added to the time for which a final state is kept
 constexpr std::size_t MaxOccurrencesAhead = 64; // occurrences of a job that may be unfinished at a time
 constexpr Milliseconds TicketMargin{120}; // way of the answer and of the start between regions
--- a/src/core/cell/lanes.cpp
+++ b/src/core/cell/lanes.cpp
@@ -59,7 +59,6 @@
             continue;
         }
         job->dirtyQueued_ = false;
-        job->storingVersion_ = job->version_;
         transaction.call_.writes_.push_back({"progress/" + jobText(job->id_), encodeProgress(*job), 0});
         if (isFinal(*job)) {
             transaction.call_.removes_.push_back(std::string(JobPrefix) + jobText(job->id_));
@@ -99,9 +98,8 @@
     if (job == nullptr) {
         return;
     }
-    constexpr Milliseconds RetryAfter{2'000}; // outages of the store last seconds
     for (const auto &[daemon, call] : job->acceptWaiting_) {
-        actions.replies_.push_back({daemon, {call, CellOutcome::Unavailable, {}, 0, RetryAfter}});
+        actions.replies_.push_back({daemon, {call, CellOutcome::Unavailable, {}, 0, StoreRetryAfter}});
     }
     for (const auto &[version, waiting] : job->storeWaiting_) { // cancelled while it was being stored
         actions.replies_.push_back({waiting.first, {waiting.second, CellOutcome::Gone, {}, 0, {}}});
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -92,7 +92,6 @@
     record->runner_ = runner.record_.id_;
     --step->waiting_;
     ++step->perRunner_[runner.record_.id_];
-    ++job.placed_;
     return runner.tasks_.insert_or_assign(task, std::move(placement)).first->second;
 }
 
@@ -115,9 +114,6 @@
     Job *job = findJob(cell, task.job_);
     StepState *step = nullptr;
     TaskRecord *record = job != nullptr ? findTask(*job, task, &step) : nullptr;
-    if (job != nullptr && !placement.orphan_ && job->placed_ > 0) {
-        --job->placed_;
-    }
     if (record == nullptr || placement.orphan_) {
         return;
     }
@@ -519,8 +515,8 @@
         runner.persisted_ = false;
         cell.runnersDirty_ = true;
     }
-    if (!runner.held_ || !runner.tasks_.empty()) {
-        runner.nextHoldAt_ = runner.held_ ? runner.nextHoldAt_ : now.steady_;
+    if (!runner.held_) {
+        runner.nextHoldAt_ = now.steady_;
     }
 }
 
--- a/src/core/cell/submit_cmd.cpp
+++ b/src/core/cell/submit_cmd.cpp
@@ -9,7 +9,6 @@
 using namespace detail;
 
 static constexpr Milliseconds MinAcceptTime{60}; // a submit that has less time left is not begun
-static constexpr Milliseconds StoreRetryAfter{2'000}; // outages of the store last seconds
 static constexpr Milliseconds LoadRetryAfter{1'000}; // the shortest that Retry-After, in whole seconds, can say
 // Work that waits may take this many objectives' time ahead of a new job. A job is worth a fifth up to three
 // objectives, but the estimates of work are rough, and a client that is refused early can come back after the burst.
--- a/src/core/control/feeds.cpp
+++ b/src/core/control/feeds.cpp
@@ -34,6 +34,15 @@
     FeedPlan{&Control::runnerFeed_, KvSpace::Discovery, "", KvPurpose::ReadRunners, KvPurpose::WatchRunners,
              RunnerWait}};
 
+// Name in log lines.
+static std::string_view feedName(const FeedPlan &plan)
+{
+    if (!plan.prefix_.empty()) {
+        return plan.prefix_;
+    }
+    return plan.space_ == KvSpace::Operator ? "config" : "runners";
+}
+
 static void callFeed(Control &control, const FeedPlan &plan, ControlActions &actions)
 {
     Feed &feed = control.*plan.feed_;
@@ -213,9 +222,7 @@
     if (reply.status_ == KvStatus::Ok) {
         if (feed.failures_ > 0) {
             JsonObject line = controlEvent("store-regained");
-            line.text("feed",
-                      plan->prefix_.empty() ? (plan->space_ == KvSpace::Operator ? "config" : "runners")
-                                            : plan->prefix_);
+            line.text("feed", feedName(*plan));
             line.number("failures", feed.failures_);
             controlLog(actions, line);
         }
@@ -227,8 +234,7 @@
         return;
     }
     JsonObject line = controlEvent(reply.status_ == KvStatus::HistoryLost ? "history-lost" : "store-lost");
-    line.text("feed",
-              plan->prefix_.empty() ? (plan->space_ == KvSpace::Operator ? "config" : "runners") : plan->prefix_);
+    line.text("feed", feedName(*plan));
     line.number("status", reply.httpStatus_).number("failures", feed.failures_);
     if (feed.failures_ == 0 || reply.status_ == KvStatus::HistoryLost) {
         controlLog(actions, line, LogLevel::Warning);
