--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -44,8 +44,22 @@
 // The queue of structured lines and the thread that writes them.
 struct StructuredLog
 {
+    StructuredLog() = default;
+    StructuredLog(const StructuredLog &) = delete;
+    StructuredLog &operator=(const StructuredLog &) = delete;
+    ~StructuredLog() { stop(); }
+
+    // Writes the queued lines and ends the thread.
+    void stop()
+    {
+        queue_.close();
+        if (writer_.joinable()) {
+            writer_.join();
+        }
+    }
+
     LogQueue queue_{QueueLimits};
-    std::thread writer_; // runs from startLog() to stopLog()
+    std::thread writer_; // runs from startLog() to stop()
 };
 
 } // namespace
@@ -182,11 +196,7 @@
 
 void stopLog()
 {
-    StructuredLog &log = structuredLog();
-    log.queue_.close();
-    if (log.writer_.joinable()) {
-        log.writer_.join();
-    }
+    structuredLog().stop();
     log4cxx::LogManager::shutdown();
 }
 
