--- /dev/null
+++ b/src/core/cell/admission.cpp
@@ -0,0 +1,195 @@
+// Admission: decides whether a submitted job is accepted or refused at once, and when its client may come back.
+//
+// Designed for bursts, for accounts that submit many times their share, and for a leader that has just taken over a
+// backlog. Two estimates of the wait are made, and the longer one counts: the work that waits against the capacity of
+// the runners, and the jobs that wait against the rate at which jobs of their queue start. The second one shows what no
+// capacity tells of: the policy service, the store or the leader's own processor. A job that could start only after its
+// objective is certainly missed is refused while that is cheap; its client can come back when the queue is shorter.
+#include "core/cell/cell_internal.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mimosapier::detail
+{
+
+static constexpr Milliseconds MinAcceptTime{60}; // a submit is refused when its client waits for less than this
+static constexpr Milliseconds LoadRetryAfter{1'000}; // the smallest value of Retry-After, which has whole seconds
+// Waiting work may delay a new job by this multiple of its objective. A job has a fifth of its value up to three
+// objectives, but the estimates of work are rough, and a client that is refused early can retry after the burst.
+static constexpr double MaxWaitObjectives = 1.5;
+// Size of an account's token bucket, in seconds of its share: a larger burst counts as beyond the share.
+static constexpr double ShareBurstSeconds = 2;
+// Submissions beyond the share are accepted while the work ahead takes less time than this.
+static constexpr Milliseconds IdleWait{250};
+// Limit of the waiting work beyond the shares, as the time that the whole capacity needs for it. More work could wait
+// indefinitely while other accounts keep submitting.
+static constexpr Milliseconds MaxBeyondShareWait{1'000};
+
+// Returns the reason why a job can never run; empty if there is none.
+static std::string_view infeasibilityReason(const Cell &cell, const Job &job)
+{
+    for (std::size_t i = 0; i < job.submitted_.steps_.size(); ++i) {
+        const StepSpec &spec = job.submitted_.steps_[i];
+        const auto account = cell.accounts_.find(job.account_);
+        if (account != cell.accounts_.end()) {
+            const Resources &cap = account->second.config_.cap_;
+            if ((cap.milliCpus_ > 0 && spec.size_.milliCpus_ > cap.milliCpus_)
+                || (cap.memoryMb_ > 0 && spec.size_.memoryMb_ > cap.memoryMb_)) {
+                return "task-above-account-limit";
+            }
+        }
+    }
+    return {};
+}
+
+// Processor time of a job's tasks, in milli-CPU milliseconds, without long-running and fill tasks.
+static double workOf(const Job &job)
+{
+    double work = 0;
+    for (const StepSpec &spec : job.submitted_.steps_) {
+        if (!spec.longRunning_ && !spec.fill_) {
+            work += static_cast<double>(spec.count_) * static_cast<double>(spec.size_.milliCpus_)
+                * static_cast<double>(spec.estimate_.count());
+        }
+    }
+    return work;
+}
+
+static double capacityOf(Cell &cell, const std::string &service)
+{
+    if (cell.capacityStale_) {
+        cell.capacityStale_ = false;
+        cell.serviceCapacity_.clear();
+        for (const auto &[id, runner] : cell.runners_) {
+            if (runner->inDiscovery_ && !runner->record_.draining_) {
+                cell.serviceCapacity_[runner->record_.service_]
+                    += static_cast<double>(runner->record_.capacity_.milliCpus_);
+            }
+        }
+    }
+    const auto found = cell.serviceCapacity_.find(service);
+    return found == cell.serviceCapacity_.end() ? 0 : found->second;
+}
+
+void addWaitingWork(Cell &cell, const Job &job, TimePoint now)
+{
+    const double work = workOf(job);
+    if (job.beyondShare_) {
+        cell.waitingWork_.beyondShare_[job.policy_.service_] += work;
+    } else if (now < job.valueEndsAt_) {
+        cell.waitingWork_.withinShare_[{job.policy_.service_, job.policy_.priority_}] += work;
+    }
+}
+
+// Sums up the work that has not started. The sums are reused for a short time, in which only accepted jobs are added.
+static void refreshWaitingWork(Cell &cell, TimePoint now)
+{
+    // Jobs that started since the last refresh still count as waiting: at the target load 60 of some thousand jobs.
+    constexpr Milliseconds Refresh{20};
+    if (now < cell.waitingWork_.countedAt_ + Refresh) {
+        return;
+    }
+    cell.waitingWork_ = {now, {}, {}};
+    for (const StagedJobId id : cell.unstartedJobs_) {
+        const Job *job = findJob(cell, id);
+        if (job != nullptr && !isFinal(*job) && !job->started_) {
+            addWaitingWork(cell, *job, now);
+        }
+    }
+}
+
+// Time that the runners of a service need for an amount of work; 0 if the service has no runners.
+static Milliseconds processingTime(Cell &cell, double work, const std::string &service)
+{
+    // Gangs and tickets leave about a quarter of the capacity unused.
+    constexpr double UsableShare = 0.75;
+    const double capacity = capacityOf(cell, service);
+    return capacity <= 0 ? Milliseconds(0) : Milliseconds(static_cast<std::int64_t>(work / (capacity * UsableShare)));
+}
+
+// Estimated wait of a job until the work that precedes it has been placed. In a burst, a job that could only end long
+// after its objective is refused at once, while that is cheap.
+static Milliseconds expectedWait(Cell &cell, const Job &job, TimePoint now)
+{
+    refreshWaitingWork(cell, now);
+    const std::string &service = job.policy_.service_;
+    const auto &withinShare = cell.waitingWork_.withinShare_;
+    double ahead = 0;
+    for (auto sum = withinShare.lower_bound({service, 0});
+         sum != withinShare.end() && sum->first <= std::pair(service, job.policy_.priority_); ++sum) {
+        ahead += sum->second;
+    }
+    return processingTime(cell, ahead, service);
+}
+
+// Time that the waiting work beyond the accounts' shares would take. This work is placed after all other work.
+static Milliseconds beyondShareWait(Cell &cell, const Job &job, TimePoint now)
+{
+    refreshWaitingWork(cell, now);
+    const auto beyondShare = cell.waitingWork_.beyondShare_.find(job.policy_.service_);
+    return beyondShare == cell.waitingWork_.beyondShare_.end()
+        ? Milliseconds(0)
+        : processingTime(cell, beyondShare->second, job.policy_.service_);
+}
+
+bool takeToken(Cell &cell, const std::string &name, TimePoint now)
+{
+    const auto found = cell.accounts_.find(name);
+    if (found == cell.accounts_.end() || found->second.config_.weight_ <= 0) {
+        return true;
+    }
+    Account &account = found->second;
+    const double bucketSize = std::max(1.0, account.config_.weight_ * ShareBurstSeconds);
+    const double seconds = std::chrono::duration<double>(now - account.refilledAt_).count();
+    account.tokens_ = account.refilledAt_ == TimePoint{}
+        ? bucketSize
+        : std::min(bucketSize, account.tokens_ + seconds * account.config_.weight_);
+    account.refilledAt_ = now;
+    if (account.tokens_ < 1) {
+        return false;
+    }
+    account.tokens_ -= 1;
+    return true;
+}
+
+std::optional<CellReply> checkSubmit(Cell &cell, const CellRequest &request, const Job &job, TimePoint now,
+                                     std::string_view &reason)
+{
+    CellReply refusal{request.call_, CellOutcome::Refused, {}, 0, LoadRetryAfter};
+    if (cell.leaving_ || cell.superseded_) {
+        reason = "leader-leaving";
+        refusal.outcome_ = CellOutcome::Unavailable;
+        return refusal;
+    }
+    if (cell.storeUnavailable_) {
+        reason = "store-unavailable";
+        refusal.outcome_ = CellOutcome::Unavailable;
+        refusal.retryAfter_ = StoreRetryAfter;
+        return refusal;
+    }
+    if (request.remaining_ < MinAcceptTime) {
+        reason = "deadline-too-short";
+        return refusal;
+    }
+    reason = infeasibilityReason(cell, job);
+    if (!reason.empty()) {
+        return refusal;
+    }
+    const Milliseconds wait = expectedWait(cell, job, now);
+    if (job.beyondShare_ && (wait > IdleWait || beyondShareWait(cell, job, now) > MaxBeyondShareWait)) {
+        reason = "beyond-share";
+        refusal.retryAfter_ = std::max<Milliseconds>(LoadRetryAfter, wait);
+        return refusal;
+    }
+    const auto maxWait
+        = Milliseconds(static_cast<std::int64_t>(static_cast<double>(objectiveOf(job).count()) * MaxWaitObjectives));
+    if (wait > maxWait && job.submitted_.repeatCount_ == 0) {
+        reason = "overloaded";
+        refusal.retryAfter_ = std::max<Milliseconds>(LoadRetryAfter, wait - maxWait);
+        return refusal;
+    }
+    return std::nullopt;
+}
+
+} // namespace mimosapier::detail
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -267,7 +267,7 @@
     std::map<RunnerId, std::unique_ptr<Runner>> runners_;
     std::map<std::string, Account> accounts_;
     std::vector<StepRef> readySteps_; // steps with waiting tasks; placement removes the steps that have none any more
-    std::vector<StepRef> queryQueue_; // steps that need a policy query
+    std::vector<StepRef> queryQueue_; // steps that need a policy query, by urgency at the last sort, then new ones
     std::map<std::uint64_t, InFlightQuery> inFlightQueries_; // by call id
     std::vector<PolicyQuerier> queriers_; // daemons that can send policy queries
     std::map<std::string, double> allowedShare_; // by queue: smoothed fraction of queried runners that are allowed
@@ -296,7 +296,7 @@
     TimePoint nextSlowTickAt_; // for recurring jobs, ended jobs and unanswered queries
     TimePoint nextTimersAt_; // for the timers of all runners
     TimePoint nextPlacementAt_;
-    TimePoint nextQueryPassAt_; // of the steps that need a policy query
+    TimePoint nextQuerySortAt_; // of queryQueue_
 };
 
 } // namespace mimosapier
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -127,6 +127,18 @@
 // Resources that a task reserves on a runner. Fill tasks reserve no processors: they use those that others leave idle.
 Resources reservedSize(const StepSpec &spec);
 
+// Defined in admission.cpp.
+
+// Checks a submit without changing the state of the cell. Result: the refusal with its `reason`, or no value.
+std::optional<CellReply> checkSubmit(Cell &cell, const CellRequest &request, const Job &job, TimePoint now,
+                                     std::string_view &reason);
+// Takes one submission from the account's token bucket. Result: false if the bucket is empty.
+bool takeToken(Cell &cell, const std::string &name, TimePoint now);
+// Counts an accepted job that has not started.
+void addWaitingWork(Cell &cell, const Job &job, TimePoint now);
+// Counts the first start of a job of this queue for the queue's start rate.
+void countFirstStart(Cell &cell, const std::string &queue, TimePoint now);
+
 // Defined in urgency.cpp.
 
 // What starting a step now can still achieve for its job; the declaration order is the order of work.
--- a/src/core/cell/policy.cpp
+++ b/src/core/cell/policy.cpp
@@ -199,38 +199,51 @@
     return true;
 }
 
-void detail::sendPolicyQueries(Cell &cell, CellTime now, CellActions &actions)
+// Sorts the steps that need a query by urgency, unless the last sort of the long queue is recent. Steps that were
+// queued since then wait at the end.
+static void sortQueryQueue(Cell &cell, TimePoint now)
 {
-    if (cell.queryQueue_.empty() || cell.superseded_) {
-        return;
-    }
-    // Under load, few daemons are free; without one, the queue is not examined.
-    if (chooseQuerier(cell, 0, now.steady_) == nullptr) {
-        return;
-    }
-    if (now.steady_ < cell.nextQueryPassAt_) {
+    if (now < cell.nextQuerySortAt_) {
         return;
     }
-    cell.nextQueryPassAt_ = now.steady_ + passInterval(cell.queryQueue_.size());
+    cell.nextQuerySortAt_ = now + passInterval(cell.queryQueue_.size());
     cell.stepsExamined_ += cell.queryQueue_.size();
-    std::vector<UrgencyKey> queue;
-    queue.reserve(cell.queryQueue_.size());
+    std::vector<UrgencyKey> keys;
+    keys.reserve(cell.queryQueue_.size());
     for (const StepRef &ref : cell.queryQueue_) {
         if (const Job *job = findJob(cell, ref.job_)) {
-            queue.push_back(urgencyOf(*job, ref, now.steady_));
+            keys.push_back(urgencyOf(*job, ref, now));
         }
     }
-    std::sort(queue.begin(), queue.end());
+    std::sort(keys.begin(), keys.end());
     cell.queryQueue_.clear();
+    for (const UrgencyKey &key : keys) {
+        cell.queryQueue_.push_back(key.ref_);
+    }
+}
+
+void detail::sendPolicyQueries(Cell &cell, CellTime now, CellActions &actions)
+{
+    if (cell.queryQueue_.empty() || cell.superseded_) {
+        return;
+    }
+    // Under load, few daemons are free; without one, the queue is not examined.
+    if (chooseQuerier(cell, 0, now.steady_) == nullptr) {
+        return;
+    }
+    sortQueryQueue(cell, now.steady_);
     FreeCapacityIndex freeCapacity(cell, now.steady_);
-    bool daemonFree = true;
-    for (const UrgencyKey &key : queue) {
-        const bool sent = daemonFree && sendQuery(cell, freeCapacity, key.ref_, now, actions);
-        if (!sent) {
-            cell.queryQueue_.push_back(key.ref_);
-            daemonFree = daemonFree && chooseQuerier(cell, 0, now.steady_) != nullptr;
+    std::vector<StepRef> &queue = cell.queryQueue_;
+    std::size_t examined = 0;
+    std::size_t kept = 0;
+    for (; examined < queue.size() && chooseQuerier(cell, 0, now.steady_) != nullptr; ++examined) {
+        if (!sendQuery(cell, freeCapacity, queue[examined], now, actions)) {
+            queue[kept++] = queue[examined];
         }
     }
+    cell.stepsExamined_ += examined;
+    queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(kept),
+                queue.begin() + static_cast<std::ptrdiff_t>(examined));
 }
 
 static void endQuery(Cell &cell, const InFlightQuery &query, bool answered, TimePoint now)
