--- a/src/core/cell/policy.cpp
+++ b/src/core/cell/policy.cpp
@@ -26,6 +26,9 @@
 static constexpr Milliseconds QueryRetryDelay{150}; // delay after a query without an answer
 static constexpr Milliseconds PipelineLead{30}; // a query is sent this long before the estimated end of the last one
 static constexpr std::uint32_t MaxQueriesInFlight = 2; // for each daemon
+// A pass ends after this many steps for which no query could be sent. When all runners are full, a long queue would
+// otherwise be examined as a whole with each batch of events.
+static constexpr std::size_t MaxUnsentPerPass = 64;
 
 bool detail::hasTicket(const StepState &step, const Runner &runner, TimePoint now)
 {
@@ -236,7 +239,12 @@
     std::vector<StepRef> &queue = cell.queryQueue_;
     std::size_t examined = 0;
     std::size_t kept = 0;
+    const std::size_t inFlightBefore = cell.inFlightQueries_.size();
     for (; examined < queue.size() && chooseQuerier(cell, 0, now.steady_) != nullptr; ++examined) {
+        const std::size_t sent = cell.inFlightQueries_.size() - inFlightBefore;
+        if (examined - sent >= MaxUnsentPerPass) {
+            break;
+        }
         if (!sendQuery(cell, freeCapacity, queue[examined], now, actions)) {
             queue[kept++] = queue[examined];
         }
