Change: [cell] Submits are refused by the measured start rate of their queue

Ruled out: a lower multiple of the objective for the capacity estimate (it is near zero throughout). Change: a second estimate, the waiting jobs of the queue divided by the rate at which its jobs start; a job that could not start in time is refused at once. Accelerators above the account's limit are refused, and policy queries count them. Tests: overloadOfThePolicyServiceIsRefused (fails before: all 400 accepted), aBurstAfterACalmTimeIsAccepted, tasksAboveTheAcceleratorLimitAreRefused (fails before: accepted).

--- a/src/core/cell/admission.cpp
+++ b/src/core/cell/admission.cpp
@@ -25,6 +25,14 @@
 // Limit of the waiting work beyond the shares, as the time that the whole capacity needs for it. More work could wait
 // indefinitely while other accounts keep submitting.
 static constexpr Milliseconds MaxBeyondShareWait{1'000};
+// Weight of a start in the start rate of its queue: falls to 1/e in this time, which is shorter than most bursts.
+static constexpr std::chrono::duration<double> StartRateDecay{2};
+// The start rate of a new leader is used from this time after its recovery on.
+static constexpr Milliseconds MinStartRateAge{500};
+// With fewer waiting jobs of its queue, a job is not refused because of the start rate: the rate of a few jobs is
+// noise.
+static constexpr std::size_t MinJobsForStartRate = 16;
+static constexpr Milliseconds MaxQueueWait{30'000}; // estimate when nothing of the queue starts
 
 // Returns the reason why a job can never run; empty if there is none.
 static std::string_view infeasibilityReason(const Cell &cell, const Job &job)
@@ -35,7 +43,8 @@
         if (account != cell.accounts_.end()) {
             const Resources &cap = account->second.config_.cap_;
             if ((cap.milliCpus_ > 0 && spec.size_.milliCpus_ > cap.milliCpus_)
-                || (cap.memoryMb_ > 0 && spec.size_.memoryMb_ > cap.memoryMb_)) {
+                || (cap.memoryMb_ > 0 && spec.size_.memoryMb_ > cap.memoryMb_)
+                || (cap.accelerators_ > 0 && spec.size_.accelerators_ > cap.accelerators_)) {
                 return "task-above-account-limit";
             }
         }
@@ -79,6 +88,7 @@
         cell.waitingWork_.beyondShare_[job.policy_.service_] += work;
     } else if (now < job.valueEndsAt_) {
         cell.waitingWork_.withinShare_[{job.policy_.service_, job.policy_.priority_}] += work;
+        ++cell.waitingWork_.jobs_[job.policy_.queue_];
     }
 }
 
@@ -90,7 +100,7 @@
     if (now < cell.waitingWork_.countedAt_ + Refresh) {
         return;
     }
-    cell.waitingWork_ = {now, {}, {}};
+    cell.waitingWork_ = {now, {}, {}, {}};
     for (const StagedJobId id : cell.unstartedJobs_) {
         const Job *job = findJob(cell, id);
         if (job != nullptr && !isFinal(*job) && !job->started_) {
@@ -108,9 +118,8 @@
     return capacity <= 0 ? Milliseconds(0) : Milliseconds(static_cast<std::int64_t>(work / (capacity * UsableShare)));
 }
 
-// Estimated wait of a job until the work that precedes it has been placed. In a burst, a job that could only end long
-// after its objective is refused at once, while that is cheap.
-static Milliseconds expectedWait(Cell &cell, const Job &job, TimePoint now)
+// Estimated wait of a job until the runners have taken the work that precedes it.
+static Milliseconds capacityWait(Cell &cell, const Job &job, TimePoint now)
 {
     refreshWaitingWork(cell, now);
     const std::string &service = job.policy_.service_;
@@ -123,6 +132,38 @@
     return processingTime(cell, ahead, service);
 }
 
+static double decayedStarts(const StartRate &rate, TimePoint now)
+{
+    return rate.starts_ * std::exp(-std::chrono::duration<double>(now - rate.countedAt_) / StartRateDecay);
+}
+
+void countFirstStart(Cell &cell, const std::string &queue, TimePoint now)
+{
+    StartRate &rate = cell.startRates_[queue];
+    rate.starts_ = decayedStarts(rate, now) + 1;
+    rate.countedAt_ = now;
+}
+
+// Estimated wait of a job until it starts: the waiting jobs of its queue at the queue's present start rate. It contains
+// the waits for the store, the policy service and the leader's processor. 0 when too little is known.
+static Milliseconds queueWait(Cell &cell, const Job &job, TimePoint now)
+{
+    refreshWaitingWork(cell, now);
+    const auto waiting = cell.waitingWork_.jobs_.find(job.policy_.queue_);
+    if (!cell.allTasksKnown_ || now < cell.allTasksKnownAt_ + MinStartRateAge
+        || waiting == cell.waitingWork_.jobs_.end() || waiting->second < MinJobsForStartRate) {
+        return Milliseconds(0);
+    }
+    const auto rate = cell.startRates_.find(job.policy_.queue_);
+    const std::chrono::duration<double> age = now - cell.allTasksKnownAt_;
+    // Only starts of this leadership are counted: a young rate is scaled up to the whole decay time.
+    const double weight = StartRateDecay.count() * (1 - std::exp(-age / StartRateDecay));
+    const double startsPerSecond = rate == cell.startRates_.end() ? 0 : decayedStarts(rate->second, now) / weight;
+    constexpr double MillisPerSecond = 1'000;
+    const double waitMs = static_cast<double>(waiting->second) * MillisPerSecond / std::max(startsPerSecond, 1e-3);
+    return Milliseconds(static_cast<std::int64_t>(std::min(waitMs, static_cast<double>(MaxQueueWait.count()))));
+}
+
 // Time that the waiting work beyond the accounts' shares would take. This work is placed after all other work.
 static Milliseconds beyondShareWait(Cell &cell, const Job &job, TimePoint now)
 {
@@ -176,17 +217,23 @@
     if (!reason.empty()) {
         return refusal;
     }
-    const Milliseconds wait = expectedWait(cell, job, now);
+    const Milliseconds forCapacity = capacityWait(cell, job, now);
+    const Milliseconds forQueue = queueWait(cell, job, now);
+    const Milliseconds wait = std::max(forCapacity, forQueue);
     if (job.beyondShare_ && (wait > IdleWait || beyondShareWait(cell, job, now) > MaxBeyondShareWait)) {
         reason = "beyond-share";
         refusal.retryAfter_ = std::max<Milliseconds>(LoadRetryAfter, wait);
         return refusal;
     }
-    const auto maxWait
-        = Milliseconds(static_cast<std::int64_t>(static_cast<double>(objectiveOf(job).count()) * MaxWaitObjectives));
-    if (wait > maxWait && job.submitted_.repeatCount_ == 0) {
+    const Milliseconds objective = objectiveOf(job);
+    const auto maxCapacityWait
+        = Milliseconds(static_cast<std::int64_t>(static_cast<double>(objective.count()) * MaxWaitObjectives));
+    // The measured wait is exact enough to tell whether the job can still start in time.
+    const Milliseconds maxQueueWait = std::max(IdleWait, objective - certainWork(job));
+    const Milliseconds excess = std::max(forCapacity - maxCapacityWait, forQueue - maxQueueWait);
+    if (excess > Milliseconds(0) && job.submitted_.repeatCount_ == 0) {
         reason = "overloaded";
-        refusal.retryAfter_ = std::max<Milliseconds>(LoadRetryAfter, wait - maxWait);
+        refusal.retryAfter_ = std::max(LoadRetryAfter, excess);
         return refusal;
     }
     return std::nullopt;
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -242,13 +242,22 @@
     TimePoint nextAt_; // earliest start of the next transaction
 };
 
-// Sums of the work of jobs that have not started, in milli-CPU milliseconds.
+// Sums over the jobs that have not started; work is in milli-CPU milliseconds.
 struct WaitingWork
 {
     TimePoint countedAt_;
     // By service and priority: jobs within their account's share that are not past valueEndsAt_.
     std::map<std::pair<std::string, std::uint32_t>, double> withinShare_;
     std::map<std::string, double> beyondShare_; // jobs beyond their account's share, by service
+    // Number of jobs by queue, of those in withinShare_.
+    std::map<std::string, std::size_t> jobs_;
+};
+
+// Jobs of a queue that started for the first time, weighted with their age.
+struct StartRate
+{
+    double starts_ = 0; // at countedAt_; decays with StartRateDecay in admission.cpp
+    TimePoint countedAt_;
 };
 
 // AcceptLane writes the records of new jobs, ProgressLane everything else.
@@ -281,10 +290,12 @@
     // What may run on each runner is known, so that tasks of recovered jobs may start. The recovery from the store ends
     // before, with finishRecovery().
     bool allTasksKnown_ = false;
+    TimePoint allTasksKnownAt_; // when allTasksKnown_ was set; empty before
     bool predecessorEnded_ = false; // the previous leader can send no more calls; set by src/core/control
     // Jobs of which no task has started. Those that have started or ended are removed with the next slow tick.
     std::unordered_set<StagedJobId> unstartedJobs_;
     WaitingWork waitingWork_;
+    std::map<std::string, StartRate> startRates_; // by queue
     std::map<std::string, double> serviceCapacity_; // by service: milli-CPUs of listed runners that are not draining
     bool capacityStale_ = true; // serviceCapacity_ has to be recomputed
     std::uint64_t runnersExamined_ = 0; // by placement and policy queries; a measure of the cost of decisions
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -62,6 +62,8 @@
 void queueStep(Cell &cell, Job &job, std::uint32_t occurrence, std::uint32_t step);
 // Schedules a write of the job's progress.
 void markDirty(Cell &cell, Job &job);
+// Records that a task of the job has started.
+void markStarted(Cell &cell, Job &job, TimePoint now);
 // Makes the job final unless it is already, and stops its tasks unless the job has completed.
 void finishJob(Cell &cell, Job &job, StagedState state, CellTime now, CellActions &actions);
 // Records that a run of the task has ended as done. In a gang, the end of one member completes all.
@@ -155,8 +157,8 @@
 };
 
 UrgencyKey urgencyOf(const Job &job, const StepRef &ref, TimePoint now);
-// Time that the job certainly needs from the start of this step to its end.
-Milliseconds certainWork(const Job &job, std::uint32_t step);
+// Time that the job certainly needs from its first start to its end.
+Milliseconds certainWork(const Job &job);
 // Time from one pass over the waiting steps to the next. It grows with their number, so that the passes never use up
 // the leader's processor.
 Duration passInterval(std::size_t waitingSteps);
--- a/src/core/cell/jobs.cpp
+++ b/src/core/cell/jobs.cpp
@@ -211,6 +211,14 @@
     cell.placementDue_ = true;
 }
 
+void markStarted(Cell &cell, Job &job, TimePoint now)
+{
+    if (!job.started_) {
+        job.started_ = true;
+        countFirstStart(cell, job.policy_.queue_, now);
+    }
+}
+
 static void completeStep(Cell &cell, Job &job, std::uint32_t number, CellTime now, CellActions &actions)
 {
     Occurrence &occurrence = job.occurrences_.at(number);
--- a/src/core/cell/policy.cpp
+++ b/src/core/cell/policy.cpp
@@ -56,6 +56,9 @@
     if (size.memoryMb_ > 0) {
         fitting = std::min(fitting, free.memoryMb_ / size.memoryMb_);
     }
+    if (size.accelerators_ > 0) {
+        fitting = std::min(fitting, free.accelerators_ / size.accelerators_);
+    }
     return static_cast<std::uint32_t>(std::max<std::int64_t>(0, fitting));
 }
 
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -353,7 +353,7 @@
                 prepareRetry(*job, end.task_, end, now);
             }
             if (end.end_ == RunEnd::Done && !stepSpec(*job, end.task_.step_).longRunning_) {
-                job->started_ = true;
+                markStarted(cell, *job, now.steady_);
                 completeTask(cell, *job, end.task_, now, actions);
             } else if (end.end_ == RunEnd::Failed) {
                 countFailure(cell, *job, end.task_, end, now, actions);
@@ -571,7 +571,7 @@
         placement.phase_ = PlacementPhase::Running;
         placement.confirmedAt_ = now.steady_;
         if (Job *job = findJob(cell, reply.task_.job_)) {
-            job->started_ = true;
+            markStarted(cell, *job, now.steady_);
         }
         break;
     case RunnerStatus::Unknown:
@@ -684,6 +684,7 @@
             return entry.second->mayHavePredecessorTasks_ && !entry.second->predecessorTasksKnown_;
         })) {
         cell.allTasksKnown_ = true;
+        cell.allTasksKnownAt_ = now.steady_;
         cell.placementDue_ = true;
         JsonObject line = logEvent("recovered");
         line.number("epoch", static_cast<std::int64_t>(cell.epoch_.value_));
--- a/src/core/cell/urgency.cpp
+++ b/src/core/cell/urgency.cpp
@@ -6,16 +6,23 @@
 // of the jobs after it.
 #include "core/cell/cell_internal.h"
 
+#include <algorithm>
+
 namespace mimosapier::detail
 {
 
 // Estimates of run times are rough: a step counts as late only when this part of its estimate no longer fits.
 static constexpr double CertainShareOfEstimate = 0.8;
 
-Milliseconds certainWork(const Job &job, std::uint32_t step)
+static Milliseconds certainPart(Milliseconds estimate)
+{
+    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(estimate.count()) * CertainShareOfEstimate));
+}
+
+Milliseconds certainWork(const Job &job)
 {
-    return Milliseconds(
-        static_cast<std::int64_t>(static_cast<double>(job.criticalPaths_[step].count()) * CertainShareOfEstimate));
+    const auto longest = std::max_element(job.criticalPaths_.begin(), job.criticalPaths_.end());
+    return longest == job.criticalPaths_.end() ? Milliseconds(0) : certainPart(*longest);
 }
 
 static UrgencyClass urgencyClassOf(const Job &job, std::uint32_t step, TimePoint now)
@@ -26,7 +33,7 @@
     if (job.submitted_.repeatCount_ > 0 || stepSpec(job, step).longRunning_) {
         return UrgencyClass::InTime;
     }
-    const TimePoint end = now + certainWork(job, step);
+    const TimePoint end = now + certainPart(job.criticalPaths_[step]);
     if (end <= job.objectiveAt_) {
         return UrgencyClass::InTime;
     }
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -418,6 +418,74 @@
     cr_assert_gt(inTime, 150, "%zu jobs started in time", inTime);
 }
 
+// Guards against accepted jobs that are never served when something other than the runners' capacity is the limit.
+// Replays 4 s of twice the load that the policy service carries: every job was accepted, and most were late.
+Test(cell, overloadOfThePolicyServiceIsRefused)
+{
+    CellWorld world(1, 40, true);
+    world.policyDelay_ = Milliseconds(20);
+    world.config_.accounts_[0].weight_ = 10'000;
+    world.config_.queues_[0].policy_.targetCompletion_ = Milliseconds(600);
+    applyConfig(*world.cell_, world.config_);
+    world.listRunners();
+    world.run(Milliseconds(1'000));
+    std::vector<std::uint64_t> calls;
+    for (std::uint64_t id = 1; id <= 400; ++id) {
+        CellRequest request = world.submission(id, 1, 10);
+        request.submitted_.steps_[0].estimate_ = Milliseconds(100);
+        calls.push_back(world.send(request));
+        world.run(Milliseconds(10));
+    }
+    std::size_t accepted = 0;
+    std::size_t startedInTime = 0;
+    for (const auto call : calls) {
+        const CellReply &reply = world.replies_.at(call);
+        accepted += reply.outcome_ == CellOutcome::Ok ? 1 : 0;
+        cr_assert(reply.outcome_ == CellOutcome::Ok || reply.retryAfter_ >= Milliseconds(1'000));
+    }
+    world.run(Milliseconds(2'000));
+    for (const auto &[id, job] : world.cell_->jobs_) {
+        startedInTime += job->started_ ? 1 : 0;
+    }
+    cr_assert_eq(startedInTime, accepted, "%zu of %zu accepted jobs started", startedInTime, accepted);
+    // The service carries 200 jobs in the 4 s, and a queue of the length that still starts in time.
+    cr_assert(accepted >= 180 && accepted <= 250, "%zu jobs accepted", accepted);
+}
+
+// Guards against submits that are refused because the queue's start rate was low while there was little to start.
+Test(cell, aBurstAfterACalmTimeIsAccepted)
+{
+    CellWorld world(1, 40);
+    world.config_.accounts_[0].weight_ = 10'000;
+    applyConfig(*world.cell_, world.config_);
+    world.listRunners();
+    world.run(Milliseconds(10'000));
+    std::vector<std::uint64_t> calls;
+    for (std::uint64_t id = 1; id <= 200; ++id) {
+        calls.push_back(world.submit(id, 1, 10));
+        world.run(Milliseconds(5));
+    }
+    world.run(Milliseconds(20));
+    for (const auto call : calls) {
+        cr_assert(world.replies_.at(call).outcome_ == CellOutcome::Ok);
+    }
+}
+
+// Guards against a task that waits without end because it needs more accelerators than its account may use.
+Test(cell, tasksAboveTheAcceleratorLimitAreRefused)
+{
+    CellWorld world(1, 4);
+    world.config_.accounts_[0].cap_ = {0, 0, 2, 0};
+    applyConfig(*world.cell_, world.config_);
+    world.listRunners();
+    world.run(Milliseconds(200));
+    CellRequest request = world.submission(1, 1, 10);
+    request.submitted_.steps_[0].size_.accelerators_ = 3;
+    const auto call = world.send(request);
+    world.run(Milliseconds(20));
+    cr_assert(world.replies_.at(call).outcome_ == CellOutcome::Refused);
+}
+
 // Guards against an unbounded queue when an account submits many times its share. Work beyond the share was not
 // counted, so all submits were accepted.
 Test(cell, workBeyondTheShareIsBounded)
