Change: [cell] Submits beyond an account's share are refused by the start rate too, and placed while still in time

Change: the estimate for such a job counts the waiting jobs beyond the shares too; among them those that can still meet their objective come first. The submit lines have beyond_share. Test: overloadOfThePolicyServiceIsRefused, with an account beyond its share (fails before: all accepted, half not started).

--- a/src/core/cell/admission.cpp
+++ b/src/core/cell/admission.cpp
@@ -86,9 +86,10 @@
     const double work = workOf(job);
     if (job.beyondShare_) {
         cell.waitingWork_.beyondShare_[job.policy_.service_] += work;
+        cell.waitingWork_.jobsBeyondShare_[job.policy_.queue_] += now < job.valueEndsAt_ ? 1 : 0;
     } else if (now < job.valueEndsAt_) {
         cell.waitingWork_.withinShare_[{job.policy_.service_, job.policy_.priority_}] += work;
-        ++cell.waitingWork_.jobs_[job.policy_.queue_];
+        ++cell.waitingWork_.jobsWithinShare_[job.policy_.queue_];
     }
 }
 
@@ -100,7 +101,7 @@
     if (now < cell.waitingWork_.countedAt_ + Refresh) {
         return;
     }
-    cell.waitingWork_ = {now, {}, {}, {}};
+    cell.waitingWork_ = {now, {}, {}, {}, {}};
     for (const StagedJobId id : cell.unstartedJobs_) {
         const Job *job = findJob(cell, id);
         if (job != nullptr && !isFinal(*job) && !job->started_) {
@@ -144,14 +145,21 @@
     rate.countedAt_ = now;
 }
 
+static std::size_t waitingJobs(const std::map<std::string, std::size_t> &byQueue, const Job &job)
+{
+    const auto found = byQueue.find(job.policy_.queue_);
+    return found == byQueue.end() ? 0 : found->second;
+}
+
 // Estimated wait of a job until it starts: the waiting jobs of its queue at the queue's present start rate. It contains
 // the waits for the store, the policy service and the leader's processor. 0 when too little is known.
 static Milliseconds queueWait(Cell &cell, const Job &job, TimePoint now)
 {
     refreshWaitingWork(cell, now);
-    const auto waiting = cell.waitingWork_.jobs_.find(job.policy_.queue_);
-    if (!cell.allTasksKnown_ || now < cell.allTasksKnownAt_ + MinStartRateAge
-        || waiting == cell.waitingWork_.jobs_.end() || waiting->second < MinJobsForStartRate) {
+    // Work within the shares comes first, see urgency.cpp.
+    const std::size_t ahead = waitingJobs(cell.waitingWork_.jobsWithinShare_, job)
+        + (job.beyondShare_ ? waitingJobs(cell.waitingWork_.jobsBeyondShare_, job) : 0);
+    if (!cell.allTasksKnown_ || now < cell.allTasksKnownAt_ + MinStartRateAge || ahead < MinJobsForStartRate) {
         return Milliseconds(0);
     }
     const auto rate = cell.startRates_.find(job.policy_.queue_);
@@ -160,7 +168,7 @@
     const double weight = StartRateDecay.count() * (1 - std::exp(-age / StartRateDecay));
     const double startsPerSecond = rate == cell.startRates_.end() ? 0 : decayedStarts(rate->second, now) / weight;
     constexpr double MillisPerSecond = 1'000;
-    const double waitMs = static_cast<double>(waiting->second) * MillisPerSecond / std::max(startsPerSecond, 1e-3);
+    const double waitMs = static_cast<double>(ahead) * MillisPerSecond / std::max(startsPerSecond, 1e-3);
     return Milliseconds(static_cast<std::int64_t>(std::min(waitMs, static_cast<double>(MaxQueueWait.count()))));
 }
 
@@ -217,19 +225,20 @@
     if (!reason.empty()) {
         return refusal;
     }
+    const Milliseconds objective = objectiveOf(job);
+    // The measured wait is exact enough to tell whether the job can still start in time.
+    const Milliseconds maxQueueWait = std::max(IdleWait, objective - certainWork(job));
     const Milliseconds forCapacity = capacityWait(cell, job, now);
     const Milliseconds forQueue = queueWait(cell, job, now);
-    const Milliseconds wait = std::max(forCapacity, forQueue);
-    if (job.beyondShare_ && (wait > IdleWait || beyondShareWait(cell, job, now) > MaxBeyondShareWait)) {
+    if (job.beyondShare_
+        && (forCapacity > IdleWait || forQueue > maxQueueWait
+            || beyondShareWait(cell, job, now) > MaxBeyondShareWait)) {
         reason = "beyond-share";
-        refusal.retryAfter_ = std::max<Milliseconds>(LoadRetryAfter, wait);
+        refusal.retryAfter_ = std::max(LoadRetryAfter, std::max(forCapacity, forQueue));
         return refusal;
     }
-    const Milliseconds objective = objectiveOf(job);
     const auto maxCapacityWait
         = Milliseconds(static_cast<std::int64_t>(static_cast<double>(objective.count()) * MaxWaitObjectives));
-    // The measured wait is exact enough to tell whether the job can still start in time.
-    const Milliseconds maxQueueWait = std::max(IdleWait, objective - certainWork(job));
     const Milliseconds excess = std::max(forCapacity - maxCapacityWait, forQueue - maxQueueWait);
     if (excess > Milliseconds(0) && job.submitted_.repeatCount_ == 0) {
         reason = "overloaded";
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -249,8 +249,8 @@
     // By service and priority: jobs within their account's share that are not past valueEndsAt_.
     std::map<std::pair<std::string, std::uint32_t>, double> withinShare_;
     std::map<std::string, double> beyondShare_; // jobs beyond their account's share, by service
-    // Number of jobs by queue, of those in withinShare_.
-    std::map<std::string, std::size_t> jobs_;
+    std::map<std::string, std::size_t> jobsWithinShare_; // number of the jobs in withinShare_, by queue
+    std::map<std::string, std::size_t> jobsBeyondShare_; // number of the others that may still have a value, by queue
 };
 
 // Jobs of a queue that started for the first time, weighted with their age.
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -144,7 +144,7 @@
 // Defined in urgency.cpp.
 
 // What starting a step now can still achieve for its job; the declaration order is the order of work.
-enum class UrgencyClass : std::uint8_t { InTime, Late, BestEffort };
+enum class UrgencyClass : std::uint8_t { InTime, Late, BeyondShare, BestEffort };
 
 // Place of a waiting step in the order of work; lower keys come first.
 struct UrgencyKey
--- a/src/core/cell/submit_cmd.cpp
+++ b/src/core/cell/submit_cmd.cpp
@@ -37,6 +37,7 @@
     JsonObject line = logEvent(refusal ? "submit-refused" : "submit");
     line.text("job", jobText(job->id_)).text("account", job->account_).text("queue", job->policy_.queue_);
     line.text("from", from.value_).number("steps", static_cast<std::int64_t>(job->submitted_.steps_.size()));
+    line.boolean("beyond_share", job->beyondShare_);
     if (refusal) {
         line.text("reason", reason).number("retry_after_ms", refusal->retryAfter_.count());
         addLogLine(actions, line);
--- a/src/core/cell/urgency.cpp
+++ b/src/core/cell/urgency.cpp
@@ -27,17 +27,14 @@
 
 static UrgencyClass urgencyClassOf(const Job &job, std::uint32_t step, TimePoint now)
 {
-    if (job.beyondShare_) {
-        return UrgencyClass::BestEffort;
-    }
     if (job.submitted_.repeatCount_ > 0 || stepSpec(job, step).longRunning_) {
-        return UrgencyClass::InTime;
+        return job.beyondShare_ ? UrgencyClass::BeyondShare : UrgencyClass::InTime;
     }
     const TimePoint end = now + certainPart(job.criticalPaths_[step]);
     if (end <= job.objectiveAt_) {
-        return UrgencyClass::InTime;
+        return job.beyondShare_ ? UrgencyClass::BeyondShare : UrgencyClass::InTime;
     }
-    return end <= job.valueEndsAt_ ? UrgencyClass::Late : UrgencyClass::BestEffort;
+    return end <= job.valueEndsAt_ && !job.beyondShare_ ? UrgencyClass::Late : UrgencyClass::BestEffort;
 }
 
 UrgencyKey urgencyOf(const Job &job, const StepRef &ref, TimePoint now)
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -420,11 +420,11 @@
 
 // Guards against accepted jobs that are never served when something other than the runners' capacity is the limit.
 // Replays 4 s of twice the load that the policy service carries: every job was accepted, and most were late.
-Test(cell, overloadOfThePolicyServiceIsRefused)
+static void overloadPolicyService(double weight)
 {
     CellWorld world(1, 40, true);
     world.policyDelay_ = Milliseconds(20);
-    world.config_.accounts_[0].weight_ = 10'000;
+    world.config_.accounts_[0].weight_ = weight;
     world.config_.queues_[0].policy_.targetCompletion_ = Milliseconds(600);
     applyConfig(*world.cell_, world.config_);
     world.listRunners();
@@ -452,6 +452,12 @@
     cr_assert(accepted >= 180 && accepted <= 250, "%zu jobs accepted", accepted);
 }
 
+Test(cell, overloadOfThePolicyServiceIsRefused)
+{
+    overloadPolicyService(10'000); // all within the account's share
+    overloadPolicyService(0.001); // all beyond it
+}
+
 // Guards against submits that are refused because the queue's start rate was low while there was little to start.
 Test(cell, aBurstAfterACalmTimeIsAccepted)
 {
