--- a/src/core/cell/admission.cpp
+++ b/src/core/cell/admission.cpp
@@ -81,15 +81,23 @@
     return found == cell.serviceCapacity_.end() ? 0 : found->second;
 }
 
+static void addWaitingJob(WaitingJobs &jobs, const Job &job)
+{
+    ++jobs.count_;
+    jobs.oldestAt_ = std::min(jobs.oldestAt_, job.submittedAt_);
+}
+
 void addWaitingWork(Cell &cell, const Job &job, TimePoint now)
 {
     const double work = workOf(job);
     if (job.beyondShare_) {
         cell.waitingWork_.beyondShare_[job.policy_.service_] += work;
-        cell.waitingWork_.jobsBeyondShare_[job.policy_.queue_] += now < job.valueEndsAt_ ? 1 : 0;
+        if (now < job.valueEndsAt_) {
+            addWaitingJob(cell.waitingWork_.jobsBeyondShare_[job.policy_.queue_], job);
+        }
     } else if (now < job.valueEndsAt_) {
         cell.waitingWork_.withinShare_[{job.policy_.service_, job.policy_.priority_}] += work;
-        ++cell.waitingWork_.jobsWithinShare_[job.policy_.queue_];
+        addWaitingJob(cell.waitingWork_.jobsWithinShare_[job.policy_.queue_], job);
     }
 }
 
@@ -145,10 +153,10 @@
     rate.countedAt_ = now;
 }
 
-static std::size_t waitingJobs(const std::map<std::string, std::size_t> &byQueue, const Job &job)
+static WaitingJobs waitingJobs(const std::map<std::string, WaitingJobs> &byQueue, const Job &job)
 {
     const auto found = byQueue.find(job.policy_.queue_);
-    return found == byQueue.end() ? 0 : found->second;
+    return found == byQueue.end() ? WaitingJobs{} : found->second;
 }
 
 // Estimated wait of a job until it starts: the waiting jobs of its queue at the queue's present start rate. It contains
@@ -156,10 +164,16 @@
 static Milliseconds queueWait(Cell &cell, const Job &job, TimePoint now)
 {
     refreshWaitingWork(cell, now);
-    // Work within the shares comes first, see urgency.cpp.
-    const std::size_t ahead = waitingJobs(cell.waitingWork_.jobsWithinShare_, job)
-        + (job.beyondShare_ ? waitingJobs(cell.waitingWork_.jobsBeyondShare_, job) : 0);
-    if (!cell.allTasksKnown_ || now < cell.allTasksKnownAt_ + MinStartRateAge || ahead < MinJobsForStartRate) {
+    WaitingJobs ahead = waitingJobs(cell.waitingWork_.jobsWithinShare_, job);
+    if (job.beyondShare_) { // work within the shares comes first, see urgency.cpp
+        const WaitingJobs beyond = waitingJobs(cell.waitingWork_.jobsBeyondShare_, job);
+        ahead = {ahead.count_ + beyond.count_, std::min(ahead.oldestAt_, beyond.oldestAt_)};
+    }
+    // At the start of a burst the start rate is that of the time before. As long as nothing has waited for long, it
+    // does not show that the jobs will wait.
+    const bool waited = ahead.count_ > 0 && now - ahead.oldestAt_ >= IdleWait;
+    if (!cell.allTasksKnown_ || now < cell.allTasksKnownAt_ + MinStartRateAge || ahead.count_ < MinJobsForStartRate
+        || !waited) {
         return Milliseconds(0);
     }
     const auto rate = cell.startRates_.find(job.policy_.queue_);
@@ -168,7 +182,7 @@
     const double weight = StartRateDecay.count() * (1 - std::exp(-age / StartRateDecay));
     const double startsPerSecond = rate == cell.startRates_.end() ? 0 : decayedStarts(rate->second, now) / weight;
     constexpr double MillisPerSecond = 1'000;
-    const double waitMs = static_cast<double>(ahead) * MillisPerSecond / std::max(startsPerSecond, 1e-3);
+    const double waitMs = static_cast<double>(ahead.count_) * MillisPerSecond / std::max(startsPerSecond, 1e-3);
     return Milliseconds(static_cast<std::int64_t>(std::min(waitMs, static_cast<double>(MaxQueueWait.count()))));
 }
 
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -242,6 +242,13 @@
     TimePoint nextAt_; // earliest start of the next transaction
 };
 
+// Jobs of a queue that wait for their first start.
+struct WaitingJobs
+{
+    std::size_t count_ = 0;
+    TimePoint oldestAt_ = TimePoint::max(); // submit of the oldest one
+};
+
 // Sums over the jobs that have not started; work is in milli-CPU milliseconds.
 struct WaitingWork
 {
@@ -249,8 +256,8 @@
     // By service and priority: jobs within their account's share that are not past valueEndsAt_.
     std::map<std::pair<std::string, std::uint32_t>, double> withinShare_;
     std::map<std::string, double> beyondShare_; // jobs beyond their account's share, by service
-    std::map<std::string, std::size_t> jobsWithinShare_; // number of the jobs in withinShare_, by queue
-    std::map<std::string, std::size_t> jobsBeyondShare_; // number of the others that may still have a value, by queue
+    std::map<std::string, WaitingJobs> jobsWithinShare_; // the jobs in withinShare_, by queue
+    std::map<std::string, WaitingJobs> jobsBeyondShare_; // the others that may still have a value, by queue
 };
 
 // Jobs of a queue that started for the first time, weighted with their age.
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -461,7 +461,8 @@
 // Guards against submits that are refused because the queue's start rate was low while there was little to start.
 Test(cell, aBurstAfterACalmTimeIsAccepted)
 {
-    CellWorld world(1, 40);
+    CellWorld world(1, 40, true);
+    world.policyDelay_ = Milliseconds(1);
     world.config_.accounts_[0].weight_ = 10'000;
     applyConfig(*world.cell_, world.config_);
     world.listRunners();
@@ -469,6 +470,7 @@
     std::vector<std::uint64_t> calls;
     for (std::uint64_t id = 1; id <= 200; ++id) {
         calls.push_back(world.submit(id, 1, 10));
+        calls.push_back(world.submit(1'000 + id, 1, 10));
         world.run(Milliseconds(5));
     }
     world.run(Milliseconds(20));
