Change: [control] A leader that is silent for 0.8 s counts as lost

Ruled out: a shorter silence limit of the transport, which would also close connections to slow daemons; a shorter session, which costs store calls. Change: the leader sends beacons every 250 ms; a daemon that hears nothing of it for 800 ms treats it as lost. As before, all its connected peers have to agree; their beacons may precede its own notice by 400 ms. Tests: silentLeaderIsReplacedBeforeItsLeaseEnds (fails before), leaderSilentToOneDaemonStays.

--- a/src/core/control/control.cpp
+++ b/src/core/control/control.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace mimosapier
 {
@@ -11,6 +12,10 @@
 using namespace detail;
 
 static constexpr Milliseconds BeaconInterval{500}; // under half of the transport's silence limit
+static constexpr Milliseconds LeaderBeaconInterval{250}; // of the leader, see LeaderSilenceLimit
+// A connected leader that sends nothing for this long, three beacons, counts as lost: its instance may have lost power,
+// which closes no connection. All peers of a daemon have to agree before it stands for election.
+static constexpr Milliseconds LeaderSilenceLimit{800};
 static constexpr Milliseconds ScanInterval{20}; // between checks of peer connections, open requests and relayed calls
 // A member whose record is gone stays a peer for this long: the store may have lost the record.
 static constexpr Milliseconds UnlistedMemberRetention{30'000};
@@ -41,7 +46,7 @@
         return control.cell_ != nullptr;
     }
     const auto leader = control.members_.find(control.leader_);
-    return leader != control.members_.end() && leader->second.connected_;
+    return leader != control.members_.end() && leader->second.connected_ && !control.leaderSilent_;
 }
 
 bool isServing(const Control &control, TimePoint now)
@@ -54,6 +59,29 @@
     return control.leaving_ && !control.cell_ && control.requests_.empty();
 }
 
+// Records a sign of life of the leader.
+static void hearLeader(Control &control, TimePoint now)
+{
+    control.leaderHeardAt_ = now;
+    if (std::exchange(control.leaderSilent_, false)) {
+        control.nextBeaconAt_ = now; // tells the peers that the leader lives
+    }
+}
+
+// Finds out that a connected leader is silent.
+static void checkLeaderSilence(Control &control, CellTime now, ControlActions &actions)
+{
+    if (!isLeaderReachable(control) || isLeader(control) || now.steady_ < control.leaderHeardAt_ + LeaderSilenceLimit) {
+        return;
+    }
+    control.leaderSilent_ = true;
+    control.leaderDisconnectedAt_ = now.steady_;
+    control.nextBeaconAt_ = now.steady_; // tells the peers that this daemon does not hear the leader either
+    JsonObject line = beginLogLine("leader-silent");
+    line.text("leader", control.leader_.value_).number("silent_ms", ageMs(now.steady_, control.leaderHeardAt_));
+    appendLogLine(actions, line, LogLevel::Warning);
+}
+
 void onPeerUp(Control &control, const DaemonId &daemon, CellTime now, ControlActions &actions)
 {
     JsonObject line = beginLogLine("peer-up");
@@ -64,6 +92,9 @@
     member.seenAt_ = now.steady_;
     member.lastBeaconSequence_ = 0;
     control.nextBeaconAt_ = now.steady_;
+    if (daemon == control.leader_) {
+        hearLeader(control, now.steady_);
+    }
 }
 
 void onPeerDown(Control &control, const DaemonId &daemon, CellTime now, ControlActions &actions)
@@ -144,7 +175,7 @@
     if (now.steady_ < control.nextBeaconAt_) {
         return;
     }
-    control.nextBeaconAt_ = now.steady_ + BeaconInterval;
+    control.nextBeaconAt_ = now.steady_ + (isLeader(control) ? LeaderBeaconInterval : BeaconInterval);
     std::vector<DaemonId> queriers;
     if (!control.leaving_) {
         queriers.push_back(control.settings_.self_);
@@ -209,6 +240,9 @@
 void onPeerMessage(Control &control, const DaemonId &from, const PeerMessage &message, CellTime now,
                    ControlActions &actions)
 {
+    if (from == control.leader_) {
+        hearLeader(control, now.steady_);
+    }
     if (const auto *beacon = std::get_if<CellBeacon>(&message)) {
         handleBeacon(control, from, *beacon, now, actions);
     } else if (const auto *request = std::get_if<CellRequest>(&message)) {
@@ -355,6 +389,7 @@
 {
     pollSession(control, now, actions);
     pollFeeds(control, now, actions);
+    checkLeaderSilence(control, now, actions);
     pollElection(control, now, actions);
     pollRecovery(control, now, actions);
     if (control.cell_ && control.recoveryStage_ >= RecoveryStage::Done) {
--- a/src/core/control/control_base.h
+++ b/src/core/control/control_base.h
@@ -122,7 +122,10 @@
     bool leaderKeyExists_ = false;
     std::uint64_t leaderKeyRevision_ = 0; // store revision of the leader key; 0: the key does not exist
     bool mayReplaceLeader_ = false; // an election may replace a leader key that still exists, see pollElection()
-    TimePoint leaderDisconnectedAt_; // when the connection to a leader was last lost; empty: never
+    // When the connection to a leader was last lost, or the leader was found silent; empty: never.
+    TimePoint leaderDisconnectedAt_;
+    TimePoint leaderHeardAt_; // arrival of the last message of leader_, or when it became known or was connected
+    bool leaderSilent_ = false; // connected, but nothing was heard of the leader for LeaderSilenceLimit
     DaemonId predecessor_; // leader before this daemon; empty: none
     CellEpoch ownRetiredEpoch_; // highest epoch in which this daemon led and stepped down
     CellEpoch highestRetiredEpoch_; // highest epoch whose leader is known to have stepped down
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -24,8 +24,11 @@
 static constexpr double ShareDelayMs = 60;
 static constexpr double MinProcessorShare = 0.05;
 static constexpr int MaxJitterMs = 30;
-// Wait after a lost connection to the leader, for the beacons of the peers, which take 20 ms between regions.
-static constexpr Milliseconds LostLeaderWait{200};
+// Wait after the loss of the leader, for the beacons of the peers, which take 20 ms between regions.
+static constexpr Milliseconds LostLeaderWait{100};
+// A peer's beacon that the leader is lost confirms the loss if it came at most this long before it was noticed here:
+// peers notice the silence of a leader at different times.
+static constexpr Milliseconds LossNoticeSpread{400};
 // A leader whose store calls fail for this long steps down if the store answers other daemons. Two calls to a busy
 // store, or one call over a dead connection, take less time.
 static constexpr Milliseconds LeaderStoreTimeout{700};
@@ -74,6 +77,8 @@
     }
     control.epoch_ = epoch;
     control.leader_ = leader;
+    control.leaderHeardAt_ = now.steady_;
+    control.leaderSilent_ = false;
     if (!leader.empty()) {
         control.lastLeader_ = leader;
     }
@@ -245,7 +250,7 @@
         || isReplaced(control, control.predecessor_);
 }
 
-// True when this daemon and all its connected peers, at least one, have lost their connections to the leader. An
+// True when this daemon and all its connected peers, at least one, have lost the leader: no connection, or silence. An
 // election then need not wait until the leader's session expires. Replacing a leader that is still alive is safe: the
 // store and the runners fence it.
 static bool isLeaderLostByAllPeers(const Control &control, TimePoint now)
@@ -256,11 +261,11 @@
     }
     std::size_t confirmingPeers = 0;
     for (const auto &[daemon, member] : control.members_) {
-        if (!member.connected_) {
+        if (!member.connected_ || daemon == control.leader_) {
             continue;
         }
         if (member.epoch_ != control.epoch_ || member.leaderSeen_
-            || member.lastBeaconAt_ < control.leaderDisconnectedAt_) {
+            || member.lastBeaconAt_ + LossNoticeSpread < control.leaderDisconnectedAt_) {
             return false;
         }
         ++confirmingPeers;
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -80,6 +80,43 @@
     cr_assert(cluster.leader() == before);
 }
 
+// Guards against a long gap without a leader when its instance loses power: no connection is closed, and its session
+// takes 2.5 s to expire.
+Test(control, silentLeaderIsReplacedBeforeItsLeaseEnds)
+{
+    ControlCluster cluster(5);
+    cluster.run(Milliseconds(3'000));
+    ClusterDaemon *former = cluster.leader();
+    cr_assert_not_null(former);
+    former->paused_ = true; // its connections stay open, as those of an instance without power
+    const auto leadsInstead = [former](const std::unique_ptr<ClusterDaemon> &daemon) {
+        return daemon.get() != former && daemon->control_->cell_
+            && daemon->control_->recoveryStage_ == RecoveryStage::Done;
+    };
+    Milliseconds without{0};
+    while (std::none_of(cluster.daemons_.begin(), cluster.daemons_.end(), leadsInstead)) {
+        cluster.run(ControlCluster::TickLength);
+        without += ControlCluster::TickLength;
+        cr_assert_leq(without.count(), 1'600, "no new leader after %d ms", static_cast<int>(without.count()));
+    }
+}
+
+// Guards against a leader that is replaced because one daemon does not hear it while the others do.
+Test(control, leaderSilentToOneDaemonStays)
+{
+    ControlCluster cluster(5);
+    cluster.run(Milliseconds(3'000));
+    const ClusterDaemon *leader = cluster.leader();
+    cr_assert_not_null(leader);
+    ClusterDaemon &deaf = cluster.follower();
+    for (int i = 0; i < 300; ++i) {
+        cluster.run(ControlCluster::TickLength);
+        deaf.control_->leaderHeardAt_ = cluster.now_ - Milliseconds(5'000);
+    }
+    cr_assert_eq(cluster.leader(), leader);
+    cr_assert_eq(leader->control_->epoch_.value_, 1);
+}
+
 // Guards against a leader whose process is paused, is replaced meanwhile, and starts tasks after it resumes.
 Test(control, pausedLeaderIsFenced)
 {
