Fix: [cell] A runner that drains does not hold up the next leader

Ruled out: taking a runner that is missing in the discovery list as gone (a runner that is cut off runs on); shorter leases (running work would end in a store outage). Change: the stored list names the runs of a draining runner, as it does for a silent one, since nothing starts there any more. A later run of a task replaces the run that the list names.

--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -20,10 +20,22 @@
 
 bool isQuiescent(const Runner &runner)
 {
-    return runner.stateKnown_ ? runner.failedCalls_ > 0
+    return runner.stateKnown_ ? runner.failedCalls_ > 0 || runner.record_.draining_
                               : !runner.mayHavePredecessorTasks_ || runner.predecessorTasksKnown_;
 }
 
+// Has the stored list of runners written again if the runner has become quiescent or is not quiescent any more.
+static void updateStoredState(Cell &cell, Runner &runner, bool wasQuiescent)
+{
+    const bool quiescent = isQuiescent(runner);
+    if (wasQuiescent && !quiescent) {
+        // Nothing is placed here until the stored list has this runner as in use: a later leader must not rely on the
+        // old entry.
+        runner.storedAsInUse_ = false;
+    }
+    cell.runnersDirty_ = cell.runnersDirty_ || wasQuiescent != quiescent;
+}
+
 // Records that leases on the runner may last until `untilMs` on the runner's clock.
 static void extendLease(Runner &runner, std::int64_t untilMs)
 {
@@ -382,6 +394,20 @@
 
 // ---- replies ----
 
+// Releases the task's placement if it has a lower run number than the active run. The stored list of runners may name a
+// run that has ended since: a run gets a higher number only after the one before has ended.
+static void releaseEarlierRun(Cell &cell, const TaskRecord &task, const ActiveRun &active)
+{
+    Runner *holder = task.state_ == TaskState::Placed ? findRunner(cell, task.runner_) : nullptr;
+    if (holder == nullptr) {
+        return;
+    }
+    const auto placed = holder->tasks_.find(active.task_);
+    if (placed != holder->tasks_.end() && placed->second.run_ < active.run_) {
+        releasePlacement(cell, *holder, active.task_);
+    }
+}
+
 // Handles a run that a runner lists as active: confirms its placement, adopts the run for a waiting task, or stops it
 // as an orphan.
 static void adoptActiveRun(Cell &cell, Runner &runner, const ActiveRun &active, CellTime now, CellActions &actions)
@@ -398,6 +424,9 @@
         createDueOccurrences(cell, *job, now);
     }
     TaskRecord *task = job != nullptr && !isFinal(*job) ? findTask(*job, active.task_, nullptr) : nullptr;
+    if (task != nullptr) {
+        releaseEarlierRun(cell, *task, active);
+    }
     if (task != nullptr && task->state_ == TaskState::Waiting && active.run_.value_ > task->endedRun_) {
         Placement &placement = addPlacement(cell, runner, *job, active.task_, active.run_);
         placement.phase_ = PlacementPhase::Running;
@@ -461,7 +490,7 @@
 {
     const bool wasQuiescent = isQuiescent(runner);
     ++runner.failedCalls_;
-    cell.runnersDirty_ = cell.runnersDirty_ || wasQuiescent != isQuiescent(runner);
+    updateStoredState(cell, runner, wasQuiescent);
 }
 
 static void handleHold(Cell &cell, Runner &runner, const RunnerReply &reply, CellTime now, CellActions &actions)
@@ -513,12 +542,7 @@
             cell.placementDue_ = true;
         }
     }
-    if (wasQuiescent && !isQuiescent(runner)) {
-        // Nothing is placed here until the stored list has this runner as in use: a later leader must not rely on the
-        // old entry.
-        runner.storedAsInUse_ = false;
-        cell.runnersDirty_ = true;
-    }
+    updateStoredState(cell, runner, wasQuiescent);
     if (!runner.stateKnown_) {
         runner.nextHoldAt_ = now.steady_;
     }
@@ -718,7 +742,9 @@
         beginIncarnation(cell, runner, record.startedUnixMs_, now, actions);
     }
     runner.inDiscovery_ = true;
+    const bool wasQuiescent = isQuiescent(runner);
     runner.record_ = record;
+    updateStoredState(cell, runner, wasQuiescent);
     cell.capacityStale_ = true;
 }
 
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -169,6 +169,89 @@
     cr_assert_eq(world.startCount(), started + 1, "a task that is still running was started again");
 }
 
+// Guards against a new leader that starts no recovered job for seconds because runners have drained and left shortly
+// before all power was lost: it waited until the leases of an empty runner had ended.
+Test(cell, drainedRunnerDoesNotDelayTheNextLeader)
+{
+    CellWorld before;
+    before.listRunners();
+    before.run(Milliseconds(100));
+    before.submit(1, 1, 8'000);
+    before.run(Milliseconds(300));
+    const RunnerId drained = before.runnerOf(FirstTask);
+    RunnerRecord record = before.runners_.at(drained).record_;
+    record.draining_ = true;
+    updateRunner(*before.cell_, record, before.time(), before.actions_);
+    before.run(Milliseconds(300));
+    before.submit(2, 1, 8'000);
+    before.run(Milliseconds(50));
+    before.runners_.at(drained).reachable_ = false;
+    CellWorld world(2);
+    recoverFrom(world, before, {1, 2});
+    world.run(Milliseconds(600));
+    cr_assert(world.cell_->allTasksKnown_, "the new leader waits for a runner that drains");
+    cr_assert_eq(world.runners_.at(drained).starts_.size(), 1);
+    std::size_t runsOfFirst = 0;
+    for (const auto &[id, runner] : world.runners_) {
+        runsOfFirst += static_cast<std::size_t>(std::count_if(
+            runner.starts_.begin(), runner.starts_.end(), [](const auto &start) { return start.first == FirstTask; }));
+    }
+    cr_assert_eq(runsOfFirst, 1, "a task that may still run was started again");
+}
+
+// Guards against two concurrent runs of a task on a runner that drained, was ready again and then became silent: the
+// new leader must not rely on the entry of the time when the runner drained.
+Test(cell, runnerThatIsReadyAgainIsNotTakenForDraining)
+{
+    CellWorld before(1, 1);
+    before.listRunners();
+    before.run(Milliseconds(100));
+    RunnerRecord record = before.runners_.begin()->second.record_;
+    record.draining_ = true;
+    updateRunner(*before.cell_, record, before.time(), before.actions_);
+    before.submit(1, 1, 8'000);
+    before.run(Milliseconds(100));
+    before.storeUp_ = false;
+    record.draining_ = false;
+    updateRunner(*before.cell_, record, before.time(), before.actions_);
+    before.run(Milliseconds(300));
+    cr_assert_eq(before.startCount(), 0, "a task started before the store had the runner as in use");
+    before.storeUp_ = true;
+    before.run(Milliseconds(1'000));
+    cr_assert_eq(before.startCount(), 1);
+    before.runners_.begin()->second.reachable_ = false;
+    CellWorld world(2, 2);
+    recoverFrom(world, before, {1});
+    world.run(Milliseconds(2'000));
+    cr_assert(!world.cell_->allTasksKnown_, "the new leader relies on an outdated entry");
+}
+
+// Guards against a run that is stopped because the stored list names an earlier run of its task on a runner that
+// drains.
+Test(cell, laterRunReplacesTheOneOfTheStoredList)
+{
+    CellWorld before;
+    before.listRunners();
+    before.run(Milliseconds(100));
+    before.submit(1, 1, 8'000);
+    before.run(Milliseconds(300));
+    const RunnerId drained = before.runnerOf(FirstTask);
+    RunnerRecord record = before.runners_.at(drained).record_;
+    record.draining_ = true;
+    updateRunner(*before.cell_, record, before.time(), before.actions_);
+    before.run(Milliseconds(300));
+    before.endRun(drained, FirstTask, RunEnd::Lapsed);
+    before.run(Milliseconds(300));
+    const RunnerId second = before.runnerOf(FirstTask);
+    cr_assert(!second.empty() && second != drained);
+    before.runners_.at(drained).reachable_ = false;
+    CellWorld world(2);
+    recoverFrom(world, before, {1});
+    world.run(Milliseconds(1'000));
+    cr_assert(world.runnerOf(FirstTask) == second, "the later run was stopped");
+    cr_assert_eq(world.startCount(), 2);
+}
+
 // Guards against two concurrent runs of a task after a change of leader. A silent runner answered, was used again and
 // then became silent once more; the new leader relied on the outdated entry in the stored list of runners.
 Test(cell, reusedRunnerIsNotTakenForSilent)
