Fix: [cell] [control] Deferred requests, flushed state and lease length follow what the store and the runners do

A request for which a leader has no room among the deferred ones was marked as sent and dropped: its client waited for the deadline and was told that the outcome is unknown; now it is not sent, and answered as not run. isFlushed() ignored the list of runners and the keys to be removed. The length of leases ignored the runners' maximum (hold_max_ms), so a new leader waited longer than needed. Tests: fullDeferredRequestsDropNothing, pendingRunnerListIsNotFlushed, leasesAreNotLongerThanTheRunnersAllow; all three fail before.

--- a/src/core/cell/cell_type.h
+++ b/src/core/cell/cell_type.h
@@ -49,8 +49,8 @@
     std::vector<ServiceConfig> services_;
 };
 
-// Times and limits of the deployment. The decision logic does not read holdMax_, stopTimeout_, gangTimeout_,
-// remoteFactor_ and storeWritesPerSecond_.
+// Times and limits of the deployment. The decision logic does not read stopTimeout_, gangTimeout_, remoteFactor_ and
+// storeWritesPerSecond_.
 struct CellSettings
 {
     std::string name_; // name of this daemon
--- a/src/core/cell/lanes.cpp
+++ b/src/core/cell/lanes.cpp
@@ -315,7 +315,7 @@
 
 bool isFlushed(const Cell &cell)
 {
-    return cell.acceptQueue_.empty() && cell.dirtyJobs_.empty()
+    return cell.acceptQueue_.empty() && cell.dirtyJobs_.empty() && !cell.runnersDirty_ && cell.keysToRemove_.empty()
         && std::none_of(cell.lanes_.begin(), cell.lanes_.end(),
                         [](const CommitLane &lane) { return lane.inFlight_.has_value(); });
 }
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -44,22 +44,29 @@
     runner.leaseEndsBy_ = std::max(runner.leaseEndsBy_, runner.clockReadAt_ + left + LeaseMargin);
 }
 
-// Extends the lease by TaskLease from now. Result: its end on the runner's clock, or 0 while this clock is unknown.
-static std::int64_t renewLease(Runner &runner, TimePoint now)
+// Length of the leases that this leader asks for.
+static Milliseconds taskLease(const Cell &cell)
+{
+    return std::min(TaskLease, cell.settings_.holdMax_);
+}
+
+// Extends the lease by taskLease() from now. Result: its end on the runner's clock, or 0 while this clock is unknown.
+static std::int64_t renewLease(const Cell &cell, Runner &runner, TimePoint now)
 {
     if (runner.clockMs_ < 0) {
         return 0;
     }
     const auto since = std::chrono::duration_cast<Milliseconds>(now - runner.clockReadAt_);
-    const std::int64_t until = runner.clockMs_ + since.count() + TaskLease.count();
+    const std::int64_t until = runner.clockMs_ + since.count() + taskLease(cell).count();
     extendLease(runner, until);
     return until;
 }
 
 // Upper bound of the remaining time of a lease that a leader has just asked for.
-static Milliseconds longestLease()
+static Milliseconds longestLease(const Cell &cell)
 {
-    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(TaskLease.count()) / MinClockRate)) + LeaseMargin;
+    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(taskLease(cell).count()) / MinClockRate))
+        + LeaseMargin;
 }
 
 static RunnerCall makeCall(Cell &cell, const Runner &runner, RunnerOp op)
@@ -81,7 +88,7 @@
     if (runner.stateKnown_) {
         // Holds to a silent runner do not extend the lease: each repeat would postpone the time from which its tasks
         // are known to have ended.
-        call.untilMs_ = runner.failedCalls_ == 0 ? renewLease(runner, now.steady_) : 0;
+        call.untilMs_ = runner.failedCalls_ == 0 ? renewLease(cell, runner, now.steady_) : 0;
         call.wait_ = runner.tasks_.empty() || runner.failedCalls_ > 0 ? Milliseconds(0) : HoldWait;
     }
     runner.holdInFlight_ = true;
@@ -166,7 +173,7 @@
     placement.callInFlight_ = true;
     if (placement.attempts_++ == 0) {
         placement.startedAt_ = now.steady_;
-        placement.untilMs_ = renewLease(runner, now.steady_);
+        placement.untilMs_ = renewLease(cell, runner, now.steady_);
     }
     call.untilMs_ = placement.untilMs_;
     actions.runners_.push_back(std::move(call));
@@ -533,7 +540,8 @@
             runner.stateKnown_ = true;
             runner.mayHavePredecessorTasks_ = false;
             runner.predecessorTasksKnown_ = false;
-            runner.leaseEndsBy_ = now.steady_ + longestLease(); // an earlier leader may just have extended the lease
+            runner.leaseEndsBy_
+                = now.steady_ + longestLease(cell); // an earlier leader may just have extended the lease
             JsonObject line = logEvent("runner-held");
             line.text("runner", runner.record_.id_.value_).text("service", runner.record_.service_);
             line.number("active", static_cast<std::int64_t>(reply.active_.size()));
@@ -672,7 +680,7 @@
     }
     if (runner.mayHavePredecessorTasks_ && !runner.stateKnown_) {
         const Milliseconds grace = cell.predecessorEnded_ ? Milliseconds(0) : LeaderGrace;
-        if (now.steady_ > cell.acquiredAt_ + grace + longestLease()) {
+        if (now.steady_ > cell.acquiredAt_ + grace + longestLease(cell)) {
             handleLostRunner(cell, runner, "legacy-lease-ended", now, actions);
             return;
         }
--- a/src/core/control/requests.cpp
+++ b/src/core/control/requests.cpp
@@ -110,11 +110,16 @@
         if (!control.cell_) {
             return;
         }
+        const bool canHandle
+            = control.recoveryStage_ == RecoveryStage::Done && !waitsForNextLeader(control, open.request_);
+        if (!canHandle && control.deferredRequests_.size() >= MaxDeferredRequests) {
+            return; // not sent: tried again, and answered as not run after MaxLeaderWait
+        }
         open.sentTo_ = control.leader_;
         ++open.leadersAsked_;
-        if (control.recoveryStage_ == RecoveryStage::Done && !waitsForNextLeader(control, open.request_)) {
+        if (canHandle) {
             handleRequest(*control.cell_, control.settings_.self_, open.request_, now, actions.cell_);
-        } else if (control.deferredRequests_.size() < MaxDeferredRequests) {
+        } else {
             control.deferredRequests_.emplace_back(control.settings_.self_, open.request_);
         }
         return;
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -619,3 +619,32 @@
     world.run(Milliseconds(10));
     cr_assert(world.replies_.at(query).state_ == StagedState::Completed);
 }
+
+// Guards against a leaving leader that steps down while the list of runners or removals of old keys are not stored.
+Test(cell, pendingRunnerListIsNotFlushed)
+{
+    CellWorld world;
+    world.listRunners();
+    cr_assert(!isFlushed(*world.cell_));
+    world.run(Milliseconds(100));
+    cr_assert(isFlushed(*world.cell_));
+    world.cell_->keysToRemove_.emplace_back("progress/0000000000000001");
+    cr_assert(!isFlushed(*world.cell_));
+}
+
+// Guards against a wait for leases that are longer than the runners grant: a runner shortens a lease to its maximum.
+Test(cell, leasesAreNotLongerThanTheRunnersAllow)
+{
+    CellWorld before;
+    before.listRunners();
+    before.run(Milliseconds(100));
+    before.submit(1, 1, 8'000);
+    before.run(Milliseconds(300));
+    CellWorld world(2);
+    world.cell_->settings_.holdMax_ = Milliseconds(2'000);
+    world.cell_->predecessorEnded_ = true;
+    recoverFrom(world, before, {1});
+    world.runners_.at(before.runnerOf(FirstTask)).reachable_ = false;
+    world.run(Milliseconds(2'600));
+    cr_assert(world.cell_->allTasksKnown_);
+}
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -325,3 +325,16 @@
     }
     cr_assert_eq(cluster.startCount(), 1);
 }
+
+// Guards against a client that waits for its deadline, and is told that the outcome is unknown, because a leader that
+// has no room for one more deferred request drops it.
+Test(control, fullDeferredRequestsDropNothing)
+{
+    ControlCluster cluster(1);
+    cluster.run(StartupTime);
+    ClusterDaemon &leader = *cluster.leader();
+    leader.control_->recoveryStage_ = RecoveryStage::Reading;
+    leader.control_->deferredRequests_.resize(100'000);
+    const auto call = cluster.sendRequest(leader, ClientMethod::Submit, 1);
+    cr_assert_eq(leader.control_->requests_.at(call).leadersAsked_, 0);
+}
