Feature: [ctl] trace tells from daemons' logs what became of jobs and what took the time

Damaged and dropped lines are counted and reported. Tests: traceSplitsTheTimeOfAJob, traceReadsLogsWithoutADaemon.

--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -21,6 +21,7 @@
   mimosapierctl --as ann bundle draft bundle.yaml
   mimosapierctl --as ben bundle sign 8-0f3c5a2277e01b9d
   mimosapierctl --as ann key withdraw school --hash 2bb80d53...
+  mimosapierctl trace --log d1.log --log d2.log 5d7b9b719d1eae97
   mimosapierctl --address 10.0.0.1:8080 --address 10.0.0.2:8080 report --html report.html)";
 
 using CommandFunction = std::function<ExitCode(const Options &, const CommandIo &)>;
@@ -159,8 +160,7 @@
                     "\"ip:port\" of an entry instance; can be repeated: tried in order, and all of them for a report")
         ->envname("MIMOSAPIER_ADDRESS")
         ->delimiter(',')
-        ->allow_extra_args(false)
-        ->required();
+        ->allow_extra_args(false);
     parser.app_.add_option("--key-file", options.keyFile_, "File with the team's key");
     parser.app_.add_option("--as", options.bundle_.operator_, "Name of the operator")->envname("MIMOSAPIER_OPERATOR");
     parser.app_.add_flag("--json", options.printsJson_, "Prints JSON");
@@ -176,6 +176,12 @@
                                   });
     CLI::Option *team = status->add_option("--team", options.job_.team_, "Team of the job")->envname("MIMOSAPIER_TEAM");
     status->add_option("id", options.job_.requestId_, "Request id")->needs(team);
+    CLI::App *trace = addCommand(parser, parser.app_, "trace",
+                                 "Shows from logs of daemons what became of jobs; needs no address", traceCmd);
+    trace->add_option("--log", options.trace_.files_, "Structured log; - for standard input; can be repeated")
+        ->allow_extra_args(false)
+        ->required();
+    trace->add_option("id", options.trace_.job_, "Job: 16 hexadecimal digits; default: all jobs, counted by cause");
     addCommand(parser, parser.app_, "instances", "Lists the workers", instancesCmd);
     addCommand(parser, parser.app_, "report", "Shows service levels and burn rates of error budgets", reportCmd)
         ->add_option("--html", options.htmlFile_, "Also writes an HTML page to this file");
@@ -206,6 +212,11 @@
     } catch (const CLI::ParseError &error) {
         return parser.app_.exit(error, io.out_, io.err_) == 0 ? ExitCode::Done : ExitCode::Usage;
     }
+    const bool readsLogs = !parser.options_.trace_.files_.empty();
+    if (parser.options_.addresses_.empty() && !readsLogs) {
+        io.err_ << "--address is required\nRun with --help for more information.\n";
+        return ExitCode::Usage;
+    }
     if (!readKey(parser.options_, io)) {
         return ExitCode::Usage;
     }
--- a/src/ctl/ctl_internal.h
+++ b/src/ctl/ctl_internal.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "ctl/ctl_type.h"
+#include "ctl/trace_type.h"
 
 #include <string>
 #include <string_view>
@@ -71,6 +72,17 @@
 ExitCode clusterStatusCmd(const Options &options, const CommandIo &io);
 ExitCode instancesCmd(const Options &options, const CommandIo &io);
 
+// trace_log.cpp
+// Adds the lines of a structured log. Text before the JSON object of a line is ignored, and so are other lines.
+void readTraceLog(std::istream &input, TraceLog &log);
+// Sorts the lines by time and returns the trace of each job with a submit in the log, ascending by id.
+std::vector<JobTrace> traceJobs(TraceLog &log);
+// What decided the fate of a job, in a few words; for a late one, the largest part of its time.
+std::string causeOf(const JobTrace &trace);
+
+// trace_cmd.cpp
+ExitCode traceCmd(const Options &options, const CommandIo &io);
+
 // report.cpp
 // Counts of one time window.
 struct WindowCounts
--- a/src/ctl/ctl_type.h
+++ b/src/ctl/ctl_type.h
@@ -75,6 +75,12 @@
     std::string weightName_; // waiting, packing or crossing
 };
 
+struct TraceOptions
+{
+    std::vector<std::string> files_; // logs of daemons; "-" for standard input
+    std::string job_; // 16 hexadecimal digits; empty: all jobs, by cause
+};
+
 struct Options
 {
     std::vector<std::string> addresses_; // "ip:port" of entry instances
@@ -83,6 +89,7 @@
     bool printsJson_ = false;
     JobOptions job_;
     BundleOptions bundle_;
+    TraceOptions trace_;
     std::string htmlFile_; // the report is written here; empty: no file
 };
 
--- a/tests/ctl/test_ctl.cpp
+++ b/tests/ctl/test_ctl.cpp
@@ -185,3 +185,59 @@
     cr_expect(body["base_version"] == 3 && body["signer"] == "ben" && body["draft"] == "4-ab");
     cr_expect(run.out_.str().find("Version 4 by cho") != std::string::npos);
 }
+
+static const std::string TraceText
+    = R"(  1.0 edge-1 {"time":"2026-01-08 12:00:00.000","level":"INFO","event":"submit","job":"00000000000000aa","account":"a","queue":"q","objective_ms":900}
+{"time":"2026-01-08 12:00:00.020","level":"INFO","event":"accepted","job":"00000000000000aa"}
+{"time":"2026-01-08 12:00:00.030","level":"INFO","event":"policy-query","job":"00000000000000aa","step":0}
+{"time":"2026-01-08 12:00:00.130","level":"INFO","event":"policy-answer","job":"00000000000000aa"}
+{"time":"2026-01-08 12:00:00.140","level":"INFO","event":"start","task":"00000000000000aa.0.0.0","run":1,"runner":"r1"}
+{"time":"2026-01-08 12:00:00.640","level":"INFO","event":"end","task":"00000000000000aa.0.0.0","run":1,"how":"broken"}
+{"time":"2026-01-08 12:00:00.650","level":"INFO","event":"elected","epoch":2}
+{"time":"2026-01-08 12:00:01.140","level":"INFO","event":"start","task":"00000000000000aa.0.0.0","run":1001,"runner":"r2"}
+{"time":"2026-01-08 12:00:01.440","level":"INFO","event":"end","task":"00000000000000aa.0.0.0","run":1001,"how":"done"}
+{"time":"2026-01-08 12:00:01.450","level":"INFO","event":"job-ended","job":"00000000000000aa","state":"completed","in_objective":false}
+{"time":"2026-01-08 12:00:01.500","level":"INFO","event":"submit-refused","job":"00000000000000bb","account":"a","queue":"p","reason":"overloaded"}
+{"time":"2026-01-08 12:00:01.510","level":"INFO","event":"submit","job":"00000000000000cc","account":"a","queue":"q","objective_ms":900}
+{"time":"2026-01-08 12:00:01.520","level":"INFO","event":"accepted","job":"00000000000000cc"}
+{"time":"2026-01-08 12:00:03.000","level":"WARN","event":"log-dropped","frequent":4,"rare":0}
+{"time":"2026-01-08 12:00:03.100","level":"INFO","event":"sta
+)";
+
+// Guards against parts of a job's time that are counted twice or for the wrong cause.
+Test(ctl, traceSplitsTheTimeOfAJob)
+{
+    std::istringstream input(TraceText);
+    TraceLog log;
+    readTraceLog(input, log);
+    cr_assert(log.damagedLines_ == 1 && log.droppedLines_ == 4);
+    const std::vector<JobTrace> traces = traceJobs(log);
+    cr_assert_eq(traces.size(), 3);
+    const std::array<std::int64_t, 6> expected{20, 100, 20, 1'000, 300, 10};
+    cr_assert(traces[0].partMs_ == expected);
+    cr_assert(traces[0].leaderChanges_ == 1 && traces[0].starts_ == 2 && traces[0].ends_.at("broken") == 1);
+    cr_assert_eq(causeOf(traces[0]), "late: repeated runs, leader changed");
+    cr_assert_eq(causeOf(traces[1]), "refused: overloaded");
+    cr_assert_eq(causeOf(traces[2]), "not started: queue");
+}
+
+// Guards against a trace that needs a daemon, and against silence about lines that are missing.
+Test(ctl, traceReadsLogsWithoutADaemon)
+{
+    CommandRun all;
+    all.in_.str(TraceText);
+    cr_assert(all.execute({"trace", "--log", "-"}) == ExitCode::Done);
+    cr_assert(all.out_.str().find("1  not started: queue (q 1)\n") != std::string::npos, "%s", all.out_.str().c_str());
+    cr_assert(all.err_.str().find("1 damaged and 4 dropped lines") != std::string::npos);
+    CommandRun one;
+    one.in_.str(TraceText);
+    cr_assert(one.execute({"trace", "--log", "-", "00000000000000aa"}) == ExitCode::Done);
+    cr_assert(one.out_.str().find("  repeats 1000 ms\n") != std::string::npos);
+    CommandRun unknown;
+    unknown.in_.str(TraceText);
+    cr_assert(unknown.execute({"trace", "--log", "-", "00000000000000dd"}) == ExitCode::Failed);
+    CommandRun missing;
+    cr_assert(missing.execute({"trace", "--log", "/nonexistent/file"}) == ExitCode::Usage);
+    CommandRun noAddress;
+    cr_assert(noAddress.execute({"instances"}) == ExitCode::Usage);
+}
