--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -92,8 +92,8 @@
 void stopJobTasks(Cell &cell, const Job &job, CellTime now, CellActions &actions);
 // Runs the timers of all runners, removes runners that are gone, and sets Cell::allTasksKnown_.
 void checkAllRunnerTimers(Cell &cell, CellTime now, CellActions &actions);
-// True for a runner that is silent, draining, lost or not used yet. The stored list names the runs of such a runner, so that a
-// new leader knows what may run there; no task is started there until the stored list has the runner as in use.
+// True for a runner that is silent, draining, lost or not used yet. The stored list names the runs of such a runner, so
+// that a new leader knows what may run there; no task is started there until the stored list has the runner as in use.
 bool isQuiescent(const Runner &runner);
 // True when tasks may be placed on the runner now.
 bool isUsable(const Cell &cell, const Runner &runner, TimePoint now);
