--- a/src/ctl/completion/mimosapierctl.bash
+++ b/src/ctl/completion/mimosapierctl.bash
@@ -5,7 +5,7 @@
     local previous=${COMP_WORDS[COMP_CWORD - 1]}
     local general="--address --key-file --as --json --help"
     case $previous in
-    --key-file | --file | --html | draft)
+    --key-file | --file | --html | --log | draft)
         COMPREPLY=($(compgen -f -- "$current"))
         return
         ;;
@@ -25,11 +25,12 @@
         grant | withdraw) command=1 options+=" --hash --key-from-input" ;;
         add) command=1 options+=" --share --limit --home-region" ;;
         report) command=1 options+=" --html" ;;
+        trace) command=1 options+=" --log" ;;
         bundle | team | key | share | limit | policy | instances) command=1 ;;
         esac
     done
     if [[ -z $command ]]; then
-        options+=" submit status wait explain cancel bundle team key share limit policy instances report"
+        options+=" submit status wait explain cancel bundle team key share limit policy instances report trace"
     fi
     COMPREPLY=($(compgen -W "$options" -- "$current"))
 }
