Review case 4: a leader that is cut off answers cancels from its memory

A leader that was replaced behind its back tells a client that the job it cancels does not exist, and the job runs on.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -18,6 +18,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from httpd import call  # noqa: E402
+from link import Link  # noqa: E402
 from store import Store  # noqa: E402
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -61,13 +62,14 @@
         self.deployment_, self.name_, self.port_ = deployment, name, store_port
         front, ready, peer, metrics = free_ports(4)
         self.front_, self.ready_ = f"127.0.0.1:{front}", f"127.0.0.1:{ready}"
+        self.peer_ = f"127.0.0.1:{peer}"
         self.log_ = os.path.join(deployment.dir_, name + ".log")
         self.config_ = os.path.join(deployment.dir_, name + ".yaml")
         # What deploy/settings.yaml gives for the bounds of hollings-sched.
         with open(self.config_, "w") as file:
             file.write(
                 f'name: "{name}"\nregion: "region-a"\nzone: "zone-a"\ncaller_address: "{self.front_}"\n'
-                f'peer_address: "127.0.0.1:{peer}"\nmetrics_address: "127.0.0.1:{metrics}"\n'
+                f'peer_address: "{self.peer_}"\nmetrics_address: "127.0.0.1:{metrics}"\n'
                 f'store_address: "{store_address}"\ncell:\n  ready_address: "{self.ready_}"\n'
                 "  store_writes_per_s: 400\n  store_min_lease_ms: 1000\n  processor_share: 0.25\n"
                 "  hold_max_ms: 10000\n  stop_timeout_ms: 900\n  gang_timeout_ms: 3000\n  revoke_ms: 5000\n"
@@ -86,7 +88,7 @@
 
 
 class Deployment:
-    def __init__(self, name, daemons=3, runners=4, record_dir=".", cpu=64_000, store_answer_s=0.004):
+    def __init__(self, name, daemons=3, runners=4, record_dir=".", cpu=64_000, store_answer_s=0.004, linked=False):
         if not os.path.exists(DAEMON):
             raise CannotRun("no " + DAEMON)
         self.dir_ = tempfile.mkdtemp(prefix="review-" + name + "-")
@@ -96,6 +98,8 @@
         self.cpu_ = cpu
         self.store_ = Store(store_answer_s)
         self.daemons_, self.runners_ = [], {}
+        self.links_ = {}  # (name of the daemon that dials, name of the other) -> Link, with linked=True
+        self.linked_ = linked
         self.runner_log_ = os.path.join(self.dir_, "servers.log")
         self.answers_ = []  # (time, method, id, status, body)
         self.random_ = random.Random(1)
@@ -113,10 +117,39 @@
         for i in range(daemons):
             port, address = await self.store_.open_port(f"edge-{i}")
             self.daemons_.append(Daemon(self, f"edge-{i}", port, address))
-            self.daemons_[-1].start()
+        if self.linked_:
+            await self.link_daemons()
+        for daemon in self.daemons_:
+            daemon.start()
         await self.until(self.all_ready, 15, "the daemons are not ready")
         self.note("all daemons are ready")
 
+    async def link_daemons(self):
+        """Has the daemons reach each other through links, which cut() can cut."""
+        for daemon in self.daemons_:
+            lines = []
+            for other in self.daemons_:
+                if other is not daemon:
+                    link = self.links_[(daemon.name_, other.name_)] = Link(other.peer_)
+                    lines.append(f'  {other.name_}: "{await link.start()}"\n')
+            with open(daemon.config_, "a") as file:
+                file.write("peer_address_overrides:\n" + "".join(lines))
+
+    def cut(self, daemon):
+        """Cuts a daemon off from the other daemons and from the store, silently."""
+        for names, link in self.links_.items():
+            if daemon.name_ in names:
+                link.cut()
+        daemon.port_.set_mode("silent")
+        self.note(f"daemon {daemon.name_}: cut off from the other daemons and the store")
+
+    def heal(self, daemon):
+        for names, link in self.links_.items():
+            if daemon.name_ in names:
+                link.heal()
+        daemon.port_.set_mode("ok")
+        self.note(f"daemon {daemon.name_}: no longer cut off")
+
     def start_runner(self, name, address, **more):
         command = [sys.executable, os.path.join(LIB, "server.py"), "--id", name, "--address", address, "--store",
                    self.internal_, "--log", self.runner_log_, "--dir", self.dir_, "--cpu", str(self.cpu_)]
@@ -161,10 +194,10 @@
         name = item[0].decode().split("#")[0]
         return next((d for d in self.daemons_ if d.name_ == name), None)
 
-    async def client(self, daemon, method, job, body=None, key=KEY, deadline=3.0):
+    async def client(self, daemon, method, job, body=None, key=KEY, deadline=3.0, patience=None):
         headers = {"Host": HOST, "Authorization": "Bearer " + key, "X-Deadline-Ms": str(int(deadline * 1000))}
         sent = time.monotonic()
-        status, answer = await call(daemon.front_, method, "/q/" + job, body, headers, deadline + 0.5)
+        status, answer = await call(daemon.front_, method, "/q/" + job, body, headers, patience or deadline + 0.5)
         self.answers_.append((sent, method, job, status, answer))
         self.note(f"client: {method} {job or '(queue)'} at {daemon.name_}, sent {sent - self.began_:.3f}: {status} {answer}")
         return status, answer
@@ -220,7 +253,7 @@
         subject = Deployment(name, record_dir=directory, **deployment)
 
         async def whole():
-            return await asyncio.wait_for(scenario(subject), 100)
+            return await asyncio.wait_for(scenario(subject), float(os.environ.get("CASE_LIMIT_S", "100")))
 
         broken, text = asyncio.run(whole())
         code = 1 if broken else 0
--- a/review/lib/httpd.py
+++ b/review/lib/httpd.py
@@ -32,7 +32,7 @@
     @staticmethod
     def abort(writer):
         sock = writer.get_extra_info("socket")
-        if sock is not None:
+        if sock is not None and sock.fileno() >= 0:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         writer.transport.abort()
 
--- a/review/lib/server.py
+++ b/review/lib/server.py
@@ -114,7 +114,10 @@
             return 409, {"ClockMs": self.clock(), "Reason": reason}
         self.extend(body)
         _, _, step, index = task.split(".")
-        plan = json.loads(body["Spec"])
+        try:
+            plan = json.loads(body["Spec"])
+        except ValueError:
+            plan = {"ms": [1000] * 8}  # not a Spec of the review's clients
         fails = plan.get("fail", {}).get(f"{step}.{index}", 0)
         how = "done"
         if fails:
@@ -127,7 +130,7 @@
         delay = (plan.get("fail_ms", 500) if how == "failed" else plan["ms"][int(step)]) / 1000
         timer = asyncio.get_running_loop().call_later(delay, lambda: self.end(task, how))
         self.active_[task] = (run, timer)
-        self.note("start", task=task, run=run, token=body.get("FencingToken"))
+        self.note("start", task=task, run=run, token=body.get("FencingToken"), spec=body["Spec"])
         return 200, {"ClockMs": self.clock()}
 
     def stop(self, body):
