--- a/review/lib/server.py
+++ b/review/lib/server.py
@@ -67,7 +67,7 @@
 
     async def lease_loop(self):
         while True:
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(0.02)
             if self.active_ and self.clock() > self.until_:
                 for task in list(self.active_):
                     self.end(task, "lapsed")
@@ -165,12 +165,23 @@
     parser.add_argument("--cpu", type=int, default=64_000)
     parser.add_argument("--mem", type=int, default=262_144)
     parser.add_argument("--hold-max", type=int, default=10_000)
+    parser.add_argument("--count", type=int, default=0, help="many runners, <id>-000 and so on, on free ports")
     args = parser.parse_args()
-    runner = Runner(args)
-    host, port = args.address.rsplit(":", 1)
-    await Server(runner.handle).start(host, int(port))
-    runner.note("born")
-    await asyncio.gather(runner.register_loop(), runner.lease_loop())
+    runners = []
+    for number in range(max(args.count, 1)):
+        own = argparse.Namespace(**vars(args))
+        runner = Runner(own)
+        host, port = args.address.rsplit(":", 1)
+        port = await Server(runner.handle).start(host, 0 if args.count else int(port))
+        if args.count:
+            own.id, own.address, own.rack = f"{args.id}-{number:03d}", f"{host}:{port}", f"r1-{number // 12}"
+            await call(args.store, "POST", "/standin-register",
+                       {"Key": "servers/" + own.id, "Value": json.dumps(runner.entry())})
+        runner.note("born")
+        runners.append(runner)
+    if args.count:  # entries that change in nothing but their sequence are not written again
+        await asyncio.gather(*(runner.lease_loop() for runner in runners))
+    await asyncio.gather(runners[0].register_loop(), runners[0].lease_loop())
 
 
 asyncio.run(main())
