Fix: [control] An elected daemon leads although a peer named its epoch first

Callers saw, after the death of a leader: nothing was accepted, told or run any more (503 or 504 at all daemons), without end.

Cause: the store carried out a daemon's election, and the answer was lost. The daemon reads in the store that it was elected, but began to lead only if that epoch was higher than the one it knew. Peers read the new epoch at once and name it in their beacons; learnEpoch() took the epoch and the daemon itself as its leader from the beacon.

Ruled out: a lost session (it is renewed), and an election that was not carried out (the epoch key names the daemon).

Change: a daemon records only the number of an epoch of its own that it does not lead in, and begins to lead when the store shows its election, unless it knows a later epoch or has stepped down from this one. leader_ is this daemon only while it leads, so a stale beacon cannot name a daemon that has stepped down either.

--- a/src/core/control/control_base.h
+++ b/src/core/control/control_base.h
@@ -117,7 +117,9 @@
     std::map<DaemonId, ClusterMember> members_; // without this daemon
     CellEpoch epoch_; // highest known
     std::uint64_t epochKeyRevision_ = 0; // store revision of the epoch key; 0: the key does not exist
-    DaemonId leader_; // leader of epoch_; empty: unknown, or this daemon has stepped down
+    // Leader of epoch_; empty: unknown, or this daemon was elected and does not lead (yet, or any more). It is this
+    // daemon only while cell_ is set.
+    DaemonId leader_;
     DaemonId lastLeader_; // last known leader; not cleared when that leader steps down
     bool leaderKeyExists_ = false;
     std::uint64_t leaderKeyRevision_ = 0; // store revision of the leader key; 0: the key does not exist
--- a/src/core/control/control_internal.h
+++ b/src/core/control/control_internal.h
@@ -65,7 +65,8 @@
 // Applies a complete read of ClusterPrefix: keys that are not in `items` do not exist.
 void applyClusterSnapshot(Control &control, const std::vector<KvItem> &items, CellTime now, ControlActions &actions);
 // Records the leader of an epoch, unless a higher epoch, or a leader of the same one, is known. Steps down if this
-// daemon leads in a lower epoch. `source` is used for the log.
+// daemon leads in a lower epoch. Of an epoch of its own that it does not lead in, a daemon records only the number: it
+// begins to lead when the store shows the election. `source` is used for the log.
 void learnEpoch(Control &control, CellEpoch epoch, const DaemonId &leader, std::string_view source, CellTime now,
                 ControlActions &actions);
 // Steps down when this daemon may not lead any more, and sends the election transaction when one is due.
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -75,14 +75,19 @@
     if (epoch == control.epoch_ && !control.leader_.empty()) {
         return;
     }
+    const bool leads = control.cell_ && control.cell_->epoch_ == epoch;
+    const bool isUnclaimed = leader == control.settings_.self_ && !leads;
+    if (isUnclaimed && epoch == control.epoch_) {
+        return;
+    }
     control.epoch_ = epoch;
-    control.leader_ = leader;
+    control.leader_ = isUnclaimed ? DaemonId{} : leader;
     control.leaderHeardAt_ = now.steady_;
     control.leaderSilent_ = false;
-    if (!leader.empty()) {
+    if (!control.leader_.empty()) {
         control.lastLeader_ = leader;
     }
-    JsonObject line = beginLogLine("leader");
+    JsonObject line = beginLogLine(isUnclaimed ? "leader-unclaimed" : "leader");
     line.number("epoch", static_cast<std::int64_t>(epoch.value_)).text("leader", leader.value_);
     line.text("source", source);
     appendLogLine(actions, line);
@@ -164,8 +169,8 @@
         if (parseEpoch(item.value_, epoch, leader)) {
             control.epochKeyRevision_ = item.revision_;
             const bool isSelf = leader == control.settings_.self_;
-            if (isSelf && !control.cell_ && epoch > control.epoch_) {
-                // The election transaction took effect, but its reply was lost.
+            // The election transaction took effect, but its reply was lost. A peer may have named the epoch already.
+            if (isSelf && !control.cell_ && epoch >= control.epoch_ && epoch > control.ownRetiredEpoch_) {
                 becomeLeader(control, epoch, item.revision_, now, actions);
             } else {
                 learnEpoch(control, epoch, leader, "store", now, actions);
--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -282,11 +282,14 @@
                          [this, daemon, reply] { onKvReply(*daemon->control_, reply, cellTime(), daemon->actions_); });
             return;
         }
-        const auto reply = store_.answer(call.call_, call.sentAt_, now_);
+        auto reply = store_.answer(call.call_, call.sentAt_, now_);
         if (!reply) {
             calls_.push_back(call);
             return;
         }
+        if (onStoreReply_) {
+            onStoreReply_(*daemon, call.call_, *reply);
+        }
         enqueueEvent(*daemon, [this, daemon, reply = *reply] {
             onKvReply(*daemon->control_, reply, cellTime(), daemon->actions_);
         });
@@ -327,6 +330,8 @@
     TimePoint now_ = start_;
     KvModel store_;
     bool storeAvailable_ = true;
+    // Called with each executed store call and its reply, which it may change; empty: replies arrive unchanged.
+    std::function<void(ClusterDaemon &, const KvCall &, KvReply &)> onStoreReply_;
     std::set<DaemonId> isolated_; // daemons without connections to others
     std::map<RunnerId, RunnerModel> runners_;
     std::vector<std::unique_ptr<ClusterDaemon>> daemons_;
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -56,6 +56,35 @@
     cr_assert(cluster.leader() != nullptr, "no new leader after 1 s");
 }
 
+// Guards against an elected leader that never leads: the store's answer to its election is lost, and a beacon of a peer
+// names the new epoch before the daemon can read it in the store.
+Test(control, electionWithALostAnswerTakesEffect)
+{
+    ControlCluster cluster;
+    cluster.run(StartupTime);
+    ClusterDaemon &former = *cluster.leader();
+    ClusterDaemon *elected = nullptr;
+    cluster.onStoreReply_ = [&elected](ClusterDaemon &daemon, const KvCall &call, KvReply &reply) {
+        if (call.purpose_ == KvPurpose::Elect && reply.status_ == KvStatus::Ok && elected == nullptr) {
+            elected = &daemon;
+            daemon.storeReachable_ = false;
+            reply = {};
+            reply.id_ = call.id_;
+            reply.purpose_ = call.purpose_;
+        }
+    };
+    former.alive_ = false;
+    cluster.run(Milliseconds(1'700));
+    cr_assert_not_null(elected);
+    elected->storeReachable_ = true;
+    cluster.run(Milliseconds(1'500));
+    cr_assert(cluster.leader() == elected);
+    ClusterDaemon &entry = cluster.follower();
+    const auto call = cluster.sendRequest(entry, ClientMethod::Submit, 7);
+    cluster.run(Milliseconds(400));
+    cr_assert(answerOf(entry, call) != nullptr && answerOf(entry, call)->error_ == ErrorKind::None);
+}
+
 // Guards against a long time in which no job is accepted because only the leader cannot reach the store: the session of
 // the leader takes 2.5 s to expire.
 Test(control, leaderCutOffFromStoreStepsDown)
