Fix: [cell] A new leader starts the waiting tasks of a recovered occurrence

Callers saw, after a change of leader: a recurring job stayed "running" for good, its waiting tasks were never started.

Cause: decodeProgress() creates the occurrences that the stored progress names. createDueOccurrences() sets up the steps of due occurrences, but skips those that exist, so the steps of a recovered occurrence were never ready. The same held for its tasks that failed or lost their runner later.

Ruled out: missing room, the limit of the account, and a lost record (later occurrences run).

Change: a recovery updates the steps of all recovered occurrences. The tests recover the stored progress too.

--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -146,9 +146,13 @@
 void finishRecovery(Cell &cell, CellTime now, CellActions &actions)
 {
     for (auto &[id, job] : cell.jobs_) {
-        if (!isFinal(*job)) {
-            createDueOccurrences(cell, *job, now);
+        if (isFinal(*job)) {
+            continue;
         }
+        for (const auto &[number, occurrence] : job->occurrences_) { // those that the stored progress names
+            updateReadySteps(cell, *job, number);
+        }
+        createDueOccurrences(cell, *job, now);
     }
     for (auto &[id, runner] : cell.runners_) {
         placeStoredRuns(cell, *runner);
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -128,6 +128,10 @@
     for (const std::uint64_t id : jobs) {
         const std::string key = "job/" + jobText(StagedJobId{id});
         recoverJob(*world.cell_, {key, before.stored_.at(key), 5, false}, world.time(), world.actions_);
+        const auto progress = before.stored_.find("progress/" + jobText(StagedJobId{id}));
+        if (progress != before.stored_.end()) {
+            recoverProgress(*world.cell_, {progress->first, progress->second, 5, false}, world.time(), world.actions_);
+        }
     }
     recoverRunners(*world.cell_, before.stored_.at("runners"));
     world.runners_ = before.runners_;
@@ -640,3 +644,35 @@
     world.run(Milliseconds(2'600));
     cr_assert(world.cell_->allTasksKnown_);
 }
+
+// Guards against waiting tasks of a recurring job that are never started: a new leader left the steps of an occurrence
+// that it had read from the stored progress marked as not ready.
+Test(cell, tasksOfARecoveredOccurrenceStart)
+{
+    constexpr std::uint32_t Tasks = 6; // the runners have capacity for four
+    CellWorld before;
+    before.listRunners();
+    CellRequest request = before.submission(1, Tasks, 8'000);
+    request.submitted_.repeatCount_ = 2;
+    request.submitted_.firstRunUnixMs_ = before.time().unixMs_;
+    request.submitted_.intervalMs_ = 60'000;
+    before.send(request);
+    before.run(Milliseconds(300));
+    cr_assert_eq(before.startCount(), 4);
+    before.endRun(before.runnerOf(FirstTask), FirstTask, RunEnd::Done); // stored as progress
+    before.run(Milliseconds(300));
+    CellWorld world(2);
+    recoverFrom(world, before, {1});
+    world.run(Milliseconds(500));
+    for (int i = 0; i < 2; ++i) {
+        for (auto &[id, runner] : world.runners_) {
+            while (!runner.active_.empty()) {
+                runner.end(runner.active_.begin()->first, RunEnd::Done);
+            }
+        }
+        world.run(Milliseconds(1'000));
+    }
+    for (std::uint32_t i = 0; i < Tasks; ++i) {
+        cr_assert_eq(world.startsOf({StagedJobId{1}, 0, 0, i}), 1, "task %u", i);
+    }
+}
