Fix: [cell] A run on a restarted runner is not taken for one of its earlier life

Callers saw a task run twice at once, on a runner that had started again under its id while the store was down, and on another one.

Cause: when the entry of the new incarnation is read, all placements of the runner were released, also one that the new incarnation had confirmed. The answer to a start does not name the incarnation.

Ruled out: a lease that had lapsed, and another leader.

Change: a run that a list of the earlier incarnation named has ended with it. An answered start that no list has named stays placed until the list of the new incarnation decides. An unanswered one is withdrawn by a stop, since the new incarnation may still carry it out. Until then the leases are taken to last as long as the runner allows. The stand-in of the runner named its incarnation in every answer, against the protocol, and hid the fault; now only its lists do.

--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -124,6 +124,9 @@
     std::string ticket_;
     std::string checkpoint_; // checkpoint that the start carries
     bool callInFlight_ = false; // a start or stop call is in flight
+    // The list of runs of the incarnation Runner::startedUnixMs_ named the run: it ends with that incarnation.
+    bool listed_ = false;
+    bool startUnanswered_ = false; // a call of the start has no answer: the runner may still carry it out
     bool orphan_ = false; // does not belong to a placed task of a known job
     std::uint32_t attempts_ = 0; // calls sent in the current phase
     TimePoint startedAt_; // when the start was first sent, or when this leader learned of the run; empty for an orphan
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -62,11 +62,16 @@
     return until;
 }
 
+// Upper bound of the time in which a lease of this length, which starts now on the runner's clock, ends.
+static Milliseconds leaseBound(Milliseconds lease)
+{
+    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(lease.count()) / MinClockRate)) + LeaseMargin;
+}
+
 // Upper bound of the remaining time of a lease that a leader has just asked for.
 static Milliseconds longestLease(const Cell &cell)
 {
-    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(taskLease(cell).count()) / MinClockRate))
-        + LeaseMargin;
+    return leaseBound(taskLease(cell));
 }
 
 static RunnerCall makeCall(Cell &cell, const Runner &runner, RunnerOp op)
@@ -152,6 +157,7 @@
     Placement placement;
     placement.run_ = run;
     placement.orphan_ = true;
+    placement.listed_ = true;
     placement.phase_ = PlacementPhase::Running;
     ++runner.orphans_;
     runner.tasks_.emplace(task, std::move(placement));
@@ -236,7 +242,7 @@
     }
 }
 
-void handleLostRunner(Cell &cell, Runner &runner, std::string_view cause, CellTime now, CellActions &actions)
+static void logLostRunner(const Runner &runner, std::string_view cause, CellTime now, CellActions &actions)
 {
     if (runner.stateKnown_ || !runner.tasks_.empty() || runner.mayHavePredecessorTasks_) {
         JsonObject line = logEvent("runner-lost");
@@ -246,6 +252,23 @@
                     std::chrono::duration_cast<Milliseconds>(now.steady_ - runner.clockReadAt_).count());
         addLogLine(actions, line, LogLevel::Warning);
     }
+}
+
+// Marks the state of a runner that may run nothing, or not what this leader knows, as unknown.
+static void forgetRunnerState(Cell &cell, Runner &runner)
+{
+    cell.runnersDirty_ = cell.runnersDirty_ || !isQuiescent(runner);
+    runner.stateKnown_ = false;
+    runner.mayHavePredecessorTasks_ = false;
+    runner.predecessorTasksKnown_ = false;
+    runner.clockMs_ = -1;
+    runner.leaseEndsBy_ = {};
+    cell.placementDue_ = true;
+}
+
+void handleLostRunner(Cell &cell, Runner &runner, std::string_view cause, CellTime now, CellActions &actions)
+{
+    logLostRunner(runner, cause, now, actions);
     std::vector<StagedTask> tasks;
     for (const auto &[task, placement] : runner.tasks_) {
         tasks.push_back(task);
@@ -254,20 +277,51 @@
         releasePlacement(cell, runner, task);
         stopGang(cell, task, now, actions);
     }
-    cell.runnersDirty_ = cell.runnersDirty_ || !isQuiescent(runner);
-    runner.stateKnown_ = false;
-    runner.mayHavePredecessorTasks_ = false;
-    runner.predecessorTasksKnown_ = false;
-    runner.clockMs_ = -1;
-    runner.leaseEndsBy_ = {};
-    cell.placementDue_ = true;
+    forgetRunnerState(cell, runner);
+}
+
+// Releases the tasks that ended with the previous incarnation of the runner. The start of a task may have reached the
+// new incarnation instead, before this leader learned of it, or may still reach it. An answered start stays placed
+// until the list of the new incarnation decides; one without an answer is withdrawn.
+static void releaseEndedIncarnation(Cell &cell, Runner &runner, CellTime now, CellActions &actions)
+{
+    std::vector<StagedTask> ended;
+    std::vector<StagedTask> withdrawn;
+    for (auto &[task, placement] : runner.tasks_) {
+        const bool startInFlight = placement.callInFlight_ && placement.phase_ == PlacementPhase::Starting;
+        if (placement.startUnanswered_ || startInFlight) {
+            withdrawn.push_back(task);
+        } else if (placement.listed_) {
+            ended.push_back(task);
+        }
+    }
+    for (const StagedTask &task : ended) {
+        releasePlacement(cell, runner, task);
+        stopGang(cell, task, now, actions);
+    }
+    for (const StagedTask &task : withdrawn) {
+        stopPlacement(cell, runner, task, now, actions);
+        stopGang(cell, task, now, actions);
+    }
+    for (auto &[task, placement] : runner.tasks_) {
+        // The new incarnation does not know of an earlier stop.
+        if (placement.phase_ == PlacementPhase::Stopping && !placement.callInFlight_) {
+            placement.confirmedAt_ = {};
+            placement.retryAt_ = now.steady_;
+            runner.nextCallRetryAt_ = now.steady_;
+        }
+    }
+    // A runner shortens the lease of a start whose end is a time of the previous incarnation's clock.
+    runner.leaseEndsBy_ = runner.tasks_.empty() ? TimePoint{} : now.steady_ + leaseBound(cell.settings_.holdMax_);
 }
 
-// Resets the state that belongs to one incarnation of the runner; the tasks of the previous incarnation are lost.
+// Resets the state that belongs to one incarnation of the runner.
 static void beginIncarnation(Cell &cell, Runner &runner, std::int64_t startedUnixMs, CellTime now, CellActions &actions)
 {
     if (runner.startedUnixMs_ != 0) {
-        handleLostRunner(cell, runner, "reborn", now, actions);
+        logLostRunner(runner, "reborn", now, actions);
+        forgetRunnerState(cell, runner);
+        releaseEndedIncarnation(cell, runner, now, actions);
     }
     runner.startedUnixMs_ = startedUnixMs;
     runner.processedEnd_ = 0;
@@ -424,6 +478,7 @@
         if (placed->second.phase_ == PlacementPhase::Starting) {
             placed->second.phase_ = PlacementPhase::Running;
         }
+        placed->second.listed_ = placed->second.listed_ || placed->second.run_ == active.run_;
         return;
     }
     Job *job = findJob(cell, active.task_.job_);
@@ -437,6 +492,7 @@
     if (task != nullptr && task->state_ == TaskState::Waiting && active.run_.value_ > task->endedRun_) {
         Placement &placement = addPlacement(cell, runner, *job, active.task_, active.run_);
         placement.phase_ = PlacementPhase::Running;
+        placement.listed_ = true;
         placement.startedAt_ = now.steady_;
         job->started_ = true;
         return;
@@ -607,6 +663,7 @@
         }
         break;
     case RunnerStatus::Unknown:
+        placement.startUnanswered_ = true;
         scheduleRetry(runner, placement, now.steady_);
         break;
     case RunnerStatus::Fenced:
--- a/src/standin/platform_service.cpp
+++ b/src/standin/platform_service.cpp
@@ -350,7 +350,10 @@
 
 static void respondRunner(const HttpResponder &respond, const RunnerCall &call, const RunnerReply &reply)
 {
-    Json json{{"ClockMs", reply.clockMs_}, {"born", reply.startedUnixMs_}};
+    Json json{{"ClockMs", reply.clockMs_}};
+    if (reply.startedUnixMs_ != 0) {
+        json["born"] = reply.startedUnixMs_;
+    }
     if (reply.status_ != RunnerStatus::Ok) {
         json["Reason"] = reply.status_ == RunnerStatus::Fenced ? "fence" : "old";
         respondJson(respond, json, 409);
--- a/src/standin/runner_model.h
+++ b/src/standin/runner_model.h
@@ -39,6 +39,19 @@
         }
     }
 
+    // Starts the runner again under its id: it holds and knows nothing of before, and its clock begins anew.
+    void restart(std::int64_t startedUnixMs, std::int64_t elapsedMs)
+    {
+        const RunnerRecord record = record_;
+        const auto starts = starts_; // of all incarnations
+        *this = {};
+        record_ = record;
+        record_.startedUnixMs_ = startedUnixMs;
+        starts_ = starts;
+        startedUnixMs_ = startedUnixMs;
+        clockOffsetMs_ = -elapsedMs;
+    }
+
     // Moves the active run of the task to the finished ones. Does nothing when the task has no active run.
     void end(const StagedTask &task, RunEnd reason)
     {
@@ -78,7 +91,6 @@
             return reply;
         }
         reply.clockMs_ = clockOffsetMs_ + elapsedMs;
-        reply.startedUnixMs_ = startedUnixMs_;
         reply.status_ = RunnerStatus::Ok;
         if (call.token_.value_ < token_) {
             reply.status_ = RunnerStatus::Fenced;
@@ -99,6 +111,7 @@
             highestEndedRuns_[call.task_] = std::max(highestEndedRuns_[call.task_], call.run_.value_);
         } else {
             std::erase_if(finished_, [&call](const FinishedRun &run) { return run.number_ <= call.acknowledgedEnd_; });
+            reply.startedUnixMs_ = startedUnixMs_; // only lists of runs name the incarnation
             reply.finished_ = finished_;
             for (const auto &[task, run] : active_) {
                 reply.active_.push_back({task, RunNumber{run}, "", 100, 0});
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -676,3 +676,76 @@
         cr_assert_eq(world.startsOf({StagedJobId{1}, 0, 0, i}), 1, "task %u", i);
     }
 }
+
+// Restarts each runner under its id. The discovery list keeps the old entries until listRunners() is called.
+static void restartRunners(CellWorld &world)
+{
+    for (auto &[id, runner] : world.runners_) {
+        runner.restart(runner.startedUnixMs_ + 1, world.elapsedMs());
+    }
+}
+
+// Guards against two concurrent runs of a task that was started on a runner after the runner had started again under
+// its id: when the leader read the new discovery entry, it took the run for lost with the earlier incarnation.
+Test(cell, taskOnARestartedRunnerIsNotStartedTwice)
+{
+    CellWorld world;
+    world.holdsWait_ = true;
+    world.listRunners();
+    world.run(Milliseconds(500));
+    restartRunners(world);
+    world.submit(1, 1, 8'000);
+    world.run(Milliseconds(100));
+    cr_assert_eq(world.startCount(), 1);
+    world.listRunners();
+    world.run(Milliseconds(3'000));
+    cr_assert_eq(world.startCount(), 1, "the task was started again while it runs");
+    const RunnerId holder = world.runnerOf(FirstTask);
+    cr_assert(!holder.empty());
+    world.endRun(holder, FirstTask, RunEnd::Done);
+    world.run(Milliseconds(500));
+    const auto query = world.sendRequest(1, CellVerb::Query);
+    world.run(Milliseconds(10));
+    cr_assert(world.replies_.at(query).state_ == StagedState::Completed);
+}
+
+// Guards against a task that is never started again after its runner has restarted, if no list of the earlier
+// incarnation had named the run.
+Test(cell, taskThatEndedWithItsIncarnationStartsAgain)
+{
+    CellWorld world;
+    world.holdsWait_ = true;
+    world.listRunners();
+    world.run(Milliseconds(500));
+    world.submit(1, 1, 8'000);
+    world.run(Milliseconds(100));
+    cr_assert_eq(world.startCount(), 1);
+    restartRunners(world);
+    world.listRunners();
+    world.run(Milliseconds(2'500)); // a hold waits for up to 1.5 s
+    cr_assert_eq(world.startCount(), 2);
+}
+
+// Guards against a start that arrives late at a runner that has restarted meanwhile: the task must not start elsewhere
+// before the new incarnation has been told not to carry it out.
+Test(cell, unansweredStartIsWithdrawnFromARestartedRunner)
+{
+    CellWorld world;
+    world.listRunners();
+    world.run(Milliseconds(500));
+    for (auto &[id, runner] : world.runners_) {
+        runner.reachable_ = false;
+    }
+    world.submit(1, 1, 8'000);
+    world.run(Milliseconds(30)); // the start has no answer
+    cr_assert_eq(world.startCount(), 0);
+    restartRunners(world);
+    world.listRunners();
+    world.run(Milliseconds(500));
+    cr_assert_eq(world.startCount(), 1);
+    std::size_t withdrawn = 0;
+    for (const auto &[id, runner] : world.runners_) {
+        withdrawn += runner.highestEndedRuns_.contains(FirstTask) ? 1 : 0;
+    }
+    cr_assert_eq(withdrawn, 1, "the runner of the unanswered start may still carry it out");
+}
