Fix: [cell] A job that ends before it is stored is stored with its final state

Callers saw a task that ran with an empty Spec, which no client had sent: a client had cancelled its job, and the leader died before it had stored the cancel.

Cause: a cancel clears the Spec of the job. A job that still waited for the accept lane was then stored with what was left of it, as an accepted one; the cancelled state followed in a later transaction of the other lane.

Ruled out: a record that was cut short.

Change: the record of a job that has ended meanwhile is stored in one transaction with the final state. Tried and dropped: leaving the record out.

--- a/src/core/cell/lanes.cpp
+++ b/src/core/cell/lanes.cpp
@@ -18,19 +18,44 @@
     return "lane/" + std::to_string(lane);
 }
 
-static constexpr std::string_view JobPrefix = "job/";
+static std::string jobKey(StagedJobId id)
+{
+    return "job/" + jobText(id);
+}
+
+static std::string progressKey(StagedJobId id)
+{
+    return "progress/" + jobText(id);
+}
+
 static constexpr Milliseconds FirstRetryDelay{40}; // doubles up to MaxRetryDelay; the store's calls are billed
 static constexpr Milliseconds MaxRetryDelay{600};
 static constexpr unsigned MaxDoublings = 4;
 
+static void writeProgress(const Job &job, LaneTransaction &transaction)
+{
+    transaction.call_.writes_.push_back({progressKey(job.id_), encodeProgress(job), 0});
+    transaction.progressVersions_.emplace_back(job.id_, job.version_);
+}
+
+// Collects the records of new jobs. The record of a job that has ended meanwhile is stored together with the final
+// state, so that no leader takes the job for an accepted one.
 static void collectJobRecords(Cell &cell, LaneTransaction &transaction)
 {
-    while (!cell.acceptQueue_.empty() && transaction.call_.writes_.size() < WritesPerTransaction) {
+    while (!cell.acceptQueue_.empty()) {
         const Job *job = findJob(cell, cell.acceptQueue_.front());
+        const std::size_t entries = job != nullptr && isFinal(*job) ? 2 : 1;
+        if (transaction.call_.writes_.size() + entries > WritesPerTransaction) {
+            break;
+        }
         cell.acceptQueue_.pop_front();
-        if (job != nullptr && !job->stored_) {
-            transaction.call_.writes_.push_back({std::string(JobPrefix) + jobText(job->id_), encodeJob(*job), 0});
-            transaction.acceptedJobs_.push_back(job->id_);
+        if (job == nullptr || job->stored_) {
+            continue;
+        }
+        transaction.call_.writes_.push_back({jobKey(job->id_), encodeJob(*job), 0});
+        transaction.acceptedJobs_.push_back(job->id_);
+        if (isFinal(*job)) {
+            writeProgress(*job, transaction);
         }
     }
 }
@@ -61,11 +86,10 @@
             continue;
         }
         job->inDirtyJobs_ = false;
-        transaction.call_.writes_.push_back({"progress/" + jobText(job->id_), encodeProgress(*job), 0});
+        writeProgress(*job, transaction);
         if (isFinal(*job)) {
-            transaction.call_.removes_.push_back(std::string(JobPrefix) + jobText(job->id_));
+            transaction.call_.removes_.push_back(jobKey(job->id_));
         }
-        transaction.progressVersions_.emplace_back(job->id_, job->version_);
     }
     while (!cell.keysToRemove_.empty()
            && transaction.call_.writes_.size() + transaction.call_.removes_.size() < WritesPerTransaction) {
@@ -93,34 +117,47 @@
     actions.kv_.push_back(call);
 }
 
-// Refuses a job that is not stored and will not be: replies to its clients and removes the job.
-static void refuseSubmit(Cell &cell, StagedJobId id, CellActions &actions)
+static void refuseSubmit(Cell &cell, const Job &job, CellActions &actions)
 {
-    const Job *job = findJob(cell, id);
-    if (job == nullptr) {
-        return;
-    }
-    for (const auto &[daemon, call] : job->waitingSubmits_) {
+    const StagedJobId id = job.id_;
+    for (const auto &[daemon, call] : job.waitingSubmits_) {
         actions.replies_.push_back({daemon, {call, CellOutcome::Unavailable, {}, 0, StoreRetryAfter}});
     }
-    for (const auto &[version, waiting] : job->waitingCancels_) { // cancelled before the job was stored
-        actions.replies_.push_back({waiting.first, {waiting.second, CellOutcome::NotFound, {}, 0, {}}});
-    }
     JsonObject line = logEvent("submit-refused");
     line.text("job", jobText(id)).text("reason", "store-unavailable");
     addLogLine(actions, line);
     cell.jobs_.erase(id);
 }
 
+// Refuses jobs that are not stored and will not be: replies to their clients and removes the jobs. Returns those that
+// have been cancelled meanwhile: their final state is stored once the store is available, so that a late repetition of
+// the submit finds it.
+static std::deque<StagedJobId> refuseSubmits(Cell &cell, std::span<const StagedJobId> jobs, CellActions &actions)
+{
+    std::deque<StagedJobId> cancelled;
+    for (const StagedJobId id : jobs) {
+        const Job *job = findJob(cell, id);
+        if (job != nullptr && isFinal(*job)) {
+            cancelled.push_back(id);
+        } else if (job != nullptr) {
+            refuseSubmit(cell, *job, actions);
+        }
+    }
+    return cancelled;
+}
+
 // Refuses the jobs of a transaction whose attempts were all rejected by the store: no attempt can take effect any more.
 // The transaction is retried without these jobs; its success shows that the store is available again.
 static void withdrawJobs(Cell &cell, LaneTransaction &transaction, CellActions &actions)
 {
-    for (const StagedJobId id : transaction.acceptedJobs_) {
-        refuseSubmit(cell, id, actions);
+    if (transaction.acceptedJobs_.empty()) {
+        return;
     }
+    std::erase_if(transaction.call_.writes_, [](const KvWrite &write) { return write.key_ != laneKey(AcceptLane); });
+    transaction.progressVersions_.clear();
+    const std::deque<StagedJobId> cancelled = refuseSubmits(cell, transaction.acceptedJobs_, actions);
+    cell.acceptQueue_.insert(cell.acceptQueue_.end(), cancelled.begin(), cancelled.end());
     transaction.acceptedJobs_.clear();
-    std::erase_if(transaction.call_.writes_, [](const KvWrite &write) { return write.key_.starts_with(JobPrefix); });
 }
 
 void detail::flushLanes(Cell &cell, CellTime now, CellActions &actions)
@@ -161,10 +198,9 @@
     if (!cell.storeUnavailable_) {
         return;
     }
-    for (const StagedJobId id : cell.acceptQueue_) { // these jobs are not part of a transaction
-        refuseSubmit(cell, id, actions);
-    }
-    cell.acceptQueue_.clear();
+    // These jobs are not part of a transaction.
+    const std::vector<StagedJobId> waiting(cell.acceptQueue_.begin(), cell.acceptQueue_.end());
+    cell.acceptQueue_ = refuseSubmits(cell, waiting, actions);
 }
 
 static void handleJobStored(Cell &cell, StagedJobId id, CellTime now, CellActions &actions)
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -749,3 +749,59 @@
     }
     cr_assert_eq(withdrawn, 1, "the runner of the unanswered start may still carry it out");
 }
+
+// Guards against a task that is started with an empty Spec: a job that was cancelled before its record was written was
+// stored without its Spec and without its state, and the next leader started it.
+Test(cell, jobCancelledBeforeItIsStoredIsStoredAsCancelled)
+{
+    CellWorld world;
+    world.listRunners();
+    world.run(Milliseconds(100));
+    world.submit(1);
+    world.run(Milliseconds(5)); // the transaction of the first job is in flight
+    CellRequest request = world.submission(2, 1, 1'000);
+    request.submitted_.spec_ = "work";
+    const auto submit = world.send(request);
+    const auto cancel = world.sendRequest(2, CellVerb::Cancel);
+    while (!world.stored_.contains("job/0000000000000002") && world.elapsedMs() < 1'000) {
+        world.run(Milliseconds(5));
+    }
+    cr_assert(world.stored_.contains("progress/0000000000000002"), "the next leader would start the job");
+    CellWorld next(2);
+    recoverFrom(next, world, {2});
+    next.run(Milliseconds(500));
+    cr_assert_eq(next.startsOf({StagedJobId{2}, 0, 0, 0}), 0);
+    world.run(Milliseconds(300));
+    cr_assert(world.replies_.at(submit).outcome_ == CellOutcome::Ok);
+    cr_assert(world.replies_.at(cancel).outcome_ == CellOutcome::Ok);
+    const auto repeated = world.send(request);
+    world.run(Milliseconds(300));
+    cr_assert(world.replies_.at(repeated).state_ == StagedState::Cancelled);
+    cr_assert_eq(world.startsOf({StagedJobId{2}, 0, 0, 0}), 0);
+}
+
+// Guards against a cancelled job that runs because a late repetition of its submit is accepted: the store was not
+// available when the job was cancelled, and the leader forgot the job.
+Test(cell, jobCancelledDuringAStoreOutageStaysCancelled)
+{
+    CellWorld world;
+    world.listRunners();
+    world.run(Milliseconds(100));
+    world.storeUp_ = false;
+    world.submit(1);
+    world.run(Milliseconds(100));
+    world.submit(2);
+    world.sendRequest(1, CellVerb::Cancel);
+    const auto cancel = world.sendRequest(2, CellVerb::Cancel);
+    world.run(Milliseconds(1'500));
+    cr_assert(!world.replies_.contains(cancel), "the cancel is acknowledged before the store has it");
+    world.storeUp_ = true;
+    world.run(Milliseconds(1'500));
+    cr_assert(world.replies_.at(cancel).outcome_ == CellOutcome::Ok);
+    world.submit(1);
+    world.submit(2);
+    world.run(Milliseconds(500));
+    cr_assert_eq(world.startCount(), 0);
+    cr_assert(world.stored_.contains("progress/0000000000000001"));
+    cr_assert(world.stored_.contains("progress/0000000000000002"));
+}
