Feature: [cell] Epoch in the log lines of starts and lost runners

"start" and "runner-lost" have the epoch now, "task-absent" the highest end that the runner was told to forget.

--- a/src/core/cell/placement.cpp
+++ b/src/core/cell/placement.cpp
@@ -156,6 +156,7 @@
     JsonObject line = logEvent("start");
     line.text("task", taskText(id)).number("run", static_cast<std::int64_t>(run));
     line.text("runner", runner.record_.id_.value_).number("free_cpu", candidate.free_.milliCpus_);
+    line.number("epoch", static_cast<std::int64_t>(cell.epoch_.value_));
     line.number("wait_ms", std::chrono::duration_cast<Milliseconds>(now.steady_ - context.job_.submittedAt_).count());
     addLogLine(actions, line);
     sendStart(cell, runner, id, placement, now, actions);
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -242,11 +242,13 @@
     }
 }
 
-static void logLostRunner(const Runner &runner, std::string_view cause, CellTime now, CellActions &actions)
+static void logLostRunner(const Cell &cell, const Runner &runner, std::string_view cause, CellTime now,
+                          CellActions &actions)
 {
     if (runner.stateKnown_ || !runner.tasks_.empty() || runner.mayHavePredecessorTasks_) {
         JsonObject line = logEvent("runner-lost");
         line.text("runner", runner.record_.id_.value_).text("cause", cause);
+        line.number("epoch", static_cast<std::int64_t>(cell.epoch_.value_));
         line.number("tasks", static_cast<std::int64_t>(runner.tasks_.size()));
         line.number("answer_age_ms",
                     std::chrono::duration_cast<Milliseconds>(now.steady_ - runner.clockReadAt_).count());
@@ -268,7 +270,7 @@
 
 void handleLostRunner(Cell &cell, Runner &runner, std::string_view cause, CellTime now, CellActions &actions)
 {
-    logLostRunner(runner, cause, now, actions);
+    logLostRunner(cell, runner, cause, now, actions);
     std::vector<StagedTask> tasks;
     for (const auto &[task, placement] : runner.tasks_) {
         tasks.push_back(task);
@@ -319,7 +321,7 @@
 static void beginIncarnation(Cell &cell, Runner &runner, std::int64_t startedUnixMs, CellTime now, CellActions &actions)
 {
     if (runner.startedUnixMs_ != 0) {
-        logLostRunner(runner, "reborn", now, actions);
+        logLostRunner(cell, runner, "reborn", now, actions);
         forgetRunnerState(cell, runner);
         releaseEndedIncarnation(cell, runner, now, actions);
     }
@@ -535,6 +537,7 @@
     for (const StagedTask &task : absent) {
         JsonObject line = logEvent("task-absent");
         line.text("task", taskText(task)).text("runner", runner.record_.id_.value_);
+        line.number("acknowledged_end", static_cast<std::int64_t>(runner.acknowledgedEnd_));
         addLogLine(actions, line, LogLevel::Warning);
         releasePlacement(cell, runner, task);
         stopGang(cell, task, now, actions);
