Fix: [control] A new leader keeps the epoch that its election wrote

Cause: the answer to an election was counted for the epoch after the one known when it arrived. A peer's beacon may have named the new epoch meanwhile; the daemon then led in an epoch that the store does not have. A later leader can get the same number, so that runners obey both, and a lane key of the one seems to confirm a transaction of the other. The same step made a daemon a leader of an invented epoch when a renewal of its leader key was answered after it had stepped down.

Evidence: the test sends the beacon before the answer; the leader had epoch 3 with "2" in the store.

Change: the epoch that the transaction writes is kept, and the answer counts for this one only; it makes the daemon a leader under the same conditions as the epoch key does.

The test electionAnswerAfterABeaconKeepsItsEpoch failed before the change and passes with it.

--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -96,6 +96,13 @@
     }
 }
 
+// True when this daemon may begin to lead in an epoch for which the store has elected it: no later epoch is known, and
+// the daemon has not stepped down from this one.
+static bool mayClaimEpoch(const Control &control, CellEpoch epoch)
+{
+    return !control.cell_ && epoch >= control.epoch_ && epoch > control.ownRetiredEpoch_;
+}
+
 // `revision`: store revision of the election transaction, and so of the leader, epoch and lane keys.
 static void becomeLeader(Control &control, CellEpoch epoch, std::uint64_t revision, CellTime now,
                          ControlActions &actions)
@@ -170,7 +177,7 @@
             control.epochKeyRevision_ = item.revision_;
             const bool isSelf = leader == control.settings_.self_;
             // The election transaction took effect, but its reply was lost. A peer may have named the epoch already.
-            if (isSelf && !control.cell_ && epoch >= control.epoch_ && epoch > control.ownRetiredEpoch_) {
+            if (isSelf && mayClaimEpoch(control, epoch)) {
                 becomeLeader(control, epoch, item.revision_, now, actions);
             } else {
                 learnEpoch(control, epoch, leader, "store", now, actions);
@@ -331,8 +338,10 @@
     call.conditions_
         = {{std::string(LeaderKey), control.leaderKeyRevision_}, {std::string(EpochKey), control.epochKeyRevision_}};
     call.writes_ = {{std::string(LeaderKey), control.settings_.self_.value_, control.session_.lease_}};
+    control.electionEpoch_ = control.epoch_;
     if (!control.cell_ || control.cell_->epoch_ != control.epoch_) {
         const std::uint64_t nextEpoch = control.epoch_.value_ + 1;
+        control.electionEpoch_ = CellEpoch{nextEpoch};
         call.writes_.push_back(
             {std::string(EpochKey), std::to_string(nextEpoch) + " " + control.settings_.self_.value_, 0});
         for (std::size_t lane = 0; lane < LaneCount; ++lane) {
@@ -347,16 +356,16 @@
 {
     control.electing_ = false;
     control.nextElectionAt_ = now.steady_ + ElectionRetryDelay;
-    if (reply.status_ == KvStatus::Ok) {
-        if (control.cell_) {
-            control.leaderKeyExists_ = true;
-            renewLeadership(*control.cell_, reply.revision_);
-            JsonObject line = beginLogLine("leadership-renewed");
-            line.number("epoch", static_cast<std::int64_t>(control.epoch_.value_));
-            appendLogLine(actions, line);
-        } else {
-            becomeLeader(control, CellEpoch{control.epoch_.value_ + 1}, reply.revision_, now, actions);
-        }
+    if (reply.status_ == KvStatus::Ok && control.cell_ && control.cell_->epoch_ == control.electionEpoch_) {
+        control.leaderKeyExists_ = true;
+        renewLeadership(*control.cell_, reply.revision_);
+        JsonObject line = beginLogLine("leadership-renewed");
+        line.number("epoch", static_cast<std::int64_t>(control.electionEpoch_.value_));
+        appendLogLine(actions, line);
+        return;
+    }
+    if (reply.status_ == KvStatus::Ok && mayClaimEpoch(control, control.electionEpoch_)) {
+        becomeLeader(control, control.electionEpoch_, reply.revision_, now, actions);
         return;
     }
     // The election was lost or its outcome is unknown; a new read of the cluster keys shows who leads.
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -85,6 +85,34 @@
     cr_assert(answerOf(entry, call) != nullptr && answerOf(entry, call)->error_ == ErrorKind::None);
 }
 
+// Guards against two leaders with the same fencing token, which run tasks twice: a beacon of a peer named the epoch of
+// a new leader before the store's answer to the election arrived, and the leader took the next number.
+Test(control, electionAnswerAfterABeaconKeepsItsEpoch)
+{
+    ControlCluster cluster;
+    cluster.run(StartupTime);
+    ClusterDaemon *elected = nullptr;
+    cluster.onStoreReply_ = [&](ClusterDaemon &daemon, const KvCall &call, KvReply &reply) {
+        if (call.purpose_ != KvPurpose::Elect || reply.status_ != KvStatus::Ok) {
+            return;
+        }
+        elected = &daemon;
+        CellBeacon beacon;
+        beacon.epoch_ = CellEpoch{2};
+        beacon.leader_ = daemon.id_;
+        const DaemonId peer = *daemon.peerSet_.rbegin();
+        onPeerMessage(*daemon.control_, peer, beacon, cluster.cellTime(), daemon.actions_);
+    };
+    cluster.leader()->alive_ = false;
+    cluster.run(Milliseconds(1'500));
+    cr_assert_not_null(elected);
+    cr_assert_eq(cluster.leader(), elected);
+    cr_assert_eq(elected->control_->cell_->epoch_.value_, 2);
+    cr_assert_eq(elected->control_->epoch_.value_, 2);
+    const std::string stored = cluster.store_.space(KvSpace::Own).at("cluster/epoch").value_;
+    cr_assert(stored.starts_with("2 "), "the store has epoch \"%s\"", stored.c_str());
+}
+
 // Guards against a long time in which no job is accepted because only the leader cannot reach the store: the session of
 // the leader takes 2.5 s to expire.
 Test(control, leaderCutOffFromStoreStepsDown)
