Fix: [cell] Ends of a runner's earlier life are not acknowledged to the next one

Cause: each hold repeated the highest acknowledged end. A runner that starts again under its id counts its ends anew, and the leader may not know yet: the runner forgets the first ends of the new incarnation before it has listed them. The leader finds the task absent and starts it again. An idle runner was not told at all of the last acknowledgements, so they stayed pending for its next incarnation.

Evidence: the test restarts runners under their ids with one acknowledged end; the task of the new incarnation ended as done, was not listed, and was started again.

Change: an acknowledgement is sent only until the first answer after it, and only to a runner whose list is known and whose last call was answered. An idle runner is told at once. What remains: a runner that crashes with an acknowledgement in flight, restarts, and takes and ends a task before that call arrives.

The test endsOfARestartedRunnerAreNotAcknowledgedUnseen failed before the change and passes with it.

--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -169,6 +169,8 @@
     std::uint32_t orphans_ = 0; // number of placements with orphan_
     std::uint64_t processedEnd_ = 0; // highest number of an end that was handled, in this incarnation
     std::uint64_t acknowledgedEnd_ = 0; // highest number of an end that the runner may forget
+    std::uint64_t sentAcknowledgement_ = 0; // highest number of an end that the latest hold acknowledged; 0: none
+    std::uint64_t forgottenEnd_ = 0; // highest number of an end that an answered hold acknowledged
     std::deque<UnstoredEnd> unstoredEnds_; // ends that wait for the store, ascending by number
     bool holdInFlight_ = false; // a hold call is in flight
     TimePoint nextCallRetryAt_ = TimePoint::max(); // earliest retryAt_ of all starts and stops
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -89,7 +89,12 @@
 static void sendHold(Cell &cell, Runner &runner, CellTime now, CellActions &actions)
 {
     RunnerCall call = makeCall(cell, runner, RunnerOp::Hold);
-    call.acknowledgedEnd_ = runner.acknowledgedEnd_;
+    // The runner may have started again under its id, unknown to this leader. Its ends are then numbered anew, so each
+    // acknowledgement is sent only until the first answer after it, and not after a failed call.
+    const bool acknowledges
+        = runner.stateKnown_ && runner.failedCalls_ == 0 && runner.acknowledgedEnd_ > runner.forgottenEnd_;
+    runner.sentAcknowledgement_ = acknowledges ? runner.acknowledgedEnd_ : 0;
+    call.acknowledgedEnd_ = runner.sentAcknowledgement_;
     if (runner.stateKnown_) {
         // Holds to a silent runner do not extend the lease: each repeat would postpone the time from which its tasks
         // are known to have ended.
@@ -328,6 +333,8 @@
     runner.startedUnixMs_ = startedUnixMs;
     runner.processedEnd_ = 0;
     runner.acknowledgedEnd_ = 0;
+    runner.sentAcknowledgement_ = 0;
+    runner.forgottenEnd_ = 0;
     runner.unstoredEnds_.clear();
     runner.failedRuns_ = 0;
 }
@@ -580,6 +587,7 @@
         runner.failedCalls_ = 0;
         cell.placementDue_ = true;
     }
+    runner.forgottenEnd_ = std::max(runner.forgottenEnd_, runner.sentAcknowledgement_);
     runner.nextHoldAt_ = now.steady_ + HoldPause;
     for (const FinishedRun &end : reply.finished_) {
         if (end.number_ > runner.processedEnd_) {
@@ -749,7 +757,7 @@
         repeatCalls(cell, runner, now, actions);
     }
     const bool wanted = !runner.stateKnown_ || !runner.tasks_.empty() || !runner.unstoredEnds_.empty()
-        || runner.failedCalls_ > 0 || runner.acknowledgedEnd_ < runner.processedEnd_;
+        || runner.failedCalls_ > 0 || runner.forgottenEnd_ < runner.processedEnd_;
     if (wanted && !runner.holdInFlight_ && now.steady_ >= runner.nextHoldAt_) {
         sendHold(cell, runner, now, actions);
     }
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -805,3 +805,34 @@
     cr_assert(world.stored_.contains("progress/0000000000000001"));
     cr_assert(world.stored_.contains("progress/0000000000000002"));
 }
+
+// Guards against a task that runs again after it has ended: the leader acknowledged the ends of a runner's earlier
+// incarnation to the next one, which counts its ends anew and so forgot an end before it was listed.
+Test(cell, endsOfARestartedRunnerAreNotAcknowledgedUnseen)
+{
+    CellWorld world;
+    world.listRunners();
+    world.run(Milliseconds(300));
+    world.submit(2, 4, 8'000); // one task for each runner
+    world.run(Milliseconds(300));
+    for (std::uint32_t i = 0; i < 4; ++i) {
+        const StagedTask task{StagedJobId{2}, 0, 0, i};
+        world.endRun(world.runnerOf(task), task, RunEnd::Done);
+    }
+    world.run(Milliseconds(600));
+    for (const auto &[id, runner] : world.runners_) {
+        cr_assert_eq(runner.lastEndNumber_, 1);
+        cr_assert(runner.finished_.empty(), "the end is not acknowledged");
+    }
+    restartRunners(world);
+    world.submit(1, 1, 8'000);
+    world.run(Milliseconds(20));
+    const RunnerId holder = world.runnerOf(FirstTask);
+    cr_assert(!holder.empty());
+    world.endRun(holder, FirstTask, RunEnd::Done);
+    world.run(Milliseconds(1'000));
+    cr_assert_eq(world.startsOf(FirstTask), 1, "the task was started again after it had ended");
+    const auto query = world.sendRequest(1, CellVerb::Query);
+    world.run(Milliseconds(10));
+    cr_assert(world.replies_.at(query).state_ == StagedState::Completed);
+}
