--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -226,7 +226,11 @@
         for (auto &[from, call] : runnerCalls) {
             ClusterDaemon *daemon = find(from);
             if (daemon != nullptr) {
-                const RunnerReply reply = runners_.at(call.runner_).answer(call, now_, elapsedMs());
+                RunnerModel &runner = runners_.at(call.runner_);
+                const bool wasReachable = runner.reachable_;
+                runner.reachable_ = wasReachable && !cutOffRunners_.contains({from, call.runner_});
+                const RunnerReply reply = runner.answer(call, now_, elapsedMs());
+                runner.reachable_ = wasReachable;
                 enqueueEvent(*daemon, [this, daemon, reply] {
                     onRunnerReply(*daemon->control_, reply, cellTime(), daemon->actions_);
                 });
@@ -334,6 +338,7 @@
     std::function<void(ClusterDaemon &, const KvCall &, KvReply &)> onStoreReply_;
     std::set<DaemonId> isolated_; // daemons without connections to others
     std::map<RunnerId, RunnerModel> runners_;
+    std::set<std::pair<DaemonId, RunnerId>> cutOffRunners_; // runners that a daemon cannot reach
     std::vector<std::unique_ptr<ClusterDaemon>> daemons_;
     std::deque<StoreCall> calls_;
     std::deque<std::pair<DaemonId, RunnerCall>> runnerCalls_;
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -4,6 +4,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace mimosapier;
 
 static constexpr Milliseconds StartupTime{2'000}; // by then the daemons are connected and have a leader
@@ -126,6 +128,115 @@
     cr_assert(!former.control_->cell_);
 }
 
+// Cuts the leader off from the store, the other daemons and all runners but the one with the task; the others cannot
+// reach that one. Returns the former leader.
+static ClusterDaemon &cutOffLeaderWithTask(ControlCluster &cluster, const StagedTask &task)
+{
+    ClusterDaemon &former = *cluster.leader();
+    former.storeReachable_ = false;
+    cluster.isolated_.insert(former.id_);
+    for (const auto &daemon : cluster.daemons_) {
+        for (const auto &[id, runner] : cluster.runners_) {
+            if ((daemon.get() == &former) != runner.active_.contains(task)) {
+                cluster.cutOffRunners_.insert({daemon->id_, id});
+            }
+        }
+    }
+    return former;
+}
+
+// Runs the cluster until another daemon than `former` leads.
+static ClusterDaemon &waitForNextLeader(ControlCluster &cluster, const ClusterDaemon &former)
+{
+    const auto leads = [&former](const std::unique_ptr<ClusterDaemon> &daemon) {
+        return daemon.get() != &former && daemon->alive_ && daemon->control_->recoveryStage_ == RecoveryStage::Done;
+    };
+    const TimePoint limit = cluster.now_ + Milliseconds(10'000);
+    auto next = cluster.daemons_.end();
+    while (next == cluster.daemons_.end()) {
+        cluster.run(ControlCluster::TickLength);
+        cr_assert_lt(cluster.now_, limit, "no other leader");
+        next = std::find_if(cluster.daemons_.begin(), cluster.daemons_.end(), leads);
+    }
+    return **next;
+}
+
+// Runs the cluster until the task has been started a second time, and checks that no two runs overlap.
+static void checkNoOverlap(ControlCluster &cluster, const StagedTask &task)
+{
+    const auto holdsTask = [&task](const auto &entry) { return entry.second.active_.contains(task); };
+    while (cluster.startCount() == 1 && cluster.elapsedMs() < 40'000) {
+        cluster.run(Milliseconds(20));
+        cr_assert_leq(std::count_if(cluster.runners_.begin(), cluster.runners_.end(), holdsTask), 1,
+                      "two runs at once after %lld ms", static_cast<long long>(cluster.elapsedMs()));
+    }
+    cr_assert_eq(cluster.startCount(), 2, "the task was never started again");
+}
+
+// A cluster with two runners, of which one runs the task of job 7.
+static constexpr StagedTask CutOffTask{StagedJobId{7}, 0, 0, 0};
+
+static void startCutOffTask(ControlCluster &cluster)
+{
+    for (auto &[id, runner] : cluster.runners_) {
+        runner.record_.capacity_ = {1'000, 1'000, 0, 0};
+    }
+    cluster.run(Milliseconds(3'000));
+    cluster.sendRequest(cluster.follower(), ClientMethod::Submit, CutOffTask.job_.value_);
+    cluster.run(Milliseconds(400));
+    cr_assert_eq(cluster.startCount(), 1);
+}
+
+// Guards against two concurrent runs of a task: a leader that is cut off together with a runner renews its leases until
+// the end of its grace time, which counts from the end of its session. The next leader, elected before that session
+// ended, started the task again too early.
+Test(control, leaderCutOffWithARunnerKeepsItsTasksToItself)
+{
+    ControlCluster cluster(3, 2);
+    startCutOffTask(cluster);
+    cutOffLeaderWithTask(cluster, CutOffTask);
+    checkNoOverlap(cluster, CutOffTask);
+}
+
+// The same with a second change of leader at once: the next leader hands over while the first one still acts.
+Test(control, leaderBeforeThePreviousOneMayStillAct)
+{
+    ControlCluster cluster(4, 2);
+    startCutOffTask(cluster);
+    const ClusterDaemon &former = cutOffLeaderWithTask(cluster, CutOffTask);
+    ClusterDaemon &second = waitForNextLeader(cluster, former);
+    beginLeaving(*second.control_, cluster.cellTime(), second.actions_);
+    cluster.run(Milliseconds(1'000));
+    checkNoOverlap(cluster, CutOffTask);
+}
+
+// The same with a third leader that has just started and was not there when the first one led.
+Test(control, newDaemonKnowsOfLeadersBeforeThePreviousOne)
+{
+    ControlCluster cluster(3, 2);
+    startCutOffTask(cluster);
+    const ClusterDaemon &former = cutOffLeaderWithTask(cluster, CutOffTask);
+    waitForNextLeader(cluster, former);
+    for (const auto &daemon : cluster.daemons_) {
+        daemon->alive_ = daemon.get() == &former;
+    }
+    std::vector<std::string> names;
+    for (const auto &daemon : cluster.daemons_) {
+        if (daemon.get() != &former) {
+            names.push_back(daemon->id_.value_.substr(0, 2) + "#2");
+        }
+    }
+    for (const std::string &name : names) {
+        const ClusterDaemon &added = cluster.addDaemon(name);
+        for (const auto &[id, runner] : cluster.runners_) {
+            if (runner.active_.contains(CutOffTask)) {
+                cluster.cutOffRunners_.insert({added.id_, id});
+            }
+        }
+    }
+    checkNoOverlap(cluster, CutOffTask);
+}
+
 // Guards against a daemon that replaces a healthy leader because its own connections to all peers are cut.
 Test(control, isolatedDaemonDoesNotReplaceLeader)
 {
