Fix: [control] A new leader waits for all earlier leaders that may still act

Cause: a leader that is cut off together with runners goes on renewing their leases until the grace time after its session. A new leader gave up the runs of silent runners earlier: it asked only whether its direct predecessor had ended, counted the grace time from its own election although the session of a replaced leader may have been renewed a moment before, and counted the leases from its election when it learned only later that the predecessor had ended.

Change: each daemon keeps the leaders of earlier epochs that may still act, with an upper bound for each; the leases of silent runners count from the time at which none of them can act. The key cluster/leaders tells daemons that have just started. The log event "former-leaders" shows what is waited for.

--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -35,6 +35,7 @@
     cell->epoch_ = epoch;
     cell->leaderKeyRevision_ = leaderKeyRevision;
     cell->acquiredAt_ = now;
+    cell->formerLeadersEndBy_ = TimePoint::max(); // not known yet
     cell->nextCallId_ = firstCallId(epoch);
     for (std::size_t i = 0; i < cell->lanes_.size() && i < laneRevisions.size(); ++i) {
         cell->lanes_[i].keyRevision_ = laneRevisions[i];
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -1,7 +1,7 @@
 // State of a cell's leader: staged jobs, runners, client accounts, the queue, and writes to the store.
 //
 // Owned by src/core/control while this daemon leads. The functions of cell_func.h change the state; other parts only
-// read it, apart from predecessorEnded_ and leaving_.
+// read it, apart from formerLeadersEndBy_ and leaving_.
 //
 // A hold is a call that renews the leases of all tasks on a runner. The runner answers with a list of its active runs
 // and of the runs that have ended; an end stays in the list until the leader acknowledges it. The leader writes the
@@ -303,7 +303,7 @@
     // before, with finishRecovery().
     bool allTasksKnown_ = false;
     TimePoint allTasksKnownAt_; // when allTasksKnown_ was set; empty before
-    bool predecessorEnded_ = false; // the previous leader can send no more calls; set by src/core/control
+    TimePoint formerLeadersEndBy_; // earlier leaders make no calls after this time; kept current by src/core/control
     // Jobs of which no task has started. Those that have started or ended are removed with the next slow tick.
     std::unordered_set<StagedJobId> unstartedJobs_;
     WaitingWork waitingWork_;
--- a/src/core/cell/cell_func.h
+++ b/src/core/cell/cell_func.h
@@ -17,7 +17,7 @@
 
 // A leader steps down this long after its session has expired. While the store is down for everyone, no other leader
 // can be elected, and such outages last up to about 6 s. A new leader waits for the leases of runners that do not
-// answer, and this much longer unless the previous leader is known to have ended.
+// answer, counted from the time at which all earlier leaders have stepped down or ended.
 constexpr Milliseconds LeaderGrace{6'000};
 
 // Store key that each transaction of the lane writes. Its revision and value detect repeated and conflicting
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -747,8 +747,7 @@
         return;
     }
     if (runner.mayHavePredecessorTasks_ && !runner.stateKnown_) {
-        const Milliseconds grace = cell.predecessorEnded_ ? Milliseconds(0) : LeaderGrace;
-        if (now.steady_ > cell.acquiredAt_ + grace + longestLease(cell)) {
+        if (cell.formerLeadersEndBy_ < now.steady_ && now.steady_ > cell.formerLeadersEndBy_ + longestLease(cell)) {
             handleLostRunner(cell, runner, "legacy-lease-ended", now, actions);
             return;
         }
--- a/src/core/control/control.cpp
+++ b/src/core/control/control.cpp
@@ -129,6 +129,7 @@
     if (beacon.storeAnswerAgeMs_ != UINT32_MAX) {
         member.storeAnsweredAt_ = now.steady_ - Milliseconds(beacon.storeAnswerAgeMs_);
     }
+    member.retired_ = std::max(member.retired_, beacon.retired_);
     control.highestRetiredEpoch_ = std::max(control.highestRetiredEpoch_, beacon.retired_);
     learnEpoch(control, beacon.epoch_, beacon.leader_, from.value_, now, actions);
     if (beacon.configVersion_ > control.config_.version_) {
--- a/src/core/control/control_base.h
+++ b/src/core/control/control_base.h
@@ -40,6 +40,7 @@
     bool connected_ = false;
     CellEpoch epoch_; // epoch in its last beacon
     bool leaderSeen_ = false; // last beacon: the member leads or is connected to the leader of epoch_
+    CellEpoch retired_; // highest epoch in which the member is known to have led and stepped down
     TimePoint lastBeaconAt_; // arrival of its last beacon
     TimePoint storeAnsweredAt_; // upper bound of the time of the store's last answer to the member; empty: never
     std::uint64_t beaconsSent_ = 0; // to the member; sequence number of the latest one
@@ -47,6 +48,13 @@
     std::map<std::uint64_t, TimePoint> beaconSendTimes_; // of the latest beacons to the member, by sequence number
 };
 
+// A leader of an earlier epoch that is not known to have ended.
+struct FormerLeader
+{
+    DaemonId daemon_;
+    TimePoint actsUntil_; // it makes no calls after this time
+};
+
 enum class RecoveryStage : std::uint8_t { None, Reading, Done };
 
 // Paged read of one part of the stored state by a new leader. The parts are read in parallel.
@@ -128,7 +136,8 @@
     TimePoint leaderDisconnectedAt_;
     TimePoint leaderHeardAt_; // arrival of the last message of leader_, or when it became known or was connected
     bool leaderSilent_ = false; // connected, but nothing was heard of the leader for LeaderSilenceLimit
-    DaemonId predecessor_; // leader before this daemon; empty: none
+    std::map<CellEpoch, FormerLeader> formerLeaders_; // by the epoch in which they led; without this daemon
+    std::set<CellEpoch> knownEpochs_; // the latest epochs whose leaders are or were known
     CellEpoch ownRetiredEpoch_; // highest epoch in which this daemon led and stepped down
     CellEpoch highestRetiredEpoch_; // highest epoch whose leader is known to have stepped down
     bool electing_ = false; // the election transaction is in flight
--- a/src/core/control/control_internal.h
+++ b/src/core/control/control_internal.h
@@ -19,6 +19,8 @@
 constexpr Milliseconds ReadTimeout{3'000};
 
 constexpr std::string_view EpochKey = "cluster/epoch";
+// Tells daemons that have just started of the leaders before the present one.
+constexpr std::string_view FormerLeadersKey = "cluster/leaders";
 constexpr std::string_view ClusterPrefix = "cluster/";
 constexpr std::string_view MemberPrefix = "cluster/member/";
 
@@ -55,6 +57,8 @@
                  ControlActions &actions);
 
 // session.cpp: lease at the store and member record.
+// Time to live of each daemon's session.
+Milliseconds sessionTtl(const Control &control);
 // Grants or renews the lease, and writes the member record, when due.
 void pollSession(Control &control, CellTime now, ControlActions &actions);
 void handleSessionReply(Control &control, const KvReply &reply, CellTime now, ControlActions &actions);
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -66,6 +66,58 @@
     return true;
 }
 
+static void addFormerLeader(Control &control, CellEpoch epoch, const DaemonId &daemon, TimePoint now)
+{
+    if (!daemon.empty() && daemon != control.settings_.self_) {
+        control.formerLeaders_[epoch] = {daemon, now + sessionTtl(control) + LeaderGrace};
+    }
+}
+
+// Records that the leader of an epoch is known. Result: false if it was known before.
+static bool addKnownEpoch(Control &control, CellEpoch epoch)
+{
+    constexpr std::size_t MaxKnownEpochs = 64; // much more than there are elections within LeaderGrace
+    std::set<CellEpoch> &known = control.knownEpochs_;
+    if (known.size() == MaxKnownEpochs) {
+        if (epoch < *known.begin()) {
+            return false;
+        }
+        known.erase(known.begin());
+    }
+    return known.insert(epoch).second;
+}
+
+// Value of FormerLeadersKey for a new leader: the leaders before it that may still act, one a line, each as in the
+// epoch key.
+static std::string encodeFormerLeaders(const Control &control)
+{
+    std::string text;
+    const auto add = [&text](CellEpoch epoch, const DaemonId &daemon) {
+        text += std::to_string(epoch.value_) + " " + daemon.value_ + "\n";
+    };
+    for (const auto &[epoch, leader] : control.formerLeaders_) {
+        add(epoch, leader.daemon_);
+    }
+    if (!control.lastLeader_.empty()) {
+        add(control.epoch_, control.lastLeader_);
+    }
+    return text;
+}
+
+// Adds the leaders of earlier epochs that the key names and this daemon does not know.
+static void learnFormerLeaders(Control &control, std::string_view text, TimePoint now)
+{
+    while (!text.empty()) {
+        const std::string_view line = text.substr(0, text.find('\n'));
+        text.remove_prefix(std::min(line.size() + 1, text.size()));
+        CellEpoch epoch;
+        DaemonId daemon;
+        if (parseEpoch(line, epoch, daemon) && epoch < control.epoch_ && addKnownEpoch(control, epoch)) {
+            addFormerLeader(control, epoch, daemon, now);
+        }
+    }
+}
+
 void learnEpoch(Control &control, CellEpoch epoch, const DaemonId &leader, std::string_view source, CellTime now,
                 ControlActions &actions)
 {
@@ -80,6 +132,10 @@
     if (isUnclaimed && epoch == control.epoch_) {
         return;
     }
+    if (epoch > control.epoch_) { // the leader of epoch_ may have renewed its session until now
+        addFormerLeader(control, control.epoch_, control.lastLeader_, now.steady_);
+    }
+    addKnownEpoch(control, epoch);
     control.epoch_ = epoch;
     control.leader_ = isUnclaimed ? DaemonId{} : leader;
     control.leaderHeardAt_ = now.steady_;
@@ -110,7 +166,6 @@
     control.epochKeyRevision_ = revision;
     control.leaderKeyExists_ = true;
     control.leaderKeyRevision_ = revision;
-    control.predecessor_ = control.epoch_.value_ == 0 ? DaemonId{} : control.lastLeader_;
     const std::array<std::uint64_t, LaneCount> lanes{revision, revision};
     control.cell_ = makeCell(control.settings_.cell_, control.settings_.self_, epoch, revision, lanes, now.steady_);
     applyConfig(*control.cell_, control.config_);
@@ -185,6 +240,10 @@
         }
         return;
     }
+    if (item.key_ == FormerLeadersKey && !item.removed_) {
+        learnFormerLeaders(control, item.value_, now.steady_);
+        return;
+    }
     if (item.key_.starts_with(MemberPrefix)) {
         const DaemonId daemon(item.key_.substr(MemberPrefix.size()));
         if (daemon == control.settings_.self_) {
@@ -255,11 +314,44 @@
     });
 }
 
-// True when the former leader sends no more calls: it has announced that it stepped down, or its process was replaced.
-static bool hasPredecessorEnded(const Control &control)
+static bool hasRetired(const Control &control, const DaemonId &daemon, CellEpoch epoch)
+{
+    const auto member = control.members_.find(daemon);
+    return member != control.members_.end() && member->second.retired_ >= epoch;
+}
+
+// Forgets the former leaders that make no more calls: they have announced that they stepped down, their process was
+// replaced, or their time is over. Result: upper bound of the time until which the others act, `now` if there are none.
+static TimePoint formerLeadersEndBy(Control &control, TimePoint now)
+{
+    std::erase_if(control.formerLeaders_, [&](const auto &entry) {
+        const auto &[epoch, leader] = entry;
+        return now >= leader.actsUntil_ || hasRetired(control, leader.daemon_, epoch)
+            || isReplaced(control, leader.daemon_);
+    });
+    TimePoint endBy = now;
+    for (const auto &[epoch, leader] : control.formerLeaders_) {
+        endBy = std::max(endBy, leader.actsUntil_);
+    }
+    return endBy;
+}
+
+// Lowers Cell::formerLeadersEndBy_ as earlier leaders are found to have ended.
+static void updateFormerLeadersEnd(Control &control, CellTime now, ControlActions &actions)
 {
-    return control.predecessor_.empty() || control.highestRetiredEpoch_.value_ + 1 >= control.epoch_.value_
-        || isReplaced(control, control.predecessor_);
+    const TimePoint endBy = formerLeadersEndBy(control, now.steady_);
+    if (endBy == control.cell_->formerLeadersEndBy_) {
+        return;
+    }
+    control.cell_->formerLeadersEndBy_ = endBy;
+    JsonObject line = beginLogLine("former-leaders");
+    line.number("epoch", static_cast<std::int64_t>(control.cell_->epoch_.value_));
+    line.number("acting", static_cast<std::int64_t>(control.formerLeaders_.size()));
+    line.number("until_ms", -ageMs(now.steady_, endBy));
+    if (!control.formerLeaders_.empty()) {
+        line.text("latest", control.formerLeaders_.rbegin()->second.daemon_.value_);
+    }
+    appendLogLine(actions, line);
 }
 
 // True when this daemon and all its connected peers, at least one, have lost the leader: no connection, or silence. An
@@ -297,8 +389,8 @@
 
 void pollElection(Control &control, CellTime now, ControlActions &actions)
 {
-    if (control.cell_ && !control.cell_->predecessorEnded_) {
-        control.cell_->predecessorEnded_ = hasPredecessorEnded(control);
+    if (control.cell_ && now.steady_ < control.cell_->formerLeadersEndBy_) {
+        updateFormerLeadersEnd(control, now, actions);
     }
     if (control.cell_ && control.cell_->superseded_) {
         stepDown(control, "superseded", now, actions);
@@ -347,6 +439,7 @@
         for (std::size_t lane = 0; lane < LaneCount; ++lane) {
             call.writes_.push_back({laneKey(lane), std::to_string(nextEpoch) + ":0", 0});
         }
+        call.writes_.push_back({std::string(FormerLeadersKey), encodeFormerLeaders(control), 0});
     }
     control.electing_ = true;
     sendKvCall(control, std::move(call), actions);
--- a/src/core/control/session.cpp
+++ b/src/core/control/session.cpp
@@ -13,6 +13,11 @@
 static constexpr Milliseconds KeepAliveInterval{650}; // tolerates three lost renewals
 static constexpr Milliseconds KeepAliveTimeout{900};
 
+Milliseconds sessionTtl(const Control &control)
+{
+    return std::max(SessionTtl, control.settings_.cell_.minLease_);
+}
+
 void sendKvCall(Control &control, KvCall call, ControlActions &actions)
 {
     call.id_ = control.nextKvId_++;
@@ -63,7 +68,7 @@
     if (session.lease_ == 0) {
         call.purpose_ = KvPurpose::GrantSession;
         call.op_ = KvOp::GrantLease;
-        call.ttl_ = std::max(SessionTtl, control.settings_.cell_.minLease_);
+        call.ttl_ = sessionTtl(control);
     } else {
         call.purpose_ = KvPurpose::RenewSession;
         call.op_ = KvOp::RenewLease;
--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -23,7 +23,7 @@
     {
         const std::uint64_t revisions[] = {10, 10};
         cell_ = makeCell(CellSettings{}, DaemonId("d1"), CellEpoch{epoch}, 10, revisions, now_);
-        cell_->predecessorEnded_ = epoch == 1;
+        cell_->formerLeadersEndBy_ = epoch == 1 ? now_ : now_ + LeaderGrace;
         config_.version_ = 1;
         QueueConfig queue;
         queue.policy_.queue_ = "q";
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -638,7 +638,7 @@
     before.run(Milliseconds(300));
     CellWorld world(2);
     world.cell_->settings_.holdMax_ = Milliseconds(2'000);
-    world.cell_->predecessorEnded_ = true;
+    world.cell_->formerLeadersEndBy_ = world.now_;
     recoverFrom(world, before, {1});
     world.runners_.at(before.runnerOf(FirstTask)).reachable_ = false;
     world.run(Milliseconds(2'600));
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -343,7 +343,7 @@
     }
     cluster.run(Milliseconds(1'200));
     cr_assert(cluster.leader() != nullptr, "no leader 1.2 s after the restart");
-    cr_assert(cluster.leader()->control_->cell_->predecessorEnded_);
+    cr_assert(cluster.leader()->control_->cell_->formerLeadersEndBy_ <= cluster.now_);
     // The member records of the earlier processes stay until their sessions expire; they must not count as newer than
     // the new leader.
     const CellEpoch epoch = cluster.leader()->control_->epoch_;
@@ -381,7 +381,7 @@
     beginLeaving(*former.control_, cluster.cellTime(), former.actions_);
     cluster.run(Milliseconds(700));
     cr_assert(cluster.leader() != nullptr && cluster.leader() != &former, "no new leader after 0.7 s");
-    cr_assert(cluster.leader()->control_->cell_->predecessorEnded_);
+    cr_assert(cluster.leader()->control_->cell_->formerLeadersEndBy_ <= cluster.now_);
 }
 
 // Guards against runner calls that are lost between the leader and the relays of a large cluster, also when the relays
