Fix: [cell] A run of an occurrence that is not due here yet is known

Cause: a leader creates the occurrences that its own time of day calls due. If an earlier leader's clock was ahead, a run or an end of a later occurrence belonged to no task: the run was stopped as an orphan, the end was acknowledged without being stored.

Evidence: the test recovers at a time of day before the occurrence; the task ended as done and was started again.

Change: a run creates its occurrence. The steps of an occurrence become ready only when it is due by this leader's time of day, so the other tasks do not start early; this replaces the special loop for recovered occurrences.

The tests endOfAnOccurrenceThatIsNotDueHereIsKept and otherTasksOfSuchAnOccurrenceWaitUntilItIsDue failed before the change and pass with it.

--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -131,7 +131,8 @@
 {
     for (const StoredRun &placed : runner.storedRuns_) {
         Job *job = findJob(cell, placed.task_.job_);
-        const TaskRecord *task = job != nullptr && !isFinal(*job) ? findTask(*job, placed.task_, nullptr) : nullptr;
+        const TaskRecord *task
+            = job != nullptr && !isFinal(*job) ? findTaskOfRun(*job, placed.task_, nullptr) : nullptr;
         if (task != nullptr && task->state_ == TaskState::Waiting && placed.run_.value_ > task->endedRun_) {
             Placement &placement = addPlacement(cell, runner, *job, placed.task_, placed.run_);
             placement.phase_ = PlacementPhase::Running;
@@ -147,12 +148,6 @@
 void finishRecovery(Cell &cell, CellTime now, CellActions &actions)
 {
     for (auto &[id, job] : cell.jobs_) {
-        if (isFinal(*job)) {
-            continue;
-        }
-        for (const auto &[number, occurrence] : job->occurrences_) { // those that the stored progress names
-            updateReadySteps(cell, *job, number);
-        }
         createDueOccurrences(cell, *job, now);
     }
     for (auto &[id, runner] : cell.runners_) {
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -74,6 +74,7 @@
     std::vector<StepState> steps_;
     std::uint32_t stepsDone_ = 0;
     std::int64_t dueUnixMs_ = 0; // scheduled start
+    bool due_ = false; // the scheduled start has come by this leader's time of day; before, no step is ready
 };
 
 // A staged job. The client submits the definition; the leader decides the state.
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -54,9 +54,12 @@
 std::int64_t dueOf(const Job &job, std::uint32_t number);
 // Returns the occurrence with this number; creates it with all its tasks waiting if it does not exist.
 Occurrence &createOccurrence(Job &job, std::uint32_t number, std::int64_t due);
-// Creates the occurrences that have become due.
+// Lets the tasks of the occurrences that have become due start.
 void createDueOccurrences(Cell &cell, Job &job, CellTime now);
-// Updates which steps of the occurrence are ready, and queues the ready ones.
+// Like findTask(), for a task of which a run is known: its occurrence was due by the time of day of the leader that
+// started it, and is created even if this leader's clock is behind.
+TaskRecord *findTaskOfRun(Job &job, const StagedTask &task, StepState **step);
+// Updates which steps of a due occurrence are ready, and queues the ready ones.
 void updateReadySteps(Cell &cell, Job &job, std::uint32_t occurrence);
 // Adds a ready step with waiting tasks to Cell::readySteps_ unless it is there.
 void queueStep(Cell &cell, Job &job, std::uint32_t occurrence, std::uint32_t step);
--- a/src/core/cell/jobs.cpp
+++ b/src/core/cell/jobs.cpp
@@ -129,10 +129,14 @@
     return occurrence;
 }
 
-static void addOccurrence(Cell &cell, Job &job, std::uint32_t number, std::int64_t due)
+// Lets the steps of an occurrence become ready; creates the occurrence if it does not exist.
+static void makeDue(Cell &cell, Job &job, std::uint32_t number, std::int64_t due)
 {
-    createOccurrence(job, number, due);
-    updateReadySteps(cell, job, number);
+    Occurrence &occurrence = createOccurrence(job, number, due);
+    if (!occurrence.due_) {
+        occurrence.due_ = true;
+        updateReadySteps(cell, job, number);
+    }
 }
 
 void createDueOccurrences(Cell &cell, Job &job, CellTime now)
@@ -141,18 +145,26 @@
         return;
     }
     if (job.submitted_.repeatCount_ == 0) {
-        addOccurrence(cell, job, 0, now.unixMs_);
+        makeDue(cell, job, 0, now.unixMs_);
         return;
     }
     for (std::uint32_t number = 0; number < job.submitted_.repeatCount_; ++number) {
         const std::int64_t due = dueOf(job, number);
-        if (due > now.unixMs_ || job.occurrences_.size() - job.occurrencesDone_ >= MaxUnfinishedOccurrences) {
+        const bool exists = job.occurrences_.contains(number);
+        const bool full = job.occurrences_.size() - job.occurrencesDone_ >= MaxUnfinishedOccurrences;
+        if (due > now.unixMs_ || (full && !exists)) {
             break;
         }
-        if (!job.occurrences_.contains(number)) {
-            addOccurrence(cell, job, number, due);
-        }
+        makeDue(cell, job, number, due);
+    }
+}
+
+TaskRecord *findTaskOfRun(Job &job, const StagedTask &task, StepState **step)
+{
+    if (!isFinal(job) && task.occurrence_ < std::max(job.submitted_.repeatCount_, 1U)) {
+        createOccurrence(job, task.occurrence_, dueOf(job, task.occurrence_));
     }
+    return findTask(job, task, step);
 }
 
 void queueStep(Cell &cell, Job &job, std::uint32_t occurrence, std::uint32_t step)
@@ -168,7 +180,7 @@
 void updateReadySteps(Cell &cell, Job &job, std::uint32_t number)
 {
     Occurrence &occurrence = job.occurrences_.at(number);
-    for (std::uint32_t i = 0; i < occurrence.steps_.size(); ++i) {
+    for (std::uint32_t i = 0; occurrence.due_ && i < occurrence.steps_.size(); ++i) {
         StepState &step = occurrence.steps_[i];
         const auto &after = stepSpec(job, i).after_;
         step.ready_ = std::all_of(after.begin(), after.end(), [&occurrence](std::uint32_t before) {
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -422,11 +422,7 @@
     Job *job = findJob(cell, end.task_.job_);
     if (job != nullptr && !isFinal(*job)) {
         StepState *step = nullptr;
-        TaskRecord *task = findTask(*job, end.task_, &step);
-        if (task == nullptr && job->recovered_) {
-            createDueOccurrences(cell, *job, now);
-            task = findTask(*job, end.task_, &step);
-        }
+        TaskRecord *task = findTaskOfRun(*job, end.task_, &step);
         if (task != nullptr) {
             const bool latest = end.run_.value_ > task->endedRun_;
             task->endedRun_ = std::max(task->endedRun_, end.run_.value_);
@@ -491,10 +487,7 @@
         return;
     }
     Job *job = findJob(cell, active.task_.job_);
-    if (job != nullptr && !isFinal(*job)) {
-        createDueOccurrences(cell, *job, now);
-    }
-    TaskRecord *task = job != nullptr && !isFinal(*job) ? findTask(*job, active.task_, nullptr) : nullptr;
+    TaskRecord *task = job != nullptr && !isFinal(*job) ? findTaskOfRun(*job, active.task_, nullptr) : nullptr;
     if (task != nullptr) {
         releaseEarlierRun(cell, *task, active);
     }
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -836,3 +836,48 @@
     world.run(Milliseconds(10));
     cr_assert(world.replies_.at(query).state_ == StagedState::Completed);
 }
+
+// Guards against a task of a recurring job that runs again after it has ended: the time of day of a new leader was
+// behind that of the earlier one, so that it did not know the occurrence and acknowledged the end without storing it.
+Test(cell, endOfAnOccurrenceThatIsNotDueHereIsKept)
+{
+    CellWorld before;
+    before.listRunners();
+    CellRequest request = before.submission(1, 1, 8'000);
+    request.submitted_.repeatCount_ = 1;
+    request.submitted_.firstRunUnixMs_ = before.time().unixMs_ + 200;
+    request.submitted_.intervalMs_ = 1'000;
+    before.send(request);
+    before.run(Milliseconds(1'000));
+    cr_assert_eq(before.startCount(), 1);
+    before.endRun(before.runnerOf(FirstTask), FirstTask, RunEnd::Done);
+    CellWorld world(2); // its clock starts again at the beginning
+    recoverFrom(world, before, {1});
+    world.run(Milliseconds(2'000));
+    cr_assert_eq(world.startsOf(FirstTask), 1, "the task was started again after it had ended");
+    const auto query = world.sendRequest(1, CellVerb::Query);
+    world.run(Milliseconds(10));
+    cr_assert(world.replies_.at(query).state_ == StagedState::Completed);
+}
+
+// Guards against tasks that start before their time because an earlier leader, whose clock was ahead, had started
+// others of the same occurrence.
+Test(cell, otherTasksOfSuchAnOccurrenceWaitUntilItIsDue)
+{
+    CellWorld before;
+    before.listRunners();
+    CellRequest request = before.submission(1, 5, 8'000); // the runners have capacity for four
+    request.submitted_.repeatCount_ = 1;
+    request.submitted_.firstRunUnixMs_ = before.time().unixMs_ + 2'000;
+    request.submitted_.intervalMs_ = 1'000;
+    before.send(request);
+    before.run(Milliseconds(2'800));
+    cr_assert_eq(before.startCount(), 4);
+    before.endRun(before.runnerOf(FirstTask), FirstTask, RunEnd::Done);
+    CellWorld world(2);
+    recoverFrom(world, before, {1});
+    world.run(Milliseconds(1'500));
+    cr_assert_eq(world.startCount(), 4, "a task has started before its time");
+    world.run(Milliseconds(1'500));
+    cr_assert_eq(world.startCount(), 5);
+}
