Feature: [cell] A task that crashes runner after runner is given up

Cause: the end of a runner was only a reason to start its tasks elsewhere; nothing was counted for the tasks.

Evidence: in the log of one such task each start is followed by "runner-silent" within 50 ms and, 3.4 s later, by "runner-lost" with "address-taken-by-other-life", eight times. Ruled out: the runner's own fault (another one each time).

Change: crashes count for the tasks of the runner and are stored with the job's progress; the next start of such a task is stored as a risk before it is sent, so that a crash counts even if no leader sees it. Suspects start on the runner with the fewest tasks, from the third try on alone; after three risky runs, two of them seen as crashes, the job fails. The loss of most of a rack counts for no task. Progress records have a new last field; those without it are read as before.

--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -32,6 +32,13 @@
     Done,
 };
 
+// A run that ended with a crash of its runner, or of which it is not known that the runner survived it.
+struct RiskyRun
+{
+    std::uint64_t run_ = 0;
+    bool crashed_ = false; // a leader has seen the crash
+};
+
 // State of one task of a step.
 struct TaskRecord
 {
@@ -39,6 +46,9 @@
     std::uint64_t run_ = 0; // highest run number used; 0: never started
     std::uint64_t endedRun_ = 0; // highest run whose end was handled
     std::vector<std::uint64_t> failedRuns_; // run numbers of failed runs; stays empty for long-running tasks and gangs
+    std::vector<RiskyRun> riskyRuns_; // see crashes.cpp
+    std::uint64_t riskVersion_ = 0; // version of the job from which on riskyRuns_ is as it is now
+    TimePoint isolationUntil_; // the next start waits for an empty runner until then; empty: not waiting
     std::string checkpoint_; // where the next run resumes; empty: start from the beginning
     RunnerId runner_; // current runner while Placed, otherwise the last one
     TimePoint notBefore_; // earliest time of a retry
@@ -128,6 +138,8 @@
     // The list of runs of the incarnation Runner::startedUnixMs_ named the run: it ends with that incarnation.
     bool listed_ = false;
     bool startUnanswered_ = false; // a call of the start has no answer: the runner may still carry it out
+    bool spansRestart_ = false; // the runner restarted, and its list does not yet show in which incarnation the run is
+    bool isolated_ = false; // nothing else may start on the runner, see crashes.cpp
     bool orphan_ = false; // does not belong to a placed task of a known job
     std::uint32_t attempts_ = 0; // calls sent in the current phase
     TimePoint startedAt_; // when the start was first sent, or when this leader learned of the run; empty for an orphan
@@ -168,6 +180,7 @@
     Resources used_; // reserved by the placements
     std::unordered_map<StagedTask, Placement> tasks_;
     std::uint32_t orphans_ = 0; // number of placements with orphan_
+    std::uint32_t isolatedTasks_ = 0; // number of placements with isolated_
     std::uint64_t processedEnd_ = 0; // highest number of an end that was handled, in this incarnation
     std::uint64_t acknowledgedEnd_ = 0; // highest number of an end that the runner may forget
     std::uint64_t sentAcknowledgement_ = 0; // highest number of an end that the latest hold acknowledged; 0: none
@@ -187,6 +200,15 @@
     std::uint32_t failedRuns_ = 0; // consecutive runs that ended as failed
 };
 
+// A runner that crashed a short time ago, with the runs that it had.
+struct RunnerCrash
+{
+    TimePoint at_; // when this leader noticed it
+    std::string rack_;
+    std::string address_; // of the runner; all its incarnations have the same one
+    std::vector<StoredRun> runs_;
+};
+
 // State of one client account. A token bucket separates submissions within the share from those beyond it.
 struct Account
 {
@@ -307,6 +329,7 @@
     TimePoint formerLeadersEndBy_; // earlier leaders make no calls after this time; kept current by src/core/control
     // Jobs of which no task has started. Those that have started or ended are removed with the next slow tick.
     std::unordered_set<StagedJobId> unstartedJobs_;
+    std::deque<RunnerCrash> recentCrashes_; // of the last RackLossWindow, oldest first
     WaitingWork waitingWork_;
     std::map<std::string, StartRate> startRates_; // by queue
     std::map<std::string, double> serviceCapacity_; // by service: milli-CPUs of listed runners that are not draining
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -86,8 +86,10 @@
 Placement &addPlacement(Cell &cell, Runner &runner, Job &job, const StagedTask &task, RunNumber run);
 // Frees the resources of a placement; the task waits again unless it is done.
 void releasePlacement(Cell &cell, Runner &runner, const StagedTask &task);
-// Releases all tasks of a runner on which nothing runs or can start any more. `cause` is logged.
-void handleLostRunner(Cell &cell, Runner &runner, std::string_view cause, CellTime now, CellActions &actions);
+// Releases all tasks of a runner on which nothing runs or can start any more. `cause` is logged; `isCrash`: the runner
+// has ended by itself, perhaps because of one of its tasks.
+void handleLostRunner(Cell &cell, Runner &runner, std::string_view cause, bool isCrash, CellTime now,
+                      CellActions &actions);
 void sendStart(Cell &cell, Runner &runner, const StagedTask &task, Placement &placement, CellTime now,
                CellActions &actions);
 // Sends a stop unless one was sent; the placement remains until the runner confirms that the task has ended.
@@ -103,6 +105,26 @@
 // Acknowledges the ends whose consequences are in the store.
 void acknowledgeEnds(Cell &cell, Runner &runner);
 
+// Defined in crashes.cpp.
+
+// True when a runner has crashed, or may have crashed, under the task.
+bool isSuspect(const TaskRecord &task);
+// True when the next start of the task waits for a runner without other tasks, and keeps it for itself.
+bool needsIsolation(const TaskRecord &task, TimePoint now);
+// Counts the crash for the tasks that the runner had, before their placements are released. Fails the jobs of tasks
+// under which too many runners have crashed.
+void noteRunnerCrash(Cell &cell, const Runner &runner, CellTime now, CellActions &actions);
+// Counts the crash of a runner for one task, by the run that ended with it.
+void noteRunCrash(Cell &cell, const StagedTask &id, RunNumber run, CellTime now, CellActions &actions);
+// The runner has survived the run.
+void noteRunSurvived(Cell &cell, Job &job, const StagedTask &id, RunNumber run);
+// Called before a suspect is started as `run`. Records the run as risky and returns false until the store has this
+// record, so that a crash counts even if no leader sees it. Also returns false after it has failed the job of a task
+// that was risked too often; the steps of the job are gone then.
+bool prepareSuspect(Cell &cell, Job &job, const StagedTask &id, std::uint64_t run, CellTime now, CellActions &actions);
+// True when no suspect of the step may start now: one of them was risked several times, and another one runs.
+bool mustSuspectsWait(const StepState &step);
+
 // Defined in free_capacity.cpp.
 
 // A usable runner with its free processors.
--- a/src/core/cell/cell_type.h
+++ b/src/core/cell/cell_type.h
@@ -7,6 +7,7 @@
 #include "core/message/kv_type.h"
 #include "core/message/runner_type.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -87,6 +88,15 @@
     PolicyQuery query_;
 };
 
+// Events that the daemon counts in its metrics.
+enum class CellCounter : std::uint8_t {
+    RunnerCrash, // a runner has ended by itself
+    TaskSuspected, // a runner has crashed under a task
+    TaskGivenUp, // too many runners have crashed under a task
+};
+
+inline constexpr std::size_t CellCounterCount = 3;
+
 // What the caller of the decision logic has to carry out.
 struct CellActions
 {
@@ -95,6 +105,13 @@
     std::vector<CellReplyTo> replies_;
     std::vector<PolicyDispatch> policy_;
     std::vector<LogLine> log_; // each line is one JSON object
+    std::array<std::uint32_t, CellCounterCount> counts_{}; // by CellCounter
 };
 
+// Increments a counter.
+inline void count(CellActions &actions, CellCounter counter)
+{
+    ++actions.counts_.at(static_cast<std::size_t>(counter));
+}
+
 } // namespace mimosapier
--- /dev/null
+++ b/src/core/cell/crashes.cpp
@@ -0,0 +1,223 @@
+// Tasks that crash the runners which start them.
+//
+// A crash of a runner makes a suspect of each task that it had. The next start of a suspect is recorded in the store
+// before it is sent, as a risky run; the record is removed when the runner has survived the run. A crash therefore
+// counts across a change of leader and an outage of the store, also if no leader lives to see it. After IsolationRuns
+// risky runs, the task gets a runner for itself. After MaxRiskyRuns, and at least MinSeenCrashes crashes that a leader
+// has seen, the task is given up and its job fails.
+//
+// A rack that loses power takes down runners that have no job in common; their crashes are not counted.
+#include "core/cell/cell_internal.h"
+
+#include <algorithm>
+#include <set>
+
+namespace mimosapier::detail
+{
+
+static constexpr std::size_t MaxRiskyRuns = 3; // the published budget allows two further starts
+static constexpr std::size_t MinSeenCrashes = 2; // a risky run that was never sent must not fail a job by itself
+static constexpr std::size_t IsolationRuns = 2;
+static constexpr Milliseconds IsolationWait{3'000}; // a start that finds no empty runner for this long goes elsewhere
+static constexpr Milliseconds RackLossWindow{2'000}; // runners of a rack are found to be lost within this time
+static constexpr std::size_t MinRackLossRunners = 3; // smallest number of crashed runners that counts as a lost rack
+static constexpr double RackLossShare = 0.75; // smallest share of the rack's runners
+// A long-running task that has run for this long does not crash its runners.
+static constexpr Milliseconds SafeRunAge{60'000};
+
+bool isSuspect(const TaskRecord &task)
+{
+    return !task.riskyRuns_.empty();
+}
+
+bool needsIsolation(const TaskRecord &task, TimePoint now)
+{
+    return task.riskyRuns_.size() > IsolationRuns && now < task.isolationUntil_;
+}
+
+static std::vector<RiskyRun>::iterator findRiskyRun(TaskRecord &task, std::uint64_t run)
+{
+    return std::find_if(task.riskyRuns_.begin(), task.riskyRuns_.end(),
+                        [run](const RiskyRun &risky) { return risky.run_ == run; });
+}
+
+static std::size_t seenCrashes(const TaskRecord &task)
+{
+    return static_cast<std::size_t>(std::count_if(task.riskyRuns_.begin(), task.riskyRuns_.end(),
+                                                  [](const RiskyRun &risky) { return risky.crashed_; }));
+}
+
+static void storeRisk(Cell &cell, Job &job, TaskRecord &task)
+{
+    markDirty(cell, job);
+    task.riskVersion_ = job.version_;
+}
+
+static bool isRiskedTooOften(const TaskRecord &task)
+{
+    return task.riskyRuns_.size() >= MaxRiskyRuns && seenCrashes(task) >= MinSeenCrashes;
+}
+
+static void logSuspect(const StagedTask &id, const TaskRecord &task, std::uint64_t run, bool givenUp,
+                       CellActions &actions)
+{
+    JsonObject line = logEvent(givenUp ? "task-given-up" : "task-suspected");
+    line.text("task", taskText(id)).number("run", static_cast<std::int64_t>(run));
+    line.text("runner", task.runner_.value_).number("crashes", static_cast<std::int64_t>(seenCrashes(task)));
+    line.number("risky_runs", static_cast<std::int64_t>(task.riskyRuns_.size()));
+    addLogLine(actions, line, LogLevel::Warning);
+    count(actions, givenUp ? CellCounter::TaskGivenUp : CellCounter::TaskSuspected);
+}
+
+bool prepareSuspect(Cell &cell, Job &job, const StagedTask &id, std::uint64_t run, CellTime now, CellActions &actions)
+{
+    TaskRecord &task = *findTask(job, id, nullptr);
+    if (findRiskyRun(task, run) == task.riskyRuns_.end()) {
+        if (isRiskedTooOften(task)) { // by an earlier leader
+            logSuspect(id, task, run, true, actions);
+            finishJob(cell, job, StagedState::Failed, now, actions);
+            return false;
+        }
+        task.riskyRuns_.push_back({run, false});
+        task.isolationUntil_ = now.steady_ + IsolationWait;
+        storeRisk(cell, job, task);
+    }
+    return job.storedVersion_ >= task.riskVersion_;
+}
+
+bool mustSuspectsWait(const StepState &step)
+{
+    bool isolates = false;
+    bool runs = false;
+    for (const TaskRecord &task : step.tasks_) {
+        isolates = isolates || task.riskyRuns_.size() >= IsolationRuns;
+        runs = runs || (isSuspect(task) && task.state_ == TaskState::Placed);
+    }
+    return isolates && runs;
+}
+
+void noteRunSurvived(Cell &cell, Job &job, const StagedTask &id, RunNumber run)
+{
+    TaskRecord *task = findTask(job, id, nullptr);
+    if (task == nullptr) {
+        return;
+    }
+    const auto found = findRiskyRun(*task, run.value_);
+    if (found != task->riskyRuns_.end()) {
+        task->riskyRuns_.erase(found);
+        storeRisk(cell, job, *task);
+    }
+}
+
+void noteRunCrash(Cell &cell, const StagedTask &id, RunNumber run, CellTime now, CellActions &actions)
+{
+    Job *job = findJob(cell, id.job_);
+    TaskRecord *task = job != nullptr && !isFinal(*job) ? findTask(*job, id, nullptr) : nullptr;
+    if (task == nullptr || task->state_ == TaskState::Done) {
+        return;
+    }
+    auto found = findRiskyRun(*task, run.value_);
+    if (found == task->riskyRuns_.end()) {
+        found = task->riskyRuns_.insert(task->riskyRuns_.end(), {run.value_, false});
+    }
+    found->crashed_ = true;
+    storeRisk(cell, *job, *task);
+    const bool givenUp = isRiskedTooOften(*task);
+    logSuspect(id, *task, run.value_, givenUp, actions);
+    if (givenUp) {
+        finishJob(cell, *job, StagedState::Failed, now, actions);
+    }
+}
+
+// Number of runners in a rack, without counting several incarnations of one.
+static std::size_t rackSize(const Cell &cell, const std::string &rack)
+{
+    std::set<std::string_view> addresses;
+    for (const auto &[id, runner] : cell.runners_) {
+        if (runner->record_.rack_ == rack) {
+            addresses.insert(runner->record_.address_);
+        }
+    }
+    return addresses.size();
+}
+
+// True when the crashes, all in one rack, are those of the rack: most of its runners, and no job that all of them had.
+static bool isRackLoss(const Cell &cell, const std::string &rack, const std::vector<const RunnerCrash *> &crashes)
+{
+    std::set<std::string_view> addresses;
+    for (const RunnerCrash *crash : crashes) {
+        addresses.insert(crash->address_);
+    }
+    if (addresses.size() < MinRackLossRunners
+        || static_cast<double>(addresses.size()) < RackLossShare * static_cast<double>(rackSize(cell, rack))) {
+        return false;
+    }
+    std::set<StagedJobId> common;
+    for (const StoredRun &run : crashes.front()->runs_) {
+        common.insert(run.task_.job_);
+    }
+    for (const RunnerCrash *crash : crashes) {
+        std::set<StagedJobId> jobs;
+        for (const StoredRun &run : crash->runs_) {
+            if (common.contains(run.task_.job_)) {
+                jobs.insert(run.task_.job_);
+            }
+        }
+        common = std::move(jobs);
+    }
+    return common.empty();
+}
+
+// Takes back what the crash of a runner has counted for its tasks.
+static void uncountCrash(Cell &cell, const RunnerCrash &crash)
+{
+    for (const StoredRun &run : crash.runs_) {
+        if (Job *job = findJob(cell, run.task_.job_); job != nullptr && !isFinal(*job)) {
+            noteRunSurvived(cell, *job, run.task_, run.run_);
+        }
+    }
+}
+
+void noteRunnerCrash(Cell &cell, const Runner &runner, CellTime now, CellActions &actions)
+{
+    if (runner.record_.draining_) { // it has left
+        return;
+    }
+    count(actions, CellCounter::RunnerCrash);
+    std::erase_if(cell.recentCrashes_,
+                  [&now](const RunnerCrash &crash) { return now.steady_ > crash.at_ + RackLossWindow; });
+    RunnerCrash &crash
+        = cell.recentCrashes_.emplace_back(RunnerCrash{now.steady_, runner.record_.rack_, runner.record_.address_, {}});
+    for (const auto &[task, placement] : runner.tasks_) {
+        Job *job = findJob(cell, task.job_);
+        if (job == nullptr || isFinal(*job) || placement.orphan_ || placement.spansRestart_) {
+            continue;
+        }
+        if (stepSpec(*job, task.step_).longRunning_ && now.steady_ > placement.startedAt_ + SafeRunAge) {
+            noteRunSurvived(cell, *job, task, placement.run_);
+        } else {
+            crash.runs_.push_back({task, placement.run_});
+        }
+    }
+    std::vector<const RunnerCrash *> ofRack;
+    for (const RunnerCrash &recent : cell.recentCrashes_) {
+        if (!recent.rack_.empty() && recent.rack_ == runner.record_.rack_) {
+            ofRack.push_back(&recent);
+        }
+    }
+    if (isRackLoss(cell, runner.record_.rack_, ofRack)) {
+        JsonObject line = logEvent("rack-lost");
+        line.text("rack", runner.record_.rack_).number("runners", static_cast<std::int64_t>(ofRack.size()));
+        addLogLine(actions, line, LogLevel::Warning);
+        for (const RunnerCrash *recent : ofRack) {
+            uncountCrash(cell, *recent);
+        }
+        return;
+    }
+    const std::vector<StoredRun> runs = crash.runs_;
+    for (const StoredRun &run : runs) {
+        noteRunCrash(cell, run.task_, run.run_, now, actions);
+    }
+}
+
+} // namespace mimosapier::detail
--- a/src/core/cell/placement.cpp
+++ b/src/core/cell/placement.cpp
@@ -41,6 +41,11 @@
 
 } // namespace
 
+static StagedTask taskOf(const StepContext &context, std::uint32_t index)
+{
+    return {context.ref_.job_, context.ref_.occurrence_, context.ref_.step_, index};
+}
+
 static std::uint32_t fittingTasks(const Candidate &candidate, const Resources &size)
 {
     std::uint32_t fitting = candidate.antiAffinityLeft_;
@@ -72,7 +77,7 @@
     for (const RunnerFreeCapacity &entry :
          freeCapacity.runnersWithFree(policy.service_, std::max<std::int64_t>(size.milliCpus_, 0))) {
         Runner *runner = entry.runner_;
-        if (!hasRequiredLabel(context.spec_, *runner)
+        if (runner->isolatedTasks_ > 0 || !hasRequiredLabel(context.spec_, *runner)
             || (policy.policyQueries_ && !hasTicket(context.step_, *runner, now))) {
             continue;
         }
@@ -140,11 +145,28 @@
     return best;
 }
 
+// The best candidate for a task under which a runner has crashed: near the data, then with the fewest other tasks.
+// `isolated`: only a runner without any.
+static Candidate *bestCandidateForSuspect(std::vector<Candidate> &candidates, const Resources &size, bool isolated)
+{
+    Candidate *best = nullptr;
+    const auto rank = [](const Candidate &candidate) {
+        return std::make_tuple(!candidate.nearData_, candidate.runner_->tasks_.size(), -candidate.free_.milliCpus_);
+    };
+    for (Candidate &candidate : candidates) {
+        if (fittingTasks(candidate, size) > 0 && (!isolated || candidate.runner_->tasks_.empty())
+            && (best == nullptr || rank(candidate) < rank(*best))) {
+            best = &candidate;
+        }
+    }
+    return best;
+}
+
 static void startTask(Cell &cell, const StepContext &context, std::uint32_t index, Candidate &candidate,
                       std::uint64_t run, CellTime now, CellActions &actions)
 {
     Runner &runner = *candidate.runner_;
-    const StagedTask id{context.ref_.job_, context.ref_.occurrence_, context.ref_.step_, index};
+    const StagedTask id = taskOf(context, index);
     Placement &placement = addPlacement(cell, runner, context.job_, id, RunNumber{run});
     candidate.free_ -= placement.size_;
     --candidate.antiAffinityLeft_;
@@ -216,6 +238,12 @@
     RunnersMissing, // too few runners with free capacity, or too few tickets for them
 };
 
+enum class SuspectResult : std::uint8_t {
+    Placed,
+    Waits, // for the store, for a runner, or for another suspect of the step
+    JobFailed, // the task was given up; the steps of the job are gone
+};
+
 } // namespace
 
 static PlaceResult placeGang(Cell &cell, FreeCapacityIndex &freeCapacity, const StepContext &context, CellTime now,
@@ -245,13 +273,45 @@
     for (const TaskRecord &task : step.tasks_) {
         checkpoint = std::max(checkpoint, task.checkpoint_);
     }
+    const std::uint64_t run = nextRun(context.job_, used);
+    for (std::uint32_t i = 0; i < context.spec_.count_; ++i) {
+        if (isSuspect(step.tasks_[i]) && !prepareSuspect(cell, context.job_, taskOf(context, i), run, now, actions)) {
+            return PlaceResult::Blocked;
+        }
+    }
     for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
         step.tasks_[i].checkpoint_ = checkpoint;
-        startTask(cell, context, i, candidates[chosen[i]], nextRun(context.job_, used), now, actions);
+        startTask(cell, context, i, candidates[chosen[i]], run, now, actions);
     }
     return PlaceResult::Placed;
 }
 
+// Starts a task under which a runner has crashed, if it may start now.
+static SuspectResult placeSuspect(Cell &cell, const StepContext &context, std::uint32_t index,
+                                  std::vector<Candidate> &candidates, std::uint64_t run, CellTime now,
+                                  CellActions &actions)
+{
+    if (mustSuspectsWait(context.step_)) {
+        return SuspectResult::Waits;
+    }
+    Job &job = context.job_;
+    if (!prepareSuspect(cell, job, taskOf(context, index), run, now, actions)) {
+        return isFinal(job) ? SuspectResult::JobFailed : SuspectResult::Waits;
+    }
+    const bool isolated = needsIsolation(context.step_.tasks_[index], now.steady_);
+    Candidate *best = bestCandidateForSuspect(candidates, reservedSize(context.spec_), isolated);
+    if (best == nullptr) {
+        return SuspectResult::Waits;
+    }
+    startTask(cell, context, index, *best, run, now, actions);
+    if (isolated) {
+        best->runner_->tasks_.at(taskOf(context, index)).isolated_ = true;
+        ++best->runner_->isolatedTasks_;
+        best->antiAffinityLeft_ = 0;
+    }
+    return SuspectResult::Placed;
+}
+
 static PlaceResult placeTasks(Cell &cell, FreeCapacityIndex &freeCapacity, const StepContext &context, CellTime now,
                               CellActions &actions)
 {
@@ -267,11 +327,20 @@
         if (task.state_ != TaskState::Waiting || task.notBefore_ > now.steady_) {
             continue;
         }
+        const std::uint64_t run = nextRun(context.job_, task.run_);
+        if (isSuspect(task)) {
+            const SuspectResult result = placeSuspect(cell, context, i, candidates, run, now, actions);
+            if (result == SuspectResult::JobFailed) {
+                return PlaceResult::Blocked;
+            }
+            allowed -= result == SuspectResult::Placed ? 1 : 0;
+            continue;
+        }
         Candidate *best = bestCandidate(candidates, size, task.failedRuns_.empty() ? RunnerId{} : task.runner_);
         if (best == nullptr) {
             return PlaceResult::RunnersMissing;
         }
-        startTask(cell, context, i, *best, nextRun(context.job_, task.run_), now, actions);
+        startTask(cell, context, i, *best, run, now, actions);
         --allowed;
     }
     if (step.waiting_ == 0) {
--- a/src/core/cell/records.cpp
+++ b/src/core/cell/records.cpp
@@ -36,6 +36,22 @@
     std::int64_t endedUnixMs_ = 0; // not used: always stored as 0
 };
 
+// Risky runs of one task, see crashes.cpp.
+struct RiskDocument
+{
+    std::uint32_t occurrence_ = 0;
+    std::uint32_t step_ = 0;
+    std::uint32_t index_ = 0;
+    std::vector<std::uint64_t> crashedRuns_;
+    std::vector<std::uint64_t> unknownRuns_; // the crash, if there was one, was not seen
+};
+
+// ProgressDocument with the risky runs. Records of earlier versions are without them.
+struct RiskyProgressDocument : ProgressDocument
+{
+    std::vector<RiskDocument> risks_;
+};
+
 struct RunnerDocument
 {
     RunnerId id_;
@@ -55,6 +71,9 @@
 MIMOSAPIER_FIELDS(JobDocument, s.id_, s.account_, s.policy_, s.submitted_, s.acceptedUnixMs_)
 MIMOSAPIER_FIELDS(StepDocument, s.occurrence_, s.step_, s.done_, s.failedRuns_, s.endedRuns_, s.gangFailedRuns_)
 MIMOSAPIER_FIELDS(ProgressDocument, s.state_, s.occurrencesDone_, s.steps_, s.doneOccurrences_, s.endedUnixMs_)
+MIMOSAPIER_FIELDS(RiskDocument, s.occurrence_, s.step_, s.index_, s.crashedRuns_, s.unknownRuns_)
+MIMOSAPIER_FIELDS(RiskyProgressDocument, s.state_, s.occurrencesDone_, s.steps_, s.doneOccurrences_, s.endedUnixMs_,
+                  s.risks_)
 MIMOSAPIER_FIELDS(RunnerDocument, s.id_, s.service_, s.address_, s.capacity_, s.quiescent_, s.tasks_, s.runs_)
 MIMOSAPIER_FIELDS(RunnersDocument, s.runners_)
 
@@ -110,9 +129,27 @@
     return document;
 }
 
+static void addRisks(std::uint32_t occurrence, std::uint32_t step, const StepState &state,
+                     std::vector<RiskDocument> &risks)
+{
+    for (std::uint32_t i = 0; i < state.tasks_.size(); ++i) {
+        const TaskRecord &task = state.tasks_[i];
+        if (task.riskyRuns_.empty() || task.state_ == TaskState::Done) {
+            continue;
+        }
+        RiskDocument &document = risks.emplace_back();
+        document.occurrence_ = occurrence;
+        document.step_ = step;
+        document.index_ = i;
+        for (const RiskyRun &risky : task.riskyRuns_) {
+            (risky.crashed_ ? document.crashedRuns_ : document.unknownRuns_).push_back(risky.run_);
+        }
+    }
+}
+
 std::string encodeProgress(const Job &job)
 {
-    ProgressDocument document;
+    RiskyProgressDocument document;
     document.state_ = job.state_;
     document.occurrencesDone_ = job.occurrencesDone_;
     if (!isFinal(job)) {
@@ -123,6 +160,7 @@
             }
             for (std::uint32_t i = 0; i < occurrence.steps_.size(); ++i) {
                 document.steps_.push_back(stepDocument(number, i, occurrence.steps_[i]));
+                addRisks(number, i, occurrence.steps_[i], document.risks_);
             }
         }
     }
@@ -150,10 +188,24 @@
     step.gangFailedRuns_ = document.gangFailedRuns_;
 }
 
+static void applyRisk(const RiskDocument &document, Job &job)
+{
+    TaskRecord *task = findTask(job, {job.id_, document.occurrence_, document.step_, document.index_}, nullptr);
+    if (task == nullptr) {
+        return;
+    }
+    for (const std::uint64_t run : document.crashedRuns_) {
+        task->riskyRuns_.push_back({run, true});
+    }
+    for (const std::uint64_t run : document.unknownRuns_) {
+        task->riskyRuns_.push_back({run, false});
+    }
+}
+
 bool decodeProgress(std::string_view bytes, Job &job)
 {
-    ProgressDocument document;
-    if (!unpackFromString(bytes, document)) {
+    RiskyProgressDocument document;
+    if (!unpackFromString(bytes, document) && !unpackFromString(bytes, static_cast<ProgressDocument &>(document))) {
         return false;
     }
     job.state_ = document.state_;
@@ -184,6 +236,9 @@
             ++occurrence.stepsDone_;
         }
     }
+    for (const RiskDocument &risk : document.risks_) {
+        applyRisk(risk, job);
+    }
     return true;
 }
 
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -15,7 +15,8 @@
 bool isUsable(const Cell &cell, const Runner &runner, TimePoint now)
 {
     return runner.inDiscovery_ && runner.stateKnown_ && runner.storedAsInUse_ && !runner.record_.draining_
-        && runner.orphans_ == 0 && runner.failedCalls_ == 0 && now >= runner.avoidUntil_ && !cell.superseded_;
+        && runner.orphans_ == 0 && runner.isolatedTasks_ == 0 && runner.failedCalls_ == 0 && now >= runner.avoidUntil_
+        && !cell.superseded_;
 }
 
 bool isQuiescent(const Runner &runner)
@@ -134,6 +135,7 @@
     const Placement placement = std::move(found->second);
     runner.tasks_.erase(found);
     runner.used_ -= placement.size_;
+    runner.isolatedTasks_ -= placement.isolated_ ? 1 : 0;
     if (placement.orphan_) {
         --runner.orphans_;
     } else {
@@ -273,9 +275,13 @@
     cell.placementDue_ = true;
 }
 
-void handleLostRunner(Cell &cell, Runner &runner, std::string_view cause, CellTime now, CellActions &actions)
+void handleLostRunner(Cell &cell, Runner &runner, std::string_view cause, bool isCrash, CellTime now,
+                      CellActions &actions)
 {
     logLostRunner(cell, runner, cause, now, actions);
+    if (isCrash) {
+        noteRunnerCrash(cell, runner, now, actions);
+    }
     std::vector<StagedTask> tasks;
     for (const auto &[task, placement] : runner.tasks_) {
         tasks.push_back(task);
@@ -300,8 +306,11 @@
             withdrawn.push_back(task);
         } else if (placement.listed_) {
             ended.push_back(task);
+        } else {
+            placement.spansRestart_ = true;
         }
     }
+    noteRunnerCrash(cell, runner, now, actions);
     for (const StagedTask &task : ended) {
         releasePlacement(cell, runner, task);
         stopGang(cell, task, now, actions);
@@ -424,6 +433,7 @@
         StepState *step = nullptr;
         TaskRecord *task = findTaskOfRun(*job, end.task_, &step);
         if (task != nullptr) {
+            noteRunSurvived(cell, *job, end.task_, end.run_);
             const bool latest = end.run_.value_ > task->endedRun_;
             task->endedRun_ = std::max(task->endedRun_, end.run_.value_);
             task->run_ = std::max(task->run_, end.run_.value_);
@@ -483,7 +493,10 @@
         if (placed->second.phase_ == PlacementPhase::Starting) {
             placed->second.phase_ = PlacementPhase::Running;
         }
-        placed->second.listed_ = placed->second.listed_ || placed->second.run_ == active.run_;
+        if (placed->second.run_ == active.run_) {
+            placed->second.listed_ = true;
+            placed->second.spansRestart_ = false;
+        }
         return;
     }
     Job *job = findJob(cell, active.task_.job_);
@@ -535,6 +548,12 @@
         }
     }
     for (const StagedTask &task : absent) {
+        const Placement &placement = runner.tasks_.at(task);
+        if (placement.spansRestart_) {
+            noteRunCrash(cell, task, placement.run_, now, actions);
+        } else if (Job *job = findJob(cell, task.job_)) {
+            noteRunSurvived(cell, *job, task, placement.run_);
+        }
         JsonObject line = logEvent("task-absent");
         line.text("task", taskText(task)).text("runner", runner.record_.id_.value_);
         line.number("acknowledged_end", static_cast<std::int64_t>(runner.acknowledgedEnd_));
@@ -643,6 +662,9 @@
             verdict->second.validUntil_ = {};
         }
     }
+    if (job != nullptr) {
+        noteRunSurvived(cell, *job, reply.task_, reply.run_);
+    }
     releasePlacement(cell, runner, reply.task_);
     stopGang(cell, reply.task_, now, actions);
 }
@@ -736,12 +758,13 @@
 static void checkRunnerTimers(Cell &cell, Runner &runner, CellTime now, CellActions &actions)
 {
     if (!runner.tasks_.empty() && runner.leaseEndsBy_ != TimePoint{} && now.steady_ > runner.leaseEndsBy_) {
-        handleLostRunner(cell, runner, "lease-ended", now, actions);
+        // A runner that has only been cut off is still listed.
+        handleLostRunner(cell, runner, "lease-ended", !runner.inDiscovery_, now, actions);
         return;
     }
     if (runner.mayHavePredecessorTasks_ && !runner.stateKnown_) {
         if (cell.formerLeadersEndBy_ < now.steady_ && now.steady_ > cell.formerLeadersEndBy_ + longestLease(cell)) {
-            handleLostRunner(cell, runner, "legacy-lease-ended", now, actions);
+            handleLostRunner(cell, runner, "legacy-lease-ended", false, now, actions);
             return;
         }
     }
@@ -850,7 +873,7 @@
             runner->holdInFlight_ = false;
             runner->nextHoldAt_ = now.steady_ + HoldRetryDelay;
         }
-        handleLostRunner(cell, *runner, "address-taken-by-other-life", now, actions);
+        handleLostRunner(cell, *runner, "address-taken-by-other-life", true, now, actions);
         countFailedCall(cell, *runner);
         return;
     }
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -262,6 +262,10 @@
 static constexpr std::array<std::string_view, 7> KvOpNames{"get",   "range",      "watch",    "commit",
                                                            "grant", "keep-lease", "end-lease"}; // by KvOp
 
+// By CellCounter.
+static constexpr std::array<std::string_view, CellCounterCount> CounterNames{"runner-crash", "task-suspected",
+                                                                             "task-given-up"};
+
 void CellProcess::State::countActions()
 {
     for (const ClientAnswer &answer : actions_.answers_) {
@@ -273,6 +277,11 @@
     for (const KvCall &call : actions_.cell_.kv_) {
         metrics_.countStoreCall(KvOpNames.at(static_cast<std::size_t>(call.op_)));
     }
+    for (std::size_t i = 0; i < CellCounterCount; ++i) {
+        if (actions_.cell_.counts_.at(i) > 0) {
+            metrics_.countCellEvent(CounterNames.at(i), actions_.cell_.counts_.at(i));
+        }
+    }
 }
 
 void CellProcess::State::addMetricSources()
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -113,6 +113,7 @@
     CounterFamily &storeResults_ = counter("mimosapier_store_results_total", "Results of store calls by status.");
     CounterFamily &workerCalls_ = counter("mimosapier_worker_calls_total", "Calls of workers by kind and status.");
     CounterFamily &runnerCalls_ = counter("mimosapier_runner_calls_total", "Calls of runners by kind and status.");
+    CounterFamily &cellEvents_ = counter("mimosapier_cell_events_total", "Rare events of the cell's control logic.");
     prometheus::Family<prometheus::Histogram> &latencies_ = prometheus::BuildHistogram()
                                                                 .Name("mimosapier_request_seconds")
                                                                 .Help("Time from a request's arrival to its answer.")
@@ -202,6 +203,11 @@
     state_->runnerCalls_.Add({{"operation", std::string(operation)}, {"status", std::string(status)}}).Increment();
 }
 
+void Metrics::countCellEvent(std::string_view event, std::uint32_t count)
+{
+    state_->cellEvents_.Add({{"event", std::string(event)}}).Increment(count);
+}
+
 void Metrics::observeStep(Duration duration)
 {
     state_->steps_.Observe(std::chrono::duration<double>(duration).count());
--- a/src/daemon/table/log_event_table.h
+++ b/src/daemon/table/log_event_table.h
@@ -9,7 +9,7 @@
 {
 
 // Ascending.
-inline constexpr std::array<std::string_view, 24> FrequentLogEvents{"accepted",
+inline constexpr std::array<std::string_view, 26> FrequentLogEvents{"accepted",
                                                                     "bad-discovery-entry",
                                                                     "bad-record",
                                                                     "cancel",
@@ -32,6 +32,8 @@
                                                                     "start-rejected",
                                                                     "submit",
                                                                     "submit-refused",
-                                                                    "task-absent"};
+                                                                    "task-absent",
+                                                                    "task-given-up",
+                                                                    "task-suspected"};
 
 } // namespace mimosapier
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -4,6 +4,7 @@
 
 #include <criterion/criterion.h>
 
+#include <array>
 #include <random>
 
 using namespace mimosapier;
@@ -881,3 +882,181 @@
     world.run(Milliseconds(1'500));
     cr_assert_eq(world.startCount(), 5);
 }
+
+// The runner of a task crashes and starts again under its id after two seconds; its new entry is listed.
+static void crashHolder(CellWorld &world, const StagedTask &task)
+{
+    RunnerModel &holder = world.runners_.at(world.runnerOf(task));
+    holder.reachable_ = false;
+    holder.active_.clear();
+    world.run(Milliseconds(2'000));
+    holder.restart(holder.startedUnixMs_ + 1, world.elapsedMs());
+    world.listRunners();
+}
+
+// Guards against a task that crashes runner after runner: the published budget is three crashes and three further
+// starts.
+Test(cell, taskThatCrashesItsRunnersIsGivenUp)
+{
+    CellWorld world;
+    world.listRunners();
+    world.run(Milliseconds(300));
+    world.submit(1, 1, 8'000);
+    std::size_t crashes = 0;
+    while (world.elapsedMs() < 40'000) {
+        world.run(Milliseconds(50));
+        if (!world.runnerOf(FirstTask).empty()) {
+            crashHolder(world, FirstTask);
+            ++crashes;
+        }
+    }
+    cr_assert_geq(crashes, 2, "the task was given up before two runners had crashed under it");
+    cr_assert_lt(world.startsOf(FirstTask), 6, "%zu starts", world.startsOf(FirstTask));
+    const auto query = world.sendRequest(1, CellVerb::Query);
+    world.run(Milliseconds(10));
+    cr_assert(world.replies_.at(query).state_ == StagedState::Failed);
+}
+
+// Guards against crashes that are forgotten with the leader: each crash here is followed by a change of leader that has
+// not seen it.
+Test(cell, crashesCountAcrossChangesOfLeader)
+{
+    auto world = std::make_unique<CellWorld>();
+    world->listRunners();
+    world->run(Milliseconds(300));
+    world->submit(1, 1, 8'000);
+    std::uint64_t epoch = 1;
+    for (int i = 0; i < 12; ++i) {
+        for (int wait = 0; world->runnerOf(FirstTask).empty() && wait < 200; ++wait) {
+            world->run(Milliseconds(50));
+        }
+        const RunnerId holder = world->runnerOf(FirstTask);
+        if (holder.empty()) {
+            break;
+        }
+        if (i % 2 == 0) { // the leader sees every second crash
+            crashHolder(*world, FirstTask);
+            world->run(Milliseconds(500));
+        }
+        auto next = std::make_unique<CellWorld>(++epoch);
+        next->now_ = world->now_;
+        next->cell_ = makeCell(CellSettings{}, DaemonId("d1"), CellEpoch{epoch}, 10,
+                               std::array<std::uint64_t, 2>{10, 10}, next->now_);
+        next->cell_->formerLeadersEndBy_ = next->now_;
+        applyConfig(*next->cell_, next->config_);
+        if (!world->stored_.contains("job/0000000000000001")) {
+            break; // the job has ended
+        }
+        for (auto &[id, runner] : world->runners_) {
+            if (id == holder && i % 2 == 1) {
+                runner.restart(runner.startedUnixMs_ + 1, world->elapsedMs());
+            }
+        }
+        next->stored_ = world->stored_;
+        recoverFrom(*next, *world, {1});
+        world = std::move(next);
+    }
+    cr_assert_lt(world->startsOf(FirstTask), 6, "%zu starts", world->startsOf(FirstTask));
+    cr_assert_geq(world->startsOf(FirstTask), 2);
+}
+
+// Guards against a start that the store does not know of: a crash that follows it would be lost with the leader.
+Test(cell, suspectStartsOnlyWhenTheStoreHasItsRisk)
+{
+    CellWorld world;
+    world.listRunners();
+    world.run(Milliseconds(300));
+    world.submit(1, 1, 8'000);
+    world.run(Milliseconds(100));
+    world.storeUp_ = false;
+    crashHolder(world, FirstTask);
+    world.run(Milliseconds(1'000));
+    cr_assert_eq(world.startCount(), 1, "the task has started before the store has the crash");
+    world.storeUp_ = true;
+    world.run(Milliseconds(1'500));
+    cr_assert_eq(world.startCount(), 2);
+}
+
+// Guards against a task that is given up for crashes of others: it ends regularly between them.
+Test(cell, neighboursOfACrashingTaskComplete)
+{
+    CellWorld world;
+    world.listRunners();
+    world.run(Milliseconds(300));
+    world.submit(1, 1, 1'000);
+    world.submit(2, 6, 1'000); // fits on the runner of the first job
+    while (world.elapsedMs() < 30'000) {
+        world.run(Milliseconds(50));
+        if (!world.runnerOf(FirstTask).empty()) {
+            crashHolder(world, FirstTask);
+        } else if (world.startsOf(FirstTask) > 2) {
+            for (std::uint32_t i = 0; i < 6; ++i) {
+                const StagedTask task{StagedJobId{2}, 0, 0, i};
+                if (!world.runnerOf(task).empty()) {
+                    world.endRun(world.runnerOf(task), task, RunEnd::Done);
+                }
+            }
+        }
+    }
+    const auto first = world.sendRequest(1, CellVerb::Query);
+    const auto second = world.sendRequest(2, CellVerb::Query);
+    world.run(Milliseconds(10));
+    cr_assert(world.replies_.at(first).state_ == StagedState::Failed);
+    cr_assert(world.replies_.at(second).state_ == StagedState::Completed);
+}
+
+// Guards against jobs that fail because racks lose power: the crashes of a whole rack say nothing about its tasks.
+Test(cell, lostRacksFailNoJob)
+{
+    CellWorld world;
+    for (auto &[id, runner] : world.runners_) {
+        runner.record_.rack_ = "rack";
+        runner.record_.address_ = "10.0.0.1:" + id.value_.substr(1);
+    }
+    world.listRunners();
+    world.run(Milliseconds(300));
+    world.submit(1, 2, 8'000);
+    world.submit(2, 2, 8'000);
+    for (int loss = 0; loss < 4; ++loss) {
+        world.run(Milliseconds(1'000));
+        for (auto &[id, runner] : world.runners_) {
+            cr_assert_eq(runner.active_.size(), 1);
+        }
+        restartRunners(world);
+        world.listRunners();
+    }
+    world.run(Milliseconds(1'000));
+    for (const auto &[id, runner] : world.runners_) {
+        cr_assert_eq(runner.active_.size(), 1);
+    }
+}
+
+// Guards against crashing tasks that are not counted because they crash several runners of a rack at once.
+Test(cell, crashingTasksOfOneRackAreNoRackLoss)
+{
+    CellWorld world(1, 8);
+    for (auto &[id, runner] : world.runners_) {
+        runner.record_.rack_ = "rack";
+        runner.record_.address_ = "10.0.0.1:" + id.value_.substr(1);
+    }
+    world.listRunners();
+    world.run(Milliseconds(300));
+    world.submit(1, 1, 8'000);
+    world.submit(2, 1, 8'000);
+    world.run(Milliseconds(2'000)); // the share of the account allows two jobs at a time
+    world.submit(3, 1, 8'000);
+    while (world.elapsedMs() < 60'000) {
+        world.run(Milliseconds(2'500));
+        for (auto &[id, runner] : world.runners_) {
+            if (!runner.active_.empty()) {
+                runner.restart(runner.startedUnixMs_ + 1, world.elapsedMs());
+            }
+        }
+        world.listRunners();
+    }
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        const StagedTask task{StagedJobId{id}, 0, 0, 0};
+        cr_assert_geq(world.startsOf(task), 2);
+        cr_assert_lt(world.startsOf(task), 6, "%zu starts", world.startsOf(task));
+    }
+}
