Fix: [cell] Capacity that has grown is used at once

What callers saw: nothing wrong, but tasks that waited up to 0.5 s for capacity that was there. A runner's capacity may shrink and grow while it runs; a new capacity in its entry did not make a pass over the waiting tasks due.

The test startsFollowTheCapacityOfARunner also guards against a start that brings a runner over a capacity that has shrunk; that part held before.

--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -834,6 +834,7 @@
     }
     runner.inDiscovery_ = true;
     const bool wasQuiescent = isQuiescent(runner);
+    cell.placementDue_ = cell.placementDue_ || record.capacity_ != runner.record_.capacity_;
     runner.record_ = record;
     updateStoredState(cell, runner, wasQuiescent);
     cell.capacityStale_ = true;
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -1060,3 +1060,31 @@
         cr_assert_lt(world.startsOf(task), 6, "%zu starts", world.startsOf(task));
     }
 }
+
+// Guards against a start that brings a runner over its capacity after the capacity has shrunk, and against capacity
+// that stays unused after it has grown again.
+Test(cell, startsFollowTheCapacityOfARunner)
+{
+    CellWorld world(1, 1);
+    world.listRunners();
+    world.run(Milliseconds(300));
+    world.submit(1, 2, 4'000);
+    world.run(Milliseconds(100));
+    cr_assert_eq(world.startCount(), 2);
+    RunnerModel &runner = world.runners_.begin()->second;
+    runner.record_.capacity_ = {5'000, 10'000, 0, 0};
+    world.listRunners();
+    world.submit(2, 1, 1'000);
+    world.run(Milliseconds(100));
+    cr_assert_eq(world.startCount(), 2);
+    world.endRun(runner.record_.id_, FirstTask, RunEnd::Done);
+    world.run(Milliseconds(500));
+    cr_assert_eq(world.startCount(), 3, "4,000 + 1,000 of 5,000 are in use");
+    world.submit(3, 1, 1'000);
+    world.run(Milliseconds(300));
+    cr_assert_eq(world.startCount(), 3);
+    runner.record_.capacity_ = {10'000, 10'000, 0, 0};
+    world.listRunners();
+    world.run(Milliseconds(100));
+    cr_assert_eq(world.startCount(), 4);
+}
