Fix: [platform] One odd entry of a list neither stops the list nor counts as capacity

What operators could see (a report on systems like this one): an entry of another writer among the runners' with a number too large was taken for a runner of practically endless capacity, so that admission refused nothing; an item that cannot be read made the whole list fail, which was then not followed any more.

Cause: numbers were converted without a check of their range, and one unreadable item failed the answer of the store that it was in.

Ruled out: deep nesting (200,000 levels were refused before, no process ended) and ports above 65,535 (refused before).

Change: numbers beyond 2^53 and resources beyond 10^12 are refused, as are port 0, addresses that are no IP addresses and ids that cannot be sent in a header. Unreadable items are skipped with a log line and a counter, the others are followed. The percentage and usage in a runner's list are limited to 32 bits.

--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -43,13 +43,19 @@
     return cell;
 }
 
+static void logBadRecord(const KvItem &item, CellActions &actions)
+{
+    JsonObject line = logEvent("bad-record");
+    line.text("key", item.key_).number("bytes", static_cast<std::int64_t>(item.value_.size()));
+    addLogLine(actions, line, LogLevel::Error);
+    count(actions, CellCounter::BadEntry);
+}
+
 void recoverJob(Cell &cell, const KvItem &item, CellTime now, CellActions &actions)
 {
     auto job = std::make_unique<Job>();
     if (!decodeJob(item.value_, *job)) {
-        JsonObject line = logEvent("bad-record");
-        line.text("key", item.key_);
-        addLogLine(actions, line, LogLevel::Error);
+        logBadRecord(item, actions);
         return;
     }
     job->stored_ = true;
@@ -84,9 +90,7 @@
     Job blank;
     Job *job = id ? findJob(cell, *id) : nullptr;
     if (!id || !decodeProgress(item.value_, job != nullptr ? *job : blank)) {
-        JsonObject line = logEvent("bad-record");
-        line.text("key", item.key_);
-        addLogLine(actions, line, LogLevel::Error);
+        logBadRecord(item, actions);
         return;
     }
     if (job == nullptr) {
--- a/src/core/cell/cell_type.h
+++ b/src/core/cell/cell_type.h
@@ -93,9 +93,10 @@
     RunnerCrash, // a runner has ended by itself
     TaskSuspected, // a runner has crashed under a task
     TaskGivenUp, // too many runners have crashed under a task
+    BadEntry, // an entry of a list in the store that cannot be read
 };
 
-inline constexpr std::size_t CellCounterCount = 3;
+inline constexpr std::size_t CellCounterCount = 4;
 
 // What the caller of the decision logic has to carry out.
 struct CellActions
--- a/src/core/control/control.cpp
+++ b/src/core/control/control.cpp
@@ -296,6 +296,12 @@
 void onKvReply(Control &control, const KvReply &reply, CellTime now, ControlActions &actions)
 {
     trackStoreHealth(control, reply, now.steady_);
+    if (reply.unreadableItems_ > 0) {
+        JsonObject line = beginLogLine("bad-store-items");
+        line.number("purpose", static_cast<std::int64_t>(reply.purpose_)).number("count", reply.unreadableItems_);
+        appendLogLine(actions, line, LogLevel::Warning);
+        count(actions.cell_, CellCounter::BadEntry);
+    }
     switch (reply.purpose_) {
     case KvPurpose::ReadConfig:
     case KvPurpose::WatchConfig:
--- a/src/core/control/feeds.cpp
+++ b/src/core/control/feeds.cpp
@@ -101,6 +101,7 @@
     if (!control.decoders_.config_(text, config)) {
         line.text("outcome", "malformed").number("bytes", static_cast<std::int64_t>(text.size()));
         appendLogLine(actions, line, LogLevel::Error);
+        count(actions.cell_, CellCounter::BadEntry);
         return;
     }
     line.number("version", static_cast<std::int64_t>(config.version_));
@@ -147,6 +148,7 @@
         JsonObject line = beginLogLine("bad-discovery-entry");
         line.text("key", item.key_).number("bytes", static_cast<std::int64_t>(item.value_.size()));
         appendLogLine(actions, line, LogLevel::Warning);
+        count(actions.cell_, CellCounter::BadEntry);
         removeRunner(*control.cell_, RunnerId(item.key_), now, actions.cell_);
     }
 }
--- a/src/core/message/kv_type.h
+++ b/src/core/message/kv_type.h
@@ -95,6 +95,7 @@
     std::uint32_t lane_ = 0;
     KvStatus status_ = KvStatus::Unknown;
     std::vector<KvItem> items_;
+    std::uint32_t unreadableItems_ = 0; // items that items_ does not have, or has with an empty value
     bool more_ = false; // Range: there are further pages
     std::uint64_t revision_ = 0; // Commit: revision of the writes; reads and watches: revision of the store
     std::uint64_t lease_ = 0; // GrantLease
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -264,7 +264,7 @@
 
 // By CellCounter.
 static constexpr std::array<std::string_view, CellCounterCount> CounterNames{"runner-crash", "task-suspected",
-                                                                             "task-given-up"};
+                                                                             "task-given-up", "bad-entry"};
 
 void CellProcess::State::countActions()
 {
--- a/src/platform/client_codec.cpp
+++ b/src/platform/client_codec.cpp
@@ -1,11 +1,13 @@
 // Codec of client requests and answers, of the operator's configuration, and of the runners' discovery entries.
 #include "http/json_func.h"
+#include "net/address_func.h"
 #include "platform/platform_codec_func.h"
 
 #include <algorithm>
 #include <array>
 #include <cctype>
 #include <charconv>
+#include <cmath>
 
 namespace mimosapier
 {
@@ -15,7 +17,14 @@
 static constexpr std::size_t MaxSpecBytes = 4'000; // limit published to clients
 static constexpr Milliseconds DefaultWait{3'000}; // for requests without X-Deadline-Ms
 
-// Reads an optional integer. Some writers send integers as 5.0, so a float is accepted and truncated.
+// Largest integer that is accepted from other programs: doubles hold all integers up to it, and sums of some thousand
+// do not overflow.
+static constexpr std::int64_t MaxInteger = std::int64_t{1} << 53;
+// Largest amount of one resource of a runner, a task or an account: a billion processors, in thousandths.
+static constexpr std::int64_t MaxResource = 1'000'000'000'000;
+
+// Reads an optional integer. Some writers send integers as 5.0, so a float is accepted and truncated. Returns false for
+// numbers beyond MaxInteger.
 static bool readIntegerField(const Json &object, const char *name, std::int64_t &out)
 {
     const auto found = object.find(name);
@@ -25,7 +34,11 @@
     if (!found->is_number()) {
         return false;
     }
-    out = found->is_number_float() ? static_cast<std::int64_t>(found->get<double>()) : found->get<std::int64_t>();
+    const double number = found->get<double>();
+    if (!(std::abs(number) <= static_cast<double>(MaxInteger))) {
+        return false;
+    }
+    out = found->is_number_float() ? static_cast<std::int64_t>(number) : found->get<std::int64_t>();
     return true;
 }
 
@@ -39,9 +52,10 @@
 
 static bool readResources(const Json &object, Resources &out)
 {
+    const auto inRange = [](std::int64_t amount) { return amount >= 0 && amount <= MaxResource; };
     return object.is_object() && readIntegerField(object, "Cpu", out.milliCpus_)
         && readIntegerField(object, "MemMb", out.memoryMb_) && readIntegerField(object, "Gpu", out.accelerators_)
-        && out.milliCpus_ >= 0 && out.memoryMb_ >= 0 && out.accelerators_ >= 0;
+        && inRange(out.milliCpus_) && inRange(out.memoryMb_) && inRange(out.accelerators_);
 }
 
 static bool readAfter(const Json &object, std::size_t index, std::vector<std::uint32_t> &after)
@@ -274,6 +288,8 @@
     if (!parseJson(bytes, json) || !json.is_object()) {
         return false;
     }
+    // The id is sent as the value of a header.
+    const bool validId = std::all_of(id.begin(), id.end(), [](unsigned char c) { return std::isgraph(c) != 0; });
     std::string state;
     HttpAddress address;
     record.id_ = RunnerId(std::string(id));
@@ -283,8 +299,9 @@
         return false;
     }
     const auto capacity = json.find("Capacity");
-    if (capacity == json.end() || !readResources(*capacity, record.capacity_) || record.service_.empty()
-        || !parseAddress(record.address_, address) || (state != "ready" && state != "draining")) {
+    if (!validId || id.empty() || capacity == json.end() || !readResources(*capacity, record.capacity_)
+        || record.service_.empty() || !isAddress(record.address_) || !parseAddress(record.address_, address)
+        || address.port_ == 0 || record.startedUnixMs_ < 0 || (state != "ready" && state != "draining")) {
         return false;
     }
     record.draining_ = state == "draining";
--- a/src/platform/service_codec.cpp
+++ b/src/platform/service_codec.cpp
@@ -119,17 +119,23 @@
     return request;
 }
 
-static bool decodeItem(const Json &json, std::string_view prefix, KvItem &item)
+// Returns false when the item's key or revision cannot be read. `readable`: its value can be read; otherwise the value
+// is left empty.
+static bool decodeItem(const Json &json, std::string_view prefix, KvItem &item, bool &readable)
 {
-    std::string value;
-    if (!json.is_object() || !readField(json, "Key", item.key_) || !readField(json, "Value", value)
-        || !readField(json, "Revision", item.revision_) || !item.key_.starts_with(prefix)) {
+    if (!json.is_object() || !readField(json, "Key", item.key_) || !readField(json, "Revision", item.revision_)
+        || !item.key_.starts_with(prefix)) {
         return false;
     }
     item.key_.erase(0, prefix.size());
     // "Compacted" marks the removal of the key; it does not refer to a compaction of the store's history.
     item.removed_ = json.contains("Compacted") || !json.contains("Value");
-    return item.removed_ || decodeBase64(value, item.value_);
+    std::string value;
+    readable = item.removed_ || (readField(json, "Value", value) && decodeBase64(value, item.value_));
+    if (!readable) {
+        item.value_.clear();
+    }
+    return true;
 }
 
 static KvStatus kvStatus(const KvCall &call, unsigned status)
@@ -170,8 +176,9 @@
         && readField(json, call.op_ == KvOp::Commit ? "Revision" : "AtRev", reply.revision_);
     reply.ttl_ = Milliseconds(ttl);
     const std::string_view prefix = spacePrefix(call.space_);
+    bool readable = true;
     if (call.op_ == KvOp::Get) {
-        valid = valid && decodeItem(json, prefix, reply.items_.emplace_back());
+        valid = valid && decodeItem(json, prefix, reply.items_.emplace_back(), readable) && readable;
     }
     for (const char *list : {"items", "events"}) {
         const auto found = json.find(list);
@@ -180,10 +187,11 @@
         }
         for (const Json &element : *found) {
             KvItem item;
-            if (decodeItem(element, prefix, item)) {
+            if (decodeItem(element, prefix, item, readable)) {
                 reply.items_.push_back(std::move(item));
+                reply.unreadableItems_ += readable ? 0 : 1;
             } else {
-                valid = false;
+                ++reply.unreadableItems_;
             }
         }
     }
@@ -270,6 +278,15 @@
                                         RunEndName{"stopped", RunEnd::Stopped}, RunEndName{"lapsed", RunEnd::Lapsed},
                                         RunEndName{"broken", RunEnd::Broken},   RunEndName{"alone", RunEnd::Alone}};
 
+// Returns the number at an index of a row, truncated and within 32 bits; `missing` if there is none.
+static std::int64_t numberAt(const Json &row, std::size_t index, std::int64_t missing)
+{
+    constexpr double Limit = INT32_MAX;
+    return row.size() > index && row[index].is_number()
+        ? static_cast<std::int64_t>(std::clamp(row[index].get<double>(), -Limit, Limit))
+        : missing;
+}
+
 // Row: [task, run, checkpoint, percent, usage]. The last two are optional.
 static bool decodeActive(const Json &row, ActiveRun &active)
 {
@@ -281,12 +298,8 @@
     active.checkpoint_ = row[2].is_string() ? row[2].get<std::string>() : "";
     constexpr std::size_t PercentColumn = 3;
     constexpr std::size_t UsageColumn = 4;
-    if (row.size() > PercentColumn && row[PercentColumn].is_number()) {
-        active.percent_ = row[PercentColumn].get<std::int64_t>();
-    }
-    if (row.size() > UsageColumn && row[UsageColumn].is_number()) {
-        active.usage_ = row[UsageColumn].get<std::int64_t>();
-    }
+    active.percent_ = numberAt(row, PercentColumn, active.percent_);
+    active.usage_ = numberAt(row, UsageColumn, active.usage_);
     return true;
 }
 
--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -6,6 +6,7 @@
 #include "standin/kv_model.h"
 #include "standin/runner_model.h"
 
+#include <array>
 #include <cstdio>
 #include <deque>
 #include <functional>
@@ -31,6 +32,7 @@
     std::set<DaemonId> peerSet_; // daemons to which this daemon wants to connect
     std::map<std::uint64_t, ClientAnswer> answers_; // by call id
     std::uint64_t lastCall_ = 0;
+    std::array<std::uint64_t, CellCounterCount> counts_{}; // by CellCounter
 };
 
 struct ControlCluster
@@ -96,7 +98,11 @@
         CellDecoders decoders;
         decoders.config_ = decodeConfig;
         decoders.runner_ = [this](std::string_view key, std::string_view, RunnerRecord &record) {
-            record = runners_.at(RunnerId(std::string(key))).record_;
+            const auto runner = runners_.find(RunnerId(std::string(key)));
+            if (runner == runners_.end()) {
+                return false;
+            }
+            record = runner->second.record_;
             return true;
         };
         daemon->control_ = makeControl(settings, decoders, now_);
@@ -197,6 +203,9 @@
                 daemon.peerSet_.insert(peer.daemon_);
             }
         }
+        for (std::size_t i = 0; i < CellCounterCount; ++i) {
+            daemon.counts_.at(i) += actions.cell_.counts_.at(i);
+        }
         for (KvCall &call : actions.cell_.kv_) {
             calls_.push_back({daemon.id_, std::move(call), now_});
         }
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -506,3 +506,39 @@
     const auto call = cluster.sendRequest(leader, ClientMethod::Submit, 1);
     cr_assert_eq(leader.control_->requests_.at(call).leadersAsked_, 0);
 }
+
+// Guards against daemons that end, or follow a list no more, because of one odd entry in it.
+Test(control, oddEntriesOfListsAreSkipped)
+{
+    ControlCluster cluster;
+    const std::string odd(100'000, '[');
+    for (const char *key : {"cluster/member/zz", "cluster/member/", "cluster/zz", "job/zz", "job/0000000000000009",
+                            "progress/zz", "progress/99999999999999999999999", "progress/0000000000000008"}) {
+        cluster.store_.write(KvSpace::Own, key, odd);
+    }
+    cluster.store_.write(KvSpace::Discovery, "odd", odd);
+    cluster.store_.write(KvSpace::Operator, "zz", odd);
+    cluster.run(StartupTime);
+    cr_assert_not_null(cluster.leader());
+    constexpr auto BadEntry = static_cast<std::size_t>(CellCounter::BadEntry);
+    cr_assert_geq(cluster.leader()->counts_.at(BadEntry), 6);
+    cluster.store_.write(KvSpace::Discovery, "odd", "[");
+    cluster.store_.write(KvSpace::Operator, "config", odd);
+    cluster.writeConfig(2, {"key", "other"});
+    cluster.store_.write(KvSpace::Own, "cluster/member/zz", "[");
+    RunnerModel added = cluster.runners_.begin()->second;
+    added.record_.id_ = RunnerId("later");
+    cluster.runners_[added.record_.id_] = added;
+    cluster.store_.write(KvSpace::Discovery, "later", "up");
+    cluster.run(Milliseconds(500));
+    cr_assert_not_null(cluster.leader());
+    cr_assert(cluster.leader()->control_->cell_->runners_.contains(RunnerId("later")));
+    cr_assert(!cluster.leader()->control_->cell_->runners_.contains(RunnerId("odd")));
+    for (const auto &daemon : cluster.daemons_) {
+        cr_assert_eq(daemon->control_->config_.version_, 2);
+    }
+    ClusterDaemon &entry = cluster.follower();
+    const auto call = cluster.sendRequest(entry, ClientMethod::Submit, 7);
+    cluster.run(Milliseconds(400));
+    cr_assert(answerOf(entry, call) != nullptr && answerOf(entry, call)->error_ == ErrorKind::None);
+}
--- a/tests/platform/test_wire.cpp
+++ b/tests/platform/test_wire.cpp
@@ -196,3 +196,83 @@
         }
     }
 }
+
+// Guards against an entry of another writer that ends the process, overflows sums of capacities or is called: deep
+// nesting, numbers that are too large, addresses and ids that cannot be used.
+Test(wire, oddDiscoveryEntries)
+{
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    const auto with = [](const std::string &from, const std::string &to) {
+        std::string text(RunnerText);
+        return text.replace(text.find(from), from.size(), to);
+    };
+    std::vector<std::string> texts{deep, std::string(200'000, '['), std::string(200'000, '{'),
+                                   with("482113", deep.substr(0, 300'000)), with("\"s\"", deep)};
+    for (const char *number :
+         {"1e300", "-1e300", "1e400", "18446744073709551615", "9223372036854775807", "99999999999999999999999999"}) {
+        texts.push_back(with("16000", number));
+        texts.push_back(with("32768", number));
+        texts.push_back(with("1767414076038", number));
+    }
+    for (const char *address : {"10.128.0.9:0", "10.128.0.9:65536", "10.128.0.9:-1", "10.128.0.9:99999999999999",
+                                "10.128.0.9:", "300.1.1.1:80", "host:80"}) {
+        texts.push_back(with("10.128.0.9:8080", address));
+    }
+    for (const std::string &text : texts) {
+        RunnerRecord record;
+        cr_assert(!decodeRunnerRecord("i-1", text, record), "%.200s", text.c_str());
+    }
+    RunnerRecord nested;
+    cr_assert(decodeRunnerRecord("i-1", with("482113", deep), nested), "a field that is not read may hold anything");
+    for (const std::string_view id : {"", "a b", "i-1\r\nX-Other: 1", "\xff"}) {
+        RunnerRecord record;
+        cr_assert(!decodeRunnerRecord(id, RunnerText, record));
+    }
+}
+
+// Guards against odd numbers in the other lists that other programs write: the configuration, jobs and lists of runs.
+Test(wire, oddNumbersElsewhere)
+{
+    const auto with = [](std::string_view text, const std::string &from, const std::string &to) {
+        std::string copy(text);
+        return copy.replace(copy.find(from), from.size(), to);
+    };
+    for (const char *number : {"1e300", "1e400", "18446744073709551615"}) {
+        CellConfig config;
+        cr_assert(!decodeCellConfig(with(ConfigText, "1760128", number), config));
+        cr_assert(!decodeCellConfig(with(ConfigText, "1200", number), config));
+        SubmittedJob job;
+        cr_assert(!decodeSubmittedJob(with(JobBody, "500", number), job));
+        cr_assert(!decodeSubmittedJob(with(JobBody, "900", number), job));
+    }
+    RunnerReply reply;
+    decodeRunnerReply(RunnerCall{}, 200, with(HoldText, "41", "1e300"), reply);
+    cr_assert(reply.status_ == RunnerStatus::Ok);
+    cr_assert_eq(reply.active_.at(0).percent_, INT32_MAX);
+}
+
+// Guards against a list of the store that is never followed again because of one item.
+Test(wire, oneUnreadableItemLeavesTheOthers)
+{
+    KvCall call;
+    call.space_ = KvSpace::Discovery;
+    for (const char *list : {"items", "events"}) {
+        call.op_ = list[0] == 'i' ? KvOp::Range : KvOp::Watch;
+        KvReply reply;
+        decodeKvReply(
+            call, 200,
+            std::string("{\"") + list
+                + R"(":[{"Key":"servers/a","Value":"bm9kZS0x","Revision":4},)"
+                  R"({"Key":"servers/b","Value":"*not base64*","Revision":5},{"Key":"servers/c","Value":7,"Revision":6},)"
+                  R"({"Key":7,"Value":"","Revision":7},5,{"Key":"servers/d","Value":"","Revision":1e300},)"
+                  R"({"Key":"servers/e","Value":"bm9kZS0x","Revision":8}],"AtRev":8})",
+            reply);
+        cr_assert(reply.status_ == KvStatus::Ok);
+        cr_assert_eq(reply.items_.size(), 4);
+        cr_assert_eq(reply.items_.at(0).value_, "node-1");
+        cr_assert_eq(reply.items_.at(1).key_, "b");
+        cr_assert(reply.items_.at(1).value_.empty() && !reply.items_.at(1).removed_);
+        cr_assert_eq(reply.items_.at(3).key_, "e");
+        cr_assert_eq(reply.unreadableItems_, 5);
+    }
+}
