Fix: [control] A former leader is recorded with the epoch in which it led

Found while reading the change again: when a daemon knows of an epoch of its own that it never led in, the leader before it was recorded under that epoch, so that its announcement that it stepped down did not count. Waits could be longer than needed; nothing ran twice. No test: the wait is an upper bound either way.

--- a/src/core/control/control_base.h
+++ b/src/core/control/control_base.h
@@ -129,6 +129,7 @@
     // daemon only while cell_ is set.
     DaemonId leader_;
     DaemonId lastLeader_; // last known leader; not cleared when that leader steps down
+    CellEpoch lastLeaderEpoch_; // epoch in which lastLeader_ led
     bool leaderKeyExists_ = false;
     std::uint64_t leaderKeyRevision_ = 0; // store revision of the leader key; 0: the key does not exist
     bool mayReplaceLeader_ = false; // an election may replace a leader key that still exists, see pollElection()
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -99,7 +99,7 @@
         add(epoch, leader.daemon_);
     }
     if (!control.lastLeader_.empty()) {
-        add(control.epoch_, control.lastLeader_);
+        add(control.lastLeaderEpoch_, control.lastLeader_);
     }
     return text;
 }
@@ -133,7 +133,7 @@
         return;
     }
     if (epoch > control.epoch_) { // the leader of epoch_ may have renewed its session until now
-        addFormerLeader(control, control.epoch_, control.lastLeader_, now.steady_);
+        addFormerLeader(control, control.lastLeaderEpoch_, control.lastLeader_, now.steady_);
     }
     addKnownEpoch(control, epoch);
     control.epoch_ = epoch;
@@ -142,6 +142,7 @@
     control.leaderSilent_ = false;
     if (!control.leader_.empty()) {
         control.lastLeader_ = leader;
+        control.lastLeaderEpoch_ = epoch;
     }
     JsonObject line = beginLogLine(isUnclaimed ? "leader-unclaimed" : "leader");
     line.number("epoch", static_cast<std::int64_t>(epoch.value_)).text("leader", leader.value_);
