Fix: [cell] The risks of a gang are stored in one go

What callers could see: a gang that starts late after the crash of a runner that had several of its members, since the risk of each was stored, and waited for, before the next.

The test risksOfAGangAreStoredTogether failed before the change and passes with it. progressOfAnEarlierVersionIsRead guards progress records without the risks; it held before.

--- a/src/core/cell/placement.cpp
+++ b/src/core/cell/placement.cpp
@@ -274,11 +274,15 @@
         checkpoint = std::max(checkpoint, task.checkpoint_);
     }
     const std::uint64_t run = nextRun(context.job_, used);
-    for (std::uint32_t i = 0; i < context.spec_.count_; ++i) {
-        if (isSuspect(step.tasks_[i]) && !prepareSuspect(cell, context.job_, taskOf(context, i), run, now, actions)) {
-            return PlaceResult::Blocked;
+    bool prepared = true; // all risks are in the store
+    for (std::uint32_t i = 0; i < context.spec_.count_ && !isFinal(context.job_); ++i) {
+        if (isSuspect(step.tasks_[i])) {
+            prepared = prepareSuspect(cell, context.job_, taskOf(context, i), run, now, actions) && prepared;
         }
     }
+    if (!prepared) {
+        return PlaceResult::Blocked;
+    }
     for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
         step.tasks_[i].checkpoint_ = checkpoint;
         startTask(cell, context, i, candidates[chosen[i]], run, now, actions);
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -960,6 +960,42 @@
     cr_assert_geq(world->startsOf(FirstTask), 2);
 }
 
+// Guards against a gang that waits for the store once for each of its members, after the crash of a runner that had
+// several of them.
+Test(cell, risksOfAGangAreStoredTogether)
+{
+    CellWorld world(1, 2);
+    world.listRunners();
+    world.run(Milliseconds(300));
+    world.submit(1, 8, 1'000, true);
+    world.run(Milliseconds(200));
+    cr_assert_eq(world.startCount(), 8);
+    crashHolder(world, FirstTask);
+    world.run(Milliseconds(300));
+    cr_assert_eq(world.startCount(), 16);
+    cr_assert_leq(world.writes_.at("progress/0000000000000001"), 2);
+}
+
+// Guards against progress that is lost because an earlier version stored it, without the risks of tasks.
+Test(cell, progressOfAnEarlierVersionIsRead)
+{
+    CellWorld before;
+    before.listRunners();
+    before.submit(1, 2, 8'000);
+    before.run(Milliseconds(300));
+    before.endRun(before.runnerOf(FirstTask), FirstTask, RunEnd::Done);
+    before.run(Milliseconds(300));
+    std::string &progress = before.stored_.at("progress/0000000000000001");
+    cr_assert_eq(progress.front(), '\x96', "an array of six fields");
+    cr_assert_eq(progress.back(), '\x90', "of which the last one, the risks, is empty");
+    progress.front() = '\x95';
+    progress.pop_back();
+    CellWorld world(2);
+    recoverFrom(world, before, {1});
+    world.run(Milliseconds(500));
+    cr_assert_eq(world.startsOf(FirstTask), 1, "the task was started again after it had ended");
+}
+
 // Guards against a start that the store does not know of: a crash that follows it would be lost with the leader.
 Test(cell, suspectStartsOnlyWhenTheStoreHasItsRisk)
 {
