Fix: [cell] Suspects of a step wait for each other only after two earlier crashes

What callers could see: tasks of one step that start one after the other after a single crash of their runner, and a long-running task that never starts again because it waits for the end of another one.

Cause: the run that is recorded before a start counted as one of the two risky runs after which a suspect is isolated; and a long-running task has no end to wait for.

Change: the run of the present start does not count for its own isolation; long-running tasks are not isolated, their budget stays.

The tests tasksOfACrashedRunnerStartAgainTogether and longRunningTasksStartAgainAfterTwoCrashes failed before the change and pass with it.

--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -47,6 +47,7 @@
     std::uint64_t endedRun_ = 0; // highest run whose end was handled
     std::vector<std::uint64_t> failedRuns_; // run numbers of failed runs; stays empty for long-running tasks and gangs
     std::vector<RiskyRun> riskyRuns_; // see crashes.cpp
+    std::uint64_t riskedRun_ = 0; // run that this leader has last recorded as risky before its start; 0: none
     std::uint64_t riskVersion_ = 0; // version of the job from which on riskyRuns_ is as it is now
     TimePoint isolationUntil_; // the next start waits for an empty runner until then; empty: not waiting
     std::string checkpoint_; // where the next run resumes; empty: start from the beginning
--- a/src/core/cell/crashes.cpp
+++ b/src/core/cell/crashes.cpp
@@ -3,8 +3,8 @@
 // A crash of a runner makes a suspect of each task that it had. The next start of a suspect is recorded in the store
 // before it is sent, as a risky run; the record is removed when the runner has survived the run. A crash therefore
 // counts across a change of leader and an outage of the store, also if no leader lives to see it. After IsolationRuns
-// risky runs, the task gets a runner for itself. After MaxRiskyRuns, and at least MinSeenCrashes crashes that a leader
-// has seen, the task is given up and its job fails.
+// risky runs, a task that is not long-running gets a runner for itself. After MaxRiskyRuns, and at least MinSeenCrashes
+// crashes that a leader has seen, the task is given up and its job fails.
 //
 // A rack that loses power takes down runners that have no job in common; their crashes are not counted.
 #include "core/cell/cell_internal.h"
@@ -17,7 +17,7 @@
 
 static constexpr std::size_t MaxRiskyRuns = 3; // the published budget allows two further starts
 static constexpr std::size_t MinSeenCrashes = 2; // a risky run that was never sent must not fail a job by itself
-static constexpr std::size_t IsolationRuns = 2;
+static constexpr std::size_t IsolationRuns = 2; // risky runs before the start that is isolated
 static constexpr Milliseconds IsolationWait{3'000}; // a start that finds no empty runner for this long goes elsewhere
 static constexpr Milliseconds RackLossWindow{2'000}; // runners of a rack are found to be lost within this time
 static constexpr std::size_t MinRackLossRunners = 3; // smallest number of crashed runners that counts as a lost rack
@@ -30,9 +30,18 @@
     return !task.riskyRuns_.empty();
 }
 
+// True when the next start of the task, or its present one, is isolated. The run of this start does not count.
+static bool isIsolated(const TaskRecord &task)
+{
+    const auto earlier = std::count_if(task.riskyRuns_.begin(), task.riskyRuns_.end(), [&task](const RiskyRun &risky) {
+        return risky.crashed_ || risky.run_ != task.riskedRun_;
+    });
+    return static_cast<std::size_t>(earlier) >= IsolationRuns;
+}
+
 bool needsIsolation(const TaskRecord &task, TimePoint now)
 {
-    return task.riskyRuns_.size() > IsolationRuns && now < task.isolationUntil_;
+    return isIsolated(task) && now < task.isolationUntil_;
 }
 
 static std::vector<RiskyRun>::iterator findRiskyRun(TaskRecord &task, std::uint64_t run)
@@ -79,6 +88,7 @@
             return false;
         }
         task.riskyRuns_.push_back({run, false});
+        task.riskedRun_ = run;
         task.isolationUntil_ = now.steady_ + IsolationWait;
         storeRisk(cell, job, task);
     }
@@ -90,7 +100,7 @@
     bool isolates = false;
     bool runs = false;
     for (const TaskRecord &task : step.tasks_) {
-        isolates = isolates || task.riskyRuns_.size() >= IsolationRuns;
+        isolates = isolates || isIsolated(task);
         runs = runs || (isSuspect(task) && task.state_ == TaskState::Placed);
     }
     return isolates && runs;
--- a/src/core/cell/placement.cpp
+++ b/src/core/cell/placement.cpp
@@ -295,14 +295,15 @@
                                   std::vector<Candidate> &candidates, std::uint64_t run, CellTime now,
                                   CellActions &actions)
 {
-    if (mustSuspectsWait(context.step_)) {
+    const bool mayIsolate = !context.spec_.longRunning_; // others would wait for its end
+    if (mayIsolate && mustSuspectsWait(context.step_)) {
         return SuspectResult::Waits;
     }
     Job &job = context.job_;
     if (!prepareSuspect(cell, job, taskOf(context, index), run, now, actions)) {
         return isFinal(job) ? SuspectResult::JobFailed : SuspectResult::Waits;
     }
-    const bool isolated = needsIsolation(context.step_.tasks_[index], now.steady_);
+    const bool isolated = mayIsolate && needsIsolation(context.step_.tasks_[index], now.steady_);
     Candidate *best = bestCandidateForSuspect(candidates, reservedSize(context.spec_), isolated);
     if (best == nullptr) {
         return SuspectResult::Waits;
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -996,6 +996,42 @@
     cr_assert_eq(world.startsOf(FirstTask), 1, "the task was started again after it had ended");
 }
 
+// Guards against tasks that wait for each other after one crash of a runner that had several of a step.
+Test(cell, tasksOfACrashedRunnerStartAgainTogether)
+{
+    CellWorld world;
+    world.listRunners();
+    world.run(Milliseconds(300));
+    world.submit(1, 4, 2'000);
+    world.run(Milliseconds(100));
+    cr_assert_eq(world.startCount(), 4);
+    crashHolder(world, FirstTask);
+    world.run(Milliseconds(500));
+    cr_assert_eq(world.startCount(), 8);
+}
+
+// Guards against a long-running task that never starts again because it waits for the end of another one of its step.
+Test(cell, longRunningTasksStartAgainAfterTwoCrashes)
+{
+    CellWorld world;
+    world.listRunners();
+    world.run(Milliseconds(300));
+    CellRequest request = world.submission(1, 2, 2'000);
+    request.submitted_.steps_[0].longRunning_ = true;
+    world.send(request);
+    for (int crash = 0; crash < 2; ++crash) {
+        world.run(Milliseconds(500));
+        crashHolder(world, FirstTask);
+        if (!world.runnerOf({StagedJobId{1}, 0, 0, 1}).empty()) {
+            crashHolder(world, {StagedJobId{1}, 0, 0, 1});
+        }
+    }
+    world.run(Milliseconds(1'000));
+    for (std::uint32_t i = 0; i < 2; ++i) {
+        cr_assert(!world.runnerOf({StagedJobId{1}, 0, 0, i}).empty(), "task %u", i);
+    }
+}
+
 // Guards against a start that the store does not know of: a crash that follows it would be lost with the leader.
 Test(cell, suspectStartsOnlyWhenTheStoreHasItsRisk)
 {
