Fix: [daemon] The log's thread ends before the process exits

Cause: tests started the log and never stopped it. Its thread was joined by the destructor of a static object, and went on to write the pending lines while the exit destroyed static objects of log4cxx that are created on the first write, so before that destructor runs. The thread then read a level that was gone (SIGSEGV in AppenderSkeleton:: isAsSevereAsThreshold). Criterion prints "crashed during its setup or teardown" and fails the run, with no failed test. The daemon was not affected: main() stops the log.

Ruled out: a test or a time bound that failed (the summary counts none, and the timeouts are 30 s and more); the daemon's own threads (the stack has main() and the log's thread only).

Change: LogScope runs the log for as long as it lives; startLog(), stopLog() and the static object with the thread are gone, so that a log without an end does not compile. main() and the three test fixtures hold one.

--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -38,36 +38,11 @@
 static constexpr LogQueueLimits QueueLimits{512 * 1024, 2 * 1024 * 1024};
 static constexpr std::size_t MaxWriteBytes = 4'096 - 1; // PIPE_BUF without the line break
 
-namespace
+// The queue of structured lines. It outlives the LogScope, because any thread may add lines later.
+static LogQueue &structuredQueue()
 {
-
-// The queue of structured lines and the thread that writes them.
-struct StructuredLog
-{
-    StructuredLog() = default;
-    StructuredLog(const StructuredLog &) = delete;
-    StructuredLog &operator=(const StructuredLog &) = delete;
-    ~StructuredLog() { stop(); }
-
-    // Writes the queued lines and ends the thread.
-    void stop()
-    {
-        queue_.close();
-        if (writer_.joinable()) {
-            writer_.join();
-        }
-    }
-
-    LogQueue queue_{QueueLimits};
-    std::thread writer_; // runs from startLog() to stop()
-};
-
-} // namespace
-
-static StructuredLog &structuredLog()
-{
-    static StructuredLog log;
-    return log;
+    static LogQueue queue(QueueLimits);
+    return queue;
 }
 
 // "2026-01-31 23:59:59.999", in UTC.
@@ -127,7 +102,7 @@
     }
 }
 
-void startLog(std::string_view level)
+LogScope::LogScope(std::string_view level)
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{ISO8601} %-5p %m%n"));
     const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
@@ -145,11 +120,15 @@
     structured->removeAllAppenders();
     structured->setAdditivity(false);
     structured->addAppender(output);
-    StructuredLog &log = structuredLog();
-    if (!log.writer_.joinable()) {
-        std::setvbuf(stdout, nullptr, _IOFBF, MaxWriteBytes + 1);
-        log.writer_ = std::thread([&log, structured] { writeQueuedLines(log.queue_, structured); });
-    }
+    std::setvbuf(stdout, nullptr, _IOFBF, MaxWriteBytes + 1);
+    writer_ = std::thread([structured] { writeQueuedLines(structuredQueue(), structured); });
+}
+
+LogScope::~LogScope()
+{
+    structuredQueue().close();
+    writer_.join();
+    log4cxx::LogManager::shutdown();
 }
 
 void writeStructuredLog(std::span<const LogLine> lines)
@@ -169,13 +148,13 @@
         queued.push_back({rate, std::move(text.append(object))});
     }
     if (!queued.empty()) {
-        structuredLog().queue_.put(std::move(queued));
+        structuredQueue().put(std::move(queued));
     }
 }
 
 LogDrops droppedLogLines()
 {
-    return structuredLog().queue_.drops();
+    return structuredQueue().drops();
 }
 
 void writeLog(LogLevel level, std::string_view text)
@@ -194,10 +173,4 @@
     }
 }
 
-void stopLog()
-{
-    structuredLog().stop();
-    log4cxx::LogManager::shutdown();
-}
-
 } // namespace mimosapier
--- a/src/daemon/log_func.h
+++ b/src/daemon/log_func.h
@@ -7,13 +7,27 @@
 
 #include <span>
 #include <string_view>
+#include <thread>
 
 namespace mimosapier
 {
 
-// Sets up both outputs. `level` is the lowest level written to stderr: "debug", "info", "warning" or "error"; any other
-// value means "info". Structured lines are written at all levels.
-void startLog(std::string_view level);
+// The running log of the process, at most one. Both outputs are written from its construction to its destruction. It
+// has to be destroyed before the process exits: its threads use static objects of the log library.
+class LogScope
+{
+public:
+    // `level` is the lowest level written to stderr: "debug", "info", "warning" or "error"; any other value means
+    // "info". Structured lines are written at all levels.
+    explicit LogScope(std::string_view level);
+    // Writes the pending lines. Lines that come later are dropped. Blocks while stdout is stuck.
+    ~LogScope();
+    LogScope(const LogScope &) = delete;
+    LogScope &operator=(const LogScope &) = delete;
+
+private:
+    std::thread writer_; // writes the structured lines
+};
 
 // Writes one line to stderr. `text` starts with the name of its part, for example "[peer]". Lines are dropped when the
 // output is stuck. May be called from any thread.
@@ -28,7 +42,4 @@
 // Structured lines dropped since the start of the process. May be called from any thread.
 LogDrops droppedLogLines();
 
-// Writes the pending lines and closes the log. Call last. Blocks while stdout is stuck.
-void stopLog();
-
 } // namespace mimosapier
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -63,13 +63,12 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 
-    startLog(result.settings_.logLevel_);
+    const LogScope log(result.settings_.logLevel_);
     const bool cell = !result.settings_.cell_.readyAddress_.empty();
     const int exitCode
         = cell ? runProcess<CellProcess>(result.settings_, signals) : runProcess<Process>(result.settings_, signals);
     const LogLine stopped{LogLevel::Info, R"({"event":"stopped"})"};
     writeStructuredLog(std::span(&stopped, 1));
     writeLog(LogLevel::Info, "[daemon] Stopped.");
-    stopLog();
     return exitCode;
 }
--- a/tests/daemon/test_log.cpp
+++ b/tests/daemon/test_log.cpp
@@ -3,8 +3,12 @@
 #include "http/json_func.h"
 
 #include <criterion/criterion.h>
+#include <fcntl.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
+#include <cstdlib>
+#include <optional>
 #include <sstream>
 #include <thread>
 
@@ -37,7 +41,7 @@
     cr_assert(pipe(output.data()) == 0);
     cr_assert(dup2(output[1], STDOUT_FILENO) == STDOUT_FILENO);
     close(output[1]);
-    startLog("error");
+    std::optional<LogScope> log(std::in_place, "error");
     for (int i = 0; i < FloodLines; ++i) {
         const LogLine frequent = logLine("start", i);
         writeStructuredLog(std::span(&frequent, 1));
@@ -48,7 +52,7 @@
     }
     std::string text;
     std::thread reader([&] { text = readAll(output[0]); });
-    stopLog();
+    log.reset();
     fclose(stdout);
     close(STDOUT_FILENO);
     reader.join();
@@ -72,6 +76,39 @@
     cr_assert(dropped > 0);
 }
 
+// Writes lines in a process of its own and exits in the midst of them. Result: the status of waitpid().
+static int exitWhileLogging(int lines)
+{
+    const pid_t child = fork();
+    cr_assert(child >= 0);
+    if (child == 0) {
+        const int null = open("/dev/null", O_WRONLY);
+        dup2(null, STDOUT_FILENO);
+        {
+            const LogScope log("error");
+            for (int i = 0; i < lines; ++i) {
+                const LogLine line = logLine("start", i);
+                writeStructuredLog(std::span(&line, 1));
+            }
+        }
+        std::exit(0);
+    }
+    int status = 0;
+    cr_assert(waitpid(child, &status, 0) == child);
+    return status;
+}
+
+// Guards against a thread that still writes while the process exits, when static objects of the log library are gone.
+Test(log, processThatLogsExitsCleanly, .timeout = 60)
+{
+    constexpr int Processes = 500;
+    constexpr int MaxLines = 40;
+    for (int i = 0; i < Processes; ++i) {
+        const int status = exitWhileLogging(i % MaxLines);
+        cr_assert(status == 0, "process %d: wait status %d", i, status);
+    }
+}
+
 // Guards against frequent lines that use the room of rare ones, and against wrong counts of drops.
 Test(log, queueDropsByRate)
 {
--- a/tests/daemon/test_process.cpp
+++ b/tests/daemon/test_process.cpp
@@ -44,13 +44,13 @@
     explicit Daemon(const Settings &settings)
         : process_(settings)
     {
-        startLog("error");
         std::string detail;
         cr_assert(!process_.start(detail), "%s", detail.c_str());
         address_ = process_.callerAddress();
         cr_assert(waitFor([&] { return client_.call(address_, "GET", "/readyz").status_ == 200; }));
     }
 
+    LogScope log_{"error"};
     TestClient client_;
     Process process_;
     std::string address_;
--- a/tests/daemon/test_store_client.cpp
+++ b/tests/daemon/test_store_client.cpp
@@ -24,7 +24,6 @@
             settings(address, maxOpenOperations), thread_,
             [this](StoreResult result) { results_.push_back(std::move(result)); }, nullptr)
     {
-        startLog("error");
         thread_.start();
     }
     ~StoreFixture() { thread_.stop(); }
@@ -61,6 +60,7 @@
         return settings;
     }
 
+    LogScope log_{"error"};
     IoThread thread_;
     std::vector<StoreResult> results_;
     StoreClient client_;
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -43,7 +43,6 @@
 
     explicit Cluster(std::int64_t runMs = 50, bool policy = false)
     {
-        startLog("error");
         Json settings{{"run_ms", runMs}};
         settings["config"] = configuration(1, policy);
         platform_ = std::make_unique<PlatformService>(thread_.context(), settings);
@@ -142,6 +141,7 @@
         return found == tasks;
     }
 
+    LogScope log_{"error"};
     IoThread thread_;
     TestClient client_;
     std::unique_ptr<PlatformService> platform_;
