Fix: [control] A new leader sees a runner that begins to drain between two pages of the discovery list

Cause: handleFeedReply() kept the highest AtRev of all pages of the read, and the watch went on from there.

Ruled out: a lost watch event, the decoding of the record, and the stored list of runners: the test has none of these, and fails in the same way. The reads of the recovery have pages too, but their keys change only by transactions of a leader, which fail once the election has rewritten the lane keys.

Change: the watch goes on from the AtRev of the first page. It then reports changes again that a later page already had, in their order. The stand-ins' store serves ranges in pages of 500.

Test: runnerThatDrainsBetweenPagesIsSeen failed before and passes.

--- a/src/core/control/feeds.cpp
+++ b/src/core/control/feeds.cpp
@@ -235,8 +235,12 @@
             appendLogLine(actions, line);
         }
         feed.failures_ = 0;
+        // The pages of a read are not a snapshot: the watch has to report what changed after the first page was read.
+        const bool isLaterPage = reply.purpose_ == KvPurpose::ReadRunners && !control.runnersAfterKey_.empty();
+        if (!isLaterPage) {
+            feed.revision_ = std::max(feed.revision_, reply.revision_);
+        }
         feed.synced_ = true;
-        feed.revision_ = std::max(feed.revision_, reply.revision_);
         feed.nextCallAt_ = now.steady_;
         applyFeedReply(control, reply, now, actions);
         return;
--- a/src/standin/kv_model.h
+++ b/src/standin/kv_model.h
@@ -28,6 +28,7 @@
         std::uint64_t lease_ = 0;
     };
 
+    std::size_t maxPageItems_ = 500; // of one reply to a Range
     std::array<std::map<std::string, Entry>, 3> entries_; // by space
     std::deque<std::pair<KvSpace, KvItem>> history_; // changes, ascending by revision
     std::uint64_t compactedRevision_ = 0; // highest revision whose changes were discarded from history_
@@ -143,12 +144,19 @@
         return reply;
     }
 
+    // One page of a Range is consistent, but its pages together are not a snapshot.
     void read(const KvCall &call, KvReply &reply)
     {
         for (const auto &[key, entry] : space(call.space_)) {
-            if (call.op_ == KvOp::Get ? key == call.key_ : key.starts_with(call.key_)) {
-                reply.items_.push_back({key, entry.value_, entry.revision_, false});
+            const bool isOnPage = key.starts_with(call.key_) && (call.after_.empty() || key > call.after_);
+            if (call.op_ == KvOp::Get ? key != call.key_ : !isOnPage) {
+                continue;
+            }
+            if (reply.items_.size() == maxPageItems_) {
+                reply.more_ = true;
+                break;
             }
+            reply.items_.push_back({key, entry.value_, entry.revision_, false});
         }
         if (call.op_ == KvOp::Get && reply.items_.empty()) {
             reply.status_ = KvStatus::NotFound;
--- a/src/standin/platform_service.cpp
+++ b/src/standin/platform_service.cpp
@@ -219,6 +219,9 @@
     if (target.path_ == "/kv-key" || target.path_ == "/kv-range" || target.path_ == "/kv-watch") {
         call.op_ = target.path_ == "/kv-key" ? KvOp::Get : KvOp::Range;
         call.space_ = spaceOf(queryValue(target, call.op_ == KvOp::Get ? "Key" : "Prefix"), call.key_);
+        if (call.op_ == KvOp::Range) {
+            spaceOf(queryValue(target, "After"), call.after_);
+        }
         if (target.path_ == "/kv-watch") {
             call.op_ = KvOp::Watch;
             call.afterRevision_ = numberParameter(target, "After");
@@ -295,7 +298,7 @@
         json["events"] = std::move(items);
     } else if (call.op_ == KvOp::Range) {
         json["items"] = std::move(items);
-        json["HasMore"] = false;
+        json["HasMore"] = reply->more_;
     } else if (call.op_ == KvOp::Commit) {
         json["Revision"] = reply->revision_;
     } else {
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -472,6 +472,29 @@
     cr_assert(leader.control_->cell_->runners_.at(RunnerId("r0"))->record_.draining_);
 }
 
+// Guards against starts on a draining runner whose change falls between two pages of the discovery list: it is on
+// neither page, and a watch that goes on from the last page does not report it.
+Test(control, runnerThatDrainsBetweenPagesIsSeen)
+{
+    ControlCluster cluster(3, 4);
+    cluster.store_.maxPageItems_ = 2;
+    cluster.onStoreReply_ = [&cluster](ClusterDaemon &, const KvCall &call, const KvReply &) {
+        if (call.purpose_ != KvPurpose::ReadRunners) {
+            return;
+        }
+        if (call.after_.empty()) {
+            cluster.store_.write(KvSpace::Discovery, "r0", "leaving");
+        } else { // the daemon has decoded the first page
+            cluster.runners_.at(RunnerId("r0")).record_.draining_ = true;
+        }
+    };
+    cluster.run(StartupTime);
+    cr_assert_not_null(cluster.leader());
+    const Cell &cell = *cluster.leader()->control_->cell_;
+    cr_assert_eq(cell.runners_.size(), 4);
+    cr_assert(cell.runners_.at(RunnerId("r0"))->record_.draining_);
+}
+
 // Guards against task leases that expire, and against a change of leader, during a store outage of a few seconds.
 Test(control, storeOutageKeepsLeaderAndTasks)
 {
