Fix: [control] A leader ignores answers to store calls of its earlier epoch

What callers would see: a daemon that leads again within two seconds of stepping down may never learn of the runners, and then starts nothing for as long as it leads. Found by reading the paths beside the fault of the drained runners; no record shows it.

Cause: becomeLeader() resets the feed of the discovery list, but a watch of the earlier epoch may be in flight for two more seconds. Its answer marked the new feed as read. When the read of the new epoch then failed, it was not repeated.

Ruled out: the reads of the recovery (their replies carry the epoch) and the feeds of configuration and cluster keys (they are not reset while a call is in flight).

Change: a feed has the id of its call in flight and ignores answers to other calls.

Test: feedReplyOfAnEarlierEpochIsIgnored failed before (two of three runners unknown after 7 s) and passes.

--- a/src/core/control/control_base.h
+++ b/src/core/control/control_base.h
@@ -73,7 +73,7 @@
 // config_; members_, leader_ and epoch_; and the runners of cell_.
 struct Feed
 {
-    bool callInFlight_ = false;
+    std::uint64_t callInFlight_ = 0; // id of the call; 0: none
     bool synced_ = false; // the read is complete; the next calls are watches
     std::uint64_t revision_ = 0; // store revision up to which all changes are known
     TimePoint nextCallAt_;
--- a/src/core/control/control_internal.h
+++ b/src/core/control/control_internal.h
@@ -44,8 +44,8 @@
     return then == TimePoint{} ? -1 : std::chrono::duration_cast<Milliseconds>(now - then).count();
 }
 
-// Appends a store call, with the next free call id, to the actions. Defined in session.cpp.
-void sendKvCall(Control &control, KvCall call, ControlActions &actions);
+// Appends a store call, with the next free call id, to the actions. Result: the call id. Defined in session.cpp.
+std::uint64_t sendKvCall(Control &control, KvCall call, ControlActions &actions);
 
 // feeds.cpp: watches of the store, and the configuration.
 // Starts the next read or watch of each feed that has no call in flight.
--- a/src/core/control/feeds.cpp
+++ b/src/core/control/feeds.cpp
@@ -66,8 +66,7 @@
             call.after_ = control.runnersAfterKey_;
         }
     }
-    feed.callInFlight_ = true;
-    sendKvCall(control, std::move(call), actions);
+    feed.callInFlight_ = sendKvCall(control, std::move(call), actions);
 }
 
 void pollFeeds(Control &control, CellTime now, ControlActions &actions)
@@ -77,7 +76,7 @@
         if (spec.readPurpose_ == KvPurpose::ReadRunners && !isLeader(control)) {
             continue;
         }
-        if (!feed.callInFlight_ && now.steady_ >= feed.nextCallAt_) {
+        if (feed.callInFlight_ == 0 && now.steady_ >= feed.nextCallAt_) {
             sendFeedCall(control, spec, actions);
         }
     }
@@ -226,7 +225,10 @@
         return;
     }
     Feed &feed = control.*spec->feed_;
-    feed.callInFlight_ = false;
+    if (reply.id_ != feed.callInFlight_) {
+        return; // to a call of an earlier epoch of this daemon
+    }
+    feed.callInFlight_ = 0;
     if (reply.status_ == KvStatus::Ok) {
         if (feed.failures_ > 0) {
             JsonObject line = beginLogLine("store-regained");
--- a/src/core/control/session.cpp
+++ b/src/core/control/session.cpp
@@ -18,10 +18,11 @@
     return std::max(SessionTtl, control.settings_.cell_.minLease_);
 }
 
-void sendKvCall(Control &control, KvCall call, ControlActions &actions)
+std::uint64_t sendKvCall(Control &control, KvCall call, ControlActions &actions)
 {
     call.id_ = control.nextKvId_++;
     actions.cell_.kv_.push_back(std::move(call));
+    return actions.cell_.kv_.back().id_;
 }
 
 // Delays the next session call; the delay doubles with each consecutive failure up to a limit.
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -472,6 +472,32 @@
     cr_assert(leader.control_->cell_->runners_.at(RunnerId("r0"))->record_.draining_);
 }
 
+// Guards against a leader that never reads the discovery list, because it takes the answer to a call of its earlier
+// epoch for one of this epoch.
+Test(control, feedReplyOfAnEarlierEpochIsIgnored)
+{
+    ControlCluster cluster(1);
+    cluster.run(StartupTime + Milliseconds(700)); // a watch of the list has just begun
+    ClusterDaemon &daemon = *cluster.leader();
+    const CellEpoch before = daemon.control_->cell_->epoch_;
+    daemon.failRangeReads_ = true;
+    daemon.control_->cell_->superseded_ = true;
+    cluster.run(Milliseconds(10));
+    cluster.store_.write(KvSpace::Own, "cluster/other", ""); // answers the watch of the cluster keys
+    cluster.run(Milliseconds(1'000));
+    cr_assert(daemon.control_->cell_ && daemon.control_->cell_->epoch_ > before);
+    cluster.store_.write(KvSpace::Discovery, "r0", "up"); // answers the watch of the earlier epoch
+    cluster.run(Milliseconds(4'000));
+    daemon.failRangeReads_ = false;
+    cluster.run(Milliseconds(3'000));
+    cr_assert_eq(cluster.leader(), &daemon);
+    for (const auto &[id, model] : cluster.runners_) {
+        const auto runner = daemon.control_->cell_->runners_.find(id);
+        cr_assert(runner != daemon.control_->cell_->runners_.end() && runner->second->inDiscovery_, "%s",
+                  id.value_.c_str());
+    }
+}
+
 // Guards against starts on a draining runner whose change falls between two pages of the discovery list: it is on
 // neither page, and a watch that goes on from the last page does not report it.
 Test(control, runnerThatDrainsBetweenPagesIsSeen)
