Fix: [control] Cluster keys and configuration may come in several pages

What callers would see: no leader, or daemons that do not know each other, where the store returns the cluster keys in more than one page (PROTOCOL.md: at most about 500 items or 1 MB).

Cause: the feeds of the cluster keys and of the configuration ignored HasMore, and took the first page for the whole.

Ruled out: the reads of the recovery, which follow HasMore, and whose keys no other daemon writes after the election.

Change: all feeds read page by page and watch from the revision of the first page. Cluster keys and configuration are applied as a whole after the last page, because the absence of a key matters; what the read proves counts from the sending of its first page. Runners are applied page by page as before.

Test: clusterKeysComeInSeveralPages failed before (no leader) and passes.

--- a/src/core/control/control_base.h
+++ b/src/core/control/control_base.h
@@ -75,6 +75,8 @@
 {
     std::uint64_t callInFlight_ = 0; // id of the call; 0: none
     bool synced_ = false; // the read is complete; the next calls are watches
+    std::string afterKey_; // last key of the page read last; empty: the next read starts with the first page
+    KvReply pages_; // the pages read so far, for feeds that apply a read as a whole
     std::uint64_t revision_ = 0; // store revision up to which all changes are known
     TimePoint nextCallAt_;
     std::uint32_t failures_ = 0; // failed calls since the last successful one
@@ -148,7 +150,6 @@
     std::unique_ptr<Cell> cell_;
     RecoveryStage recoveryStage_ = RecoveryStage::None;
     std::array<RecoveryRead, RecoveryPartCount> recoveryReads_; // by RecoveryPart
-    std::string runnersAfterKey_; // last key of the previous page of the discovery list; empty: no page yet
     std::set<RunnerId> discoveredRunners_; // runners in the discovery pages and changes since the last complete read
     // Requests that this leader cannot handle yet or leaves to its successor, with the daemon that forwarded each. They
     // are handled after recovery, or answered NotLeader on stepping down.
--- a/src/core/control/feeds.cpp
+++ b/src/core/control/feeds.cpp
@@ -4,6 +4,7 @@
 #include "core/control/control_internal.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mimosapier::detail
 {
@@ -62,9 +63,7 @@
         call.purpose_ = spec.readPurpose_;
         call.op_ = KvOp::Range;
         call.timeout_ = ReadTimeout;
-        if (spec.readPurpose_ == KvPurpose::ReadRunners) {
-            call.after_ = control.runnersAfterKey_;
-        }
+        call.after_ = feed.afterKey_;
     }
     feed.callInFlight_ = sendKvCall(control, std::move(call), actions);
 }
@@ -158,12 +157,9 @@
     for (const KvItem &item : reply.items_) {
         applyRunnerItem(control, item, now, actions);
     }
-    if (reply.more_ && !reply.items_.empty()) {
-        control.runnersAfterKey_ = reply.items_.back().key_;
-        control.runnerFeed_.synced_ = false;
+    if (!control.runnerFeed_.synced_) {
         return;
     }
-    control.runnersAfterKey_.clear();
     if (control.cell_) {
         std::vector<RunnerId> unlisted;
         for (const auto &[id, runner] : control.cell_->runners_) {
@@ -216,6 +212,32 @@
     }
 }
 
+// Applies one page of a read. The pages are not a snapshot: the watch that follows has to report all changes since the
+// first page was read.
+static void applyPage(Control &control, Feed &feed, const KvReply &page, CellTime now, ControlActions &actions)
+{
+    const bool isFirst = feed.afterKey_.empty();
+    const bool isLast = !page.more_ || page.items_.empty();
+    feed.afterKey_ = isLast ? std::string() : page.items_.back().key_;
+    feed.synced_ = isLast;
+    if (isFirst) {
+        feed.revision_ = std::max(feed.revision_, page.revision_);
+    }
+    if (page.purpose_ == KvPurpose::ReadRunners) { // may be many; the cell takes them page by page
+        applyFeedReply(control, page, now, actions);
+        return;
+    }
+    if (isFirst) {
+        feed.pages_ = page; // with the send time of the first page, which limits what the read proves
+    } else {
+        feed.pages_.items_.insert(feed.pages_.items_.end(), page.items_.begin(), page.items_.end());
+    }
+    if (isLast) {
+        const KvReply whole = std::exchange(feed.pages_, {});
+        applyFeedReply(control, whole, now, actions);
+    }
+}
+
 void handleFeedReply(Control &control, const KvReply &reply, CellTime now, ControlActions &actions)
 {
     const auto spec = std::find_if(FeedSpecs.begin(), FeedSpecs.end(), [&reply](const FeedSpec &candidate) {
@@ -237,14 +259,14 @@
             appendLogLine(actions, line);
         }
         feed.failures_ = 0;
-        // The pages of a read are not a snapshot: the watch has to report what changed after the first page was read.
-        const bool isLaterPage = reply.purpose_ == KvPurpose::ReadRunners && !control.runnersAfterKey_.empty();
-        if (!isLaterPage) {
+        feed.nextCallAt_ = now.steady_;
+        if (reply.purpose_ == spec->readPurpose_) {
+            applyPage(control, feed, reply, now, actions);
+        } else {
+            feed.synced_ = true;
             feed.revision_ = std::max(feed.revision_, reply.revision_);
+            applyFeedReply(control, reply, now, actions);
         }
-        feed.synced_ = true;
-        feed.nextCallAt_ = now.steady_;
-        applyFeedReply(control, reply, now, actions);
         return;
     }
     JsonObject line = beginLogLine(reply.status_ == KvStatus::HistoryLost ? "history-lost" : "store-lost");
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -172,7 +172,6 @@
     applyConfig(*control.cell_, control.config_);
     control.recoveryStage_ = RecoveryStage::Reading;
     control.recoveryReads_ = {};
-    control.runnersAfterKey_.clear();
     control.discoveredRunners_.clear();
     control.runnerFeed_ = {};
     JsonObject line = beginLogLine("elected");
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -472,6 +472,28 @@
     cr_assert(leader.control_->cell_->runners_.at(RunnerId("r0"))->record_.draining_);
 }
 
+// Guards against daemons that do not know each other, or elect no leader, because the store returns the cluster keys in
+// several pages.
+Test(control, clusterKeysComeInSeveralPages)
+{
+    constexpr int Daemons = 5;
+    ControlCluster cluster(Daemons);
+    cluster.store_.maxPageItems_ = 2;
+    cluster.store_.write(KvSpace::Operator, "a", "");
+    cluster.store_.write(KvSpace::Operator, "b", ""); // "config" is on the second page
+    cluster.run(StartupTime);
+    cr_assert_not_null(cluster.leader());
+    ClusterDaemon &late = cluster.addDaemon("e#1"); // learns of all others by a read
+    cluster.run(StartupTime);
+    std::size_t listed = 0;
+    for (const auto &[daemon, member] : late.control_->members_) {
+        listed += member.listed_ ? 1 : 0;
+    }
+    cr_assert_eq(listed, Daemons);
+    cr_assert(isServing(*late.control_, cluster.now_));
+    cr_assert_eq(late.control_->leader_, cluster.leader()->id_);
+}
+
 // Guards against a leader that never reads the discovery list, because it takes the answer to a call of its earlier
 // epoch for one of this epoch.
 Test(control, feedReplyOfAnEarlierEpochIsIgnored)
