Fix: [control] A runner that leaves during lost history is forgotten although it had changed before

What callers would see: starts on a runner that has left the discovery list, until they fail one by one.

Cause: the set of runners that a complete read has named also took the runners of watch events since the last read. After the store had discarded its history, the next read counted them as listed.

Ruled out: the removal itself; a runner without a change before the loss was removed.

Change: the set takes the runners of the pages only.

Test: runnerRemovedInLostHistoryIsForgotten failed before and passes.

--- a/src/core/control/control_base.h
+++ b/src/core/control/control_base.h
@@ -150,7 +150,7 @@
     std::unique_ptr<Cell> cell_;
     RecoveryStage recoveryStage_ = RecoveryStage::None;
     std::array<RecoveryRead, RecoveryPartCount> recoveryReads_; // by RecoveryPart
-    std::set<RunnerId> discoveredRunners_; // runners in the discovery pages and changes since the last complete read
+    std::set<RunnerId> discoveredRunners_; // on the pages of the discovery list read so far
     // Requests that this leader cannot handle yet or leaves to its successor, with the daemon that forwarded each. They
     // are handled after recovery, or answered NotLeader on stepping down.
     std::vector<std::pair<DaemonId, CellRequest>> deferredRequests_;
--- a/src/core/control/feeds.cpp
+++ b/src/core/control/feeds.cpp
@@ -141,7 +141,6 @@
         removeRunner(*control.cell_, RunnerId(item.key_), now, actions.cell_);
     } else if (control.decoders_.runner_(item.key_, item.value_, record)) {
         updateRunner(*control.cell_, record, now, actions.cell_);
-        control.discoveredRunners_.insert(record.id_);
     } else {
         JsonObject line = beginLogLine("bad-discovery-entry");
         line.text("key", item.key_).number("bytes", static_cast<std::int64_t>(item.value_.size()));
@@ -156,6 +155,7 @@
 {
     for (const KvItem &item : reply.items_) {
         applyRunnerItem(control, item, now, actions);
+        control.discoveredRunners_.insert(RunnerId(item.key_));
     }
     if (!control.runnerFeed_.synced_) {
         return;
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -472,6 +472,24 @@
     cr_assert(leader.control_->cell_->runners_.at(RunnerId("r0"))->record_.draining_);
 }
 
+// Guards against starts on a runner that left while the leader could not follow the discovery list, and that had changed
+// before.
+Test(control, runnerRemovedInLostHistoryIsForgotten)
+{
+    ControlCluster cluster;
+    cluster.run(StartupTime);
+    cluster.store_.write(KvSpace::Discovery, "r0", "changed");
+    cluster.run(Milliseconds(100));
+    cluster.store_.space(KvSpace::Discovery).erase("r0");
+    cluster.store_.compactedRevision_ = ++cluster.store_.revision_;
+    cluster.run(Milliseconds(500));
+    cr_assert_not_null(cluster.leader());
+    const auto &runners = cluster.leader()->control_->cell_->runners_;
+    const auto removed = runners.find(RunnerId("r0"));
+    cr_assert(removed == runners.end() || !removed->second->inDiscovery_);
+    cr_assert(runners.at(RunnerId("r1"))->inDiscovery_);
+}
+
 // Guards against daemons that do not know each other, or elect no leader, because the store returns the cluster keys in
 // several pages.
 Test(control, clusterKeysComeInSeveralPages)
