--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -472,8 +472,8 @@
     cr_assert(leader.control_->cell_->runners_.at(RunnerId("r0"))->record_.draining_);
 }
 
-// Guards against starts on a runner that left while the leader could not follow the discovery list, and that had changed
-// before.
+// Guards against starts on a runner that left while the leader could not follow the discovery list, and that had
+// changed before.
 Test(control, runnerRemovedInLostHistoryIsForgotten)
 {
     ControlCluster cluster;
