Fix: [cell] A leader that was replaced denies no job of its successor

What callers saw: a client cancelled its job at a daemon that was cut off from the store and from its peers, and got 410.

Cause: the daemon still took itself for the leader. cancel() and query() took a job that is not in memory for one that does not exist, although the successor may have accepted it.

Ruled out: ending the leadership sooner (in an outage of the store for all daemons leaders have to go on); a read of the job's own keys (one read a request, and the leader would not learn that it was replaced).

Change: the answer waits for a read of the leader key that was sent after the request had arrived. One read serves all requests that wait. Without a proof within 0.7 s they are refused with 503 and a Retry-After; a leader that finds another holder steps down, and the requests go to that one. The three places that noted a later leader share markSuperseded().

--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -200,6 +200,7 @@
     }
     sendPolicyQueries(cell, now, actions);
     flushLanes(cell, now, actions);
+    pollLeadershipCheck(cell, now, actions);
 }
 
 } // namespace mimosapier
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -296,6 +296,22 @@
     TimePoint countedAt_;
 };
 
+// A request of which the answer depends on whether this daemon still leads, see leadership_check.cpp.
+struct UnconfirmedRequest
+{
+    DaemonId from_;
+    CellRequest request_;
+    TimePoint arrivedAt_;
+};
+
+struct LeadershipCheck
+{
+    std::deque<UnconfirmedRequest> requests_; // oldest first
+    std::uint64_t callInFlight_ = 0; // id of the read of the leader key; 0: none
+    TimePoint sentAt_; // of the read in flight
+    TimePoint nextReadAt_;
+};
+
 // AcceptLane writes the records of new jobs, ProgressLane everything else.
 enum CellLane : std::uint8_t { AcceptLane, ProgressLane, LaneCount };
 
@@ -317,6 +333,7 @@
     std::vector<PolicyQuerier> queriers_; // daemons that can send policy queries
     std::map<std::string, double> allowedShare_; // by queue: smoothed fraction of queried runners that are allowed
     std::array<CommitLane, LaneCount> lanes_;
+    LeadershipCheck leadershipCheck_;
     std::deque<StagedJobId> acceptQueue_; // jobs that wait to be stored
     std::deque<StagedJobId> dirtyJobs_; // jobs whose progress has to be stored
     bool runnersDirty_ = false; // the stored list of runners is out of date
--- a/src/core/cell/cell_func.h
+++ b/src/core/cell/cell_func.h
@@ -58,6 +58,9 @@
                         CellActions &actions);
 void handleLaneReply(Cell &cell, const KvReply &reply, CellTime now, CellActions &actions);
 
+// Reply of the store to a read of the leader key (purpose ConfirmLeadership). Answers the requests that waited for it.
+void handleLeadershipReply(Cell &cell, const KvReply &reply, CellTime now, CellActions &actions);
+
 // Runs the timers and starts what has become possible: task starts, policy queries, holds, transactions and retries.
 void advanceCell(Cell &cell, CellTime now, CellActions &actions);
 
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -48,6 +48,26 @@
 JsonObject logEvent(std::string_view event);
 void addLogLine(CellActions &actions, JsonObject &object, LogLevel level = LogLevel::Info);
 
+// Defined in leadership_check.cpp.
+
+// Records that a later leader was elected; `by`: who has shown it.
+void markSuperseded(Cell &cell, std::string_view by, CellActions &actions);
+// Keeps the request until the store has shown that this daemon led after the request's arrival. Then handles it again
+// as Confirmed; without this proof, replies Unavailable.
+void waitForLeadershipCheck(Cell &cell, const DaemonId &from, const CellRequest &request, CellTime now,
+                            CellActions &actions);
+// Starts the reads that waiting requests need; refuses those that have waited too long.
+void pollLeadershipCheck(Cell &cell, CellTime now, CellActions &actions);
+
+// Defined in submit_cmd.cpp.
+
+enum class Leadership : std::uint8_t {
+    Assumed, // another daemon may have replaced this one meanwhile
+    Confirmed, // the store has shown that this daemon led after the request's arrival
+};
+void handleRequestAs(Cell &cell, Leadership leadership, const DaemonId &from, const CellRequest &request, CellTime now,
+                     CellActions &actions);
+
 // Defined in jobs.cpp.
 
 // Scheduled start of an occurrence, in Unix milliseconds.
--- a/src/core/cell/lanes.cpp
+++ b/src/core/cell/lanes.cpp
@@ -294,10 +294,7 @@
         transaction.retryAt_ = now.steady_ + FirstRetryDelay;
         return;
     }
-    cell.superseded_ = true;
-    JsonObject line = logEvent("superseded");
-    line.text("by", "store").number("epoch", static_cast<std::int64_t>(cell.epoch_.value_));
-    addLogLine(actions, line, LogLevel::Warning);
+    markSuperseded(cell, "store", actions);
 }
 
 void handleLaneReply(Cell &cell, const KvReply &reply, CellTime now, CellActions &actions)
--- /dev/null
+++ b/src/core/cell/leadership_check.cpp
@@ -0,0 +1,96 @@
+// Proof that this daemon leads, for answers that would be wrong from a leader that has been replaced.
+//
+// A leader that is cut off learns late of its successor. Its starts are fenced by the runners and its writes by the
+// store, but "no such job" is an answer from memory: the successor may have accepted the job. Such an answer waits for
+// a read of the leader key that was sent after the request had arrived. One read serves all requests that wait for it.
+#include "core/cell/cell_internal.h"
+
+#include <utility>
+
+namespace mimosapier
+{
+
+using namespace detail;
+
+static constexpr Milliseconds ReadInterval{50}; // the store's reads are billed
+static constexpr Milliseconds ReadTimeout{500};
+// Requests without a proof for this long are refused, early enough for the client to ask another daemon.
+static constexpr Milliseconds CheckTimeout{700};
+static constexpr std::size_t MaxUnconfirmedRequests = 4'000; // memory: under 1 KB each
+
+static void refuse(const DaemonId &from, const CellRequest &request, CellActions &actions)
+{
+    actions.replies_.push_back({from, {request.call_, CellOutcome::Unavailable, {}, 0, StoreRetryAfter}});
+}
+
+void detail::markSuperseded(Cell &cell, std::string_view by, CellActions &actions)
+{
+    if (std::exchange(cell.superseded_, true)) {
+        return;
+    }
+    JsonObject line = logEvent("superseded");
+    line.text("by", by).number("epoch", static_cast<std::int64_t>(cell.epoch_.value_));
+    addLogLine(actions, line, LogLevel::Warning);
+}
+
+void detail::waitForLeadershipCheck(Cell &cell, const DaemonId &from, const CellRequest &request, CellTime now,
+                                    CellActions &actions)
+{
+    if (cell.leadershipCheck_.requests_.size() >= MaxUnconfirmedRequests) {
+        refuse(from, request, actions);
+        return;
+    }
+    cell.leadershipCheck_.requests_.push_back({from, request, now.steady_});
+}
+
+void detail::pollLeadershipCheck(Cell &cell, CellTime now, CellActions &actions)
+{
+    LeadershipCheck &check = cell.leadershipCheck_;
+    std::int64_t refused = 0;
+    while (!check.requests_.empty() && now.steady_ >= check.requests_.front().arrivedAt_ + CheckTimeout) {
+        refuse(check.requests_.front().from_, check.requests_.front().request_, actions);
+        check.requests_.pop_front();
+        ++refused;
+    }
+    if (refused > 0) {
+        JsonObject line = logEvent("leadership-unconfirmed");
+        line.number("epoch", static_cast<std::int64_t>(cell.epoch_.value_)).number("refused", refused);
+        addLogLine(actions, line, LogLevel::Warning);
+    }
+    if (check.requests_.empty() || check.callInFlight_ != 0 || now.steady_ < check.nextReadAt_) {
+        return;
+    }
+    KvCall call;
+    call.id_ = cell.nextCallId_++;
+    call.purpose_ = KvPurpose::ConfirmLeadership;
+    call.op_ = KvOp::Get;
+    call.key_ = std::string(LeaderKey);
+    call.timeout_ = ReadTimeout;
+    check.callInFlight_ = call.id_;
+    check.sentAt_ = now.steady_;
+    check.nextReadAt_ = now.steady_ + ReadInterval;
+    actions.kv_.push_back(std::move(call));
+}
+
+void handleLeadershipReply(Cell &cell, const KvReply &reply, CellTime now, CellActions &actions)
+{
+    LeadershipCheck &check = cell.leadershipCheck_;
+    if (reply.id_ != check.callInFlight_) {
+        return;
+    }
+    check.callInFlight_ = 0;
+    if (reply.status_ != KvStatus::Ok || reply.items_.empty()) {
+        return; // the key is gone with the session, or the store did not answer: read again
+    }
+    if (reply.items_.front().value_ != cell.self_.value_) {
+        markSuperseded(cell, "store", actions);
+        return;
+    }
+    while (!check.requests_.empty() && check.requests_.front().arrivedAt_ <= check.sentAt_) {
+        const UnconfirmedRequest confirmed = std::move(check.requests_.front());
+        check.requests_.pop_front();
+        handleRequestAs(cell, Leadership::Confirmed, confirmed.from_, confirmed.request_, now, actions);
+    }
+}
+
+} // namespace mimosapier
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -861,12 +861,7 @@
         return;
     }
     if (reply.status_ == RunnerStatus::Fenced) {
-        if (!cell.superseded_) {
-            cell.superseded_ = true;
-            JsonObject line = logEvent("superseded");
-            line.text("by", runner->record_.id_.value_).number("epoch", static_cast<std::int64_t>(cell.epoch_.value_));
-            addLogLine(actions, line, LogLevel::Warning);
-        }
+        markSuperseded(cell, runner->record_.id_.value_, actions);
         return;
     }
     if (reply.status_ == RunnerStatus::OtherIncarnation) {
--- a/src/core/cell/submit_cmd.cpp
+++ b/src/core/cell/submit_cmd.cpp
@@ -53,11 +53,23 @@
     cell.jobs_.emplace(job->id_, std::move(job));
 }
 
-static void cancel(Cell &cell, const DaemonId &from, const CellRequest &request, CellTime now, CellActions &actions)
+// Answers that there is no such job, or waits for the proof that no other leader may have accepted it.
+static void replyNotFound(Cell &cell, const DaemonId &from, const CellRequest &request, Leadership leadership,
+                          CellTime now, CellActions &actions)
+{
+    if (leadership == Leadership::Confirmed) {
+        reply(actions, from, {request.call_, CellOutcome::NotFound, {}, 0, {}});
+    } else {
+        waitForLeadershipCheck(cell, from, request, now, actions);
+    }
+}
+
+static void cancel(Cell &cell, const DaemonId &from, const CellRequest &request, Leadership leadership, CellTime now,
+                   CellActions &actions)
 {
     Job *job = findJob(cell, request.job_);
     if (job == nullptr) {
-        reply(actions, from, {request.call_, CellOutcome::NotFound, {}, 0, {}});
+        replyNotFound(cell, from, request, leadership, now, actions);
         return;
     }
     if (!isFinal(*job)) {
@@ -73,11 +85,12 @@
     }
 }
 
-static void query(Cell &cell, const DaemonId &from, const CellRequest &request, CellActions &actions)
+static void query(Cell &cell, const DaemonId &from, const CellRequest &request, Leadership leadership, CellTime now,
+                  CellActions &actions)
 {
     const Job *job = findJob(cell, request.job_);
     if (job == nullptr || !job->stored_) {
-        reply(actions, from, {request.call_, CellOutcome::NotFound, {}, 0, {}});
+        replyNotFound(cell, from, request, leadership, now, actions);
         return;
     }
     StagedState state = job->reportedState_;
@@ -97,17 +110,18 @@
     reply(actions, from, {request.call_, CellOutcome::Ok, {}, static_cast<std::uint64_t>(pending), {}});
 }
 
-void handleRequest(Cell &cell, const DaemonId &from, const CellRequest &request, CellTime now, CellActions &actions)
+void detail::handleRequestAs(Cell &cell, Leadership leadership, const DaemonId &from, const CellRequest &request,
+                             CellTime now, CellActions &actions)
 {
     switch (request.verb_) {
     case CellVerb::Submit:
         submit(cell, from, request, now, actions);
         break;
     case CellVerb::Cancel:
-        cancel(cell, from, request, now, actions);
+        cancel(cell, from, request, leadership, now, actions);
         break;
     case CellVerb::Query:
-        query(cell, from, request, actions);
+        query(cell, from, request, leadership, now, actions);
         break;
     case CellVerb::CountPending:
         countPending(cell, from, request, actions);
@@ -115,4 +129,9 @@
     }
 }
 
+void handleRequest(Cell &cell, const DaemonId &from, const CellRequest &request, CellTime now, CellActions &actions)
+{
+    handleRequestAs(cell, Leadership::Assumed, from, request, now, actions);
+}
+
 } // namespace mimosapier
--- a/src/core/control/control.cpp
+++ b/src/core/control/control.cpp
@@ -334,6 +334,11 @@
             handleLaneReply(*control.cell_, reply, now, actions.cell_);
         }
         break;
+    case KvPurpose::ConfirmLeadership:
+        if (control.cell_) {
+            handleLeadershipReply(*control.cell_, reply, now, actions.cell_);
+        }
+        break;
     }
 }
 
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -193,14 +193,19 @@
     control.ownRetiredEpoch_ = std::max(control.ownRetiredEpoch_, control.cell_->epoch_);
     control.highestRetiredEpoch_ = std::max(control.highestRetiredEpoch_, control.ownRetiredEpoch_);
     control.nextBeaconAt_ = now.steady_; // tells the peers at once that this epoch has ended
+    const auto replyNotLeader = [&actions](const DaemonId &from, const CellRequest &request) {
+        actions.cell_.replies_.push_back({from, {request.call_, CellOutcome::NotLeader, {}, 0, {}}});
+    };
+    for (const UnconfirmedRequest &waiting : control.cell_->leadershipCheck_.requests_) {
+        replyNotLeader(waiting.from_, waiting.request_);
+    }
+    for (const auto &[from, request] : control.deferredRequests_) {
+        replyNotLeader(from, request);
+    }
+    control.deferredRequests_.clear();
     control.cell_.reset();
     control.recoveryStage_ = RecoveryStage::None;
     control.runnerFeed_ = {};
-    for (auto &[from, request] : control.deferredRequests_) {
-        const CellReply reply{request.call_, CellOutcome::NotLeader, {}, 0, {}};
-        actions.cell_.replies_.push_back({from, reply});
-    }
-    control.deferredRequests_.clear();
     if (control.leader_ == control.settings_.self_) {
         control.leader_ = {};
     }
--- a/src/core/message/cell_type.h
+++ b/src/core/message/cell_type.h
@@ -102,7 +102,7 @@
     CellOutcome outcome_ = CellOutcome::Ok;
     StagedState state_ = StagedState::Queued; // for Query
     std::uint64_t pending_ = 0; // for CountPending
-    Milliseconds retryAfter_{0}; // for Refused
+    Milliseconds retryAfter_{0}; // for Refused and Unavailable
     bool operator==(const CellReply &) const = default;
 };
 
--- a/src/core/message/kv_type.h
+++ b/src/core/message/kv_type.h
@@ -58,6 +58,7 @@
     ReadRunners,
     WatchRunners,
     Lane,
+    ConfirmLeadership,
 };
 
 struct KvCall
--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -156,6 +156,10 @@
 
     void answerStoreCall(const KvCall &call)
     {
+        if (call.purpose_ == KvPurpose::ConfirmLeadership) {
+            answerLeaderKeyRead(call);
+            return;
+        }
         ++transactions_;
         KvReply reply;
         reply.id_ = call.id_;
@@ -187,6 +191,19 @@
         handleLaneReply(*cell_, reply, time(), actions_);
     }
 
+    void answerLeaderKeyRead(const KvCall &call)
+    {
+        ++leaderKeyReads_;
+        KvReply reply;
+        reply.id_ = call.id_;
+        reply.purpose_ = call.purpose_;
+        reply.status_ = storeUp_ ? KvStatus::Ok : downStatus_;
+        if (storeUp_) {
+            reply.items_.push_back({std::string(LeaderKey), leaderKeyHolder_, 10, false});
+        }
+        handleLeadershipReply(*cell_, reply, time(), actions_);
+    }
+
     std::int64_t elapsedMs() const { return std::chrono::duration_cast<Milliseconds>(now_ - start_).count(); }
 
     std::int64_t clockOf(const RunnerModel &runner) const { return runner.clockOffsetMs_ + elapsedMs(); }
@@ -263,6 +280,8 @@
     KvStatus downStatus_ = KvStatus::NotDone; // answer while storeUp_ is false; Unknown stands for a lost answer
     int answersToLose_ = 0; // number of the next transactions that are committed and whose answer is lost
     std::uint64_t transactions_ = 0; // transactions received
+    std::string leaderKeyHolder_ = "d1"; // value of the leader key
+    std::uint64_t leaderKeyReads_ = 0;
     std::uint64_t revision_ = 10;
     std::map<std::uint32_t, std::uint64_t> laneRevisions_{{0, 10}, {1, 10}};
     std::map<std::string, std::string> stored_; // content of the store
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -1160,3 +1160,47 @@
     world.run(Milliseconds(100));
     cr_assert_eq(world.startCount(), 4);
 }
+
+// Guards against a leader that denies a job that its successor has accepted, and against a read of the store for each
+// request about an unknown job.
+Test(cell, unknownJobIsDeniedOnlyByTheLeaderOfTheTime)
+{
+    CellWorld world;
+    world.listRunners();
+    finishRecovery(*world.cell_, world.time(), world.actions_);
+    world.run(Milliseconds(100));
+    std::vector<std::uint64_t> calls;
+    for (std::uint64_t job = 1; job <= 50; ++job) {
+        calls.push_back(world.sendRequest(job, job % 2 == 0 ? CellVerb::Cancel : CellVerb::Query));
+    }
+    cr_assert(world.replies_.empty());
+    world.run(Milliseconds(100));
+    for (const auto call : calls) {
+        cr_assert(world.replies_.at(call).outcome_ == CellOutcome::NotFound);
+    }
+    cr_assert_leq(world.leaderKeyReads_, 2);
+    world.leaderKeyHolder_ = "d2";
+    const auto replaced = world.sendRequest(51, CellVerb::Cancel);
+    world.run(Milliseconds(100));
+    cr_assert(!world.replies_.contains(replaced));
+    cr_assert(world.cell_->superseded_);
+}
+
+// Guards against clients that wait for their deadline when the store does not answer.
+Test(cell, unknownJobIsRefusedWhileTheStoreIsLost)
+{
+    CellWorld world;
+    world.listRunners();
+    finishRecovery(*world.cell_, world.time(), world.actions_);
+    world.storeUp_ = false;
+    const auto call = world.sendRequest(1, CellVerb::Query);
+    world.run(Milliseconds(600));
+    cr_assert(!world.replies_.contains(call));
+    world.run(Milliseconds(200));
+    cr_assert(world.replies_.at(call).outcome_ == CellOutcome::Unavailable);
+    cr_assert_gt(world.replies_.at(call).retryAfter_, Milliseconds(0));
+    world.storeUp_ = true;
+    const auto later = world.sendRequest(1, CellVerb::Query);
+    world.run(Milliseconds(100));
+    cr_assert(world.replies_.at(later).outcome_ == CellOutcome::NotFound);
+}
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -128,6 +128,29 @@
     cr_assert(!former.control_->cell_);
 }
 
+// Guards against a client that is told of no such job by a leader that was replaced, while the job runs.
+Test(control, leaderCutOffDoesNotDenyJobsOfItsSuccessor)
+{
+    ControlCluster cluster;
+    cluster.run(StartupTime);
+    ClusterDaemon &former = *cluster.leader();
+    former.storeReachable_ = false;
+    cluster.isolated_.insert(former.id_);
+    cluster.run(Milliseconds(1'600));
+    ClusterDaemon &entry = cluster.follower();
+    const auto submit = cluster.sendRequest(entry, ClientMethod::Submit, 7);
+    cluster.run(Milliseconds(400));
+    cr_assert(answerOf(entry, submit) != nullptr && answerOf(entry, submit)->error_ == ErrorKind::None);
+    cr_assert(former.control_->cell_, "the former leader knows of its successor");
+    const auto cancel = cluster.sendRequest(former, ClientMethod::Cancel, 7);
+    const auto query = cluster.sendRequest(former, ClientMethod::Read, 7);
+    cluster.run(Milliseconds(800));
+    for (const auto call : {cancel, query}) {
+        cr_assert_not_null(answerOf(former, call), "not refused at once");
+        cr_assert_eq(answerOf(former, call)->error_, ErrorKind::StoreUnavailable);
+    }
+}
+
 // Cuts the leader off from the store, the other daemons and all runners but the one with the task; the others cannot
 // reach that one. Returns the former leader.
 static ClusterDaemon &cutOffLeaderWithTask(ControlCluster &cluster, const StagedTask &task)
