Codechange: [cell] One function each for failed runs, best candidates, keys of jobs and reachability in tests

No change of behaviour: the two copies of "release the placement, stop its gang" and of the search for a candidate, and the prefixes of the store keys of jobs, which stood in three files, have one place each.

--- a/src/core/cell/cell_func.h
+++ b/src/core/cell/cell_func.h
@@ -15,6 +15,10 @@
 
 constexpr std::string_view LeaderKey = "cluster/leader"; // key under the lease of the leader's session
 
+// Prefixes of the store keys of jobs, followed by jobText().
+constexpr std::string_view JobKeyPrefix = "job/"; // an accepted job
+constexpr std::string_view ProgressKeyPrefix = "progress/"; // its state; kept longer than the job's record
+
 // A leader steps down this long after its session has expired. While the store is down for everyone, no other leader
 // can be elected, and such outages last up to about 6 s. A new leader waits for the leases of runners that do not
 // answer, counted from the time at which all earlier leaders have stepped down or ended.
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -219,6 +219,8 @@
 void expirePolicyQueries(Cell &cell, CellTime now, CellActions &actions);
 // True when the step has a ticket for the runner's current incarnation that stays valid long enough for a start.
 bool hasTicket(const StepState &step, const Runner &runner, TimePoint now);
+// Store key of the job's progress.
+std::string progressKey(StagedJobId id);
 // Sends new transactions and retries, and refuses unstored submits while the store is unavailable.
 void flushLanes(Cell &cell, CellTime now, CellActions &actions);
 
--- a/src/core/cell/jobs.cpp
+++ b/src/core/cell/jobs.cpp
@@ -295,7 +295,7 @@
             return;
         }
         if (job != nullptr) {
-            cell.keysToRemove_.push_back("progress/" + jobText(job->id_));
+            cell.keysToRemove_.push_back(progressKey(job->id_));
             cell.jobs_.erase(job->id_);
         }
         cell.endedJobs_.pop_front();
--- a/src/core/cell/lanes.cpp
+++ b/src/core/cell/lanes.cpp
@@ -20,12 +20,12 @@
 
 static std::string jobKey(StagedJobId id)
 {
-    return "job/" + jobText(id);
+    return std::string(JobKeyPrefix) + jobText(id);
 }
 
-static std::string progressKey(StagedJobId id)
+std::string detail::progressKey(StagedJobId id)
 {
-    return "progress/" + jobText(id);
+    return std::string(ProgressKeyPrefix) + jobText(id);
 }
 
 static constexpr Milliseconds FirstRetryDelay{40}; // doubles up to MaxRetryDelay; the store's calls are billed
--- a/src/core/cell/placement.cpp
+++ b/src/core/cell/placement.cpp
@@ -128,38 +128,42 @@
     return static_cast<std::uint32_t>(allowed);
 }
 
-// The best candidate for one task: near the data, not the runner to avoid, with the fewest consecutive failed runs,
-// then with the fewest free processors.
-static Candidate *bestCandidate(std::vector<Candidate> &candidates, const Resources &size, const RunnerId &avoid)
+// The candidate with room for a task of this size that `isAllowed` accepts and that has the lowest rank; nullptr: none.
+template <typename Rank, typename IsAllowed>
+static Candidate *bestCandidate(std::vector<Candidate> &candidates, const Resources &size, const Rank &rank,
+                                const IsAllowed &isAllowed)
 {
     Candidate *best = nullptr;
-    const auto rank = [&avoid](const Candidate &candidate) {
-        return std::make_tuple(!candidate.nearData_, candidate.runner_->record_.id_ == avoid,
-                               candidate.runner_->failedRuns_, candidate.free_.milliCpus_);
-    };
     for (Candidate &candidate : candidates) {
-        if (fittingTasks(candidate, size) > 0 && (best == nullptr || rank(candidate) < rank(*best))) {
+        if (fittingTasks(candidate, size) > 0 && isAllowed(candidate)
+            && (best == nullptr || rank(candidate) < rank(*best))) {
             best = &candidate;
         }
     }
     return best;
 }
 
+// The best candidate for one task: near the data, not the runner to avoid, with the fewest consecutive failed runs,
+// then with the fewest free processors.
+static Candidate *bestCandidateForTask(std::vector<Candidate> &candidates, const Resources &size, const RunnerId &avoid)
+{
+    const auto rank = [&avoid](const Candidate &candidate) {
+        return std::make_tuple(!candidate.nearData_, candidate.runner_->record_.id_ == avoid,
+                               candidate.runner_->failedRuns_, candidate.free_.milliCpus_);
+    };
+    return bestCandidate(candidates, size, rank, [](const Candidate &) { return true; });
+}
+
 // The best candidate for a task under which a runner has crashed: near the data, then with the fewest other tasks.
 // `isolated`: only a runner without any.
 static Candidate *bestCandidateForSuspect(std::vector<Candidate> &candidates, const Resources &size, bool isolated)
 {
-    Candidate *best = nullptr;
     const auto rank = [](const Candidate &candidate) {
         return std::make_tuple(!candidate.nearData_, candidate.runner_->tasks_.size(), -candidate.free_.milliCpus_);
     };
-    for (Candidate &candidate : candidates) {
-        if (fittingTasks(candidate, size) > 0 && (!isolated || candidate.runner_->tasks_.empty())
-            && (best == nullptr || rank(candidate) < rank(*best))) {
-            best = &candidate;
-        }
-    }
-    return best;
+    return bestCandidate(candidates, size, rank, [isolated](const Candidate &candidate) {
+        return !isolated || candidate.runner_->tasks_.empty();
+    });
 }
 
 static void startTask(Cell &cell, const StepContext &context, std::uint32_t index, Candidate &candidate,
@@ -341,7 +345,7 @@
             allowed -= result == SuspectResult::Placed ? 1 : 0;
             continue;
         }
-        Candidate *best = bestCandidate(candidates, size, task.failedRuns_.empty() ? RunnerId{} : task.runner_);
+        Candidate *best = bestCandidateForTask(candidates, size, task.failedRuns_.empty() ? RunnerId{} : task.runner_);
         if (best == nullptr) {
             return PlaceResult::RunnersMissing;
         }
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -249,6 +249,13 @@
     }
 }
 
+// Releases a task of which the run ended without a result or never began.
+static void releaseFailedRun(Cell &cell, Runner &runner, const StagedTask &task, CellTime now, CellActions &actions)
+{
+    releasePlacement(cell, runner, task);
+    stopGang(cell, task, now, actions);
+}
+
 static void logLostRunner(const Cell &cell, const Runner &runner, std::string_view cause, CellTime now,
                           CellActions &actions)
 {
@@ -287,8 +294,7 @@
         tasks.push_back(task);
     }
     for (const StagedTask &task : tasks) {
-        releasePlacement(cell, runner, task);
-        stopGang(cell, task, now, actions);
+        releaseFailedRun(cell, runner, task, now, actions);
     }
     forgetRunnerState(cell, runner);
 }
@@ -312,8 +318,7 @@
     }
     noteRunnerCrash(cell, runner, now, actions);
     for (const StagedTask &task : ended) {
-        releasePlacement(cell, runner, task);
-        stopGang(cell, task, now, actions);
+        releaseFailedRun(cell, runner, task, now, actions);
     }
     for (const StagedTask &task : withdrawn) {
         stopPlacement(cell, runner, task, now, actions);
@@ -558,8 +563,7 @@
         line.text("task", taskText(task)).text("runner", runner.record_.id_.value_);
         line.number("acknowledged_end", static_cast<std::int64_t>(runner.acknowledgedEnd_));
         addLogLine(actions, line, LogLevel::Warning);
-        releasePlacement(cell, runner, task);
-        stopGang(cell, task, now, actions);
+        releaseFailedRun(cell, runner, task, now, actions);
     }
 }
 
@@ -665,8 +669,7 @@
     if (job != nullptr) {
         noteRunSurvived(cell, *job, reply.task_, reply.run_);
     }
-    releasePlacement(cell, runner, reply.task_);
-    stopGang(cell, reply.task_, now, actions);
+    releaseFailedRun(cell, runner, reply.task_, now, actions);
 }
 
 static void handleStart(Cell &cell, Runner &runner, const RunnerReply &reply, CellTime now, CellActions &actions)
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -486,8 +486,8 @@
 } // namespace
 
 static constexpr std::array<RecoverySpec, RecoveryPartCount> RecoverySpecs{
-    RecoverySpec{KvPurpose::RecoverJobs, KvOp::Range, "job/"},
-    RecoverySpec{KvPurpose::RecoverProgress, KvOp::Range, "progress/"},
+    RecoverySpec{KvPurpose::RecoverJobs, KvOp::Range, JobKeyPrefix},
+    RecoverySpec{KvPurpose::RecoverProgress, KvOp::Range, ProgressKeyPrefix},
     RecoverySpec{KvPurpose::RecoverRunners, KvOp::Get, "runners"}};
 
 // Builds the state of the cell from the completed reads, then handles the deferred requests.
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -11,6 +11,13 @@
 
 static constexpr StagedTask FirstTask{StagedJobId{1}, 0, 0, 0};
 
+static void setRunnersReachable(CellWorld &world, bool reachable)
+{
+    for (auto &[id, runner] : world.runners_) {
+        runner.reachable_ = reachable;
+    }
+}
+
 // Guards against a job that is accepted and run, but never shown as completed.
 Test(cell, jobRunsToCompletion)
 {
@@ -259,14 +266,10 @@
     CellWorld before;
     before.listRunners();
     before.run(Milliseconds(100));
-    for (auto &[id, runner] : before.runners_) {
-        runner.reachable_ = false;
-    }
+    setRunnersReachable(before, false);
     before.submit(1, 1, 8'000);
     before.run(Milliseconds(900));
-    for (auto &[id, runner] : before.runners_) {
-        runner.reachable_ = true;
-    }
+    setRunnersReachable(before, true);
     before.run(Milliseconds(1'500));
     before.submit(2, 1, 8'000);
     before.run(Milliseconds(100));
@@ -734,9 +737,7 @@
     CellWorld world;
     world.listRunners();
     world.run(Milliseconds(500));
-    for (auto &[id, runner] : world.runners_) {
-        runner.reachable_ = false;
-    }
+    setRunnersReachable(world, false);
     world.submit(1, 1, 8'000);
     world.run(Milliseconds(30)); // the start has no answer
     cr_assert_eq(world.startCount(), 0);
