Fix: [ctl] An answer that is no JSON object ends no command

Cause: Json::value() throws for anything but an object, and a body that is JSON but no object was taken for an answer.

Ruled out: the other commands; they read fields by functions that check the type.

Change: a body that is no object counts as unreadable (exit code 4, unknown), as one that is no JSON does; "member" is looked up.

Test: oddStatusAnswersEndNoCommand failed before (type_error.306) and passes.

--- a/src/ctl/ctl_internal.h
+++ b/src/ctl/ctl_internal.h
@@ -17,7 +17,7 @@
     HttpDelivery delivery_ = HttpDelivery::NotSent;
     unsigned status_ = 0;
     std::string body_;
-    Json json_; // null when the body is not JSON
+    Json json_; // null when the body is no JSON object
 };
 
 // response.cpp
--- a/src/ctl/response.cpp
+++ b/src/ctl/response.cpp
@@ -26,7 +26,8 @@
     response.delivery_ = result.delivery_;
     response.status_ = result.status_;
     response.body_ = std::move(result.body_);
-    if (response.delivery_ != HttpDelivery::Answered || !parseJson(response.body_, response.json_)) {
+    if (response.delivery_ != HttpDelivery::Answered || !parseJson(response.body_, response.json_)
+        || !response.json_.is_object()) {
         response.json_ = nullptr;
     }
     return response;
--- a/src/ctl/view_cmd.cpp
+++ b/src/ctl/view_cmd.cpp
@@ -30,7 +30,8 @@
     if (options.printsJson_ || exitCode(response) != ExitCode::Done) {
         return printResponse(options, io, response);
     }
-    const Json member = response.json_.value("member", Json::object());
+    const auto found = response.json_.find("member");
+    const Json member = found != response.json_.end() ? *found : Json::object();
     io.out_ << textField(response.json_, "daemon") << " in " << textField(response.json_, "region") << ", version "
             << numberField(response.json_, "bundle_version")
             << (boolField(response.json_, "config_fresh") ? "" : ", configuration not confirmed")
--- a/tests/ctl/test_ctl.cpp
+++ b/tests/ctl/test_ctl.cpp
@@ -73,6 +73,24 @@
     cr_expect(usage.sent_.empty());
 }
 
+// Guards against a command that ends by an exception because an answer is not what a daemon sends.
+Test(ctl, oddStatusAnswersEndNoCommand)
+{
+    const auto code = [](const char *body, const char *command) {
+        CommandRun run;
+        run.responses_ = {httpResponse(200, body)};
+        return run.execute({"--address", "a:1", command});
+    };
+    for (const char *body : {"[]", "3", "x"}) {
+        cr_expect(code(body, "status") == ExitCode::Unknown, "%s", body);
+        cr_expect(code(body, "instances") == ExitCode::Unknown, "%s", body);
+    }
+    for (const char *body : {R"({"member":7,"daemon":[]})", R"({"member":{"members":[3],"shards":["x"]}})"}) {
+        cr_expect(code(body, "status") == ExitCode::Done, "%s", body);
+        cr_expect(code(body, "instances") == ExitCode::Done, "%s", body);
+    }
+}
+
 // Guards against submitting work again that may be running already, and against failing while other addresses are
 // untried.
 Test(ctl, onlySafeRequestsAreSentAgain)
