Feature: [standin] Size of a page of the store's ranges as a setting

leaderRecoversFromManyPages plays a change of leader with pages of one item through the real adapter (After, HasMore), which no test did: the stand-in always said that there are no more pages. It passes; no fault was found by it.

--- a/src/standin/platform_service.cpp
+++ b/src/standin/platform_service.cpp
@@ -40,6 +40,7 @@
     })
 {
     kv_.revision_ = 1;
+    kv_.maxPageItems_ = static_cast<std::size_t>(numberOr(settings, "page_items", 500));
     const std::int64_t count = numberOr(settings, "runners", 4);
     for (std::int64_t i = 0; i < count; ++i) {
         auto entry = std::make_unique<RunnerEntry>();
--- a/src/standin/platform_service.h
+++ b/src/standin/platform_service.h
@@ -21,8 +21,8 @@
 {
 
 // Settings: store_address, policy_address (both "127.0.0.1:0"), runner_ip (127.0.0.1), runners (4), service ("s"),
-// zone ("z"), milli_cpus (8000) and memory_mb (16384) of a runner, run_ms (50) of each task, config (object, as the
-// operator writes it).
+// zone ("z"), milli_cpus (8000) and memory_mb (16384) of a runner, run_ms (50) of each task, page_items (500) in
+// a page of the store's ranges, config (object, as the operator writes it).
 class PlatformService
 {
 public:
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -41,9 +41,9 @@
             + std::to_string(daemon + 1) + ":" + std::to_string(port);
     }
 
-    explicit Cluster(std::int64_t runMs = 50, bool policy = false)
+    explicit Cluster(std::int64_t runMs = 50, bool policy = false, std::int64_t pageItems = 500)
     {
-        Json settings{{"run_ms", runMs}};
+        Json settings{{"run_ms", runMs}, {"page_items", pageItems}};
         settings["config"] = configuration(1, policy);
         platform_ = std::make_unique<PlatformService>(thread_.context(), settings);
         cr_assert(platform_->listen());
@@ -247,3 +247,18 @@
     cr_assert(waitFor([&] { return cluster.submit(1, "0000000000000102").status_ == 200; }));
     cr_assert(waitFor([&] { return cluster.eachTaskStartedOnce(0x101, 3); }));
 }
+
+// Guards against a new leader that misses jobs or runners because the store returns its lists in pages.
+Test(platform, leaderRecoversFromManyPages, .timeout = 40)
+{
+    Cluster cluster(3'500, false, 1);
+    for (const char *job : {"0000000000000201", "0000000000000202", "0000000000000203"}) {
+        cr_assert_eq(cluster.submit(1, job).status_, 200U);
+        cr_assert(waitFor([&] { return cluster.state(1, job) == "running"; }));
+    }
+    cluster.daemons_[0].reset();
+    for (const std::uint64_t job : {0x201, 0x202, 0x203}) {
+        cr_assert(waitFor([&] { return cluster.eachTaskStartedOnce(job, 3); }), "job %llx",
+                  static_cast<unsigned long long>(job));
+    }
+}
