Codechange: [cell] Tests share the query of a job's state and the scheduled submission

Seven tests queried the state of a job in the same three lines, and two submitted a job with one scheduled occurrence in the same five. The assertions are the same; queryState() also checks that the query was answered Ok.

--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -11,6 +11,26 @@
 
 static constexpr StagedTask FirstTask{StagedJobId{1}, 0, 0, 0};
 
+// Submits job 1 with one occurrence, which is due `delayMs` from now. The size of a task leaves no room for another one
+// on its runner.
+static void submitScheduled(CellWorld &world, std::uint32_t tasks, std::int64_t delayMs)
+{
+    CellRequest request = world.submission(1, tasks, 8'000);
+    request.submitted_.repeatCount_ = 1;
+    request.submitted_.firstRunUnixMs_ = world.time().unixMs_ + delayMs;
+    request.submitted_.intervalMs_ = 1'000;
+    world.send(request);
+}
+
+// State of the job as a client is told, 10 ms after the query.
+static StagedState queryState(CellWorld &world, std::uint64_t job)
+{
+    const auto query = world.sendRequest(job, CellVerb::Query);
+    world.run(Milliseconds(10));
+    cr_assert(world.replies_.at(query).outcome_ == CellOutcome::Ok);
+    return world.replies_.at(query).state_;
+}
+
 static void setRunnersReachable(CellWorld &world, bool reachable)
 {
     for (auto &[id, runner] : world.runners_) {
@@ -32,9 +52,7 @@
         world.endRun(world.runnerOf(task), task, RunEnd::Done);
     }
     world.run(Milliseconds(400));
-    const auto query = world.sendRequest(1, CellVerb::Query);
-    world.run(Milliseconds(10));
-    cr_assert(world.replies_.at(query).state_ == StagedState::Completed);
+    cr_assert(queryState(world, 1) == StagedState::Completed);
     cr_assert(!world.stored_.contains("job/0000000000000001"));
     cr_assert(world.stored_.contains("progress/0000000000000001"));
 }
@@ -56,9 +74,7 @@
     finishRecovery(*world.cell_, world.time(), world.actions_);
     world.run(Milliseconds(500));
     cr_assert_eq(world.startCount(), 0);
-    const auto query = world.sendRequest(1, CellVerb::Query);
-    world.run(Milliseconds(10));
-    cr_assert(world.replies_.at(query).state_ == StagedState::Failed);
+    cr_assert(queryState(world, 1) == StagedState::Failed);
 }
 
 // Guards against a task that never starts again after its runner has become silent. Each unanswered hold extended the
@@ -615,9 +631,7 @@
     for (const std::string &spec : world.runners_.at(RunnerId("r0")).startSpecs_) {
         cr_assert_eq(spec, "work");
     }
-    const auto query = world.sendRequest(1, CellVerb::Query);
-    world.run(Milliseconds(10));
-    cr_assert(world.replies_.at(query).state_ == StagedState::Completed);
+    cr_assert(queryState(world, 1) == StagedState::Completed);
 }
 
 // Guards against a leaving leader that steps down while the list of runners or removals of old keys are not stored.
@@ -708,9 +722,7 @@
     cr_assert(!holder.empty());
     world.endRun(holder, FirstTask, RunEnd::Done);
     world.run(Milliseconds(500));
-    const auto query = world.sendRequest(1, CellVerb::Query);
-    world.run(Milliseconds(10));
-    cr_assert(world.replies_.at(query).state_ == StagedState::Completed);
+    cr_assert(queryState(world, 1) == StagedState::Completed);
 }
 
 // Guards against a task that is never started again after its runner has restarted, if no list of the earlier
@@ -834,9 +846,7 @@
     world.endRun(holder, FirstTask, RunEnd::Done);
     world.run(Milliseconds(1'000));
     cr_assert_eq(world.startsOf(FirstTask), 1, "the task was started again after it had ended");
-    const auto query = world.sendRequest(1, CellVerb::Query);
-    world.run(Milliseconds(10));
-    cr_assert(world.replies_.at(query).state_ == StagedState::Completed);
+    cr_assert(queryState(world, 1) == StagedState::Completed);
 }
 
 // Guards against a task of a recurring job that runs again after it has ended: the time of day of a new leader was
@@ -845,11 +855,7 @@
 {
     CellWorld before;
     before.listRunners();
-    CellRequest request = before.submission(1, 1, 8'000);
-    request.submitted_.repeatCount_ = 1;
-    request.submitted_.firstRunUnixMs_ = before.time().unixMs_ + 200;
-    request.submitted_.intervalMs_ = 1'000;
-    before.send(request);
+    submitScheduled(before, 1, 200);
     before.run(Milliseconds(1'000));
     cr_assert_eq(before.startCount(), 1);
     before.endRun(before.runnerOf(FirstTask), FirstTask, RunEnd::Done);
@@ -857,9 +863,7 @@
     recoverFrom(world, before, {1});
     world.run(Milliseconds(2'000));
     cr_assert_eq(world.startsOf(FirstTask), 1, "the task was started again after it had ended");
-    const auto query = world.sendRequest(1, CellVerb::Query);
-    world.run(Milliseconds(10));
-    cr_assert(world.replies_.at(query).state_ == StagedState::Completed);
+    cr_assert(queryState(world, 1) == StagedState::Completed);
 }
 
 // Guards against tasks that start before their time because an earlier leader, whose clock was ahead, had started
@@ -868,11 +872,7 @@
 {
     CellWorld before;
     before.listRunners();
-    CellRequest request = before.submission(1, 5, 8'000); // the runners have capacity for four
-    request.submitted_.repeatCount_ = 1;
-    request.submitted_.firstRunUnixMs_ = before.time().unixMs_ + 2'000;
-    request.submitted_.intervalMs_ = 1'000;
-    before.send(request);
+    submitScheduled(before, 5, 2'000); // the runners have capacity for four
     before.run(Milliseconds(2'800));
     cr_assert_eq(before.startCount(), 4);
     before.endRun(before.runnerOf(FirstTask), FirstTask, RunEnd::Done);
@@ -913,9 +913,7 @@
     }
     cr_assert_geq(crashes, 2, "the task was given up before two runners had crashed under it");
     cr_assert_lt(world.startsOf(FirstTask), 6, "%zu starts", world.startsOf(FirstTask));
-    const auto query = world.sendRequest(1, CellVerb::Query);
-    world.run(Milliseconds(10));
-    cr_assert(world.replies_.at(query).state_ == StagedState::Failed);
+    cr_assert(queryState(world, 1) == StagedState::Failed);
 }
 
 // Guards against crashes that are forgotten with the leader: each crash here is followed by a change of leader that has
