--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -114,6 +114,19 @@
 // Computes objectiveAt_, valueEndsAt_ and criticalPaths_ from the job's steps and submittedAt_.
 void setObjectives(Job &job);
 
+// Defined in leases.cpp.
+
+// Extends the lease from now on. Result: its end on the runner's clock, or 0 while this clock is unknown.
+std::int64_t renewLease(const Cell &cell, Runner &runner, TimePoint now);
+// Upper bound of the time in which a lease of this length, which starts now on the runner's clock, ends.
+Milliseconds leaseBound(Milliseconds lease);
+// Upper bound of the remaining time of a lease that a leader has just asked for.
+Milliseconds longestLease(const Cell &cell);
+// True when the clock in a reply shows that the runner has restarted: its clock has begun anew.
+bool hasClockRestarted(const Runner &runner, const RunnerReply &reply);
+// Takes the runner's clock from a reply.
+void updateClock(const Cell &cell, Runner &runner, const RunnerReply &reply, TimePoint now);
+
 // Defined in runners.cpp.
 
 // Reserves the resources for a run of a waiting task. The reference is valid until the placement is released.
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -1,4 +1,4 @@
-// Runners: discovery, holds and leases, starts and stops, ends of runs.
+// Runners: discovery, holds, starts and stops, ends of runs. Leases are in leases.cpp.
 #include "core/cell/cell_internal.h"
 
 #include <algorithm>
@@ -49,44 +49,6 @@
     cell.runnersDirty_ = cell.runnersDirty_ || wasQuiescent != quiescent;
 }
 
-// Records that leases on the runner may last until `untilMs` on the runner's clock.
-static void extendLease(Runner &runner, std::int64_t untilMs)
-{
-    const auto left
-        = Milliseconds(static_cast<std::int64_t>(static_cast<double>(untilMs - runner.clockMs_) / MinClockRate));
-    runner.leaseEndsBy_ = std::max(runner.leaseEndsBy_, runner.clockReadAt_ + left + LeaseMargin);
-}
-
-// Length of the leases that this leader asks for.
-static Milliseconds taskLease(const Cell &cell)
-{
-    return std::min(TaskLease, cell.settings_.holdMax_);
-}
-
-// Extends the lease by taskLease() from now. Result: its end on the runner's clock, or 0 while this clock is unknown.
-static std::int64_t renewLease(const Cell &cell, Runner &runner, TimePoint now)
-{
-    if (runner.clockMs_ < 0) {
-        return 0;
-    }
-    const auto since = std::chrono::duration_cast<Milliseconds>(now - runner.clockReadAt_);
-    const std::int64_t until = runner.clockMs_ + since.count() + taskLease(cell).count();
-    extendLease(runner, until);
-    return until;
-}
-
-// Upper bound of the time in which a lease of this length, which starts now on the runner's clock, ends.
-static Milliseconds leaseBound(Milliseconds lease)
-{
-    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(lease.count()) / MinClockRate)) + LeaseMargin;
-}
-
-// Upper bound of the remaining time of a lease that a leader has just asked for.
-static Milliseconds longestLease(const Cell &cell)
-{
-    return leaseBound(taskLease(cell));
-}
-
 static RunnerCall makeCall(Cell &cell, const Runner &runner, RunnerOp op)
 {
     RunnerCall call;
@@ -695,26 +657,6 @@
     presumeEnded(cell, runner, absent, now, actions);
 }
 
-// True when the clock in a reply shows that the runner has restarted: its clock has begun anew.
-static bool hasClockRestarted(const Runner &runner, const RunnerReply &reply)
-{
-    const Duration sentBefore = std::max(Duration(0), runner.clockReadAt_ - reply.sentAt_);
-    return Milliseconds(reply.clockMs_) + sentBefore + LeaseMargin < Milliseconds(runner.clockMs_);
-}
-
-static void updateClock(const Cell &cell, Runner &runner, const RunnerReply &reply, TimePoint now)
-{
-    if (reply.clockMs_ < 0) {
-        return;
-    }
-    if (hasClockRestarted(runner, reply)) {
-        // A start may have named a time of the earlier clock; the runner shortens such a lease only to the longest one.
-        runner.leaseEndsBy_ = std::max(runner.leaseEndsBy_, now + leaseBound(cell.settings_.holdMax_));
-    }
-    runner.clockMs_ = reply.clockMs_;
-    runner.clockReadAt_ = now;
-}
-
 static void countFailedCall(Cell &cell, Runner &runner)
 {
     const bool wasQuiescent = isQuiescent(runner);
