Fix: [cell] A crash counts as seen only under a run that is known to have begun

Cause: the phase of a placement told whether its run had begun. A run that only the stored list of runners names has the phase Running after a change of leader, as it may run; the start may never have reached its runner. The crash of that runner then counted as one that a leader had seen. The same with a restart of the runner that its list shows later (spansRestart_).

The new test failed before the change: "only one runner has crashed under the task".

Why this works: begun_ is set by an answer of success to the start, or by a list that names the run, which are the two ways in which a runner says so. Everything else counts as a risky run, as starts without an answer did; five of them still stop a task that crashes its runners before they answer.

--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -152,6 +152,9 @@
     bool callInFlight_ = false; // a start or stop call is in flight
     // The list of runs of the incarnation Runner::startedUnixMs_ named the run: it ends with that incarnation.
     bool listed_ = false;
+    // The runner has answered the start with success, or a list has named the run: a crash of the runner is one under
+    // this run. False for a run that only the stored list of runners names.
+    bool begun_ = false;
     // When the latest call of the start was found to have no answer: the runner may still carry it out. Empty: all have
     // answers.
     TimePoint startUnansweredAt_;
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -173,9 +173,8 @@
 // Counts the crash for the tasks that the runner had, before their placements are released. Fails the jobs of tasks
 // under which too many runners have crashed.
 void noteRunnerCrash(Cell &cell, const Runner &runner, CellTime now, CellActions &actions);
-// Counts the crash of a runner for one task, by the run that ended with it; `hasStarted`: the run is known to have
-// begun.
-void noteRunCrash(Cell &cell, const StagedTask &id, RunNumber run, bool hasStarted, CellTime now, CellActions &actions);
+// Counts the crash of a runner for one task, by the run that ended with it; `hasBegun`: see Placement::begun_.
+void noteRunCrash(Cell &cell, const StagedTask &id, RunNumber run, bool hasBegun, CellTime now, CellActions &actions);
 // The runner has survived the run.
 void noteRunSurvived(Cell &cell, Job &job, const StagedTask &id, RunNumber run);
 // Called before a suspect is started as `run`. Records the run as risky and returns false until the store has this
--- a/src/core/cell/crashes.cpp
+++ b/src/core/cell/crashes.cpp
@@ -122,7 +122,7 @@
     }
 }
 
-void noteRunCrash(Cell &cell, const StagedTask &id, RunNumber run, bool hasStarted, CellTime now, CellActions &actions)
+void noteRunCrash(Cell &cell, const StagedTask &id, RunNumber run, bool hasBegun, CellTime now, CellActions &actions)
 {
     Job *job = findJob(cell, id.job_);
     TaskRecord *task = job != nullptr && !isFinal(*job) ? findTask(*job, id, nullptr) : nullptr;
@@ -133,7 +133,7 @@
     if (found == task->riskyRuns_.end()) {
         found = task->riskyRuns_.insert(task->riskyRuns_.end(), {run.value_, false});
     }
-    found->crashed_ = found->crashed_ || hasStarted;
+    found->crashed_ = found->crashed_ || hasBegun;
     storeRisk(cell, *job, *task);
     const bool givenUp = isRiskedTooOften(*task);
     logSuspect(id, *task, run.value_, givenUp, actions);
@@ -181,13 +181,6 @@
     return common.empty();
 }
 
-// False where the start has no answer: it may have been sent after the crash.
-static bool hasStarted(const Placement &placement)
-{
-    return placement.listed_ || placement.phase_ == PlacementPhase::Running
-        || (placement.phase_ == PlacementPhase::Stopping && placement.startUnansweredAt_ == TimePoint{});
-}
-
 // Takes back what the crash of a runner has counted for its tasks.
 static void uncountCrash(Cell &cell, const RunnerCrash &crash)
 {
@@ -237,7 +230,7 @@
     }
     const std::vector<StoredRun> runs = crash.runs_;
     for (const StoredRun &run : runs) {
-        noteRunCrash(cell, run.task_, run.run_, hasStarted(runner.tasks_.at(run.task_)), now, actions);
+        noteRunCrash(cell, run.task_, run.run_, runner.tasks_.at(run.task_).begun_, now, actions);
     }
 }
 
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -588,6 +588,7 @@
         }
         if (placed->second.run_ == active.run_) {
             placed->second.listed_ = true;
+            placed->second.begun_ = true;
             placed->second.spansRestart_ = false;
         }
         return;
@@ -601,6 +602,7 @@
         Placement &placement = addPlacement(cell, runner, *job, active.task_, active.run_);
         placement.phase_ = PlacementPhase::Running;
         placement.listed_ = true;
+        placement.begun_ = true;
         placement.startedAt_ = now.steady_;
         job->started_ = true;
         return;
@@ -645,7 +647,7 @@
     for (const StagedTask &task : absent) {
         const Placement &placement = runner.tasks_.at(task);
         if (placement.spansRestart_) {
-            noteRunCrash(cell, task, placement.run_, true, now, actions);
+            noteRunCrash(cell, task, placement.run_, placement.begun_, now, actions);
         } else if (Job *job = findJob(cell, task.job_); job != nullptr && !placement.mayHaveCrashed_) {
             noteRunSurvived(cell, *job, task, placement.run_);
         }
@@ -786,6 +788,7 @@
     case RunnerStatus::Ok:
     case RunnerStatus::Superseded: // the run has ended already; its end is in the list
         placement.phase_ = PlacementPhase::Running;
+        placement.begun_ = placement.begun_ || reply.status_ == RunnerStatus::Ok;
         placement.confirmedAt_ = now.steady_;
         if (Job *job = findJob(cell, reply.task_.job_)) {
             markStarted(cell, *job, now.steady_);
--- a/src/standin/runner_model.h
+++ b/src/standin/runner_model.h
@@ -17,6 +17,7 @@
 {
     RunnerRecord record_;
     bool reachable_ = true; // false: calls are not executed
+    bool hasLeftAddress_ = false; // another runner answers at the address
     bool dropsReplies_ = false; // calls are executed, but their replies are lost
     std::uint64_t token_ = 0; // highest fencing token seen
     std::int64_t startedUnixMs_ = 1;
@@ -90,6 +91,10 @@
         if (!reachable_) {
             return reply;
         }
+        if (hasLeftAddress_) {
+            reply.status_ = RunnerStatus::OtherIncarnation;
+            return reply;
+        }
         reply.clockMs_ = clockOffsetMs_ + elapsedMs;
         reply.status_ = RunnerStatus::Ok;
         if (call.token_.value_ < token_) {
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -1413,6 +1413,53 @@
     cr_assert_geq(world->startsOf(FirstTask), 2);
 }
 
+// Runs until the leader sends a start of the task, and returns the runner that is to get it with the next step.
+static RunnerModel &runUntilStart(CellWorld &world, const StagedTask &task)
+{
+    for (int step = 0; step < 2'000; ++step) {
+        world.run(Milliseconds(5));
+        for (const RunnerCall &call : world.actions_.runners_) {
+            if (call.op_ == RunnerOp::Start && call.task_ == task) {
+                return world.runners_.at(call.runner_);
+            }
+        }
+    }
+    cr_assert_fail("no start of %s", taskText(task).c_str());
+    std::abort();
+}
+
+// Guards against a job that fails after one crash: a start that never reached its runner, which the stored list of
+// runners names, was counted by the next leader as a run that had begun.
+Test(cell, jobIsGivenUpForAStartThatNeverReachedItsRunner)
+{
+    CellWorld before(1, 8);
+    before.listRunners();
+    before.run(Milliseconds(300));
+    before.submit(1, 1, 8'000);
+    before.run(Milliseconds(100));
+    crashHolder(before, FirstTask);
+    RunnerModel &cutOff = runUntilStart(before, FirstTask);
+    cutOff.reachable_ = false;
+    before.run(Milliseconds(2'500)); // the list names the run once the runner is silent
+    CellWorld world(2);
+    recoverFrom(world, before, {1});
+    RunnerModel &replaced = world.runners_.at(cutOff.record_.id_);
+    replaced.reachable_ = true;
+    replaced.hasLeftAddress_ = true;
+    RunnerModel &crashing = runUntilStart(world, FirstTask);
+    crashing.restart(crashing.startedUnixMs_ + 1, world.elapsedMs());
+    crashing.reachable_ = false;
+    world.listRunners();
+    world.run(Milliseconds(1'000));
+    crashing.reachable_ = true;
+    world.run(Milliseconds(2'000));
+    cr_assert(queryState(world, 1) != StagedState::Failed, "only one runner has crashed under the task");
+    cr_assert_eq(world.startsOf(FirstTask), 2);
+    world.endRun(world.runnerOf(FirstTask), FirstTask, RunEnd::Done);
+    world.run(Milliseconds(300));
+    cr_assert(queryState(world, 1) == StagedState::Completed);
+}
+
 // Guards against a gang that waits for the store once for each of its members, after the crash of a runner that had
 // several of them.
 Test(cell, risksOfAGangAreStoredTogether)
