Fix: [cell] A new leader waits for the longest lease on runners that it never reaches

Cause: the end of a lease is a time of the runner's clock. A runner that has started again under its id has a clock that begins anew, and X-Expect-Instance cannot tell the two lives apart. A start that a leader sends before it knows of the new life names a time that is far ahead there, so the runner grants the longest lease. A leader that learns of the restart counts with that. The next leader, on a runner that it never reaches, counted 6.5 s on the runner's clock, which is what the former leader asks for.

Why this works: no call of a former leader is made after formerLeadersEndBy_, and each lease that such a call can have led to is over within the longest one, whatever life has carried it out. Nothing that is stored tells that a shorter wait would do: the last start of a killed leader, and its answer, are known to nobody else.

Price: 3.6 s more for the tasks of runners that are out of reach after a change of leader, and for the recovered tasks that wait for these runners.

--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -118,10 +118,10 @@
 
 // Extends the lease from now on. Result: its end on the runner's clock, or 0 while this clock is unknown.
 std::int64_t renewLease(const Cell &cell, Runner &runner, TimePoint now);
-// Upper bound of the time in which a lease of this length, which starts now on the runner's clock, ends.
-Milliseconds leaseBound(Milliseconds lease);
-// Upper bound of the remaining time of a lease that a leader has just asked for.
+// Upper bound of the time in which the longest lease that the platform grants, if it starts now, ends.
 Milliseconds longestLease(const Cell &cell);
+// Counts with the longest lease from now on.
+void extendLeaseToLongest(const Cell &cell, Runner &runner, TimePoint now);
 // True when the clock in a reply shows that the runner has restarted: its clock has begun anew.
 bool hasClockRestarted(const Runner &runner, const RunnerReply &reply);
 // Takes the runner's clock from a reply.
--- a/src/core/cell/leases.cpp
+++ b/src/core/cell/leases.cpp
@@ -1,4 +1,17 @@
 // Leases of the tasks on a runner: their length, and the time by which they have certainly ended.
+//
+// A lease ends at a time of the runner's own clock. A call that asks for one applies to everything that runs there, and
+// the runner shortens what it asks for to the platform's longest lease, counted from when it carries the call out. A
+// lease never gets shorter. What may lengthen it, and where that is counted:
+// - A start or a hold of this leader, on the clock that the runner has shown: renewLease().
+// - The same call on a runner that has started again under its id, which the leader does not know yet. Its clock has
+//   begun anew, so the end that the call names is far ahead there and the lease is the longest one. An answer shows the
+//   new clock: updateClock().
+// - Calls of earlier leaders, until the runner's first list of runs, see takeListedRuns(). On a runner that never
+//   answers: the longest lease after the time at which they have ended. Nothing in the store tells whether their last
+//   starts came to a life that they had not seen.
+// A call that is carried out late in the same life does not lengthen anything, as the end that it names stays the same.
+// One that comes to a later life, after the time that is counted here, is not covered.
 #include "core/cell/cell_internal.h"
 
 #include <algorithm>
@@ -6,18 +19,22 @@
 namespace mimosapier::detail
 {
 
-// Records that leases on the runner may last until `untilMs` on the runner's clock.
-static void extendLease(Runner &runner, std::int64_t untilMs)
+// Upper bound of the time in which a lease of this length, which starts now on the runner's clock, ends.
+static Milliseconds leaseBound(Milliseconds lease)
+{
+    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(lease.count()) / MinClockRate)) + LeaseMargin;
+}
+
+Milliseconds longestLease(const Cell &cell)
 {
-    const auto left
-        = Milliseconds(static_cast<std::int64_t>(static_cast<double>(untilMs - runner.clockMs_) / MinClockRate));
-    runner.leaseEndsBy_ = std::max(runner.leaseEndsBy_, runner.clockReadAt_ + left + LeaseMargin);
+    return leaseBound(cell.settings_.holdMax_);
 }
 
-// Length of the leases that this leader asks for.
-static Milliseconds taskLease(const Cell &cell)
+// Records that leases on the runner may last until `untilMs` on the runner's clock.
+static void extendLease(Runner &runner, std::int64_t untilMs)
 {
-    return std::min(TaskLease, cell.settings_.holdMax_);
+    const Milliseconds left = leaseBound(Milliseconds(untilMs - runner.clockMs_));
+    runner.leaseEndsBy_ = std::max(runner.leaseEndsBy_, runner.clockReadAt_ + left);
 }
 
 std::int64_t renewLease(const Cell &cell, Runner &runner, TimePoint now)
@@ -26,19 +43,15 @@
         return 0;
     }
     const auto since = std::chrono::duration_cast<Milliseconds>(now - runner.clockReadAt_);
-    const std::int64_t until = runner.clockMs_ + since.count() + taskLease(cell).count();
+    const Milliseconds lease = std::min(TaskLease, cell.settings_.holdMax_);
+    const std::int64_t until = runner.clockMs_ + since.count() + lease.count();
     extendLease(runner, until);
     return until;
 }
 
-Milliseconds leaseBound(Milliseconds lease)
-{
-    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(lease.count()) / MinClockRate)) + LeaseMargin;
-}
-
-Milliseconds longestLease(const Cell &cell)
+void extendLeaseToLongest(const Cell &cell, Runner &runner, TimePoint now)
 {
-    return leaseBound(taskLease(cell));
+    runner.leaseEndsBy_ = std::max(runner.leaseEndsBy_, now + longestLease(cell));
 }
 
 bool hasClockRestarted(const Runner &runner, const RunnerReply &reply)
@@ -53,8 +66,7 @@
         return;
     }
     if (hasClockRestarted(runner, reply)) {
-        // A start may have named a time of the earlier clock; the runner shortens such a lease only to the longest one.
-        runner.leaseEndsBy_ = std::max(runner.leaseEndsBy_, now + leaseBound(cell.settings_.holdMax_));
+        extendLeaseToLongest(cell, runner, now);
     }
     runner.clockMs_ = reply.clockMs_;
     runner.clockReadAt_ = now;
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -382,7 +382,9 @@
         }
     }
     // A runner shortens the lease of a start whose end is a time of the previous incarnation's clock.
-    runner.leaseEndsBy_ = runner.tasks_.empty() ? TimePoint{} : now.steady_ + leaseBound(cell.settings_.holdMax_);
+    if (!runner.tasks_.empty()) {
+        extendLeaseToLongest(cell, runner, now.steady_);
+    }
 }
 
 // Resets the state that belongs to one incarnation of the runner.
@@ -683,7 +685,7 @@
     if (!runner.stateKnown_) {
         // An earlier leader may just have extended the lease. The runner shortens the lease of a start whose end is a
         // time of an earlier incarnation's clock only to the longest one that it grants.
-        runner.leaseEndsBy_ = std::max(runner.leaseEndsBy_, now.steady_ + leaseBound(cell.settings_.holdMax_));
+        extendLeaseToLongest(cell, runner, now.steady_);
         // The stored list may not name the runs that were adopted.
         cell.runnersDirty_ = cell.runnersDirty_ || !runner.tasks_.empty();
     }
--- a/tests/control/test_handover_cases.cpp
+++ b/tests/control/test_handover_cases.cpp
@@ -36,19 +36,9 @@
               static_cast<long long>(world.elapsedMs()), trace.c_str());
 }
 
-// Restarts a runner and has the leader, which does not know of this, start a task there: the start names a time of the
-// clock of the runner's previous life, so the new life shortens the lease to the maximum only. The runner is cut off
-// after `delay`.
-static void startOnUnseenLife(HandoverWorld &world, Milliseconds delay)
+// Has the only task start on runner 0, which is cut off `delay` after the start. Runner 1 takes no task until then.
+static void startBeforeACut(HandoverWorld &world, Milliseconds delay)
 {
-    world.fixedDuration_ = Milliseconds(9'500);
-    runFor(world, Milliseconds(30'000)); // the clock of the previous life is far ahead of that of the next
-    cr_assert_neq(world.leaderIndex(), SIZE_MAX);
-    world.simulatedRunners_[0].storeCuts_ = 1; // the store does not tell the leader of the restart
-    world.simulatedRunners_[1].model_.record_.draining_ = true; // the task goes to the other runner
-    runFor(world, Milliseconds(1'000));
-    world.crash(0);
-    world.restart(0);
     submitOneTask(world);
     for (int i = 0; i < 50 && world.starts_ == 0; ++i) {
         world.step();
@@ -61,6 +51,41 @@
     world.simulatedRunners_[1].model_.record_.draining_ = false;
 }
 
+// Restarts a runner and has the leader, which does not know of this, start a task there: the start names a time of the
+// clock of the runner's previous life, so the new life shortens the lease to the maximum only. The runner is cut off
+// after `delay`.
+static void startOnUnseenLife(HandoverWorld &world, Milliseconds delay, Milliseconds duration = Milliseconds(9'500))
+{
+    world.fixedDuration_ = duration;
+    runFor(world, Milliseconds(30'000)); // the clock of the previous life is far ahead of that of the next
+    cr_assert_neq(world.leaderIndex(), SIZE_MAX);
+    world.simulatedRunners_[0].storeCuts_ = 1; // the store does not tell the leader of the restart
+    world.simulatedRunners_[1].model_.record_.draining_ = true; // the task goes to the other runner
+    runFor(world, Milliseconds(1'000));
+    world.crash(0);
+    world.restart(0);
+    startBeforeACut(world, delay);
+}
+
+static constexpr Milliseconds LongerThanAnyLease{12'000};
+
+// Ends the leader. Its next process starts half a second later under its name.
+static void killLeader(HandoverWorld &world)
+{
+    const std::size_t leader = world.leaderIndex();
+    cr_assert_neq(leader, SIZE_MAX);
+    world.killDaemon(leader);
+    world.after(Milliseconds(500), [&world, leader] { world.startDaemon(leader); });
+}
+
+// The run on the runner that is cut off has ended, and the task has started again.
+static void checkSecondStart(HandoverWorld &world)
+{
+    runFor(world, Milliseconds(17'000));
+    checkNoViolation(world);
+    cr_assert_eq(world.starts_, 2, "the task has not started again");
+}
+
 // Guards against a task that runs twice at a time because its run outlives the lease that the leader counts. Here the
 // runner is cut off before the leader has a list of the new life.
 Test(handoverCases, leaseOfAStartOnALifeThatIsNeverListed)
@@ -82,6 +107,25 @@
     checkNoViolation(world);
 }
 
+// Guards against two runs at a time after a change of leader, where the former leader had started a task on an unseen
+// life: its successor counted the lease that the former leader had asked for, not the one that the life had granted.
+Test(handoverCases, leaseOfAFormerLeadersStartOnAnUnseenLife)
+{
+    HandoverWorld world(1, {3, 2, 1});
+    startOnUnseenLife(world, Milliseconds(100), LongerThanAnyLease);
+    killLeader(world);
+    checkSecondStart(world);
+}
+
+// The same where the former leader had no answer to the start.
+Test(handoverCases, leaseOfAFormerLeadersUnansweredStartOnAnUnseenLife)
+{
+    HandoverWorld world(1, {3, 2, 1});
+    startOnUnseenLife(world, Milliseconds(0), LongerThanAnyLease);
+    killLeader(world);
+    checkSecondStart(world);
+}
+
 // Guards against a run that is repeated because a relay was paused with its start, and goes on after the run has ended,
 // the end is acknowledged, and the runner has restarted, knowing nothing of the run.
 Test(handoverCases, relayMakesNoCallThatWaitedInAPausedProcess)
