Fix: [cell] A start without an answer counts with the longest lease of a life that is never heard

Cause: the leader reckons the end of the lease on the clock of the former life. The life that has carried out the start has granted the longest lease.

Why this works: a start whose last attempt got no answer, and which no answer and no list has shown to have begun, keeps its placement until the longest lease after the time at which the answer was given up is over. All other tasks of the runner are released as before: those that had begun have ended with the life that the leader knows, at the latest with its lease. A hold without an answer begins no run, so it needs no longer wait.

Related path: a start that was still in flight when a stop was sent had its answer ignored; now it counts as unanswered until the answer comes.

--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -219,6 +219,9 @@
     // The answer to a start or stop has shown that the runner's clock has begun anew. Nothing is started or
     // acknowledged until the next list says what the new incarnation has.
     bool hasNewClock_ = false;
+    // The runner was lost, and tasks_ has only the starts that a life which this leader does not know may have carried
+    // out, see unseenLifeLeaseEnd(). Its crash is counted.
+    bool hasOnlyUnansweredStarts_ = false;
     TimePoint nextCallRetryAt_ = TimePoint::max(); // earliest retryAt_ of all starts and stops
     TimePoint nextHoldAt_;
     std::int64_t startedUnixMs_ = 0; // start time of the incarnation that this state belongs to; 0: unknown
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -122,6 +122,9 @@
 Milliseconds longestLease(const Cell &cell);
 // Counts with the longest lease from now on.
 void extendLeaseToLongest(const Cell &cell, Runner &runner, TimePoint now);
+// The end of the lease that a start without an answer has if it has come to a life of the runner that this leader does
+// not know; empty for other placements.
+TimePoint unseenLifeLeaseEnd(const Cell &cell, const Placement &placement);
 // True when the clock in a reply shows that the runner has restarted: its clock has begun anew.
 bool hasClockRestarted(const Runner &runner, const RunnerReply &reply);
 // Takes the runner's clock from a reply.
--- a/src/core/cell/leases.cpp
+++ b/src/core/cell/leases.cpp
@@ -6,7 +6,8 @@
 // - A start or a hold of this leader, on the clock that the runner has shown: renewLease().
 // - The same call on a runner that has started again under its id, which the leader does not know yet. Its clock has
 //   begun anew, so the end that the call names is far ahead there and the lease is the longest one. An answer shows the
-//   new clock: updateClock().
+//   new clock: updateClock(). A start without an answer may have begun its run there: unseenLifeLeaseEnd(). A hold
+//   without one begins no run, and nothing else is started in that life before its first list.
 // - Calls of earlier leaders, until the runner's first list of runs, see takeListedRuns(). On a runner that never
 //   answers: the longest lease after the time at which they have ended. Nothing in the store tells whether their last
 //   starts came to a life that they had not seen.
@@ -54,6 +55,12 @@
     runner.leaseEndsBy_ = std::max(runner.leaseEndsBy_, now + longestLease(cell));
 }
 
+TimePoint unseenLifeLeaseEnd(const Cell &cell, const Placement &placement)
+{
+    const bool mayHaveBegunUnseen = !placement.begun_ && placement.startUnansweredAt_ != TimePoint{};
+    return mayHaveBegunUnseen ? placement.startUnansweredAt_ + longestLease(cell) : TimePoint{};
+}
+
 bool hasClockRestarted(const Runner &runner, const RunnerReply &reply)
 {
     const Duration sentBefore = std::max(Duration(0), runner.clockReadAt_ - reply.sentAt_);
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -219,6 +219,9 @@
         || isPresumedEnded(found->second)) {
         return;
     }
+    if (found->second.phase_ == PlacementPhase::Starting && found->second.callInFlight_) {
+        found->second.startUnansweredAt_ = now.steady_ + CallTimeout; // its answer is not waited for
+    }
     found->second.phase_ = PlacementPhase::Stopping;
     found->second.attempts_ = 0;
     found->second.confirmedAt_ = {};
@@ -327,22 +330,57 @@
     runner.predecessorTasksKnown_ = false;
     runner.clockMs_ = -1;
     runner.leaseEndsBy_ = {};
+    runner.hasOnlyUnansweredStarts_ = false;
     cell.placementDue_ = true;
 }
 
-void handleLostRunner(Cell &cell, Runner &runner, std::string_view cause, bool isCrash, CellTime now,
-                      CellActions &actions)
+// Presumes the end of the given tasks of a lost runner.
+static void loseRunner(Cell &cell, Runner &runner, std::string_view cause, bool isCrash,
+                       std::span<const StagedTask> ended, CellTime now, CellActions &actions)
 {
     logLostRunner(cell, runner, cause, now, actions);
     if (isCrash) {
         noteRunnerCrash(cell, runner, now, actions);
     }
+    presumeEnded(cell, runner, ended, now, actions);
+    forgetRunnerState(cell, runner);
+}
+
+void handleLostRunner(Cell &cell, Runner &runner, std::string_view cause, bool isCrash, CellTime now,
+                      CellActions &actions)
+{
     std::vector<StagedTask> tasks;
     for (const auto &[task, placement] : runner.tasks_) {
         tasks.push_back(task);
     }
-    presumeEnded(cell, runner, tasks, now, actions);
-    forgetRunnerState(cell, runner);
+    loseRunner(cell, runner, cause, isCrash, tasks, now, actions);
+}
+
+// The leases that this leader has asked for are over, on the clock of the life that it knows. Keeps the starts that
+// another life may have carried out, until the leases there are over as well.
+static void handleEndedLeases(Cell &cell, Runner &runner, CellTime now, CellActions &actions)
+{
+    std::vector<StagedTask> ended;
+    std::vector<StagedTask> kept;
+    TimePoint keptUntil;
+    for (const auto &[task, placement] : runner.tasks_) {
+        const TimePoint end = unseenLifeLeaseEnd(cell, placement);
+        if (end < now.steady_ || isPresumedEnded(placement)) {
+            ended.push_back(task);
+        } else {
+            kept.push_back(task);
+            keptUntil = std::max(keptUntil, end);
+        }
+    }
+    // A runner that has only been cut off is still listed.
+    const bool isCrash = !runner.inDiscovery_ && !runner.hasOnlyUnansweredStarts_;
+    loseRunner(cell, runner, "lease-ended", isCrash, ended, now, actions);
+    runner.leaseEndsBy_ = keptUntil;
+    runner.hasOnlyUnansweredStarts_ = !kept.empty();
+    for (const StagedTask &task : kept) {
+        stopPlacement(cell, runner, task, now, actions);
+        stopGang(cell, task, now, actions);
+    }
 }
 
 // Presumes the end of the tasks that ended with the previous incarnation of the runner. The start of a task may have
@@ -726,6 +764,7 @@
         if (!runner.stateKnown_) {
             runner.stateKnown_ = true;
             runner.stateKnownAt_ = now.steady_;
+            runner.hasOnlyUnansweredStarts_ = false;
             requestConfirmation(cell, now.steady_);
             runner.mayHavePredecessorTasks_ = false;
             runner.predecessorTasksKnown_ = false;
@@ -779,18 +818,20 @@
 static void handleStart(Cell &cell, Runner &runner, const RunnerReply &reply, CellTime now, CellActions &actions)
 {
     const auto found = runner.tasks_.find(reply.task_);
-    if (found == runner.tasks_.end() || found->second.run_ != reply.run_
-        || found->second.phase_ == PlacementPhase::Stopping || isPresumedEnded(found->second)) {
+    if (found == runner.tasks_.end() || found->second.run_ != reply.run_ || isPresumedEnded(found->second)) {
         return;
     }
     Placement &placement = found->second;
+    placement.begun_ = placement.begun_ || reply.status_ == RunnerStatus::Ok;
+    if (placement.phase_ == PlacementPhase::Stopping) {
+        return;
+    }
     placement.callInFlight_ = false;
     const bool mayHaveArrived = placement.attempts_ > 1; // an earlier attempt has no answer
     switch (reply.status_) {
     case RunnerStatus::Ok:
     case RunnerStatus::Superseded: // the run has ended already; its end is in the list
         placement.phase_ = PlacementPhase::Running;
-        placement.begun_ = placement.begun_ || reply.status_ == RunnerStatus::Ok;
         placement.confirmedAt_ = now.steady_;
         if (Job *job = findJob(cell, reply.task_.job_)) {
             markStarted(cell, *job, now.steady_);
@@ -899,8 +940,7 @@
 static void checkRunnerTimers(Cell &cell, Runner &runner, CellTime now, CellActions &actions)
 {
     if (!runner.tasks_.empty() && runner.leaseEndsBy_ != TimePoint{} && now.steady_ > runner.leaseEndsBy_) {
-        // A runner that has only been cut off is still listed.
-        handleLostRunner(cell, runner, "lease-ended", !runner.inDiscovery_, now, actions);
+        handleEndedLeases(cell, runner, now, actions);
         return;
     }
     if (runner.mayHavePredecessorTasks_ && !runner.stateKnown_) {
--- a/tests/control/test_handover_cases.cpp
+++ b/tests/control/test_handover_cases.cpp
@@ -107,6 +107,15 @@
     checkNoViolation(world);
 }
 
+// Guards against two runs at a time where the answer to a start on an unseen life is lost and the life is never heard
+// again: the leader counted the lease on the clock of the previous life.
+Test(handoverCases, leaseOfAnUnansweredStartOnALifeThatIsNeverHeard)
+{
+    HandoverWorld world(1, {3, 2, 1});
+    startOnUnseenLife(world, Milliseconds(0), LongerThanAnyLease);
+    checkSecondStart(world);
+}
+
 // Guards against two runs at a time after a change of leader, where the former leader had started a task on an unseen
 // life: its successor counted the lease that the former leader had asked for, not the one that the life had granted.
 Test(handoverCases, leaseOfAFormerLeadersStartOnAnUnseenLife)
