Fix: [cell] A clock that runs on too little shows a restart, too

Cause: an answer showed a restart only if its clock was behind the last reading. A leader reads the clock of an idle runner once; the clock of the next life passes this reading within moments, and the lease of the start that it answered was reckoned as if the former clock went on.

Why this works: the clock of one life runs on at 0.98 of the leader's rate at least, so an answer to a call sent later has to show that much more than the last reading, less the margin. A runner whose clock is slower than the platform allows gets the longest lease and another list, which cost little.

--- a/src/core/cell/leases.cpp
+++ b/src/core/cell/leases.cpp
@@ -63,8 +63,12 @@
 
 bool hasClockRestarted(const Runner &runner, const RunnerReply &reply)
 {
-    const Duration sentBefore = std::max(Duration(0), runner.clockReadAt_ - reply.sentAt_);
-    return Milliseconds(reply.clockMs_) + sentBefore + LeaseMargin < Milliseconds(runner.clockMs_);
+    // The clock was read when the call was sent or later. It runs on at MinClockRate at least.
+    const Duration elapsed = reply.sentAt_ - runner.clockReadAt_;
+    const Duration advance = elapsed < Duration(0)
+        ? elapsed
+        : std::chrono::duration_cast<Duration>(std::chrono::duration<double>(elapsed) * MinClockRate);
+    return Milliseconds(reply.clockMs_) + LeaseMargin < Milliseconds(runner.clockMs_) + advance;
 }
 
 void updateClock(const Cell &cell, Runner &runner, const RunnerReply &reply, TimePoint now)
--- a/tests/control/test_handover_cases.cpp
+++ b/tests/control/test_handover_cases.cpp
@@ -135,6 +135,30 @@
     checkSecondStart(world);
 }
 
+// Guards against two runs at a time where a runner restarts twice: the clock of the second life that the leader has not
+// seen is ahead of the last one that it has read, so that it did not show the restart.
+Test(handoverCases, leaseOfAStartAfterASecondUnseenRestart)
+{
+    HandoverWorld world(1, {3, 2, 1});
+    world.fixedDuration_ = LongerThanAnyLease;
+    runFor(world, Milliseconds(10'000));
+    cr_assert_neq(world.leaderIndex(), SIZE_MAX);
+    world.simulatedRunners_[1].model_.record_.draining_ = true;
+    world.crash(0);
+    world.restart(0);
+    runFor(world, Milliseconds(1'000));
+    const Cell *cell = world.cellOf(world.leaderIndex());
+    cr_assert_eq(cell->runners_.at(RunnerId("r0"))->startedUnixMs_, world.simulatedRunners_[0].model_.startedUnixMs_,
+                 "the leader has not seen the first restart");
+    runFor(world, Milliseconds(5'000)); // the idle runner is not called
+    world.simulatedRunners_[0].storeCuts_ = 1;
+    world.crash(0);
+    world.restart(0);
+    runFor(world, Milliseconds(1'200)); // less than the lifetime of an entry
+    startBeforeACut(world, Milliseconds(50));
+    checkSecondStart(world);
+}
+
 // Guards against a run that is repeated because a relay was paused with its start, and goes on after the run has ended,
 // the end is acknowledged, and the runner has restarted, knowing nothing of the run.
 Test(handoverCases, relayMakesNoCallThatWaitedInAPausedProcess)
