Fix: [cell] The clock in an answer to an earlier call shows a restart, too

Cause: answers to calls with an earlier token were handled without a look at their clock, so the lease was reckoned on the clock of the former life.

Evidence: cell::clockInAnAnswerToAnEarlierCallIsIgnored failed before: "started again while the first run may still be at work".

Why this works: a clock that has begun anew is taken from such an answer as from any other: the lease counts as the longest one, the token is raised, and nothing is started before the next list. A late answer of a former life cannot look like this, as its clock is ahead of that of the next one by what has passed since. After: test_cell passes.

--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -870,6 +870,17 @@
     }
 }
 
+// Takes the clock from the answer to a start or a stop, which does not name the life that has given it.
+static void takeClock(const Cell &cell, Runner &runner, const RunnerReply &reply, TimePoint now)
+{
+    if (reply.clockMs_ >= 0 && hasClockRestarted(runner, reply)) {
+        raiseToken(cell, runner);
+        runner.hasNewClock_ = true;
+        runner.nextHoldAt_ = now;
+    }
+    updateClock(cell, runner, reply, now);
+}
+
 static bool isOfEarlierIncarnation(const Runner &runner, const RunnerReply &reply)
 {
     return reply.startedUnixMs_ != 0 && reply.startedUnixMs_ < runner.startedUnixMs_;
@@ -884,6 +895,9 @@
         || isOfEarlierIncarnation(runner, reply)) {
         handled.status_ = RunnerStatus::Unknown; // the token, the address or the incarnation has changed since
     }
+    if (reply.op_ != RunnerOp::Hold && reply.clockMs_ >= 0 && hasClockRestarted(runner, reply)) {
+        takeClock(cell, runner, reply, now.steady_);
+    }
     if (reply.op_ == RunnerOp::Start) {
         handleStart(cell, runner, handled, now, actions);
     } else if (reply.op_ == RunnerOp::Stop) {
@@ -1089,12 +1103,11 @@
         }
         return;
     }
-    if (reply.op_ != RunnerOp::Hold && reply.clockMs_ >= 0 && hasClockRestarted(*runner, reply)) {
-        raiseToken(cell, *runner);
-        runner->hasNewClock_ = true;
-        runner->nextHoldAt_ = now.steady_;
+    if (reply.op_ == RunnerOp::Hold) {
+        updateClock(cell, *runner, reply, now.steady_);
+    } else {
+        takeClock(cell, *runner, reply, now.steady_);
     }
-    updateClock(cell, *runner, reply, now.steady_);
     switch (reply.op_) {
     case RunnerOp::Hold:
         handleHold(cell, *runner, reply, now, actions);
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -1370,6 +1370,66 @@
     cr_assert_eq(crashes, MaxStarts);
 }
 
+// Runs until the leader sends a start of the task, and returns the runner that is to get it with the next step.
+static RunnerModel &runUntilStart(CellWorld &world, const StagedTask &task)
+{
+    for (int step = 0; step < 2'000; ++step) {
+        world.run(Milliseconds(5));
+        for (const RunnerCall &call : world.actions_.runners_) {
+            if (call.op_ == RunnerOp::Start && call.task_ == task) {
+                return world.runners_.at(call.runner_);
+            }
+        }
+    }
+    cr_assert_fail("no start of %s", taskText(task).c_str());
+    std::abort();
+}
+
+// Guards against two runs at a time: a start on a life of its runner that the leader did not know was answered after
+// the leader had raised its token, as an acknowledgement had no answer, and the clock in such answers was not looked
+// at.
+Test(cell, clockInAnAnswerToAnEarlierCallIsIgnored)
+{
+    CellWorld world(1, 2);
+    RunnerModel &runner = world.runners_.at(RunnerId("r0"));
+    RunnerModel &other = world.runners_.at(RunnerId("r1"));
+    runner.clockOffsetMs_ = 100'000;
+    other.record_.draining_ = true;
+    world.listRunners();
+    world.run(Milliseconds(300));
+    world.submit(1);
+    world.run(Milliseconds(100));
+    runner.end(FirstTask, RunEnd::Done);
+    RunnerCall hold;
+    while (hold.acknowledgedEnd_ == 0) {
+        world.run(Milliseconds(5));
+        std::erase_if(world.actions_.runners_, [&hold](const RunnerCall &call) {
+            const bool acknowledges = call.acknowledgedEnd_ != 0;
+            hold = acknowledges ? call : hold;
+            return acknowledges;
+        });
+    }
+    runner.restart(runner.startedUnixMs_ + 1, world.elapsedMs());
+    const StagedTask second{StagedJobId{2}, 0, 0, 0};
+    world.submit(2);
+    cr_assert_eq(&runUntilStart(world, second), &runner);
+    const RunnerReply answer = runner.answer(world.actions_.runners_.back(), world.now_, world.elapsedMs());
+    cr_assert(answer.status_ == RunnerStatus::Ok);
+    world.actions_.runners_.clear();
+    RunnerReply unanswered;
+    unanswered.id_ = hold.id_;
+    unanswered.runner_ = hold.runner_;
+    handleRunnerReply(*world.cell_, unanswered, world.time(), world.actions_);
+    handleRunnerReply(*world.cell_, answer, world.time(), world.actions_);
+    runner.reachable_ = false;
+    other.record_.draining_ = false;
+    updateRunner(*world.cell_, other.record_, world.time(), world.actions_);
+    world.run(Milliseconds(10'200)); // the longest lease on a clock that is 2% slow
+    cr_assert_eq(world.startsOf(second), 1, "started again while the first run may still be at work");
+    world.run(Milliseconds(1'500));
+    cr_assert_eq(world.startsOf(second), 2);
+}
+
 // Guards against crashes that are forgotten with the leader: each crash here is followed by a change of leader that has
 // not seen it.
 Test(cell, crashesCountAcrossChangesOfLeader)
@@ -1413,21 +1473,6 @@
     cr_assert_geq(world->startsOf(FirstTask), 2);
 }
 
-// Runs until the leader sends a start of the task, and returns the runner that is to get it with the next step.
-static RunnerModel &runUntilStart(CellWorld &world, const StagedTask &task)
-{
-    for (int step = 0; step < 2'000; ++step) {
-        world.run(Milliseconds(5));
-        for (const RunnerCall &call : world.actions_.runners_) {
-            if (call.op_ == RunnerOp::Start && call.task_ == task) {
-                return world.runners_.at(call.runner_);
-            }
-        }
-    }
-    cr_assert_fail("no start of %s", taskText(task).c_str());
-    std::abort();
-}
-
 // Guards against a job that fails after one crash: a start that never reached its runner, which the stored list of
 // runners names, was counted by the next leader as a run that had begun.
 Test(cell, jobIsGivenUpForAStartThatNeverReachedItsRunner)
