Fix: [cell] A runner that gives no clock is counted with the longest lease

What callers would see: a task starts a second time while its first run is at work, on a runner whose answers have no ClockMs. The platform's pages say that each answer has one, so this was found by reading, not by a run of the users.

Cause: the leader extends the lease that it counts only where it knows the clock. After the longest lease of the first list it took the runs for ended, though each hold renewed their leases.

Evidence: cell::leasesOfARunnerWithoutAClockAreTakenForEnded failed before: "started again while the first run is at work".

Why this works: an answer without a clock may stand for any lease, so the longest one counts from its arrival. After: test_cell 70 of 70.

--- a/src/core/cell/leases.cpp
+++ b/src/core/cell/leases.cpp
@@ -11,6 +11,7 @@
 // - Calls of earlier leaders, until the runner's first list of runs, see takeListedRuns(). On a runner that never
 //   answers: the longest lease after the time at which they have ended. Nothing in the store tells whether their last
 //   starts came to a life that they had not seen.
+// - A runner that gives no clock with its answer: the longest lease, see updateClock().
 // A call that is carried out late in the same life does not lengthen anything, as the end that it names stays the same.
 // One that comes to a later life, after the time that is counted here, is not covered.
 #include "core/cell/cell_internal.h"
@@ -74,6 +75,9 @@
 void updateClock(const Cell &cell, Runner &runner, const RunnerReply &reply, TimePoint now)
 {
     if (reply.clockMs_ < 0) {
+        if (reply.status_ == RunnerStatus::Ok) {
+            extendLeaseToLongest(cell, runner, now);
+        }
         return;
     }
     if (hasClockRestarted(runner, reply)) {
--- a/src/standin/runner_model.h
+++ b/src/standin/runner_model.h
@@ -18,6 +18,7 @@
     RunnerRecord record_;
     bool reachable_ = true; // false: calls are not executed
     bool hasLeftAddress_ = false; // another runner answers at the address
+    bool givesClock_ = true; // in its answers
     bool dropsReplies_ = false; // calls are executed, but their replies are lost
     std::uint64_t token_ = 0; // highest fencing token seen
     std::int64_t startedUnixMs_ = 1;
@@ -95,7 +96,7 @@
             reply.status_ = RunnerStatus::OtherIncarnation;
             return reply;
         }
-        reply.clockMs_ = clockOffsetMs_ + elapsedMs;
+        reply.clockMs_ = givesClock_ ? clockOffsetMs_ + elapsedMs : -1;
         reply.status_ = RunnerStatus::Ok;
         if (call.token_.value_ < token_) {
             reply.status_ = RunnerStatus::Fenced;
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -1430,6 +1430,26 @@
     cr_assert_eq(world.startsOf(second), 2);
 }
 
+// Guards against two runs at a time on runners that give no clock: the leader extended no lease, and took the runs for
+// ended once the lease that it had counted first was over.
+Test(cell, leasesOfARunnerWithoutAClockAreTakenForEnded)
+{
+    CellWorld world;
+    for (auto &[id, runner] : world.runners_) {
+        runner.givesClock_ = false;
+    }
+    world.listRunners();
+    world.run(Milliseconds(300));
+    world.submit(1, 1, 8'000);
+    world.run(Milliseconds(15'000));
+    cr_assert_eq(world.startsOf(FirstTask), 1, "started again while the first run is at work");
+    world.runners_.at(world.runnerOf(FirstTask)).reachable_ = false;
+    world.run(Milliseconds(10'200));
+    cr_assert_eq(world.startsOf(FirstTask), 1, "started again while the first run may still be at work");
+    world.run(Milliseconds(1'500));
+    cr_assert_eq(world.startsOf(FirstTask), 2);
+}
+
 // Guards against crashes that are forgotten with the leader: each crash here is followed by a change of leader that has
 // not seen it.
 Test(cell, crashesCountAcrossChangesOfLeader)
