Change: [control] Random faults with lives of runners that the leader has not seen

A new kind of cluster in the random test of changes of leader, seeds above three million: runners start again under their ids, silently and without telling the store, begin a run on an order that names the former clock, and are cut off within 100 ms; the leader is killed in most cases and is back under its name soon. The faults of all other seeds stay as they were.

--- a/tests/control/handover_faults.h
+++ b/tests/control/handover_faults.h
@@ -7,11 +7,17 @@
 namespace mimosapier
 {
 
+enum class FaultMix : std::uint8_t {
+    Any, // see drawFault()
+    Busy, // see drawFaultOfBusyCluster()
+    UnseenLives, // see drawFaultWithUnseenLives()
+};
+
 struct FaultSchedule
 {
     HandoverWorld &world_;
     TimePoint endsAt_; // all faults are over by then
-    bool isBusy_ = false; // see drawFaultOfBusyCluster()
+    FaultMix mix_ = FaultMix::Any;
 };
 
 namespace detail
@@ -343,6 +349,71 @@
     }
 }
 
+// Kills the leader. Its next process is there soon, so that its successor need not wait for the end of its calls.
+inline void restartLeader(const FaultSchedule &schedule)
+{
+    HandoverWorld &world = schedule.world_;
+    const std::size_t leader = world.leaderIndex();
+    if (leader != SIZE_MAX) {
+        world.trace("restart d" + std::to_string(leader));
+        world.killDaemon(leader);
+        world.after(world.time(100, 600), [&world, leader] { world.startDaemon(leader); });
+    }
+}
+
+// Cuts a runner off from all instances once it has begun a run, or at the end of the wait; ends the leader at times.
+inline void cutOffOnceItRuns(const FaultSchedule &schedule, std::size_t index, TimePoint waitEndsAt)
+{
+    HandoverWorld &world = schedule.world_;
+    if (world.simulatedRunners_[index].model_.active_.empty() && world.now_ < waitEndsAt) {
+        world.after(HandoverWorld::Tick,
+                    [schedule, index, waitEndsAt] { cutOffOnceItRuns(schedule, index, waitEndsAt); });
+        return;
+    }
+    const Milliseconds cutAfter = world.time(0, 100);
+    const Milliseconds duration = world.time(8'000, 14'000);
+    world.trace("r" + std::to_string(index) + " is cut off for " + std::to_string(duration.count()));
+    for (std::size_t i = 0; i < world.instances_.size(); ++i) {
+        raiseLater(schedule, world.runnerCuts_[i][index], cutAfter, duration);
+    }
+    if (world.chance(0.7)) {
+        world.after(limited(schedule, cutAfter + world.time(0, 50)), [schedule] { restartLeader(schedule); });
+    }
+}
+
+// Restarts some runners without the store telling of it, and cuts each one off soon after: a start that names a time of
+// the former life's clock has the longest lease there.
+inline void cutOffUnseenLives(const FaultSchedule &schedule)
+{
+    HandoverWorld &world = schedule.world_;
+    for (std::size_t r = 0; r < world.simulatedRunners_.size(); ++r) {
+        SimulatedRunner &runner = world.simulatedRunners_[r];
+        if (!runner.up_ || !world.chance(0.25)) {
+            continue;
+        }
+        const Milliseconds downTime = limited(schedule, world.time(20, 700));
+        raise(schedule, runner.storeCuts_, world.time(2'000, 16'000));
+        for (std::vector<int> &cuts : world.runnerCuts_) { // no call is refused meanwhile
+            raise(schedule, cuts[r], downTime);
+        }
+        world.crash(r);
+        world.after(downTime, [schedule, r] {
+            HandoverWorld &later = schedule.world_;
+            later.restart(r);
+            cutOffOnceItRuns(schedule, r, later.now_ + Milliseconds(2'000));
+        });
+    }
+}
+
+inline void drawFaultWithUnseenLives(const FaultSchedule &schedule)
+{
+    if (schedule.world_.chance(0.85)) {
+        cutOffUnseenLives(schedule);
+    } else {
+        drawFault(schedule);
+    }
+}
+
 } // namespace detail
 
 // Draws faults until the end of the schedule.
@@ -352,13 +423,23 @@
     if (world.now_ >= schedule.endsAt_) {
         return;
     }
-    if (schedule.isBusy_) {
-        detail::drawFaultOfBusyCluster(schedule);
-    } else {
+    switch (schedule.mix_) {
+    case FaultMix::Any:
         detail::drawFault(schedule);
+        break;
+    case FaultMix::Busy:
+        detail::drawFaultOfBusyCluster(schedule);
+        break;
+    case FaultMix::UnseenLives:
+        detail::drawFaultWithUnseenLives(schedule);
+        break;
+    }
+    const bool isSoon = world.chance(0.3);
+    Milliseconds gap = isSoon ? world.time(100, 1'000) : world.time(1'000, 6'000);
+    if (schedule.mix_ == FaultMix::UnseenLives) {
+        gap += Milliseconds(3'000); // the leader has to use the runners again
     }
-    world.after(world.chance(0.3) ? world.time(100, 1'000) : world.time(1'000, 6'000),
-                [schedule] { scheduleFaults(schedule); });
+    world.after(gap, [schedule] { scheduleFaults(schedule); });
 }
 
 } // namespace mimosapier
--- a/tests/control/handover_runners.h
+++ b/tests/control/handover_runners.h
@@ -193,7 +193,7 @@
             observeStart(checker_, call.runner_, call.task_, call.run_.value_, call.token_.value_, seenToken, now_,
                          isRefusable);
             const RunEnd reason = chance(0.93) || fixedDuration_ ? RunEnd::Done : RunEnd::Failed;
-            const Milliseconds drawn = chance(0.15) ? time(1'500, 9'000) : time(30, 1'500);
+            const Milliseconds drawn = chance(longShare_) ? time(1'500, longest_.count()) : time(30, 1'500);
             const Milliseconds duration = fixedDuration_.value_or(drawn);
             after(duration,
                   [this, index, incarnation = runner.incarnation_, task = call.task_, run = call.run_.value_, reason] {
@@ -382,6 +382,8 @@
     // Gives some calls a certain delay; empty: none.
     std::function<std::optional<Milliseconds>(const RunnerCall &)> delayOf_;
     std::optional<Milliseconds> fixedDuration_; // of all runs, which then end as done; empty: drawn
+    double longShare_ = 0.15; // of the runs without a fixed duration
+    Milliseconds longest_{9'000}; // of these runs
     std::uint64_t starts_ = 0;
     std::uint64_t fencedCalls_ = 0; // calls that runners have refused because of their token
 };
--- a/tests/control/test_handover.cpp
+++ b/tests/control/test_handover.cpp
@@ -18,6 +18,8 @@
 static constexpr std::uint64_t FirstLargeSeed = 1'000'001; // large clusters have the seeds above a million
 static constexpr std::uint64_t FirstBusySeed = 2'000'001; // clusters with much work, the seeds above two million
 static constexpr std::uint64_t BusySeeds = 30;
+static constexpr std::uint64_t FirstUnseenSeed = 3'000'001; // runners restart unseen: the seeds above three million
+static constexpr std::uint64_t UnseenSeeds = 75;
 static constexpr std::uint64_t SmallSeeds = 200;
 static constexpr std::uint64_t LargeSeeds = 30;
 static constexpr Milliseconds QuietStart{3'000};
@@ -84,9 +86,17 @@
     return text;
 }
 
+static FaultMix mixOf(std::uint64_t seed)
+{
+    if (seed >= FirstUnseenSeed) {
+        return FaultMix::UnseenLives;
+    }
+    return seed >= FirstBusySeed ? FaultMix::Busy : FaultMix::Any;
+}
+
 static bool isBusy(std::uint64_t seed)
 {
-    return seed >= FirstBusySeed;
+    return mixOf(seed) == FaultMix::Busy;
 }
 
 static WorldSize worldSizeOf(std::uint64_t seed)
@@ -95,6 +105,9 @@
         constexpr int ManyTasks = 60; // of each runner, times 2 to 4
         return {4, 5, 1, ManyTasks};
     }
+    if (mixOf(seed) == FaultMix::UnseenLives) {
+        return {4, 6, 1};
+    }
     if (seed >= FirstLargeSeed) {
         return {14, 6, 2};
     }
@@ -112,11 +125,16 @@
         return {};
     }
     world.lateByOwnTime_ = world.chance(0.5);
+    if (mixOf(seed) == FaultMix::UnseenLives) {
+        world.longShare_ = 0.35;
+        world.longest_ = Milliseconds(14'000); // longer than any lease of a runner that is cut off
+    }
     const TimePoint faultsEndAt = world.start_ + QuietStart + FaultTime;
     std::function<void()> submitNext = [&] {
         world.submitRandomJob();
         if (world.now_ < faultsEndAt) {
-            const bool soon = world.chance(isBusy(seed) ? 0.995 : 0.2);
+            const double soonShare = isBusy(seed) ? 0.995 : mixOf(seed) == FaultMix::UnseenLives ? 0.3 : 0.2;
+            const bool soon = world.chance(soonShare);
             if (soon) {
                 world.after(isBusy(seed) ? world.time(1, 20) : world.time(10, 100), submitNext);
             } else {
@@ -125,7 +143,7 @@
         }
     };
     world.after(Milliseconds(1'000), submitNext);
-    const FaultSchedule schedule{world, faultsEndAt, isBusy(seed)};
+    const FaultSchedule schedule{world, faultsEndAt, mixOf(seed)};
     world.after(QuietStart, [&] { scheduleFaults(schedule); });
     SeedResult result;
     const auto finish = [&] {
@@ -188,7 +206,7 @@
 static void runLargeClusters(bool callsOutliveRunners)
 {
     const std::uint64_t seed = environmentNumber("MIMOSAPIER_HANDOVER_SEED", FirstLargeSeed);
-    const bool isLarge = seed >= FirstLargeSeed && !isBusy(seed);
+    const bool isLarge = seed >= FirstLargeSeed && mixOf(seed) == FaultMix::Any;
     runSeeds(seed, isLarge ? environmentNumber("MIMOSAPIER_HANDOVER_COUNT", LargeSeeds) : 0, callsOutliveRunners);
 }
 
@@ -212,6 +230,16 @@
              FailedJobs::PassedOver);
 }
 
+// The same in a cluster whose runners start again under their ids, are given a task before the leader knows of that,
+// and are cut off; the leader ends as well.
+Test(handover, randomFaultsWithUnseenLives, .timeout = 3'600)
+{
+    const std::uint64_t seed = environmentNumber("MIMOSAPIER_HANDOVER_SEED", FirstUnseenSeed);
+    const bool isUnseen = mixOf(seed) == FaultMix::UnseenLives;
+    runSeeds(seed, isUnseen ? environmentNumber("MIMOSAPIER_HANDOVER_COUNT", UnseenSeeds) : 0, false,
+             FailedJobs::PassedOver);
+}
+
 // The same for the seeds in which a call that is under way when a runner crashes may reach its next life. A start that
 // does so before a leader can know of that life is not refusable, see observeStart().
 Test(handover, randomFaultsWithCallsThatOutliveRunners, .timeout = 3'600)
