Change: [soak] Runners that start again unknown to the leader and are cut off with a task

The fault recut of scripts/soak: the runners that were given tasks last begin a new life under their ids; calls to the former life stay open without an answer, and the new one registers seconds later.

--- a/tests/soak/check_twice.py
+++ b/tests/soak/check_twice.py
@@ -89,6 +89,11 @@
     return events
 
 
+def last_start(path):
+    """Returns the time of the last start in a journal; 0 without one."""
+    return max((event["t"] for event in read_journal([path]) if event["what"] == "start"), default=0.0)
+
+
 def collect_runs(events):
     """Returns the runs of each task, by start."""
     runs = {}  # (runner, born, task, run) -> Run
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,9 @@
 import signal
 import time
 
+import check_twice
+from httpd import call
+
 FIRST_FAULT_S = 4.0
 LAST_FAULT_BEFORE_END_S = 10.0
 GAPS_S = (0.3, 0.8, 2, 4, 7)  # shorter than most faults, so that they overlap
@@ -21,6 +24,13 @@
 SHORT_PAUSE_MAX_S = 3.0  # until a process that was ended starts again
 SILENCE_NOTICED_S = (2.3, 2.8)  # a leader takes a runner as silent once a hold has no answer
 SHORT_SILENCE_S = (4.0, 4.8)  # less than what is left of a runner's lease
+RECUT_DOWN_S = (0.1, 0.5)
+RECUT_UNREGISTERED_S = 3.0  # the store's entry of the former life lasts longer
+RECUT_WAIT_S = 2.5
+RECUT_CUT_AFTER_S = (0.0, 0.1)
+RECUT_CUT_S = (11.0, 13.0)  # longer than any lease
+RECUT_TASK_S = 10.0  # a run that is still at work when a shorter lease than the longest one would be over
+RECUT_LEADER_SHARE = 0.8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,6 +60,7 @@
         self.deployment_ = deployment
         self.counts = {}
         self.has_region_ = False
+        self.has_recut_ = False
 
     async def run(self, fault):
         source = random.Random(fault.seed)
@@ -259,6 +270,42 @@
                         + ("drain" if drains else "are silent"))
         return await deployment.restart_daemon(leader, number, source.uniform(0, 1))
 
+    async def recut(self, _, source):
+        """Restarts runners under their ids, unknown to the leader, and cuts each off soon after it has begun a long task there.
+
+        They are those that were given tasks last, as a leader fills one runner after the other. In most cases the leader
+        ends with the first of these cuts. There is one such fault at a time.
+        """
+        if self.has_recut_:
+            return False
+        self.has_recut_ = True
+        try:
+            return await self.recut_runners(source)
+        finally:
+            self.has_recut_ = False
+
+    async def recut_runners(self, source):
+        deployment = self.deployment_
+        running = [runner for runner in deployment.runners if not runner.is_restarting]
+        running.sort(key=lambda runner: check_twice.last_start(runner.journal), reverse=True)
+        chosen = running[:max(1, len(running) // 3)]
+        cut_s, ends_leader = source.uniform(*RECUT_CUT_S), source.random() < RECUT_LEADER_SHARE
+        parts = [call(runner.address, "POST", "/recut",
+                      {"down": source.uniform(*RECUT_DOWN_S), "unregistered": RECUT_UNREGISTERED_S, "wait": RECUT_WAIT_S,
+                       "task": RECUT_TASK_S, "cut_after": source.uniform(*RECUT_CUT_AFTER_S), "cut": cut_s}, timeout=2 * RECUT_WAIT_S)
+                 for runner in chosen]
+        begun = 0
+        for part in asyncio.as_completed(parts):
+            _, answer = await part
+            begun += 1 if answer.get("Began") else 0
+            leader = deployment.leader()
+            if begun == 1 and answer.get("Began") and ends_leader and leader is not None:
+                deployment.note(f"  SIGKILL for {leader.name}")
+                asyncio.create_task(deployment.restart_daemon(leader, signal.SIGKILL, source.uniform(0, 0.3)))
+        deployment.note(f"  {begun} of {len(chosen)} restarted runners had begun a task when they were cut off")
+        await asyncio.sleep(cut_s)
+        return begun > 0
+
     async def runner_kill(self, _, source):
         runner, pause_s = source.choice(self.deployment_.runners), source.choice([0, 0.5, 1, 2, 5, 8])
         return await self.deployment_.restart_runner(runner, pause_s)
@@ -271,7 +318,7 @@
     "pause": Injector.pause, "kill": Injector.kill, "term": Injector.term, "succession": Injector.succession,
     "runner-silent": Injector.runner_fault, "runner-slow": Injector.runner_fault, "runner-lossy": Injector.runner_fault,
     "runner-late": Injector.runner_fault, "runner-drain": Injector.runner_fault, "runner-kill": Injector.runner_kill,
-    "quiet-handover": Injector.quiet_and_handover,
+    "quiet-handover": Injector.quiet_and_handover, "recut": Injector.recut,
 }
 # Kinds that replace a leader, so that a run with one of them and without a change of leader shows nothing.
-LEADER_KINDS = {"region", "region-restart", "kill", "term", "succession", "quiet-handover"}
+LEADER_KINDS = {"region", "region-restart", "kill", "term", "succession", "quiet-handover", "recut"}
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -9,6 +9,11 @@
   {"drain": S}                                               for S seconds: its entry says that it drains
 
 A runner that is inner and unregistered does not reach the store either while it is cut off.
+
+POST /recut {"down": S, "unregistered": S, "wait": S, "task": S, "cut_after": S, "cut": S} begins the runner's next life
+under its id, after `down`. Calls to the former life stay without an answer, and the next one registers only after
+`unregistered`. When a task of at least the length `task` has begun in it, or after `wait`, it is cut off from all daemons
+and from the store, `cut_after` later and for `cut`. The answer comes with the cut: {"Began": BOOL}.
 """
 
 import argparse
@@ -33,14 +38,23 @@
 class Runner:
     def __init__(self, args):
         self.args_ = args
-        self.born_ = int(time.time() * 1000)
-        self.started_ = time.monotonic()
         self.random_ = random.Random(f"{args.seed}/{args.id}")
         self.clock_rate_ = self.random_.choice(CLOCK_RATES)
-        self.token_ = 0
         self.partition_ = None
         self.fault_ends_ = {"partition": 0.0, "silent": 0.0, "slow": 0.0, "lossy": 0.0, "late": 0.0,
                             "drain": 0.0}
+        self.registers_from_ = 0.0
+        self.sequence_ = 0
+        self.journal_ = open(args.journal, "a", buffering=1)
+        self.begin_life()
+        if args.partition:
+            self.set_fault({"partition": json.loads(args.partition)})
+
+    def begin_life(self):
+        """It holds and knows nothing of before; its clock and the numbers of its ends begin anew."""
+        self.born_ = int(time.time() * 1000)
+        self.started_ = time.monotonic()
+        self.token_ = 0
         self.until_ = 0
         self.active_ = {}  # task -> (run, timer)
         self.stopping_ = set()  # (task, run)
@@ -48,10 +62,9 @@
         self.finished_ = []
         self.last_end_ = 0
         self.ended_ = asyncio.Event()
-        self.sequence_ = 0
-        self.journal_ = open(args.journal, "a", buffering=1)
-        if args.partition:
-            self.set_fault({"partition": json.loads(args.partition)})
+        self.awaited_task_s_ = 0.0
+        self.began_task_ = asyncio.Event()
+        self.note("born")
 
     def clock(self):
         return int((time.monotonic() - self.started_) * self.clock_rate_ * 1000) + 1000
@@ -72,6 +85,25 @@
         self.note("fault", **body)
         return 200, {}
 
+    async def recut(self, body):
+        for _, timer in self.active_.values():
+            timer.cancel()
+        self.active_.clear()
+        self.note("down")
+        self.fault_ends_["silent"] = time.monotonic() + body["down"]
+        self.registers_from_ = time.monotonic() + body["down"] + body["unregistered"]
+        await asyncio.sleep(body["down"])
+        self.begin_life()
+        self.awaited_task_s_ = body["task"]
+        try:
+            await asyncio.wait_for(self.began_task_.wait(), body["wait"])
+        except asyncio.TimeoutError:
+            pass
+        await asyncio.sleep(body["cut_after"])
+        self.fault_ends_["silent"] = self.registers_from_ = time.monotonic() + body["cut"]
+        self.note("cut off", seconds=body["cut"])
+        return 200, {"Began": self.began_task_.is_set()}
+
     def has_fault(self, kind):
         return time.monotonic() < self.fault_ends_[kind]
 
@@ -79,7 +111,7 @@
         return self.has_fault("partition") and (token <= self.partition_["token"]) != self.partition_["inner"]
 
     def reaches_store(self):
-        return not (self.has_fault("partition") and self.partition_["inner"] and self.partition_.get("unregistered"))
+        return time.monotonic() >= self.registers_from_ and not (self.has_fault("partition") and self.partition_["inner"] and self.partition_.get("unregistered"))
 
     # ---- registration ----
 
@@ -138,6 +170,9 @@
     async def handle(self, request):
         if request.target == "/fault":
             return self.set_fault(request.body)
+        if request.target == "/recut":
+            return await self.recut(request.body)
+        life = self.started_
         token = int(request.body.get("FencingToken", 0))
         if self.has_fault("silent") or self.is_cut_off_from(token):
             return None
@@ -146,9 +181,12 @@
         late = self.has_fault("late") and self.random_.random() < LATE_SHARE
         if late:
             await asyncio.sleep(self.random_.uniform(*LATE_RANGE_S))
+        if life != self.started_:
+            return None
         answer = await self.execute(request, token)
         lost = self.has_fault("lossy") and self.random_.random() < LOST_SHARE
-        return None if late or lost or self.has_fault("silent") or self.is_cut_off_from(token) else answer
+        is_silent = self.has_fault("silent") or self.is_cut_off_from(token) or life != self.started_
+        return None if late or lost or is_silent else answer
 
     async def execute(self, request, token):
         self.check_lease()
@@ -185,6 +223,8 @@
         delay_s = json.loads(body["Spec"])["ms"][step] / 1000
         timer = asyncio.get_running_loop().call_later(delay_s, self.finish, task, run)
         self.active_[task] = (run, timer)
+        if delay_s >= self.awaited_task_s_:
+            self.began_task_.set()
         self.note("start", task=task, run=run, token=token)
         return 200, {"ClockMs": self.clock()}
 
@@ -226,7 +266,6 @@
     parser.add_argument("--partition", help="a partition that is there from the start, as for POST /fault")
     args = parser.parse_args()
     runner = Runner(args)
-    runner.note("born")
     host, port = args.address.rsplit(":", 1)
     await Server(runner.handle).start(host, int(port))
     await asyncio.gather(runner.register_loop(), runner.lease_loop())
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -28,14 +28,15 @@
 FAULTS_END_S = 60  # after the load; more than any fault with its restarts
 SETTLE_S = 16  # for the tasks that are left; more than a lease of a runner
 SUBMIT_ATTEMPTS = 12
+LONG_TASK_MS = 14_000  # longer than any lease of a runner that is cut off
 SHOWN_VIOLATIONS = 5
 
 
 class Load:
     """Hands in jobs as clients do: the same id again, at any daemon that is up, until the answer is final."""
 
-    def __init__(self, deployment, seed, rate):
-        self.deployment_, self.seed_, self.rate_ = deployment, seed, rate
+    def __init__(self, deployment, seed, rate, long_share):
+        self.deployment_, self.seed_, self.rate_, self.long_share_ = deployment, seed, rate, long_share
         self.accepted = {}  # id -> number of tasks
 
     async def run(self, seconds):
@@ -51,7 +52,10 @@
         source = random.Random(f"{self.seed_}/job/{number}")
         job, steps = f"{source.getrandbits(64):016x}", source.randint(1, 2)
         counts = [source.randint(1, 6) for _ in range(steps)]
-        body = {"Spec": json.dumps({"ms": [source.randint(80, 2500) for _ in range(steps)]}),
+        run_times_ms = [source.randint(80, 2500) for _ in range(steps)]
+        if source.random() < self.long_share_:
+            run_times_ms[0] = LONG_TASK_MS
+        body = {"Spec": json.dumps({"ms": run_times_ms}),
                 "Steps": [{"Count": count, "Cpu": 1000, "MemMb": 256, "EstimateMs": 1000,
                            **({"After": [step - 1]} if step else {})} for step, count in enumerate(counts)]}
         headers = {"Host": HOST, "Authorization": "Bearer " + KEY, "X-Deadline-Ms": "3000"}
@@ -85,7 +89,7 @@
 async def play(deployment, args, seed):
     """Runs one deployment; returns its figures."""
     await deployment.start()
-    injector, load = Injector(deployment), Load(deployment, seed, args.rate)
+    injector, load = Injector(deployment), Load(deployment, seed, args.rate, args.long_share)
     plan = draw_plan(seed, args.kinds, args.seconds)
     limit_s = args.seconds + FAULTS_END_S
     errors, _ = await asyncio.wait_for(asyncio.gather(inject(injector, plan), load.run(args.seconds)), limit_s)
@@ -191,6 +195,8 @@
     parser.add_argument("--daemons", type=int, default=6, help="%(default)s; from 15 on, calls to runners are relayed")
     parser.add_argument("--runners", type=int, default=6)
     parser.add_argument("--rate", type=float, default=6, help="jobs a second (%(default)s)")
+    parser.add_argument("--long-share", type=float, default=0.0,
+                        help=f"share of the jobs whose first tasks take {LONG_TASK_MS} ms (%(default)s)")
     parser.add_argument("--store-ms", type=float, default=4, help="time that an answer of the store takes (%(default)s)")
     parser.add_argument("--kinds", type=parse_kinds, default=list(KINDS),
                         help="comma-separated, a kind named twice is drawn twice as often (all): " + ", ".join(KINDS))
--- a/tests/soak/test_stand_ins.py
+++ b/tests/soak/test_stand_ins.py
@@ -128,6 +128,23 @@
         headers = {"X-Expect-Instance": "server-0"}
         self.assertEqual((await call(self.runner.address, "POST", "/hold", {"FencingToken": 9}, headers, 0.3))[0], 0)
 
+    async def test_recut_begins_a_life_that_is_cut_off_once_it_has_begun_a_long_task(self):
+        await asyncio.sleep(0.5)
+        clock_before = await self.clock(5)
+        fault = {"down": 0, "unregistered": 600, "wait": TIMEOUT_S, "task": 0.5, "cut_after": 0, "cut": 600}
+        recut = asyncio.create_task(self.post("/recut", **fault))
+        end = time.monotonic() + TIMEOUT_S
+        while len(self.events("born")) < 2:
+            self.assertLess(time.monotonic(), end, "timed out")
+            await asyncio.sleep(0.02)
+        self.assertLess(await self.clock(1), clock_before)  # it has seen no token either
+        await self.start(work_ms=60_000)
+        self.assertEqual((await recut)[1], {"Began": True})
+        headers = {"X-Expect-Instance": "server-0"}
+        self.assertEqual((await call(self.runner.address, "POST", "/hold", {"FencingToken": 9}, headers, 0.3))[0], 0)
+        events = [event["what"] for event in self.events("born", "down", "start", "cut off")]
+        self.assertEqual(events, ["born", "down", "born", "start", "cut off"])
+
 
 class StoreTest(unittest.IsolatedAsyncioTestCase):
     async def test_overlapping_faults_of_one_port(self):
