Fix: [cell] A drained runner that has left as planned is no risk for its tasks

Cause: the risk of a start after a crash was taken back only by a list of the runner. A drained runner that leaves lists no end of a task that lasts.

Evidence: cell::longRunningTaskIsGivenUpAfterPlannedReplacements failed before: "not at work before replacement 4".

Why this works: a runner that was draining and is gone has left as planned, so its risky runs count as survived, also where its entry is removed only after its leases have ended.

--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -180,6 +180,8 @@
 // Counts the crash for the tasks that the runner had, before their placements are released. Fails the jobs of tasks
 // under which too many runners have crashed.
 void noteRunnerCrash(Cell &cell, const Runner &runner, CellTime now, CellActions &actions);
+// The runner was drained and has left as planned: this is no crash of the runs that it still had.
+void noteRunnerLeft(Cell &cell, const Runner &runner);
 // Counts the crash of a runner for one task, by the run that ended with it; `hasBegun`: see Placement::begun_.
 void noteRunCrash(Cell &cell, const StagedTask &id, RunNumber run, bool hasBegun, CellTime now, CellActions &actions);
 // The runner has survived the run.
--- a/src/core/cell/crashes.cpp
+++ b/src/core/cell/crashes.cpp
@@ -254,9 +254,19 @@
     }
 }
 
+void noteRunnerLeft(Cell &cell, const Runner &runner)
+{
+    for (const auto &[task, placement] : runner.tasks_) {
+        if (Job *job = findJob(cell, task.job_); job != nullptr && !isFinal(*job)) {
+            noteRunSurvived(cell, *job, task, placement.run_);
+        }
+    }
+}
+
 void noteRunnerCrash(Cell &cell, const Runner &runner, CellTime now, CellActions &actions)
 {
-    if (runner.record_.draining_) { // it has left
+    if (runner.record_.draining_) {
+        noteRunnerLeft(cell, runner);
         return;
     }
     count(actions, CellCounter::RunnerCrash);
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -411,6 +411,8 @@
     logLostRunner(cell, runner, cause, now, actions);
     if (isCrash) {
         noteRunnerCrash(cell, runner, now, actions);
+    } else if (runner.record_.draining_) { // its entry is removed later
+        noteRunnerLeft(cell, runner);
     }
     presumeEnded(cell, runner, ended, now, actions);
     forgetRunnerState(cell, runner);
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -1685,6 +1685,37 @@
     }
 }
 
+// Guards against a long-running task that is given up after one crash and four planned replacements of its runner: each
+// start after the crash stayed a risk when the runner had been drained and left.
+Test(cell, longRunningTaskIsGivenUpAfterPlannedReplacements)
+{
+    CellWorld world(1, 9);
+    world.listRunners();
+    world.run(Milliseconds(300));
+    CellRequest request = world.submission(1, 1, 2'000);
+    request.submitted_.steps_[0].longRunning_ = true;
+    world.send(request);
+    world.run(Milliseconds(500));
+    crashHolder(world, FirstTask);
+    for (int replacement = 0; replacement < 6; ++replacement) {
+        world.run(Milliseconds(4'000));
+        const RunnerId holder = world.runnerOf(FirstTask);
+        cr_assert(!holder.empty(), "not at work before replacement %d", replacement);
+        RunnerModel &leaving = world.runners_.at(holder);
+        leaving.record_.draining_ = true;
+        updateRunner(*world.cell_, leaving.record_, world.time(), world.actions_);
+        world.run(Milliseconds(3'000));
+        leaving.reachable_ = false;
+        leaving.active_.clear();
+        if (replacement % 2 == 0) { // the entry of others stays until the leases are over
+            removeRunner(*world.cell_, holder, world.time(), world.actions_);
+        }
+        world.run(Milliseconds(8'000));
+        removeRunner(*world.cell_, holder, world.time(), world.actions_);
+    }
+    cr_assert(queryState(world, 1) != StagedState::Failed);
+}
+
 // Guards against a start that the store does not know of: a crash that follows it would be lost with the leader.
 Test(cell, suspectStartsOnlyWhenTheStoreHasItsRisk)
 {
