Fix: [cell] A new leader acknowledges the ends of runners that list more than an answer names

Cause: a list of 500 ends counts as incomplete, so the runner did not become known; ends were acknowledged only to known runners, so the other ends never came. After the longest lease the runner was given up, although it answered each call.

Why this works: a runner whose list is incomplete only for this reason has listed all that it has of this incarnation so far, to a call with the present token, so acknowledging these ends is as safe as for a known runner. The rest comes with the next answers. Nothing is started there before the list is complete.

--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -207,6 +207,9 @@
     // This leader has received the complete list of runs of the runner's current incarnation, in the answer to a call
     // with a token that it had raised since: the runner carries out no calls from before its restart.
     bool stateKnown_ = false;
+    // Not stateKnown_ only because its list had more ends than one answer names. The others come once these are
+    // acknowledged.
+    bool hasMoreEnds_ = false;
     // May run tasks that an earlier leader started; until stateKnown_, or until their leases have expired.
     bool mayHavePredecessorTasks_ = false;
     // If mayHavePredecessorTasks_: the stored list of runners named these tasks, and tasks_ has all of them.
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -82,18 +82,20 @@
     RunnerCall call = makeCall(cell, runner, RunnerOp::Hold);
     // The runner may have started again under its id, unknown to this leader. Its ends are then numbered anew, so each
     // acknowledgement is sent only until the first answer after it, and not after a failed call.
-    const bool acknowledges = runner.stateKnown_ && !runner.hasNewClock_ && runner.failedCalls_ == 0
-        && runner.acknowledgedEnd_ > runner.forgottenEnd_;
+    const bool isHeard = runner.stateKnown_ || runner.hasMoreEnds_;
+    const bool acknowledges
+        = isHeard && !runner.hasNewClock_ && runner.failedCalls_ == 0 && runner.acknowledgedEnd_ > runner.forgottenEnd_;
     runner.sentAcknowledgement_ = acknowledges ? runner.acknowledgedEnd_ : 0;
     call.acknowledgedEnd_ = runner.sentAcknowledgement_;
-    if (runner.stateKnown_) {
+    if (isHeard) {
         // Holds to a silent runner do not extend the lease: each repeat would postpone the time from which its tasks
         // are known to have ended.
         call.untilMs_ = runner.failedCalls_ == 0 ? renewLease(cell, runner, now.steady_) : 0;
         // Without confirmations of the leadership, the answers to holds are the proofs for starts.
         const bool isConfirmed = isLeadershipConfirmed(cell, now.steady_ - StartProofAge / 2);
         const Milliseconds wait = isConfirmed ? HoldWait : StartProofAge / 4;
-        call.wait_ = runner.tasks_.empty() || runner.failedCalls_ > 0 ? Milliseconds(0) : wait;
+        const bool waits = runner.stateKnown_ && !runner.tasks_.empty() && runner.failedCalls_ == 0;
+        call.wait_ = waits ? wait : Milliseconds(0);
     }
     runner.holdInFlight_ = true;
     actions.runners_.push_back(std::move(call));
@@ -400,6 +402,7 @@
     runner.predecessorTasksKnown_ = false;
     runner.clockMs_ = -1;
     runner.leaseEndsBy_ = {};
+    runner.hasMoreEnds_ = false;
     runner.hasOnlyUnansweredStarts_ = false;
     cell.placementDue_ = true;
 }
@@ -831,6 +834,7 @@
     runner.nextHoldAt_ = now.steady_ + HoldPause;
     takeListedRuns(cell, runner, reply, now, actions);
     constexpr std::size_t EndsPerReply = 500; // a reply with this many ends is incomplete; more follow
+    runner.hasMoreEnds_ = !runner.stateKnown_ && reply.finished_.size() >= EndsPerReply;
     if (reply.finished_.size() < EndsPerReply) {
         presumeAbsentTasksEnded(cell, runner, reply, now, actions);
         if (!runner.stateKnown_) {
@@ -850,9 +854,6 @@
         }
     }
     updateStoredState(cell, runner, wasQuiescent);
-    if (!runner.stateKnown_) {
-        runner.nextHoldAt_ = now.steady_;
-    }
 }
 
 static void scheduleRetry(Runner &runner, Placement &placement, TimePoint now)
@@ -1061,7 +1062,8 @@
         handleEndedLeases(cell, runner, now, actions);
         return;
     }
-    if (runner.mayHavePredecessorTasks_ && !runner.stateKnown_) {
+    const bool listsEnds = runner.hasMoreEnds_ && runner.failedCalls_ == 0;
+    if (runner.mayHavePredecessorTasks_ && !runner.stateKnown_ && !listsEnds) {
         if (cell.formerLeadersEndBy_ < now.steady_ && now.steady_ > cell.formerLeadersEndBy_ + longestLease(cell)) {
             handleLostRunner(cell, runner, "legacy-lease-ended", false, now, actions);
             return;
--- a/src/standin/runner_model.h
+++ b/src/standin/runner_model.h
@@ -15,6 +15,7 @@
 
 struct RunnerModel
 {
+    static constexpr std::size_t ListedEnds = 500; // most ends that one answer names
     RunnerRecord record_;
     bool reachable_ = true; // false: calls are not executed
     bool hasLeftAddress_ = false; // another runner answers at the address
@@ -118,7 +119,8 @@
         } else {
             std::erase_if(finished_, [&call](const FinishedRun &run) { return run.number_ <= call.acknowledgedEnd_; });
             reply.startedUnixMs_ = startedUnixMs_; // only lists of runs name the incarnation
-            reply.finished_ = finished_;
+            const auto listed = static_cast<std::ptrdiff_t>(std::min(finished_.size(), ListedEnds));
+            reply.finished_.assign(finished_.begin(), finished_.begin() + listed);
             for (const auto &[task, run] : active_) {
                 reply.active_.push_back({task, RunNumber{run}, "", 100, 0});
             }
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -1534,6 +1534,32 @@
     cr_assert(queryState(world, 1) == StagedState::Completed);
 }
 
+// Guards against runners that a new leader never uses again, and against ends that it never takes note of: it read the
+// first page of a runner's ends again and again, as it acknowledged none before it had read all.
+Test(cell, runnersWithManyEndsAreNotUsedByTheNextLeader)
+{
+    constexpr std::uint32_t Tasks = 1'300;
+    CellWorld before(1, 2);
+    for (auto &[id, runner] : before.runners_) {
+        runner.record_.capacity_ = {2'000'000, 2'000'000, 0, 0};
+    }
+    before.listRunners();
+    before.run(Milliseconds(300));
+    before.submit(1, Tasks, 1'000);
+    before.run(Milliseconds(300));
+    cr_assert_eq(before.startCount(), Tasks);
+    for (std::uint32_t i = 0; i < Tasks; ++i) {
+        const StagedTask task{StagedJobId{1}, 0, 0, i};
+        before.endRun(before.runnerOf(task), task, RunEnd::Done);
+    }
+    const auto world = nextLeader(before, {1});
+    world->run(Milliseconds(3'000));
+    cr_assert(queryState(*world, 1) == StagedState::Completed);
+    world->submit(2);
+    world->run(Milliseconds(300));
+    cr_assert_eq(world->startsOf({StagedJobId{2}, 0, 0, 0}), 1);
+}
+
 // Guards against a job that fails after one crash: each leader stored the risk of a start that it never sent, as the
 // task waited for an empty runner.
 Test(cell, jobIsGivenUpForStartsThatFoundNoRunner)
