Fix: [cell] A submission that comes after the answer to its cancelling is refused

Cause: a cancelling of an unknown job left no trace at the leader.

Evidence: cell::jobIsAcceptedAfterItsCancellingWasAnswered failed before: the late submission was accepted.

Why this works: the leader remembers the ids that it has answered so for a minute, longer than a freeze and a client's deadline, and refuses a submission of one of them; the client that has cancelled does not wait for it.

--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -204,6 +204,7 @@
         cell.nextSlowTickAt_ = now.steady_ + SlowTick;
         advanceRecurringJobs(cell, now);
         removeEndedJobs(cell, now);
+        removeCancelledUnknown(cell, now.steady_);
         std::erase_if(cell.unstartedJobs_, [&cell](StagedJobId id) {
             const Job *job = findJob(cell, id);
             return job == nullptr || job->started_ || isFinal(*job);
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -420,6 +420,10 @@
     TimePoint formerLeadersEndBy_; // earlier leaders make no calls after this time; kept current by src/core/control
     // Jobs of which no task has started. Those that have started or ended are removed with the next slow tick.
     std::unordered_set<StagedJobId> unstartedJobs_;
+    // Unknown jobs of which the cancelling was answered as such, with the time of the answer. A submission of one of
+    // them may still be under way, or be held up in a daemon that stands still. Oldest first in cancelledUnknownQueue_.
+    std::unordered_set<StagedJobId> cancelledUnknown_;
+    std::deque<std::pair<TimePoint, StagedJobId>> cancelledUnknownQueue_;
     std::deque<RunnerCrash> recentCrashes_; // of the last RackLossWindow, oldest first
     std::vector<OpenRisk> openRisks_; // also some that are closed by now
     WaitingWork waitingWork_;
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -36,6 +36,10 @@
 constexpr std::array<Milliseconds, LaneCount> LaneIntervals{Milliseconds(8), Milliseconds(25)};
 constexpr Milliseconds StoreUnavailableAfter{500}; // submits are refused once a transaction has no result for this long
 constexpr Milliseconds StoreRetryAfter{2'000}; // Retry-After of submits refused then; store outages last seconds
+// For which submissions of a job are refused after its cancelling was answered with "no such job": longer than a daemon
+// stands still plus a client's deadline.
+constexpr Milliseconds CancelledUnknownKept{60'000};
+constexpr std::size_t MaxCancelledUnknown = 50'000; // memory: under 100 B each
 constexpr Milliseconds StatusMargin{10'000}; // added to CellSettings::statusRetention_
 constexpr std::size_t MaxUnfinishedOccurrences = 64; // of a job at a time; later occurrences wait
 constexpr Milliseconds TicketMargin{120}; // shortest remaining validity for a start; covers messages between regions
@@ -77,6 +81,8 @@
     Assumed, // another daemon may have replaced this one meanwhile
     Confirmed, // the store has shown that this daemon led after the request's arrival
 };
+// Forgets the cancelled unknown jobs of which no submission can be under way any more.
+void removeCancelledUnknown(Cell &cell, TimePoint now);
 void handleRequestAs(Cell &cell, Leadership leadership, const DaemonId &from, const CellRequest &request, CellTime now,
                      CellActions &actions);
 
--- a/src/core/cell/submit_cmd.cpp
+++ b/src/core/cell/submit_cmd.cpp
@@ -13,6 +13,25 @@
     actions.replies_.push_back({to, content});
 }
 
+// Refuses a submission that was sent before the job was cancelled: nobody waits for it.
+static void refuseCancelled(const DaemonId &from, const CellRequest &request, CellActions &actions)
+{
+    JsonObject line = logEvent("submit-refused");
+    line.text("job", jobText(request.job_)).text("account", request.account_).text("queue", request.policy_.queue_);
+    line.text("from", from.value_).text("reason", "cancelled").number("retry_after_ms", CancelledUnknownKept.count());
+    addLogLine(actions, line);
+    reply(actions, from, {request.call_, CellOutcome::Refused, {}, 0, CancelledUnknownKept});
+}
+
+void detail::removeCancelledUnknown(Cell &cell, TimePoint now)
+{
+    auto &queue = cell.cancelledUnknownQueue_;
+    while (!queue.empty() && (now > queue.front().first + CancelledUnknownKept || queue.size() > MaxCancelledUnknown)) {
+        cell.cancelledUnknown_.erase(queue.front().second);
+        queue.pop_front();
+    }
+}
+
 static void submit(Cell &cell, const DaemonId &from, const CellRequest &request, CellTime now, CellActions &actions)
 {
     if (Job *known = findJob(cell, request.job_)) {
@@ -23,6 +42,10 @@
         }
         return;
     }
+    if (cell.cancelledUnknown_.contains(request.job_)) {
+        refuseCancelled(from, request, actions);
+        return;
+    }
     auto job = std::make_unique<Job>();
     job->id_ = request.job_;
     job->account_ = request.account_;
@@ -69,6 +92,9 @@
 {
     Job *job = findJob(cell, request.job_);
     if (job == nullptr) {
+        if (leadership == Leadership::Confirmed && cell.cancelledUnknown_.insert(request.job_).second) {
+            cell.cancelledUnknownQueue_.emplace_back(now.steady_, request.job_);
+        }
         replyNotFound(cell, from, request, leadership, now, actions);
         return;
     }
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -1534,6 +1534,29 @@
     cr_assert(queryState(world, 1) == StagedState::Completed);
 }
 
+// Guards against a job that runs after its cancelling was answered: the submission was held up in a daemon that stood
+// still, and came after the cancelling, which had found no such job.
+Test(cell, jobIsAcceptedAfterItsCancellingWasAnswered)
+{
+    CellWorld world;
+    world.listRunners();
+    world.run(Milliseconds(300));
+    const auto cancelled = world.sendRequest(1, CellVerb::Cancel);
+    world.run(Milliseconds(300));
+    cr_assert(world.replies_.at(cancelled).outcome_ == CellOutcome::NotFound);
+    const auto late = world.submit(1);
+    world.run(Milliseconds(4'500));
+    cr_assert(world.replies_.at(late).outcome_ == CellOutcome::Refused);
+    cr_assert_eq(world.startsOf(FirstTask), 0);
+    const auto other = world.submit(2);
+    world.run(Milliseconds(300));
+    cr_assert(world.replies_.at(other).outcome_ == CellOutcome::Ok);
+    world.run(Milliseconds(61'000));
+    const auto again = world.submit(1);
+    world.run(Milliseconds(300));
+    cr_assert(world.replies_.at(again).outcome_ == CellOutcome::Ok);
+}
+
 // Guards against runners that a new leader never uses again, and against ends that it never takes note of: it read the
 // first page of a runner's ends again and again, as it acknowledged none before it had read all.
 Test(cell, runnersWithManyEndsAreNotUsedByTheNextLeader)
