Codechange: [cell] Planned starts and kept ones are logged; one word for incarnations

Read as a newcomer: leases.cpp and its callers said life where the rest says incarnation; start-planned and unanswered-starts-kept say why a task waits; risks that are closed are removed from the list of open ones with the slow tick. No change of what is decided.

--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -205,6 +205,7 @@
         advanceRecurringJobs(cell, now);
         removeEndedJobs(cell, now);
         removeCancelledUnknown(cell, now.steady_);
+        removeClosedRisks(cell);
         std::erase_if(cell.unstartedJobs_, [&cell](StagedJobId id) {
             const Job *job = findJob(cell, id);
             return job == nullptr || job->started_ || isFinal(*job);
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -229,8 +229,8 @@
     // The answer to a start or stop has shown that the runner's clock has begun anew. Nothing is started or
     // acknowledged until the next list says what the new incarnation has.
     bool hasNewClock_ = false;
-    // The runner was lost, and tasks_ has only the starts that a life which this leader does not know may have carried
-    // out, see unseenLifeLeaseEnd(). Its crash is counted.
+    // The runner was lost, and tasks_ has only the starts that an incarnation which this leader has not seen may have
+    // carried out, see unseenIncarnationLeaseEnd(). Its crash is counted.
     bool hasOnlyUnansweredStarts_ = false;
     TimePoint nextCallRetryAt_ = TimePoint::max(); // earliest retryAt_ of all starts and stops
     TimePoint nextHoldAt_;
@@ -425,7 +425,7 @@
     std::unordered_set<StagedJobId> cancelledUnknown_;
     std::deque<std::pair<TimePoint, StagedJobId>> cancelledUnknownQueue_;
     std::deque<RunnerCrash> recentCrashes_; // of the last RackLossWindow, oldest first
-    std::vector<OpenRisk> openRisks_; // also some that are closed by now
+    std::vector<OpenRisk> openRisks_; // also some that were closed since the last slow tick
     WaitingWork waitingWork_;
     std::map<std::string, StartRate> startRates_; // by queue
     std::map<std::string, double> serviceCapacity_; // by service: milli-CPUs of listed runners that are not draining
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -128,9 +128,9 @@
 Milliseconds longestLease(const Cell &cell);
 // Counts with the longest lease from now on.
 void extendLeaseToLongest(const Cell &cell, Runner &runner, TimePoint now);
-// The end of the lease that a start without an answer has if it has come to a life of the runner that this leader does
-// not know; empty for other placements.
-TimePoint unseenLifeLeaseEnd(const Cell &cell, const Placement &placement);
+// The end of the lease that a start without an answer has if it has come to an incarnation of the runner that this
+// leader has not seen; empty for other placements.
+TimePoint unseenIncarnationLeaseEnd(const Cell &cell, const Placement &placement);
 // True when the clock in a reply shows that the runner has restarted: its clock has begun anew.
 bool hasClockRestarted(const Runner &runner, const RunnerReply &reply);
 // Takes the runner's clock from a reply.
@@ -155,8 +155,9 @@
                       CellActions &actions);
 void sendStart(Cell &cell, Runner &runner, const StagedTask &task, Placement &placement, CellTime now,
                CellActions &actions);
-// Has the start sent when the store has the present version of the job.
-void planStart(const Cell &cell, Runner &runner, const Job &job, Placement &placement, CellTime now);
+// Has the start of a placed task sent when the store has the present version of the job.
+void planStart(const Cell &cell, Runner &runner, const Job &job, const StagedTask &task, CellTime now,
+               CellActions &actions);
 // Sends a stop unless one was sent; the placement remains until the runner confirms that the task has ended. A planned
 // start is given up at once.
 void stopPlacement(Cell &cell, Runner &runner, const StagedTask &task, CellTime now, CellActions &actions);
@@ -199,6 +200,8 @@
 void noteRunnerSurvived(Cell &cell, const Runner &runner);
 // Adds the stored risks of a recovered job to Cell::openRisks_.
 void openStoredRisks(Cell &cell, const Job &job);
+// Removes the risks from Cell::openRisks_ that are taken back, or confirmed by a crash, or whose job has ended.
+void removeClosedRisks(Cell &cell);
 // Called before a suspect is placed. Returns false after it has failed the job of a task that was risked too often; the
 // steps of the job are gone then.
 bool mayRiskRun(Cell &cell, Job &job, const StagedTask &id, CellTime now, CellActions &actions);
--- a/src/core/cell/crashes.cpp
+++ b/src/core/cell/crashes.cpp
@@ -166,6 +166,19 @@
     }
 }
 
+void removeClosedRisks(Cell &cell)
+{
+    std::erase_if(cell.openRisks_, [&cell](const OpenRisk &risk) {
+        Job *job = findJob(cell, risk.task_.job_);
+        TaskRecord *task = job != nullptr && !isFinal(*job) ? findTask(*job, risk.task_, nullptr) : nullptr;
+        if (task == nullptr) {
+            return true;
+        }
+        const auto risky = findRiskyRun(*task, risk.run_.value_);
+        return risky == task->riskyRuns_.end() || risky->crashed_;
+    });
+}
+
 void noteRunnerSurvived(Cell &cell, const Runner &runner)
 {
     std::erase_if(cell.openRisks_, [&cell, &runner](const OpenRisk &risk) {
--- a/src/core/cell/leases.cpp
+++ b/src/core/cell/leases.cpp
@@ -4,16 +4,17 @@
 // the runner shortens what it asks for to the platform's longest lease, counted from when it carries the call out. A
 // lease never gets shorter. What may lengthen it, and where that is counted:
 // - A start or a hold of this leader, on the clock that the runner has shown: renewLease().
-// - The same call on a runner that has started again under its id, which the leader does not know yet. Its clock has
-//   begun anew, so the end that the call names is far ahead there and the lease is the longest one. An answer shows the
-//   new clock: updateClock(). A start without an answer may have begun its run there: unseenLifeLeaseEnd(). A hold
-//   without one begins no run, and nothing else is started in that life before its first list.
+// - The same call on a runner that has started again under its id, before the leader has seen this incarnation. Its
+//   clock has begun anew, so the end that the call names is far ahead there and the lease is the longest one. An answer
+//   shows the new clock: updateClock(). A start without an answer may have begun its run there:
+//   unseenIncarnationLeaseEnd(). A hold without one begins no run, and nothing else is started in that incarnation
+//   before its first list.
 // - Calls of earlier leaders, until the runner's first list of runs, see takeListedRuns(). On a runner that never
 //   answers: the longest lease after the time at which they have ended. Nothing in the store tells whether their last
-//   starts came to a life that they had not seen.
+//   starts came to an incarnation that they had not seen.
 // - A runner that gives no clock with its answer: the longest lease, see updateClock().
-// A call that is carried out late in the same life does not lengthen anything, as the end that it names stays the same.
-// One that comes to a later life, after the time that is counted here, is not covered.
+// A call that is carried out late by the same incarnation does not lengthen anything, as the end that it names stays
+// the same. One that comes to a later incarnation, after the time that is counted here, is not covered.
 #include "core/cell/cell_internal.h"
 
 #include <algorithm>
@@ -56,7 +57,7 @@
     runner.leaseEndsBy_ = std::max(runner.leaseEndsBy_, now + longestLease(cell));
 }
 
-TimePoint unseenLifeLeaseEnd(const Cell &cell, const Placement &placement)
+TimePoint unseenIncarnationLeaseEnd(const Cell &cell, const Placement &placement)
 {
     const bool mayHaveBegunUnseen = !placement.begun_ && placement.startUnansweredAt_ != TimePoint{};
     return mayHaveBegunUnseen ? placement.startUnansweredAt_ + longestLease(cell) : TimePoint{};
--- a/src/core/cell/placement.cpp
+++ b/src/core/cell/placement.cpp
@@ -298,8 +298,7 @@
         }
     }
     for (std::uint32_t i = 0; isRisky && i < step.tasks_.size(); ++i) { // together, after the last risk
-        Runner &runner = *candidates[chosen[i]].runner_;
-        planStart(cell, runner, context.job_, runner.tasks_.at(taskOf(context, i)), now);
+        planStart(cell, *candidates[chosen[i]].runner_, context.job_, taskOf(context, i), now, actions);
     }
     return PlaceResult::Placed;
 }
@@ -324,7 +323,7 @@
     }
     Placement &placement = placeTask(cell, context, index, *best, run);
     recordRisk(cell, context.job_, id, placement.run_, *best->runner_);
-    planStart(cell, *best->runner_, context.job_, placement, now);
+    planStart(cell, *best->runner_, context.job_, id, now, actions);
     if (isolated) {
         placement.isolated_ = true;
         ++best->runner_->isolatedTasks_;
--- a/src/core/cell/records.cpp
+++ b/src/core/cell/records.cpp
@@ -52,8 +52,7 @@
     std::vector<RiskDocument> risks_;
 };
 
-// RiskyProgressDocument with the runners of the risky runs of which the crash was not seen. Records of earlier versions
-// are without them.
+// The runner of a risky run of which the crash was not seen.
 struct RiskPlaceDocument
 {
     std::uint32_t occurrence_ = 0;
@@ -64,6 +63,7 @@
     std::int64_t startedUnixMs_ = 0; // of the runner's incarnation
 };
 
+// RiskyProgressDocument with the runners of the risky runs. Records of earlier versions are without them.
 struct PlacedProgressDocument : RiskyProgressDocument
 {
     std::vector<RiskPlaceDocument> riskPlaces_;
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -234,12 +234,18 @@
     actions.runners_.push_back(std::move(call));
 }
 
-void planStart(const Cell &cell, Runner &runner, const Job &job, Placement &placement, CellTime now)
+void planStart(const Cell &cell, Runner &runner, const Job &job, const StagedTask &task, CellTime now,
+               CellActions &actions)
 {
+    Placement &placement = runner.tasks_.at(task);
     placement.phase_ = PlacementPhase::Planned;
     placement.plannedVersion_ = job.version_;
     renewLease(cell, runner, now.steady_); // so that the runner is not taken for one whose leases have ended
     runner.nextCallRetryAt_ = now.steady_;
+    JsonObject line = logEvent("start-planned");
+    line.text("task", taskText(task)).number("run", static_cast<std::int64_t>(placement.run_.value_));
+    line.text("runner", runner.record_.id_.value_);
+    addLogLine(actions, line);
 }
 
 // Releases a task of which no start was sent, and takes its risk back.
@@ -432,8 +438,8 @@
     loseRunner(cell, runner, cause, isCrash, tasks, now, actions);
 }
 
-// The leases that this leader has asked for are over, on the clock of the life that it knows. Keeps the starts that
-// another life may have carried out, until the leases there are over as well.
+// The leases that this leader has asked for are over, on the clock of the incarnation that it knows. Keeps the starts
+// that another incarnation may have carried out, until the leases there are over as well.
 static void handleEndedLeases(Cell &cell, Runner &runner, CellTime now, CellActions &actions)
 {
     cancelPlannedStarts(cell, runner, now, actions);
@@ -441,7 +447,7 @@
     std::vector<StagedTask> kept;
     TimePoint keptUntil;
     for (const auto &[task, placement] : runner.tasks_) {
-        const TimePoint end = unseenLifeLeaseEnd(cell, placement);
+        const TimePoint end = unseenIncarnationLeaseEnd(cell, placement);
         if (end < now.steady_ || isPresumedEnded(placement)) {
             ended.push_back(task);
         } else {
@@ -452,8 +458,15 @@
     // A runner that has only been cut off is still listed.
     const bool isCrash = !runner.inDiscovery_ && !runner.hasOnlyUnansweredStarts_;
     loseRunner(cell, runner, "lease-ended", isCrash, ended, now, actions);
+    if (kept.empty()) {
+        return;
+    }
     runner.leaseEndsBy_ = keptUntil;
-    runner.hasOnlyUnansweredStarts_ = !kept.empty();
+    runner.hasOnlyUnansweredStarts_ = true;
+    JsonObject line = logEvent("unanswered-starts-kept");
+    line.text("runner", runner.record_.id_.value_).number("tasks", static_cast<std::int64_t>(kept.size()));
+    line.number("until_ms", -ageMs(now.steady_, keptUntil));
+    addLogLine(actions, line, LogLevel::Warning);
     for (const StagedTask &task : kept) {
         stopPlacement(cell, runner, task, now, actions);
         stopGang(cell, task, now, actions);
@@ -944,7 +957,7 @@
     }
 }
 
-// Takes the clock from the answer to a start or a stop, which does not name the life that has given it.
+// Takes the clock from the answer to a start or a stop, which does not name the incarnation that has given it.
 static void takeClock(const Cell &cell, Runner &runner, const RunnerReply &reply, TimePoint now)
 {
     if (reply.clockMs_ >= 0 && hasClockRestarted(runner, reply)) {
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -1610,9 +1610,8 @@
     cr_assert(!world->runnerOf(FirstTask).empty());
 }
 
-// Guards against a job that fails after one crash: leaders ended after they had stored the risk of a start, and before
-// they sent it. The runner survives, and says so to the next leader.
-Test(cell, jobIsGivenUpForStartsThatWereStoredAndNotSent)
+// A world with one task, under which a runner has crashed.
+static std::unique_ptr<CellWorld> worldWithASuspect()
 {
     auto world = std::make_unique<CellWorld>();
     world->listRunners();
@@ -1620,6 +1619,14 @@
     world->submit(1, 1, 8'000);
     world->run(Milliseconds(100));
     crashHolder(*world, FirstTask);
+    return world;
+}
+
+// Guards against a job that fails after one crash: leaders ended after they had stored the risk of a start, and before
+// they sent it. The runner survives, and says so to the next leader.
+Test(cell, jobIsGivenUpForStartsThatWereStoredAndNotSent)
+{
+    auto world = worldWithASuspect();
     for (int change = 0; change < 6; ++change) {
         runUntilStart(*world, FirstTask); // the start is sent with the next step
         world = nextLeader(*world, {1});
@@ -1634,12 +1641,7 @@
 // that the runner did not list any more after its restart, was taken for one that the runner had survived.
 Test(cell, crashesBeforeAChangeOfLeaderAreForgotten)
 {
-    auto world = std::make_unique<CellWorld>();
-    world->listRunners();
-    world->run(Milliseconds(300));
-    world->submit(1, 1, 8'000);
-    world->run(Milliseconds(100));
-    crashHolder(*world, FirstTask);
+    auto world = worldWithASuspect();
     for (int change = 0; change < 8 && world->stored_.contains("job/0000000000000001"); ++change) {
         for (int wait = 0; world->runnerOf(FirstTask).empty() && wait < 200; ++wait) {
             world->run(Milliseconds(50));
