Fix: [cell] The lease of a start on an unseen incarnation counts from its own answer

The first run started 0.8 s after its start was sent first, and the second one 9.8 s later.

Cause: the first answer of an incarnation that the leader did not know shows that the clock has begun anew, and the longest lease counted from there. Starts that were carried out after that still named a time of the former clock, so their leases began later: one under way, or one that was repeated before the next list.

Evidence: cell::leaseOfALaterStartIsCountedFromTheFirstAnswer and cell::leaseOfARepeatedStartIsCountedFromTheFirstAnswer failed before.

Why this works: each answer to a start tells, by its clock, how much of what the start asked for was granted, at most the longest lease; this counts from the answer's arrival. A start is not repeated while the runner is known to have a new clock; the next list names the incarnation, and starts without an answer are withdrawn then.

--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -128,6 +128,8 @@
 Milliseconds longestLease(const Cell &cell);
 // Counts with the longest lease from now on.
 void extendLeaseToLongest(const Cell &cell, Runner &runner, TimePoint now);
+// Counts with the lease that the runner has granted to a start that named this end, by the clock in its answer.
+void noteGrantedLease(const Cell &cell, Runner &runner, std::int64_t untilMs, const RunnerReply &reply, TimePoint now);
 // The end of the lease that a start without an answer has if it has come to an incarnation of the runner that this
 // leader has not seen; empty for other placements.
 TimePoint unseenIncarnationLeaseEnd(const Cell &cell, const Placement &placement);
--- a/src/core/cell/leases.cpp
+++ b/src/core/cell/leases.cpp
@@ -6,9 +6,9 @@
 // - A start or a hold of this leader, on the clock that the runner has shown: renewLease().
 // - The same call on a runner that has started again under its id, before the leader has seen this incarnation. Its
 //   clock has begun anew, so the end that the call names is far ahead there and the lease is the longest one. An answer
-//   shows the new clock: updateClock(). A start without an answer may have begun its run there:
-//   unseenIncarnationLeaseEnd(). A hold without one begins no run, and nothing else is started in that incarnation
-//   before its first list.
+//   shows the new clock, updateClock(), and what a start was granted, noteGrantedLease(). A start without an answer may
+//   have begun its run there: unseenIncarnationLeaseEnd(). A hold without one begins no run, and nothing else is
+//   started in that incarnation before its first list.
 // - Calls of earlier leaders, until the runner's first list of runs, see takeListedRuns(). On a runner that never
 //   answers: the longest lease after the time at which they have ended. Nothing in the store tells whether their last
 //   starts came to an incarnation that they had not seen.
@@ -57,6 +57,14 @@
     runner.leaseEndsBy_ = std::max(runner.leaseEndsBy_, now + longestLease(cell));
 }
 
+void noteGrantedLease(const Cell &cell, Runner &runner, std::int64_t untilMs, const RunnerReply &reply, TimePoint now)
+{
+    if (reply.clockMs_ >= 0 && untilMs > reply.clockMs_) {
+        const Milliseconds granted = std::min(Milliseconds(untilMs - reply.clockMs_), cell.settings_.holdMax_);
+        runner.leaseEndsBy_ = std::max(runner.leaseEndsBy_, now + leaseBound(granted));
+    }
+}
+
 TimePoint unseenIncarnationLeaseEnd(const Cell &cell, const Placement &placement)
 {
     const bool mayHaveBegunUnseen = !placement.begun_ && placement.startUnansweredAt_ != TimePoint{};
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -909,6 +909,7 @@
         return;
     }
     Placement &placement = found->second;
+    noteGrantedLease(cell, runner, placement.untilMs_, reply, now.steady_);
     placement.begun_ = placement.begun_ || reply.status_ == RunnerStatus::Ok;
     if (placement.phase_ == PlacementPhase::Stopping) {
         return;
@@ -1048,10 +1049,11 @@
             const Job *job = findJob(cell, task.job_);
             if (placement.attempts_ >= MaxStartAttempts || job == nullptr || isFinal(*job)) {
                 withdraw.push_back(task);
-            } else if (!hasStartProof(cell, runner, now.steady_)
+            } else if (runner.hasNewClock_ || !hasStartProof(cell, runner, now.steady_)
                        || startProofAt(cell, runner) < placement.startUnansweredAt_) {
                 // Since the last attempt the run may have ended, a later leader may have acknowledged the end, and the
-                // runner may have restarted.
+                // runner may have restarted. A start that names a time of the former clock is not repeated: the next
+                // list withdraws it.
                 requestConfirmation(cell, now.steady_);
                 placement.retryAt_ = now.steady_ + StartRetryDelay;
                 runner.nextCallRetryAt_ = std::min(runner.nextCallRetryAt_, placement.retryAt_);
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -1430,6 +1430,78 @@
     cr_assert_eq(world.startsOf(second), 2);
 }
 
+// Takes the starts of both tasks of job 2 out of the leader's actions. They go to runner r0, which has restarted
+// unseen.
+static std::vector<RunnerCall> startsOnAnUnseenLife(CellWorld &world)
+{
+    RunnerModel &runner = world.runners_.at(RunnerId("r0"));
+    RunnerModel &other = world.runners_.at(RunnerId("r1"));
+    runner.clockOffsetMs_ = 100'000;
+    other.record_.draining_ = true;
+    world.listRunners();
+    world.run(Milliseconds(300));
+    runner.restart(runner.startedUnixMs_ + 1, world.elapsedMs());
+    world.submit(2, 2);
+    runUntilStart(world, {StagedJobId{2}, 0, 0, 0});
+    std::vector<RunnerCall> starts = world.actions_.runners_;
+    std::erase_if(starts, [](const RunnerCall &call) { return call.op_ != RunnerOp::Start; });
+    cr_assert_eq(starts.size(), 2);
+    world.actions_.runners_.clear();
+    other.record_.draining_ = false;
+    updateRunner(*world.cell_, other.record_, world.time(), world.actions_);
+    return starts;
+}
+
+// Answers no hold for this time, and has the runners carry out all other calls.
+static void runWithoutHolds(CellWorld &world, Milliseconds duration)
+{
+    for (const TimePoint end = world.now_ + duration; world.now_ < end;) {
+        std::erase_if(world.actions_.runners_, [](const RunnerCall &call) { return call.op_ == RunnerOp::Hold; });
+        world.run(Milliseconds(5));
+    }
+}
+
+// Guards against two runs at a time: the leader counted the longest lease of a life that it had not known from the
+// first answer of this life. A start that was carried out later, and still named the former clock, had a later lease.
+Test(cell, leaseOfALaterStartIsCountedFromTheFirstAnswer)
+{
+    CellWorld world(1, 2);
+    const std::vector<RunnerCall> starts = startsOnAnUnseenLife(world);
+    RunnerModel &runner = world.runners_.at(RunnerId("r0"));
+    world.answerRunnerCall(starts[0]);
+    runWithoutHolds(world, Milliseconds(600));
+    world.answerRunnerCall(starts[1]);
+    runner.reachable_ = false;
+    world.run(Milliseconds(10'200)); // the longest lease on a clock that is 2% slow
+    cr_assert_eq(world.startsOf(starts[1].task_), 1, "started again while the first run may still be at work");
+    world.run(Milliseconds(3'000));
+    cr_assert_eq(world.startsOf(starts[1].task_), 2);
+}
+
+// The same for a start that is repeated after the leader has seen the new clock, without a list of the new life.
+Test(cell, leaseOfARepeatedStartIsCountedFromTheFirstAnswer)
+{
+    CellWorld world(1, 2);
+    const std::vector<RunnerCall> starts = startsOnAnUnseenLife(world);
+    RunnerModel &runner = world.runners_.at(RunnerId("r0"));
+    world.answerRunnerCall(starts[0]);
+    runWithoutHolds(world, Milliseconds(700));
+    RunnerReply unanswered;
+    unanswered.id_ = starts[1].id_;
+    unanswered.op_ = RunnerOp::Start;
+    unanswered.runner_ = starts[1].runner_;
+    unanswered.task_ = starts[1].task_;
+    unanswered.run_ = starts[1].run_;
+    handleRunnerReply(*world.cell_, unanswered, world.time(), world.actions_);
+    runWithoutHolds(world, Milliseconds(200));
+    const bool isRepeated = world.startsOf(starts[1].task_) > 0;
+    runner.reachable_ = false;
+    world.run(Milliseconds(10'000));
+    cr_assert_leq(world.startsOf(starts[1].task_), isRepeated ? 1 : 0, "started again while a run may be at work");
+    world.run(Milliseconds(4'000));
+    cr_assert_eq(world.startsOf(starts[1].task_), isRepeated ? 2 : 1);
+}
+
 // Guards against two runs at a time on runners that give no clock: the leader extended no lease, and took the runs for
 // ended once the lease that it had counted first was over.
 Test(cell, leasesOfARunnerWithoutAClockAreTakenForEnded)
