--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -183,6 +183,7 @@
     line.number("jobs", static_cast<std::int64_t>(cell.jobs_.size()));
     line.number("runners", static_cast<std::int64_t>(cell.runners_.size()));
     line.number("tasks_done", tasksDone).number("stored_runs", storedRuns).number("runners_in_use", runnersInUse);
+    line.number("lease_wait_ms", longestLease(cell).count());
     addLogLine(actions, line);
 }
 
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -395,6 +395,12 @@
         line.number("tasks", static_cast<std::int64_t>(runner.tasks_.size()));
         line.number("answer_age_ms",
                     std::chrono::duration_cast<Milliseconds>(now.steady_ - runner.clockReadAt_).count());
+        if (runner.leaseEndsBy_ != TimePoint{}) {
+            line.number("lease_over_ms", ageMs(now.steady_, runner.leaseEndsBy_));
+        }
+        if (runner.mayHavePredecessorTasks_ && cell.formerLeadersEndBy_ < now.steady_) {
+            line.number("former_leaders_ended_ms", ageMs(now.steady_, cell.formerLeadersEndBy_));
+        }
         addLogLine(actions, line, LogLevel::Warning);
     }
 }
@@ -902,6 +908,17 @@
     releaseFailedRun(cell, runner, reply.task_, now, actions);
 }
 
+static void logUnansweredStart(const Runner &runner, const RunnerReply &reply, const Placement &placement, CellTime now,
+                               CellActions &actions)
+{
+    JsonObject line = logEvent("start-unanswered");
+    line.text("task", taskText(reply.task_)).number("run", static_cast<std::int64_t>(reply.run_.value_));
+    line.text("runner", runner.record_.id_.value_).number("attempt", placement.attempts_);
+    line.number("sent_ms", ageMs(now.steady_, reply.sentAt_));
+    line.number("answer_age_ms", ageMs(now.steady_, runner.clockReadAt_));
+    addLogLine(actions, line);
+}
+
 static void handleStart(Cell &cell, Runner &runner, const RunnerReply &reply, CellTime now, CellActions &actions)
 {
     const auto found = runner.tasks_.find(reply.task_);
@@ -926,6 +943,7 @@
         }
         break;
     case RunnerStatus::Unknown:
+        logUnansweredStart(runner, reply, placement, now, actions);
         placement.startUnansweredAt_ = now.steady_;
         scheduleRetry(runner, placement, now.steady_);
         break;
--- a/src/daemon/table/log_event_table.h
+++ b/src/daemon/table/log_event_table.h
@@ -9,7 +9,7 @@
 {
 
 // Ascending.
-inline constexpr std::array<std::string_view, 31> FrequentLogEvents{
+inline constexpr std::array<std::string_view, 32> FrequentLogEvents{
     "accepted",
     "bad-discovery-entry",
     "bad-record",
@@ -36,6 +36,7 @@
     "start",
     "start-rejected",
     "start-relayed",
+    "start-unanswered",
     "submit",
     "submit-refused",
     "task-absent",
