Fix: [cell] The end of a task that was started again is acknowledged after its runner's lease has lapsed

A task that must run once counted as run twice: a run in a life of its runner that the leader had not heard ended as done, the leader started the task again once the leases that it counted were over, and when it heard of that life it acknowledged the end. By the platform's rules a start after an end breaks the rule only if that end is taken note of, and it isn't if the lease of the runner lapses before the acknowledgement. The lease had not lapsed, as calls that the life carried out late had lengthened it.

Such an end is now acknowledged only once the lease has certainly lapsed: nothing is started on the runner, and holds renew its lease only for tasks that are wanted. Ends that the same incarnation had before its lease lapsed are acknowledged at once, so that a runner that was only cut off is used again at once.

--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -207,6 +207,7 @@
         removeEndedJobs(cell, now);
         removeCancelledUnknown(cell, now.steady_);
         removeClosedRisks(cell);
+        removePresumedRuns(cell, now.steady_);
         std::erase_if(cell.unstartedJobs_, [&cell](StagedJobId id) {
             const Job *job = findJob(cell, id);
             return job == nullptr || job->started_ || isFinal(*job);
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -197,6 +197,7 @@
     StagedTask task_;
     RunNumber run_;
     std::uint64_t version_ = 0; // of the job
+    bool awaitsLapse_ = false; // not acknowledged before the runner's lease has lapsed, see mustAwaitLapse()
 };
 
 // State of one runner, as far as this leader knows.
@@ -224,7 +225,9 @@
     std::uint64_t acknowledgedEnd_ = 0; // highest number of an end that the runner may forget
     std::uint64_t sentAcknowledgement_ = 0; // highest number of an end that the latest hold acknowledged; 0: none
     std::uint64_t forgottenEnd_ = 0; // highest number of an end that an answered hold acknowledged
-    std::deque<UnstoredEnd> unstoredEnds_; // ends that wait for the store, ascending by number
+    std::deque<UnstoredEnd> unstoredEnds_; // ends that are not to be acknowledged yet, ascending by number
+    std::uint32_t endsAwaitingLapse_ = 0; // number of unstoredEnds_ with awaitsLapse_; nothing is started until it is 0
+    std::uint64_t lapsedEnd_ = 0; // highest number of a listed end as lapsed, in this incarnation; 0: none
     bool holdInFlight_ = false; // a hold call is in flight
     // The answer to a start or stop has shown that the runner's clock has begun anew. Nothing is started or
     // acknowledged until the next list says what the new incarnation has.
@@ -267,6 +270,16 @@
     std::vector<StoredRun> runs_;
 };
 
+// A run whose end was presumed, so that its task may have started again. A later list may show that it ended as done.
+struct PresumedRun
+{
+    RunnerId runner_;
+    StagedTask task_;
+    RunNumber run_;
+    std::int64_t startedUnixMs_ = 0; // incarnation of the runner whose leases were over, or that had ended; 0: unknown
+    TimePoint forgetAt_; // the leases of all incarnations that may have had the run are over
+};
+
 // State of one client account. A token bucket separates submissions within the share from those beyond it.
 struct Account
 {
@@ -368,6 +381,7 @@
     StagedTask task_;
     RunNumber run_;
     TimePoint at_;
+    std::int64_t startedUnixMs_ = 0; // see PresumedRun::startedUnixMs_
 };
 
 struct LeadershipCheck
@@ -425,6 +439,7 @@
     std::unordered_set<StagedJobId> cancelledUnknown_;
     std::deque<std::pair<TimePoint, StagedJobId>> cancelledUnknownQueue_;
     std::deque<RunnerCrash> recentCrashes_; // of the last RackLossWindow, oldest first
+    std::deque<PresumedRun> presumedRuns_; // runs of which the presumed end was confirmed, oldest first
     std::vector<OpenRisk> openRisks_; // also some that were closed since the last slow tick
     WaitingWork waitingWork_;
     std::map<std::string, StartRate> startRates_; // by queue
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -13,11 +13,13 @@
 constexpr Milliseconds TaskLease{6'500};
 // Slowest rate of a runner's clock relative to the leader's; the platform allows a deviation of 2%.
 constexpr double MinClockRate = 0.98;
+constexpr Milliseconds LateCallBound{12'000}; // of the platform: a call without an answer is carried out by then
 constexpr Milliseconds LeaseMargin{300}; // for late timers of the leader and the runner
 // A runner with tasks answers a hold when a run ends, or after this time. The leases are renewed four times within
 // TaskLease.
 constexpr Milliseconds HoldWait{1'500};
 constexpr Milliseconds HoldPause{80}; // pause after a hold, so that one call gets runs that end close together
+constexpr Milliseconds LapsePollInterval{500}; // of the holds to a runner of which the lease is to lapse
 constexpr Milliseconds HoldRetryDelay{250}; // delay after a hold without an answer
 constexpr Milliseconds CallTimeout{700}; // for calls to runners: the round trip takes 40 ms, a busy instance longer
 constexpr Milliseconds StartRetryDelay{60}; // first retry delay of a start or stop; doubles with each attempt
@@ -176,8 +178,10 @@
 bool hasStartProof(const Cell &cell, const Runner &runner, TimePoint now);
 // True when tasks may be placed on the runner now.
 bool isUsable(const Cell &cell, const Runner &runner, TimePoint now);
-// Acknowledges the ends whose consequences are in the store.
+// Acknowledges the ends whose consequences are in the store, unless they wait for the lapse of the runner's lease.
 void acknowledgeEnds(const Cell &cell, Runner &runner);
+// Forgets the presumed runs of which no list can tell any more.
+void removePresumedRuns(Cell &cell, TimePoint now);
 
 // Defined in crashes.cpp.
 
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -28,7 +28,7 @@
 static bool mayStart(const Cell &cell, const Runner &runner)
 {
     return runner.inDiscovery_ && runner.stateKnown_ && !runner.hasNewClock_ && runner.storedAsInUse_
-        && !runner.record_.draining_ && runner.failedCalls_ == 0 && !cell.superseded_;
+        && !runner.record_.draining_ && runner.failedCalls_ == 0 && runner.endsAwaitingLapse_ == 0 && !cell.superseded_;
 }
 
 bool isUsable(const Cell &cell, const Runner &runner, TimePoint now)
@@ -77,6 +77,14 @@
     runner.holdInFlight_ = false; // its answer is not waited for
 }
 
+// True when the runner's lease is to lapse: an end there waits for it, and nothing else needs the lease.
+static bool mayLapse(const Runner &runner)
+{
+    return runner.endsAwaitingLapse_ > 0
+        && std::all_of(runner.tasks_.begin(), runner.tasks_.end(),
+                       [](const auto &entry) { return entry.second.orphan_ || isPresumedEnded(entry.second); });
+}
+
 static void sendHold(Cell &cell, Runner &runner, CellTime now, CellActions &actions)
 {
     RunnerCall call = makeCall(cell, runner, RunnerOp::Hold);
@@ -90,7 +98,8 @@
     if (isHeard) {
         // Holds to a silent runner do not extend the lease: each repeat would postpone the time from which its tasks
         // are known to have ended.
-        call.untilMs_ = runner.failedCalls_ == 0 ? renewLease(cell, runner, now.steady_) : 0;
+        const bool renews = runner.failedCalls_ == 0 && !mayLapse(runner);
+        call.untilMs_ = renews ? renewLease(cell, runner, now.steady_) : 0;
         // Without confirmations of the leadership, the answers to holds are the proofs for starts.
         const bool isConfirmed = isLeadershipConfirmed(cell, now.steady_ - StartProofAge / 2);
         const Milliseconds wait = isConfirmed ? HoldWait : StartProofAge / 4;
@@ -360,7 +369,8 @@
             releasePlacement(cell, runner, task, ReleaseCause::EndPresumed);
         } else if (!isPresumedEnded(placement)) {
             placement.presumedEndAt_ = now.steady_;
-            cell.leadershipCheck_.presumedEnds_.push_back({runner.record_.id_, task, placement.run_, now.steady_});
+            cell.leadershipCheck_.presumedEnds_.push_back(
+                {runner.record_.id_, task, placement.run_, now.steady_, runner.startedUnixMs_});
             presumed.push_back(task);
         }
     }
@@ -382,6 +392,8 @@
     if (found != runner->tasks_.end() && found->second.run_ == end.run_ && found->second.presumedEndAt_ == end.at_) {
         releasePlacement(cell, *runner, end.task_, ReleaseCause::EndPresumed);
         cell.runnersDirty_ = cell.runnersDirty_ || isQuiescent(*runner); // the stored list names the run
+        const TimePoint forgetAt = end.at_ + LateCallBound + longestLease(cell);
+        cell.presumedRuns_.push_back({end.runner_, end.task_, end.run_, end.startedUnixMs_, forgetAt});
     }
 }
 
@@ -538,6 +550,8 @@
     runner.sentAcknowledgement_ = 0;
     runner.forgottenEnd_ = 0;
     runner.unstoredEnds_.clear();
+    runner.endsAwaitingLapse_ = 0;
+    runner.lapsedEnd_ = 0;
     runner.failedRuns_ = 0;
 }
 
@@ -638,8 +652,63 @@
     }
 }
 
+void removePresumedRuns(Cell &cell, TimePoint now)
+{
+    while (!cell.presumedRuns_.empty() && cell.presumedRuns_.front().forgetAt_ < now) {
+        cell.presumedRuns_.pop_front();
+    }
+}
+
+// True for an end as done that must not be acknowledged while the runner's lease goes on: the task was started again
+// before this end was known. The acknowledgement would make that start one after a known end. The platform does not
+// count an end as known if the runner's lease has lapsed before it is acknowledged.
+static bool mustAwaitLapse(Cell &cell, const Runner &runner, const FinishedRun &end)
+{
+    if (end.end_ != RunEnd::Done || end.number_ < runner.lapsedEnd_) {
+        return false;
+    }
+    const auto presumed
+        = std::find_if(cell.presumedRuns_.begin(), cell.presumedRuns_.end(), [&runner, &end](const PresumedRun &run) {
+              return run.runner_ == runner.record_.id_ && run.task_ == end.task_ && run.run_ == end.run_;
+          });
+    if (presumed != cell.presumedRuns_.end() && presumed->startedUnixMs_ == runner.startedUnixMs_) {
+        return false; // it was presumed because the leases of this incarnation were over
+    }
+    Job *job = findJob(cell, end.task_.job_);
+    if (job == nullptr || isFinal(*job)) {
+        return presumed != cell.presumedRuns_.end(); // the job does not tell any more
+    }
+    const TaskRecord *task = findTask(*job, end.task_, nullptr);
+    return task != nullptr && !stepSpec(*job, end.task_.step_).longRunning_ && end.run_.value_ < task->run_;
+}
+
+static void awaitLapse(Runner &runner, UnstoredEnd &end, CellActions &actions)
+{
+    end.awaitsLapse_ = true;
+    ++runner.endsAwaitingLapse_;
+    JsonObject line = logEvent("end-awaits-lapse");
+    line.text("task", taskText(end.task_)).number("run", static_cast<std::int64_t>(end.run_.value_));
+    line.text("runner", runner.record_.id_.value_).number("number", static_cast<std::int64_t>(end.number_));
+    addLogLine(actions, line, LogLevel::Warning);
+}
+
+// The lease of the runner has lapsed: no end waits for it any more.
+static void handleLapse(Cell &cell, Runner &runner, CellActions &actions)
+{
+    JsonObject line = logEvent("runner-lapsed");
+    line.text("runner", runner.record_.id_.value_).number("ends", runner.endsAwaitingLapse_);
+    addLogLine(actions, line);
+    for (UnstoredEnd &end : runner.unstoredEnds_) {
+        end.awaitsLapse_ = false;
+    }
+    runner.endsAwaitingLapse_ = 0;
+    acknowledgeEnds(cell, runner);
+    cell.placementDue_ = true;
+}
+
 static void handleEnd(Cell &cell, Runner &runner, const FinishedRun &end, CellTime now, CellActions &actions)
 {
+    const bool awaitsLapse = mustAwaitLapse(cell, runner, end);
     JsonObject line = logEvent("end");
     line.text("task", taskText(end.task_)).number("run", static_cast<std::int64_t>(end.run_.value_));
     line.text("runner", runner.record_.id_.value_).text("how", runEndName(end.end_));
@@ -677,6 +746,9 @@
         releasePlacement(cell, runner, end.task_, ReleaseCause::EndListed);
     }
     runner.unstoredEnds_.push_back({end.number_, end.task_, end.run_, job != nullptr ? job->version_ : 0});
+    if (awaitsLapse) {
+        awaitLapse(runner, runner.unstoredEnds_.back(), actions);
+    }
     if (job != nullptr && (runner.record_.draining_ || !runner.inDiscovery_)) {
         storeNext(cell, *job); // soon there is no runner that could tell another leader of the end
     }
@@ -690,7 +762,8 @@
 
 void acknowledgeEnds(const Cell &cell, Runner &runner)
 {
-    while (!runner.unstoredEnds_.empty() && isStored(cell, runner.unstoredEnds_.front())) {
+    while (!runner.unstoredEnds_.empty() && !runner.unstoredEnds_.front().awaitsLapse_
+           && isStored(cell, runner.unstoredEnds_.front())) {
         runner.acknowledgedEnd_ = runner.unstoredEnds_.front().number_;
         runner.unstoredEnds_.pop_front();
     }
@@ -803,6 +876,11 @@
 // Handles the runs that a list names; what it does not name is left as it is.
 static void takeListedRuns(Cell &cell, Runner &runner, const RunnerReply &reply, CellTime now, CellActions &actions)
 {
+    for (const FinishedRun &end : reply.finished_) {
+        if (end.end_ == RunEnd::Lapsed) {
+            runner.lapsedEnd_ = std::max(runner.lapsedEnd_, end.number_);
+        }
+    }
     for (const FinishedRun &end : reply.finished_) {
         if (end.number_ > runner.processedEnd_) {
             runner.processedEnd_ = end.number_;
@@ -814,7 +892,7 @@
         adoptActiveRun(cell, runner, active, now, actions);
         updateCheckpoint(cell, active);
     }
-    if (!runner.stateKnown_) {
+    if (!runner.stateKnown_ && !runner.hasMoreEnds_) { // the runner refuses earlier leaders after the first list
         // An earlier leader may just have extended the lease. The runner shortens the lease of a start whose end is a
         // time of an earlier incarnation's clock only to the longest one that it grants.
         extendLeaseToLongest(cell, runner, now.steady_);
@@ -850,8 +928,8 @@
     runner.hasNewClock_ = false;
     runner.forgottenEnd_ = std::max(runner.forgottenEnd_, runner.sentAcknowledgement_);
     runner.heldAt_ = reply.sentAt_; // not when the answer arrived: this process may have been paused
-    runner.nextHoldAt_ = now.steady_ + HoldPause;
     takeListedRuns(cell, runner, reply, now, actions);
+    runner.nextHoldAt_ = now.steady_ + (mayLapse(runner) ? LapsePollInterval : HoldPause);
     constexpr std::size_t EndsPerReply = 500; // a reply with this many ends is incomplete; more follow
     runner.hasMoreEnds_ = !runner.stateKnown_ && reply.finished_.size() >= EndsPerReply;
     if (reply.finished_.size() < EndsPerReply) {
@@ -1095,6 +1173,9 @@
         handleEndedLeases(cell, runner, now, actions);
         return;
     }
+    if (runner.endsAwaitingLapse_ > 0 && now.steady_ > runner.leaseEndsBy_) {
+        handleLapse(cell, runner, actions);
+    }
     const bool listsEnds = runner.hasMoreEnds_ && runner.failedCalls_ == 0;
     if (runner.mayHavePredecessorTasks_ && !runner.stateKnown_ && !listsEnds) {
         if (cell.formerLeadersEndBy_ < now.steady_ && now.steady_ > cell.formerLeadersEndBy_ + longestLease(cell)) {
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -183,8 +183,9 @@
               return candidate.text_.starts_with(R"({"event":"recovering")");
           });
     cr_assert(line != world.actions_.log_.end());
-    cr_assert(line->text_.ends_with(R"("jobs":1,"runners":4,"tasks_done":1,"stored_runs":1,"runners_in_use":3})"), "%s",
-              line->text_.c_str());
+    cr_assert(line->text_.ends_with(
+                  R"("jobs":1,"runners":4,"tasks_done":1,"stored_runs":1,"runners_in_use":3,"lease_wait_ms":10504})"),
+              "%s", line->text_.c_str());
 }
 
 // Guards against a task that runs again after its end, of which no log tells why it was waiting.
@@ -1502,6 +1503,94 @@
     cr_assert_eq(world.startsOf(starts[1].task_), isRepeated ? 2 : 1);
 }
 
+// Has a life of runner r0 that the leader has not seen run both tasks of job 2. The answers are lost, and the tasks
+// start again on r1 once the leases that the leader counts are over. A late call has lengthened the lease of r0, which
+// answers then.
+static std::vector<RunnerCall> repeatTasksOfAnUnseenLife(CellWorld &world)
+{
+    const std::vector<RunnerCall> starts = startsOnAnUnseenLife(world);
+    RunnerModel &runner = world.runners_.at(RunnerId("r0"));
+    for (const RunnerCall &start : starts) {
+        runner.execute(start, world.now_, world.elapsedMs());
+    }
+    runner.reachable_ = false;
+    while (world.startsOf(starts[0].task_) == 1 && world.now_ < world.start_ + std::chrono::seconds(40)) {
+        world.run(Milliseconds(50));
+    }
+    cr_assert_eq(world.startsOf(starts[0].task_), 2, "the task was not started again");
+    runner.leaseUntilMs_ = world.clockOf(runner) + 2'000;
+    return starts;
+}
+
+// Runs until the runner has been told to forget its ends.
+static void checkAcknowledgedAfterLapse(CellWorld &world, const RunnerModel &runner)
+{
+    cr_assert(!runner.finished_.empty());
+    const TimePoint end = world.now_ + std::chrono::seconds(20);
+    std::int64_t leaseUntilMs = 0; // before the latest call
+    while (!runner.finished_.empty() && world.now_ < end) {
+        leaseUntilMs = runner.leaseUntilMs_;
+        world.run(Milliseconds(5));
+    }
+    cr_assert(runner.finished_.empty(), "the end is never acknowledged");
+    cr_assert_gt(world.clockOf(runner), leaseUntilMs, "acknowledged %lld ms before the lease has lapsed",
+                 static_cast<long long>(leaseUntilMs - world.clockOf(runner)));
+}
+
+// Guards against a task that counts as run twice: its run in a life that was not heard had ended as done, the task was
+// started again elsewhere, and the leader acknowledged the first end when it heard of it.
+Test(cell, endOfARepeatedTaskIsAcknowledgedDuringTheLease)
+{
+    CellWorld world(1, 2);
+    const std::vector<RunnerCall> starts = repeatTasksOfAnUnseenLife(world);
+    RunnerModel &runner = world.runners_.at(RunnerId("r0"));
+    runner.end(starts[0].task_, RunEnd::Done);
+    runner.end(starts[1].task_, RunEnd::Stopped);
+    runner.reachable_ = true;
+    world.run(Milliseconds(500));
+    checkAcknowledgedAfterLapse(world, runner);
+    world.submit(3, 20);
+    world.run(Milliseconds(1'000));
+    cr_assert(!runner.active_.empty(), "the runner is not used again");
+}
+
+// The same where the job has ended meanwhile, so that the leader does not know its tasks any more.
+Test(cell, endOfARepeatedTaskOfAnEndedJobIsAcknowledgedDuringTheLease)
+{
+    CellWorld world(1, 2);
+    const std::vector<RunnerCall> starts = repeatTasksOfAnUnseenLife(world);
+    RunnerModel &runner = world.runners_.at(RunnerId("r0"));
+    for (const RunnerCall &start : starts) {
+        world.endRun(RunnerId("r1"), start.task_, RunEnd::Done);
+    }
+    world.run(Milliseconds(300));
+    cr_assert(queryState(world, 2) == StagedState::Completed);
+    runner.end(starts[0].task_, RunEnd::Done);
+    runner.end(starts[1].task_, RunEnd::Done);
+    runner.reachable_ = true;
+    checkAcknowledgedAfterLapse(world, runner);
+}
+
+// Guards against a runner that stands idle after each time that it was cut off: if its lease has lapsed since the end
+// of the run, the end may be acknowledged at once.
+Test(cell, endOfARepeatedTaskIsAcknowledgedAfterALapse)
+{
+    CellWorld world(1, 2);
+    world.listRunners();
+    world.run(Milliseconds(300));
+    world.submit(1);
+    world.run(Milliseconds(300));
+    const RunnerId first = world.runnerOf(FirstTask);
+    RunnerModel &runner = world.runners_.at(first);
+    runner.end(FirstTask, RunEnd::Done);
+    runner.reachable_ = false;
+    world.run(Milliseconds(11'000));
+    cr_assert_eq(world.startsOf(FirstTask), 2);
+    runner.reachable_ = true;
+    world.run(Milliseconds(600));
+    cr_assert(runner.finished_.empty(), "not acknowledged although the lease has lapsed");
+}
+
 // Guards against two runs at a time on runners that give no clock: the leader extended no lease, and took the runs for
 // ended once the lease that it had counted first was over.
 Test(cell, leasesOfARunnerWithoutAClockAreTakenForEnded)
