Fix: [cell] Leases of unseen incarnations are counted with calls that are carried out late

Two runs of a task at the same time: a runner started again unseen, began a run on a start without an answer, and was cut off. Calls that had been sent to its former life were carried out by the new one seconds later, and each of them gave the longest lease anew to all that ran there. The leader had counted the longest lease from the answers that it gave up, and started the task again while the first run was at work.

Without the change cell::leaseThatALateCallHasLengthenedIsTakenForEnded fails.

The platform's pages bound a late call by 12 s. To wait for that after every unanswered start would keep the tasks of each lost runner for 22.5 s. A leader now does so while it sees calls carried out late: a runner that answers calls sent shortly before and after leaves one without an answer. A runner that is down or cut off shows nothing of the kind.

--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -244,6 +244,9 @@
     TimePoint clockReadAt_; // when the answer with clockMs_ arrived; the clock was read at this time or earlier
     TimePoint stateKnownAt_; // when stateKnown_ was last set; empty: never
     TimePoint heldAt_; // this incarnation had not seen a later leader at this time; empty: never held
+    TimePoint answeredCallAt_; // when the latest call that this incarnation has answered was sent
+    TimePoint unansweredCallAt_; // when the latest unanswered call after that one was sent; empty: none
+    TimePoint unansweredLeaseAt_; // when the latest call that asked for a lease was given up; empty: all were answered
     TimePoint leaseEndsBy_; // by this time all leases there have expired, unless they are extended; empty: no lease
     TimePoint avoidUntil_; // no task is placed there before this time
     // Holds without a usable answer since the last successful one, and calls that reached another runner. A runner with
@@ -439,6 +442,7 @@
     std::unordered_set<StagedJobId> cancelledUnknown_;
     std::deque<std::pair<TimePoint, StagedJobId>> cancelledUnknownQueue_;
     std::deque<RunnerCrash> recentCrashes_; // of the last RackLossWindow, oldest first
+    TimePoint lateCallAt_; // when the latest call that a reachable runner left unanswered was sent; see late_calls.cpp
     std::deque<PresumedRun> presumedRuns_; // runs of which the presumed end was confirmed, oldest first
     std::vector<OpenRisk> openRisks_; // also some that were closed since the last slow tick
     WaitingWork waitingWork_;
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -132,14 +132,23 @@
 void extendLeaseToLongest(const Cell &cell, Runner &runner, TimePoint now);
 // Counts with the lease that the runner has granted to a start that named this end, by the clock in its answer.
 void noteGrantedLease(const Cell &cell, Runner &runner, std::int64_t untilMs, const RunnerReply &reply, TimePoint now);
-// The end of the lease that a start without an answer has if it has come to an incarnation of the runner that this
-// leader has not seen; empty for other placements.
-TimePoint unseenIncarnationLeaseEnd(const Cell &cell, const Placement &placement);
+// The end of the lease that the placement has if its start has come to an incarnation of the runner that this leader
+// has not seen; empty if it has not.
+TimePoint unseenIncarnationLeaseEnd(const Cell &cell, const Runner &runner, const Placement &placement);
 // True when the clock in a reply shows that the runner has restarted: its clock has begun anew.
 bool hasClockRestarted(const Runner &runner, const RunnerReply &reply);
 // Takes the runner's clock from a reply.
 void updateClock(const Cell &cell, Runner &runner, const RunnerReply &reply, TimePoint now);
 
+// Defined in late_calls.cpp. All times are those at which calls were sent.
+
+// The present incarnation of the runner has answered a call.
+void noteAnsweredCall(Cell &cell, Runner &runner, TimePoint sentAt, CellTime now, CellActions &actions);
+// A call to the runner was given up without an answer.
+void noteUnansweredCall(Cell &cell, Runner &runner, TimePoint sentAt, CellTime now, CellActions &actions);
+// True when an unanswered call of this time has to be expected to be carried out late.
+bool areCallsLate(const Cell &cell, TimePoint sentAt);
+
 // Defined in runners.cpp.
 
 // Reserves the resources for a run of a waiting task. The reference is valid until the placement is released.
--- a/src/core/cell/leases.cpp
+++ b/src/core/cell/leases.cpp
@@ -14,7 +14,8 @@
 //   starts came to an incarnation that they had not seen.
 // - A runner that gives no clock with its answer: the longest lease, see updateClock().
 // A call that is carried out late by the same incarnation does not lengthen anything, as the end that it names stays
-// the same. One that comes to a later incarnation, after the time that is counted here, is not covered.
+// the same. In a later incarnation it gives the longest lease from then on to all that runs there. That is counted
+// while calls are seen to be late, see late_calls.cpp.
 #include "core/cell/cell_internal.h"
 
 #include <algorithm>
@@ -65,10 +66,17 @@
     }
 }
 
-TimePoint unseenIncarnationLeaseEnd(const Cell &cell, const Placement &placement)
+TimePoint unseenIncarnationLeaseEnd(const Cell &cell, const Runner &runner, const Placement &placement)
 {
     const bool mayHaveBegunUnseen = !placement.begun_ && placement.startUnansweredAt_ != TimePoint{};
-    return mayHaveBegunUnseen ? placement.startUnansweredAt_ + longestLease(cell) : TimePoint{};
+    const bool isUnlisted = !runner.stateKnown_ || runner.hasNewClock_;
+    if (!mayHaveBegunUnseen && !isUnlisted) {
+        return {};
+    }
+    const TimePoint end = mayHaveBegunUnseen ? placement.startUnansweredAt_ + longestLease(cell) : TimePoint{};
+    const TimePoint unansweredAt = std::max(placement.startUnansweredAt_, runner.unansweredLeaseAt_);
+    const bool mayBeLate = unansweredAt != TimePoint{} && areCallsLate(cell, unansweredAt);
+    return mayBeLate ? unansweredAt + LateCallBound + longestLease(cell) : end;
 }
 
 bool hasClockRestarted(const Runner &runner, const RunnerReply &reply)
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -465,7 +465,7 @@
     std::vector<StagedTask> kept;
     TimePoint keptUntil;
     for (const auto &[task, placement] : runner.tasks_) {
-        const TimePoint end = unseenIncarnationLeaseEnd(cell, placement);
+        const TimePoint end = unseenIncarnationLeaseEnd(cell, runner, placement);
         if (end < now.steady_ || isPresumedEnded(placement)) {
             ended.push_back(task);
         } else {
@@ -552,6 +552,8 @@
     runner.unstoredEnds_.clear();
     runner.endsAwaitingLapse_ = 0;
     runner.lapsedEnd_ = 0;
+    runner.answeredCallAt_ = {};
+    runner.unansweredCallAt_ = {};
     runner.failedRuns_ = 0;
 }
 
@@ -1300,6 +1302,16 @@
     if (reply.status_ != RunnerStatus::OtherIncarnation && reply.startedUnixMs_ > runner->startedUnixMs_) {
         beginIncarnation(cell, *runner, reply.startedUnixMs_, now, actions);
     }
+    if (reply.status_ == RunnerStatus::Unknown) {
+        noteUnansweredCall(cell, *runner, reply.sentAt_, now, actions);
+        // Holds to a runner that is silent, or was not heard yet, ask for no lease.
+        const bool holdAskedForLease = reply.op_ == RunnerOp::Hold && runner->stateKnown_ && runner->failedCalls_ == 0;
+        if (reply.op_ == RunnerOp::Start || holdAskedForLease) {
+            runner->unansweredLeaseAt_ = now.steady_;
+        }
+    } else if (reply.clockMs_ >= 0 && !isOfEarlierIncarnation(*runner, reply)) {
+        noteAnsweredCall(cell, *runner, reply.sentAt_, now, actions);
+    }
     if (reply.id_ < runner->firstCallId_) {
         handleEarlierReply(cell, *runner, reply, now, actions);
         return;
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -1591,6 +1591,53 @@
     cr_assert(runner.finished_.empty(), "not acknowledged although the lease has lapsed");
 }
 
+// Has a reachable runner leave calls without an answer, which shows the leader that calls are carried out late.
+static void leaveACallUnanswered(CellWorld &world, const RunnerId &id)
+{
+    RunnerModel &runner = world.runners_.at(id);
+    world.submit(9, 4, 8'000); // a runner with tasks is held
+    world.run(Milliseconds(300));
+    cr_assert(!runner.active_.empty());
+    runner.dropsReplies_ = true;
+    world.run(Milliseconds(100)); // longer than the pause between two holds
+    runner.dropsReplies_ = false;
+    world.run(Milliseconds(400));
+    cr_assert(world.cell_->lateCallAt_ != TimePoint{}, "the leader has not noticed it");
+}
+
+// Guards against two runs at a time: calls of the former life of a runner, which its next life carried out seconds
+// late, lengthened the lease of a run that this life had begun. The leader had counted the lease from the answers that
+// it gave up.
+Test(cell, leaseThatALateCallHasLengthenedIsTakenForEnded)
+{
+    constexpr Milliseconds Lateness{11'900}; // of the latest call
+    for (const bool areCallsLate : {false, true}) {
+        CellWorld world(1, 2);
+        RunnerModel &runner = world.runners_.at(RunnerId("r0"));
+        if (areCallsLate) {
+            world.listRunners();
+            world.run(Milliseconds(300));
+            leaveACallUnanswered(world, RunnerId("r0"));
+            for (std::uint32_t i = 0; i < 4; ++i) {
+                const StagedTask task{StagedJobId{9}, 0, 0, i};
+                world.run(Milliseconds(200));
+                world.endRun(world.runnerOf(task), task, RunEnd::Done);
+            }
+        }
+        const std::vector<RunnerCall> starts = startsOnAnUnseenLife(world);
+        runner.execute(starts[1], world.now_, world.elapsedMs());
+        runner.reachable_ = false;
+        for (const RunnerCall &start : starts) {
+            world.answerRunnerCall(start); // without an answer
+        }
+        const Milliseconds wait = (areCallsLate ? Lateness : Milliseconds(0)) + Milliseconds(10'200);
+        world.run(wait);
+        cr_assert_eq(world.startsOf(starts[1].task_), 1, "started again while the first run may still be at work");
+        world.run(Milliseconds(2'000));
+        cr_assert_eq(world.startsOf(starts[1].task_), 2, "not started again");
+    }
+}
+
 // Guards against two runs at a time on runners that give no clock: the leader extended no lease, and took the runs for
 // ended once the lease that it had counted first was over.
 Test(cell, leasesOfARunnerWithoutAClockAreTakenForEnded)
