Fix: [cell] A new leader counts with calls of its predecessor that are carried out late

The stored list of runners now has the time of the latest call that was seen to be late. A new leader that finds one of the last 12 s waits 12 s longer for runners that it does not reach; otherwise it waits as before. Lists of earlier versions are read, and earlier versions read this one. Without the change cell::nextLeaderDoesNotWaitForLateCalls fails.

--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -121,7 +121,7 @@
 void recoverRunners(Cell &cell, std::string_view stored)
 {
     std::vector<StoredRunner> runners;
-    if (!decodeRunners(stored, runners)) {
+    if (!decodeRunners(stored, runners, cell.lateCallUnixMs_)) {
         return;
     }
     for (StoredRunner &entry : runners) {
@@ -171,6 +171,9 @@
         openStoredRisks(cell, *job);
         createDueOccurrences(cell, *job, now);
     }
+    if (cell.lateCallUnixMs_ != 0) {
+        cell.lateCallAt_ = now.steady_ - Milliseconds(std::max<std::int64_t>(0, now.unixMs_ - cell.lateCallUnixMs_));
+    }
     std::int64_t storedRuns = 0;
     std::int64_t runnersInUse = 0; // only these runners themselves know their runs
     for (auto &[id, runner] : cell.runners_) {
@@ -183,7 +186,7 @@
     line.number("jobs", static_cast<std::int64_t>(cell.jobs_.size()));
     line.number("runners", static_cast<std::int64_t>(cell.runners_.size()));
     line.number("tasks_done", tasksDone).number("stored_runs", storedRuns).number("runners_in_use", runnersInUse);
-    line.number("lease_wait_ms", longestLease(cell).count());
+    line.number("lease_wait_ms", formerLeadersLeaseWait(cell).count());
     addLogLine(actions, line);
 }
 
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -443,6 +443,7 @@
     std::deque<std::pair<TimePoint, StagedJobId>> cancelledUnknownQueue_;
     std::deque<RunnerCrash> recentCrashes_; // of the last RackLossWindow, oldest first
     TimePoint lateCallAt_; // when the latest call that a reachable runner left unanswered was sent; see late_calls.cpp
+    std::int64_t lateCallUnixMs_ = 0; // the same in the stored list of runners; 0: none
     std::deque<PresumedRun> presumedRuns_; // runs of which the presumed end was confirmed, oldest first
     std::vector<OpenRisk> openRisks_; // also some that were closed since the last slow tick
     WaitingWork waitingWork_;
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -135,6 +135,8 @@
 // The end of the lease that the placement has if its start has come to an incarnation of the runner that this leader
 // has not seen; empty if it has not.
 TimePoint unseenIncarnationLeaseEnd(const Cell &cell, const Runner &runner, const Placement &placement);
+// The time after the end of all calls of former leaders in which the leases of a runner that never answers have ended.
+Milliseconds formerLeadersLeaseWait(const Cell &cell);
 // True when the clock in a reply shows that the runner has restarted: its clock has begun anew.
 bool hasClockRestarted(const Runner &runner, const RunnerReply &reply);
 // Takes the runner's clock from a reply.
@@ -321,6 +323,6 @@
     std::vector<StoredRun> tasks_;
 };
 
-bool decodeRunners(std::string_view bytes, std::vector<StoredRunner> &runners);
+bool decodeRunners(std::string_view bytes, std::vector<StoredRunner> &runners, std::int64_t &lateCallUnixMs);
 
 } // namespace mimosapier::detail
--- a/src/core/cell/late_calls.cpp
+++ b/src/core/cell/late_calls.cpp
@@ -20,6 +20,11 @@
 {
     const bool known = areCallsLate(cell, sentAt);
     cell.lateCallAt_ = std::max(cell.lateCallAt_, sentAt);
+    const std::int64_t sentUnixMs = now.unixMs_ - ageMs(now.steady_, sentAt);
+    if (sentUnixMs > cell.lateCallUnixMs_ + LateCallBound.count() / 2) { // the next leader needs no exact time
+        cell.lateCallUnixMs_ = sentUnixMs;
+        cell.runnersDirty_ = true;
+    }
     if (!known) {
         JsonObject line = logEvent("late-calls");
         line.text("runner", runner.record_.id_.value_).number("sent_ms", ageMs(now.steady_, sentAt));
--- a/src/core/cell/leases.cpp
+++ b/src/core/cell/leases.cpp
@@ -79,6 +79,11 @@
     return mayBeLate ? unansweredAt + LateCallBound + longestLease(cell) : end;
 }
 
+Milliseconds formerLeadersLeaseWait(const Cell &cell)
+{
+    return longestLease(cell) + (areCallsLate(cell, cell.formerLeadersEndBy_) ? LateCallBound : Milliseconds(0));
+}
+
 bool hasClockRestarted(const Runner &runner, const RunnerReply &reply)
 {
     // The clock was read when the call was sent or later. It runs on at MinClockRate at least.
--- a/src/core/cell/records.cpp
+++ b/src/core/cell/records.cpp
@@ -85,6 +85,12 @@
     std::vector<RunnerDocument> runners_;
 };
 
+// RunnersDocument with the time of the latest late call. Records of earlier versions are without it.
+struct LateCallsRunnersDocument : RunnersDocument
+{
+    std::int64_t lateCallUnixMs_ = 0; // see Cell::lateCallUnixMs_
+};
+
 MIMOSAPIER_FIELDS(JobDocument, s.id_, s.account_, s.policy_, s.submitted_, s.acceptedUnixMs_)
 MIMOSAPIER_FIELDS(StepDocument, s.occurrence_, s.step_, s.done_, s.failedRuns_, s.endedRuns_, s.gangFailedRuns_)
 MIMOSAPIER_FIELDS(ProgressDocument, s.state_, s.occurrencesDone_, s.steps_, s.doneOccurrences_, s.endedUnixMs_)
@@ -96,6 +102,7 @@
                   s.risks_, s.riskPlaces_)
 MIMOSAPIER_FIELDS(RunnerDocument, s.id_, s.service_, s.address_, s.capacity_, s.quiescent_, s.tasks_, s.runs_)
 MIMOSAPIER_FIELDS(RunnersDocument, s.runners_)
+MIMOSAPIER_FIELDS(LateCallsRunnersDocument, s.runners_, s.lateCallUnixMs_)
 
 } // namespace mimosapier
 
@@ -302,7 +309,8 @@
 
 std::string encodeRunners(const Cell &cell)
 {
-    RunnersDocument document;
+    LateCallsRunnersDocument document;
+    document.lateCallUnixMs_ = cell.lateCallUnixMs_;
     for (const auto &[id, runner] : cell.runners_) {
         if (!runner->stateKnown_ && !runner->mayHavePredecessorTasks_ && runner->tasks_.empty()
             && runner->unstoredEnds_.empty() && !runner->inDiscovery_) {
@@ -322,12 +330,13 @@
     return packToString(document);
 }
 
-bool decodeRunners(std::string_view bytes, std::vector<StoredRunner> &runners)
+bool decodeRunners(std::string_view bytes, std::vector<StoredRunner> &runners, std::int64_t &lateCallUnixMs)
 {
-    RunnersDocument document;
-    if (!unpackFromString(bytes, document)) {
+    LateCallsRunnersDocument document;
+    if (!unpackFromString(bytes, document) && !unpackFromString(bytes, static_cast<RunnersDocument &>(document))) {
         return false;
     }
+    lateCallUnixMs = document.lateCallUnixMs_;
     for (RunnerDocument &entry : document.runners_) {
         StoredRunner &stored = runners.emplace_back();
         stored.record_.id_ = std::move(entry.id_);
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -1180,7 +1180,8 @@
     }
     const bool listsEnds = runner.hasMoreEnds_ && runner.failedCalls_ == 0;
     if (runner.mayHavePredecessorTasks_ && !runner.stateKnown_ && !listsEnds) {
-        if (cell.formerLeadersEndBy_ < now.steady_ && now.steady_ > cell.formerLeadersEndBy_ + longestLease(cell)) {
+        if (cell.formerLeadersEndBy_ < now.steady_
+            && now.steady_ > cell.formerLeadersEndBy_ + formerLeadersLeaseWait(cell)) {
             handleLostRunner(cell, runner, "legacy-lease-ended", false, now, actions);
             return;
         }
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -1676,6 +1676,26 @@
     return world;
 }
 
+// Guards against two runs at a time after a change of leader: the former leader's calls may still be carried out late
+// by a life that neither of the two has heard, and the next leader waited only for calls that are carried out on time.
+Test(cell, nextLeaderDoesNotWaitForLateCalls)
+{
+    CellWorld before(1, 2);
+    before.listRunners();
+    before.run(Milliseconds(300));
+    leaveACallUnanswered(before, RunnerId("r0"));
+    before.submit(1);
+    before.run(Milliseconds(300));
+    const RunnerId holder = before.runnerOf(FirstTask);
+    cr_assert(!holder.empty());
+    auto world = nextLeader(before, {1});
+    world->runners_.at(holder).reachable_ = false;
+    world->run(Milliseconds(12'000 + 10'200)); // the latest call, and the longest lease on a clock that is 2% slow
+    cr_assert_eq(world->startsOf(FirstTask), 1, "started again while the first run may still be at work");
+    world->run(Milliseconds(1'000));
+    cr_assert_eq(world->startsOf(FirstTask), 2, "not started again");
+}
+
 // Guards against crashes that are forgotten with the leader: each crash here is followed by a change of leader that has
 // not seen it.
 Test(cell, crashesCountAcrossChangesOfLeader)
