Fix: [cell] No start is under way together with an acknowledgement while calls are late

After an unanswered acknowledgement the token rises, so only starts sent beside it are open to this. While calls are seen to be late, a hold that acknowledges does not wait for an end, and nothing is started on its runner until it is answered or given up. Not covered: starts that were under way before, and the first late calls, which the leader has not seen yet. Without the change cell::startIsUnderWayTogetherWithALateAcknowledgement fails.

--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -31,10 +31,18 @@
         && !runner.record_.draining_ && runner.failedCalls_ == 0 && runner.endsAwaitingLapse_ == 0 && !cell.superseded_;
 }
 
+// True while a late acknowledgement is possible that covers the end of a run which begins now: both calls may reach an
+// incarnation of the runner that this leader has not seen, and it would then never hear of the end. An unanswered
+// acknowledgement ends this, as later calls have a higher token.
+static bool mayBeAcknowledgedUnheard(const Cell &cell, const Runner &runner, TimePoint now)
+{
+    return runner.holdInFlight_ && runner.sentAcknowledgement_ != 0 && areCallsLate(cell, now);
+}
+
 bool isUsable(const Cell &cell, const Runner &runner, TimePoint now)
 {
-    return mayStart(cell, runner) && runner.orphans_ == 0 && runner.isolatedTasks_ == 0 && now >= runner.avoidUntil_
-        && hasStartProof(cell, runner, now);
+    return mayStart(cell, runner) && !mayBeAcknowledgedUnheard(cell, runner, now) && runner.orphans_ == 0
+        && runner.isolatedTasks_ == 0 && now >= runner.avoidUntil_ && hasStartProof(cell, runner, now);
 }
 
 bool isQuiescent(const Runner &runner)
@@ -104,7 +112,8 @@
         const bool isConfirmed = isLeadershipConfirmed(cell, now.steady_ - StartProofAge / 2);
         const Milliseconds wait = isConfirmed ? HoldWait : StartProofAge / 4;
         const bool waits = runner.stateKnown_ && !runner.tasks_.empty() && runner.failedCalls_ == 0;
-        call.wait_ = waits ? wait : Milliseconds(0);
+        const bool isBrief = acknowledges && areCallsLate(cell, now.steady_); // see mayBeAcknowledgedUnheard()
+        call.wait_ = waits && !isBrief ? wait : Milliseconds(0);
     }
     runner.holdInFlight_ = true;
     actions.runners_.push_back(std::move(call));
@@ -929,6 +938,7 @@
     }
     runner.hasNewClock_ = false;
     runner.forgottenEnd_ = std::max(runner.forgottenEnd_, runner.sentAcknowledgement_);
+    cell.placementDue_ = cell.placementDue_ || (runner.sentAcknowledgement_ != 0 && areCallsLate(cell, now.steady_));
     runner.heldAt_ = reply.sentAt_; // not when the answer arrived: this process may have been paused
     takeListedRuns(cell, runner, reply, now, actions);
     runner.nextHoldAt_ = now.steady_ + (mayLapse(runner) ? LapsePollInterval : HoldPause);
@@ -1147,7 +1157,8 @@
             const Job *job = findJob(cell, task.job_);
             if (placement.attempts_ >= MaxStartAttempts || job == nullptr || isFinal(*job)) {
                 withdraw.push_back(task);
-            } else if (runner.hasNewClock_ || !hasStartProof(cell, runner, now.steady_)
+            } else if (runner.hasNewClock_ || mayBeAcknowledgedUnheard(cell, runner, now.steady_)
+                       || !hasStartProof(cell, runner, now.steady_)
                        || startProofAt(cell, runner) < placement.startUnansweredAt_) {
                 // Since the last attempt the run may have ended, a later leader may have acknowledged the end, and the
                 // runner may have restarted. A start that names a time of the former clock is not repeated: the next
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -1638,6 +1638,34 @@
     }
 }
 
+// Guards against an end that no leader hears of: a late acknowledgement of the former life covered it. While calls are
+// late, no start may be under way together with an acknowledgement.
+Test(cell, startIsUnderWayTogetherWithALateAcknowledgement)
+{
+    CellWorld world(1, 1);
+    world.listRunners();
+    world.run(Milliseconds(300));
+    leaveACallUnanswered(world, RunnerId("r0"));
+    world.holdsWait_ = true;
+    world.run(Milliseconds(200));
+    const auto placed = world.runners_.at(RunnerId("r0")).active_.begin()->first;
+    world.endRun(RunnerId("r0"), placed, RunEnd::Done);
+    bool isAcknowledged = false;
+    world.submit(2, 3, 500);
+    for (int step = 0; step < 400; ++step) {
+        world.run(Milliseconds(5));
+        const bool isUnderWay = std::any_of(world.actions_.runners_.begin(), world.actions_.runners_.end(),
+                                            [](const RunnerCall &call) { return call.acknowledgedEnd_ > 0; });
+        isAcknowledged = isAcknowledged || isUnderWay;
+        for (const RunnerCall &call : world.actions_.runners_) {
+            cr_assert(!isUnderWay || call.op_ != RunnerOp::Start, "a start beside an acknowledgement");
+            cr_assert(call.acknowledgedEnd_ == 0 || call.wait_ == Milliseconds(0), "the acknowledgement waits");
+        }
+    }
+    cr_assert(isAcknowledged);
+    cr_assert_eq(world.startsOf({StagedJobId{2}, 0, 0, 2}), 1);
+}
+
 // Guards against two runs at a time on runners that give no clock: the leader extended no lease, and took the runs for
 // ended once the lease that it had counted first was over.
 Test(cell, leasesOfARunnerWithoutAClockAreTakenForEnded)
