Codechange: [tests] Changes of leader with calls that the next life of a runner carries out late

The random test of changes of leader exempted a start that a runner carries out before a leader can know of its new life, and its mix of unseen lives had no late calls.

The simulated runners can now hold a call back after it has arrived, whatever is cut off meanwhile, and lose only their answers. The checker has a switch for the exemption, and traces what late calls have started, extended and acknowledged.

--- a/tests/control/handover_base.h
+++ b/tests/control/handover_base.h
@@ -33,6 +33,7 @@
     TimePoint sentAt_;
     bool answered_ = false;
     bool late_ = false; // delayed by seconds
+    bool heldBack_ = false; // has reached its target, and is carried out seconds later
 };
 
 template <typename Call>
--- a/tests/control/handover_checker.h
+++ b/tests/control/handover_checker.h
@@ -7,12 +7,15 @@
 // its runner crashed never is.
 #pragma once
 
+#include "core/cell/fencing_func.h"
 #include "core/message/runner_type.h"
 
 #include <algorithm>
 #include <array>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -35,6 +38,10 @@
     bool lapsed_ = false; // the lease of the runner lapsed after the end and before the acknowledgement
     bool acknowledged_ = false;
     TimePoint acknowledgedAt_;
+    // What calls have done that were carried out after their sender had given them up, for the traces.
+    bool startedByLateCall_ = false;
+    std::optional<RunnerOp> extendedBy_; // the last one that lengthened the lease while the run was in progress
+    bool acknowledgedByLateCall_ = false;
 };
 
 enum class ViolationKind : std::uint8_t {
@@ -63,6 +70,7 @@
     std::map<StagedTask, std::vector<ObservedRun>> runs_; // in order of their starts
     std::map<RunnerId, std::vector<OpenEnd>> openEnds_;
     std::vector<Violation> violations_;
+    bool exemptsUnrefusableStarts_ = true; // false: starts that are not refusable are checked like all others
 };
 
 inline bool isNotedDone(const ObservedRun &run)
@@ -76,6 +84,7 @@
                          std::uint64_t token, std::uint64_t seenToken, TimePoint now, bool isRefusable = true)
 {
     std::vector<ObservedRun> &runs = checker.runs_[task];
+    isRefusable = isRefusable || !checker.exemptsUnrefusableStarts_;
     const bool isConcurrent = std::any_of(
         runs.begin(), runs.end(), [](const ObservedRun &other) { return other.inProgress_ && other.isRefusable_; });
     if (isConcurrent && isRefusable) {
@@ -109,7 +118,8 @@
     }
 }
 
-inline void observeAcknowledgement(RunChecker &checker, const RunnerId &runner, std::uint64_t lastSeen, TimePoint now)
+inline void observeAcknowledgement(RunChecker &checker, const RunnerId &runner, std::uint64_t lastSeen, TimePoint now,
+                                   bool isLate = false)
 {
     std::vector<OpenEnd> &open = checker.openEnds_[runner];
     for (const OpenEnd &end : open) {
@@ -120,6 +130,7 @@
         ObservedRun &run = runs[end.index_];
         run.acknowledged_ = true;
         run.acknowledgedAt_ = now;
+        run.acknowledgedByLateCall_ = isLate;
         // The runs are in order of their starts, so a later one than the ended one that started after the end comes
         // last.
         if (run.isRefusable_ && runs.back().isRefusable_ && isNotedDone(run) && end.index_ + 1 < runs.size()
@@ -130,6 +141,18 @@
     std::erase_if(open, [lastSeen](const OpenEnd &end) { return end.number_ <= lastSeen; });
 }
 
+// A late call has lengthened the lease of all runs there.
+inline void observeLateExtension(RunChecker &checker, const RunnerId &runner, RunnerOp op)
+{
+    for (auto &[task, runs] : checker.runs_) {
+        for (ObservedRun &run : runs) {
+            if (run.inProgress_ && run.runner_ == runner) {
+                run.extendedBy_ = op;
+            }
+        }
+    }
+}
+
 // The lease of the runner is over.
 inline void observeLapse(RunChecker &checker, const RunnerId &runner)
 {
@@ -156,6 +179,40 @@
     }
 }
 
+inline std::string_view opName(RunnerOp op)
+{
+    return op == RunnerOp::Start ? "start" : op == RunnerOp::Stop ? "stop" : "hold";
+}
+
+// What late calls, and how many leaders, have to do with a violation that was just found.
+inline std::string causeOf(const RunChecker &checker, const Violation &violation)
+{
+    const std::vector<ObservedRun> &runs = checker.runs_.at(violation.task_);
+    const ObservedRun &later = runs.back();
+    const ObservedRun *earlier = nullptr;
+    for (const ObservedRun &run : runs) {
+        const bool isConcurrent = run.inProgress_;
+        const bool isInvolved = violation.kind_ == ViolationKind::ConcurrentRuns ? isConcurrent : isNotedDone(run);
+        if (&run != &later && isInvolved) {
+            earlier = &run;
+        }
+    }
+    if (earlier == nullptr) {
+        return "not known";
+    }
+    std::string text = earlier->token_ / TokensPerEpoch == later.token_ / TokensPerEpoch ? "one leader" : "two leaders";
+    if (violation.kind_ != ViolationKind::ConcurrentRuns && earlier->acknowledgedByLateCall_) {
+        return text + ", late acknowledgement";
+    }
+    if (later.startedByLateCall_) {
+        return text + ", late start of the later run";
+    }
+    if (earlier->extendedBy_) {
+        return text + ", lease extended by a late " + std::string(opName(*earlier->extendedBy_));
+    }
+    return text + (earlier->startedByLateCall_ ? ", late start of the earlier run" : ", no late call");
+}
+
 inline std::string violationName(ViolationKind kind)
 {
     constexpr std::array<const char *, 3> Names{"concurrent runs", "start after a noted end",
@@ -184,7 +241,10 @@
         if (run.acknowledged_) {
             text += ", acknowledged " + ms(run.acknowledgedAt_);
         }
-        text += run.lapsed_ ? ", lease lapsed before the acknowledgement\n" : "\n";
+        text += run.lapsed_ ? ", lease lapsed before the acknowledgement" : "";
+        text += run.startedByLateCall_ ? ", started by a late call" : "";
+        text += run.extendedBy_ ? ", lease extended by a late " + std::string(opName(*run.extendedBy_)) : "";
+        text += run.acknowledgedByLateCall_ ? ", acknowledged by a late call\n" : "\n";
     }
     return text;
 }
--- a/tests/control/handover_faults.h
+++ b/tests/control/handover_faults.h
@@ -11,6 +11,7 @@
     Any, // see drawFault()
     Busy, // see drawFaultOfBusyCluster()
     UnseenLives, // see drawFaultWithUnseenLives()
+    LateCalls, // see drawFaultWithLateCalls()
 };
 
 struct FaultSchedule
@@ -414,6 +415,85 @@
     }
 }
 
+// Kills the leader at times, also its successors, one soon after the other.
+inline void restartSomeLeaders(const FaultSchedule &schedule)
+{
+    HandoverWorld &world = schedule.world_;
+    const std::int64_t count = world.chance(0.5) ? 0 : world.number(1, 3);
+    Milliseconds delay(0);
+    for (std::int64_t i = 0; i < count; ++i) {
+        delay += i == 0 ? world.time(0, 2'000) : world.time(1'500, 6'000);
+        world.after(limited(schedule, delay), [schedule] { restartLeader(schedule); });
+    }
+}
+
+// Cuts a runner off from all instances, or keeps only its answers away, once it has begun a run, or at the end of the
+// wait. It may restart meanwhile.
+inline void cutOffWithLateCalls(const FaultSchedule &schedule, std::size_t index, TimePoint waitEndsAt)
+{
+    HandoverWorld &world = schedule.world_;
+    if (world.simulatedRunners_[index].model_.active_.empty() && world.now_ < waitEndsAt) {
+        world.after(HandoverWorld::Tick,
+                    [schedule, index, waitEndsAt] { cutOffWithLateCalls(schedule, index, waitEndsAt); });
+        return;
+    }
+    const bool isOneWay = world.chance(0.3);
+    const Milliseconds cutAfter = world.chance(0.7) ? world.time(0, 100) : world.time(100, 2'000);
+    const Milliseconds duration = world.time(6'000, 14'000);
+    world.trace("r" + std::to_string(index) + (isOneWay ? " is not heard for " : " is cut off for ")
+                + std::to_string(duration.count()));
+    for (std::size_t i = 0; i < world.instances_.size(); ++i) {
+        raiseLater(schedule, isOneWay ? world.answerCuts_[i][index] : world.runnerCuts_[i][index], cutAfter, duration);
+    }
+    if (world.chance(0.15)) {
+        world.after(limited(schedule, world.time(500, 8'000)), [schedule, index] { restartRunner(schedule, index); });
+    }
+}
+
+// Has runners carry calls out late. Some of them restart meanwhile without the store telling of it, and are cut off
+// soon after.
+inline void restartUnseenWithLateCalls(const FaultSchedule &schedule)
+{
+    HandoverWorld &world = schedule.world_;
+    const Milliseconds lateFor = world.time(1'500, 6'000);
+    world.trace("late calls for " + std::to_string(lateFor.count()));
+    raise(schedule, world.heldBackCalls_, lateFor);
+    for (std::size_t r = 0; r < world.simulatedRunners_.size(); ++r) {
+        if (!world.chance(0.3)) {
+            continue;
+        }
+        const Milliseconds restartAfter = limited(schedule, world.time(100, 3'000));
+        const Milliseconds downTime = world.time(20, 700);
+        raise(schedule, world.simulatedRunners_[r].storeCuts_, restartAfter + world.time(2'000, 16'000));
+        world.after(restartAfter, [schedule, r, downTime] {
+            HandoverWorld &later = schedule.world_;
+            if (!later.simulatedRunners_[r].up_) {
+                return;
+            }
+            later.crash(r);
+            if (later.chance(0.5)) { // otherwise some calls are refused meanwhile
+                for (std::vector<int> &cuts : later.runnerCuts_) {
+                    raise(schedule, cuts[r], downTime);
+                }
+            }
+            later.after(limited(schedule, downTime), [schedule, r] {
+                schedule.world_.restart(r);
+                cutOffWithLateCalls(schedule, r, schedule.world_.now_ + Milliseconds(2'000));
+            });
+        });
+    }
+    world.after(limited(schedule, world.time(500, 5'000)), [schedule] { restartSomeLeaders(schedule); });
+}
+
+inline void drawFaultWithLateCalls(const FaultSchedule &schedule)
+{
+    if (schedule.world_.chance(0.85)) {
+        restartUnseenWithLateCalls(schedule);
+    } else {
+        drawFault(schedule);
+    }
+}
+
 } // namespace detail
 
 // Draws faults until the end of the schedule.
@@ -433,10 +513,13 @@
     case FaultMix::UnseenLives:
         detail::drawFaultWithUnseenLives(schedule);
         break;
+    case FaultMix::LateCalls:
+        detail::drawFaultWithLateCalls(schedule);
+        break;
     }
     const bool isSoon = world.chance(0.3);
     Milliseconds gap = isSoon ? world.time(100, 1'000) : world.time(1'000, 6'000);
-    if (schedule.mix_ == FaultMix::UnseenLives) {
+    if (schedule.mix_ == FaultMix::UnseenLives || schedule.mix_ == FaultMix::LateCalls) {
         gap += Milliseconds(3'000); // the leader has to use the runners again
     }
     world.after(gap, [schedule] { scheduleFaults(schedule); });
--- a/tests/control/handover_runners.h
+++ b/tests/control/handover_runners.h
@@ -41,6 +41,7 @@
     static constexpr Milliseconds HoldMax{10'000};
     static constexpr Milliseconds EntryLifetime{1'500}; // of discovery entries without heartbeats
     static constexpr std::int64_t TaskCpus = 1'000;
+    static constexpr Milliseconds LongestDelay{12'000}; // of a call that a runner carries out late
     // A hold waits for up to 1.5 s, and a call without an answer ends after 0.7 s.
     static constexpr Milliseconds UnknownRestart{3'000};
 
@@ -48,6 +49,7 @@
         : HandoverBase(seed, instances)
         , simulatedRunners_(runners)
         , runnerCuts_(instances, std::vector<int>(runners))
+        , answerCuts_(instances, std::vector<int>(runners))
     {
         for (std::size_t i = 0; i < runners; ++i) {
             SimulatedRunner &runner = simulatedRunners_[i];
@@ -168,7 +170,7 @@
         return reply;
     }
 
-    RunnerReply executeStart(std::size_t index, const RunnerCall &call, bool isRefusable)
+    RunnerReply executeStart(std::size_t index, const RunnerCall &call, bool isRefusable, bool isLate)
     {
         SimulatedRunner &runner = simulatedRunners_[index];
         RunnerModel &model = runner.model_;
@@ -192,6 +194,7 @@
                   + std::to_string(call.token_.value_) + " on " + call.runner_.value_);
             observeStart(checker_, call.runner_, call.task_, call.run_.value_, call.token_.value_, seenToken, now_,
                          isRefusable);
+            checker_.runs_.at(call.task_).back().startedByLateCall_ = isLate;
             const RunEnd reason = chance(0.93) || fixedDuration_ ? RunEnd::Done : RunEnd::Failed;
             const Milliseconds drawn = chance(longShare_) ? time(1'500, longest_.count()) : time(30, 1'500);
             const Milliseconds duration = fixedDuration_.value_or(drawn);
@@ -218,7 +221,8 @@
         return rejectStart(simulatedRunners_[index], call, RunnerStatus::Ok);
     }
 
-    RunnerReply execute(std::size_t index, RunnerCall call, bool isRefusable)
+    // `isLate`: the sender has given the call up.
+    RunnerReply execute(std::size_t index, RunnerCall call, bool isRefusable, bool isLate)
     {
         SimulatedRunner &runner = simulatedRunners_[index];
         checkLease(runner);
@@ -227,15 +231,18 @@
             ++fencedCalls_;
             return runner.model_.execute(call, now_, runnerElapsedMs(runner));
         }
+        if (isLate && call.untilMs_ > runner.model_.leaseUntilMs_) {
+            observeLateExtension(checker_, call.runner_, call.op_);
+        }
         switch (call.op_) {
         case RunnerOp::Start:
-            return executeStart(index, call, isRefusable);
+            return executeStart(index, call, isRefusable, isLate);
         case RunnerOp::Stop:
             return executeStop(index, call);
         case RunnerOp::Hold:
             break;
         }
-        observeAcknowledgement(checker_, call.runner_, call.acknowledgedEnd_, now_);
+        observeAcknowledgement(checker_, call.runner_, call.acknowledgedEnd_, now_, isLate);
         return runner.model_.execute(call, now_, runnerElapsedMs(runner));
     }
 
@@ -258,6 +265,12 @@
                 delay = *given;
             }
         }
+        if (heldBackFor_) {
+            if (const std::optional<Milliseconds> given = heldBackFor_(flight->call_)) {
+                flight->heldBack_ = true;
+                delay = *given;
+            }
+        }
         const std::size_t runner = runnerIndices_.at(flight->call_.runner_);
         after(delay, [this, flight, runner, incarnation = simulatedRunners_[runner].incarnation_] {
             arriveAtRunner(flight, runner, incarnation);
@@ -279,7 +292,7 @@
 
     void arriveAtRunner(const RunnerFlight &flight, std::size_t index, std::uint64_t incarnation)
     {
-        if (runnerCuts_[flight->instance_][index] > 0) {
+        if (runnerCuts_[flight->instance_][index] > 0 && !flight->heldBack_) {
             if (!flight->late_ && chance(0.2)) {
                 flight->late_ = true;
                 after(time(200, 5'000),
@@ -288,8 +301,11 @@
             return;
         }
         const SimulatedRunner &runner = simulatedRunners_[index];
+        if (heldBackCalls_ > 0 && !flight->heldBack_ && holdBack(flight, index, incarnation)) {
+            return;
+        }
         if (!runner.up_ || (runner.incarnation_ != incarnation && !callsOutliveRunners_)) {
-            if (!flight->late_ && chance(0.5)) { // the connection is refused
+            if (!flight->late_ && !flight->heldBack_ && chance(0.5)) { // the connection is refused
                 answerRunnerCall(flight, unansweredReply(*flight, RunnerStatus::NotSent));
             }
             return;
@@ -309,7 +325,7 @@
         // A call to the previous life can only be refused once the leader knows of the restart, from the answer to a
         // call, and its next call has come.
         const bool isRefusable = runner.incarnation_ == incarnation || now_ > *called.firstCallAt_ + UnknownRestart;
-        RunnerReply reply = execute(index, flight->call_, isRefusable);
+        RunnerReply reply = execute(index, flight->call_, isRefusable, flight->answered_);
         reply.sentAt_ = flight->sentAt_;
         const bool waits = flight->call_.op_ == RunnerOp::Hold && reply.status_ == RunnerStatus::Ok
             && reply.finished_.empty() && flight->call_.wait_ > Milliseconds(0);
@@ -320,6 +336,20 @@
         }
     }
 
+    // Has a call that has reached the runner be carried out seconds later, by whatever life is up then. A runner that
+    // is down now may do so once it is up again. Result: whether it is held back.
+    bool holdBack(const RunnerFlight &flight, std::size_t index, std::uint64_t incarnation)
+    {
+        const bool isUp = simulatedRunners_[index].up_;
+        if (!chance(isUp ? 0.25 : 0.5)) {
+            return false;
+        }
+        flight->heldBack_ = true;
+        const Milliseconds delay = isUp ? time(700, LongestDelay.count()) : time(50, 1'000);
+        after(delay, [this, flight, index, incarnation] { arriveAtRunner(flight, index, incarnation); });
+        return true;
+    }
+
     void returnRunnerReply(const RunnerFlight &flight, std::size_t index, RunnerReply reply)
     {
         if (lossyCalls_ > 0 && chance(0.08)) {
@@ -327,7 +357,7 @@
         }
         const Milliseconds delay = slowCalls_ > 0 && chance(0.2) ? time(1, 500) : time(1, 12);
         after(delay, [this, flight, index, reply = std::move(reply)] {
-            if (runnerCuts_[flight->instance_][index] == 0) {
+            if (runnerCuts_[flight->instance_][index] == 0 && answerCuts_[flight->instance_][index] == 0) {
                 answerRunnerCall(flight, reply);
             }
         });
@@ -371,9 +401,11 @@
     std::map<RunnerId, std::size_t> runnerIndices_;
     std::vector<RunnerRecord> publishedRecords_; // discovery entries contain an index of this list
     std::vector<std::vector<int>> runnerCuts_; // by instance and runner: faults that keep calls away
+    std::vector<std::vector<int>> answerCuts_; // the same: faults that keep only the answers away
     std::vector<WaitingHold> waitingHolds_;
     int slowCalls_ = 0; // faults in force that delay calls to runners and their replies
     int lossyCalls_ = 0; // faults in force that lose or delay them by seconds
+    int heldBackCalls_ = 0; // faults in force that have runners carry calls out seconds after they have arrived
     // A delayed call may reach the next incarnation of the runner; the protocol does not exclude this.
     bool callsOutliveRunners_ = false;
     // The protocol does not tell when a start is late: at its own time, or when the lease of the runner is over as
@@ -381,6 +413,8 @@
     bool lateByOwnTime_ = false;
     // Gives some calls a certain delay; empty: none.
     std::function<std::optional<Milliseconds>(const RunnerCall &)> delayOf_;
+    // Has some calls arrive, and be carried out after a certain time, whatever is cut off then; empty: none.
+    std::function<std::optional<Milliseconds>(const RunnerCall &)> heldBackFor_;
     std::optional<Milliseconds> fixedDuration_; // of all runs, which then end as done; empty: drawn
     double longShare_ = 0.15; // of the runs without a fixed duration
     Milliseconds longest_{9'000}; // of these runs
--- a/tests/control/test_handover.cpp
+++ b/tests/control/test_handover.cpp
@@ -20,6 +20,8 @@
 static constexpr std::uint64_t BusySeeds = 30;
 static constexpr std::uint64_t FirstUnseenSeed = 3'000'001; // runners restart unseen: the seeds above three million
 static constexpr std::uint64_t UnseenSeeds = 75;
+static constexpr std::uint64_t FirstLateCallSeed = 4'000'001; // and carry calls out late: the seeds above four million
+static constexpr std::uint64_t LateCallSeeds = 200;
 static constexpr std::uint64_t SmallSeeds = 200;
 static constexpr std::uint64_t LargeSeeds = 30;
 static constexpr Milliseconds QuietStart{3'000};
@@ -82,6 +84,9 @@
 
 static FaultMix mixOf(std::uint64_t seed)
 {
+    if (seed >= FirstLateCallSeed) {
+        return FaultMix::LateCalls;
+    }
     if (seed >= FirstUnseenSeed) {
         return FaultMix::UnseenLives;
     }
@@ -93,13 +98,18 @@
     return mixOf(seed) == FaultMix::Busy;
 }
 
+static bool hasUnseenLives(std::uint64_t seed)
+{
+    return mixOf(seed) == FaultMix::UnseenLives || mixOf(seed) == FaultMix::LateCalls;
+}
+
 static WorldSize worldSizeOf(std::uint64_t seed)
 {
     if (isBusy(seed)) {
         constexpr int ManyTasks = 60; // of each runner, times 2 to 4
         return {4, 5, 1, ManyTasks};
     }
-    if (mixOf(seed) == FaultMix::UnseenLives) {
+    if (hasUnseenLives(seed)) {
         return {4, 6, 1};
     }
     if (seed >= FirstLargeSeed) {
@@ -114,12 +124,13 @@
 {
     HandoverWorld world(seed, worldSizeOf(seed));
     world.tracing_ = environmentNumber("MIMOSAPIER_HANDOVER_TRACE", 0) != 0;
-    world.callsOutliveRunners_ = world.chance(0.3);
+    world.callsOutliveRunners_ = world.chance(0.3) || mixOf(seed) == FaultMix::LateCalls;
+    world.checker_.exemptsUnrefusableStarts_ = mixOf(seed) != FaultMix::LateCalls;
     if (world.callsOutliveRunners_ != callsOutliveRunners) {
         return {};
     }
     world.lateByOwnTime_ = world.chance(0.5);
-    if (mixOf(seed) == FaultMix::UnseenLives) {
+    if (hasUnseenLives(seed)) {
         world.longShare_ = 0.35;
         world.longest_ = Milliseconds(14'000); // longer than any lease of a runner that is cut off
     }
@@ -127,7 +138,7 @@
     std::function<void()> submitNext = [&] {
         world.submitRandomJob();
         if (world.now_ < faultsEndAt) {
-            const double soonShare = isBusy(seed) ? 0.995 : mixOf(seed) == FaultMix::UnseenLives ? 0.3 : 0.2;
+            const double soonShare = isBusy(seed) ? 0.995 : hasUnseenLives(seed) ? 0.3 : 0.2;
             const bool soon = world.chance(soonShare);
             if (soon) {
                 world.after(isBusy(seed) ? world.time(1, 20) : world.time(10, 100), submitNext);
@@ -147,15 +158,20 @@
         return result;
     };
     constexpr std::uint64_t StepsBetweenChecks = 50; // of the jobs' states
+    std::size_t reported = 0; // number of violations
     while (world.now_ < faultsEndAt + FinishTime) {
         world.step();
         ++result.steps_;
-        if (!world.checker_.violations_.empty()) {
-            const Violation &violation = world.checker_.violations_.front();
-            result.failure_ = "seed " + std::to_string(seed) + ", step " + std::to_string(result.steps_) + ": "
+        for (; reported < world.checker_.violations_.size(); ++reported) {
+            const Violation &violation = world.checker_.violations_[reported];
+            result.failure_ += "seed " + std::to_string(seed) + ", step " + std::to_string(result.steps_) + ": "
                 + violationName(violation.kind_) + " of task " + HandoverWorld::taskName(violation.task_) + " at "
-                + std::to_string(world.elapsedMs()) + (world.callsOutliveRunners_ ? ", calls outlive runners\n" : "\n")
+                + std::to_string(world.elapsedMs()) + (world.callsOutliveRunners_ ? ", calls outlive runners" : "")
+                + "; " + causeOf(world.checker_, violation) + "\n"
                 + traceOf(world.checker_, violation.task_, world.start_);
+        }
+        // With late calls, all violations are reported until the faults are over.
+        if (!result.failure_.empty() && (mixOf(seed) != FaultMix::LateCalls || world.now_ > faultsEndAt)) {
             return finish();
         }
         if (world.now_ > faultsEndAt && result.steps_ % StepsBetweenChecks == 0 && unfinishedJobs(world).empty()) {
@@ -238,6 +254,15 @@
     runLargeClusters(true);
 }
 
+// The same in a cluster whose runners, besides, carry calls out up to 12 s late, also those that were meant for an
+// earlier life. No start is exempt: the rule does not excuse late calls.
+Test(handover, randomFaultsWithLateCalls, .timeout = 3'600)
+{
+    const std::uint64_t seed = environmentNumber("MIMOSAPIER_HANDOVER_SEED", FirstLateCallSeed);
+    const bool hasLateCalls = mixOf(seed) == FaultMix::LateCalls;
+    runSeeds(seed, hasLateCalls ? environmentNumber("MIMOSAPIER_HANDOVER_COUNT", LateCallSeeds) : 0, true);
+}
+
 static void expectNoFailure(std::span<const std::uint64_t> seeds)
 {
     for (const std::uint64_t seed : seeds) {
--- a/tests/control/test_handover_cases.cpp
+++ b/tests/control/test_handover_cases.cpp
@@ -229,3 +229,366 @@
     runFor(world, Milliseconds(20'000));
     checkNoViolation(world);
 }
+
+// ---- calls that are carried out late ----
+//
+// The page: a call that receives no response "may also be executed seconds later, after newer calls". A life of a
+// runner cannot tell a call that was meant for an earlier one.
+
+// Sets the faults that keep all instances from runner 0, or its answers from them.
+static void setCuts(std::vector<std::vector<int>> &cuts, int count)
+{
+    for (std::vector<int> &ofInstance : cuts) {
+        ofInstance[0] = count;
+    }
+}
+
+// Has runner 0 be reached by all instances and by the store again.
+static void reconnect(HandoverWorld &world)
+{
+    setCuts(world.runnerCuts_, 0);
+    setCuts(world.answerCuts_, 0);
+    world.simulatedRunners_[0].storeCuts_ = 0;
+}
+
+static void runUntil(HandoverWorld &world, Milliseconds limit, const char *what, const std::function<bool()> &isDone)
+{
+    for (const TimePoint end = world.now_ + limit; !isDone();) {
+        cr_assert_lt(world.now_, end, "%s\n%s", what, traceOf(world.checker_, OnlyTask, world.start_).c_str());
+        world.step();
+    }
+}
+
+static void runUntilStarts(HandoverWorld &world, std::uint64_t starts, Milliseconds limit)
+{
+    runUntil(world, limit, "the task was not started", [&] { return world.starts_ >= starts; });
+}
+
+// Has the clock of runner 0 be far ahead of that of its next lives. Runner 1 takes no task.
+static void prepareUnseenLife(HandoverWorld &world, Milliseconds duration)
+{
+    world.callsOutliveRunners_ = true;
+    world.checker_.exemptsUnrefusableStarts_ = false;
+    world.fixedDuration_ = duration;
+    runFor(world, Milliseconds(30'000));
+    cr_assert_neq(world.leaderIndex(), SIZE_MAX);
+    world.simulatedRunners_[1].model_.record_.draining_ = true;
+    runFor(world, Milliseconds(1'000));
+}
+
+// Restarts runner 0. The store does not tell of its new life.
+static void restartUnseen(HandoverWorld &world)
+{
+    world.simulatedRunners_[0].storeCuts_ = 1;
+    world.crash(0);
+    world.restart(0);
+}
+
+// Holds back the call of this kind that comes after `skipped` others. The pointer tells whether it has been sent.
+static std::shared_ptr<bool> holdBackOneCall(HandoverWorld &world, RunnerOp op, int skipped, Milliseconds delay)
+{
+    auto isSent = std::make_shared<bool>(false);
+    world.heldBackFor_ = [isSent, op, skipped, delay](const RunnerCall &call) mutable -> std::optional<Milliseconds> {
+        const bool isMeant = call.runner_ == RunnerId("r0") && call.op_ == op && !*isSent && skipped-- <= 0;
+        if (!isMeant) {
+            return std::nullopt;
+        }
+        *isSent = true;
+        return delay;
+    };
+    return isSent;
+}
+
+// Restarts runner 0 unseen to the leader, which starts the only task there. No answer of the new life is heard. It
+// carries out a repeated start, or the first hold, seconds after it was sent, which lengthens its lease: the call names
+// a time of the former life's clock. The runner is cut off once that call was sent.
+static void startWithALateCall(HandoverWorld &world, RunnerOp lateOp, Milliseconds delay, Milliseconds duration)
+{
+    prepareUnseenLife(world, duration);
+    restartUnseen(world);
+    setCuts(world.answerCuts_, 1);
+    const auto isSent = holdBackOneCall(world, lateOp, lateOp == RunnerOp::Start ? 1 : 0, delay);
+    submitOneTask(world);
+    runUntilStarts(world, 1, Milliseconds(500));
+    runUntil(world, Milliseconds(3'000), "no call was held back", [&] { return *isSent; });
+    setCuts(world.runnerCuts_, 1);
+    world.simulatedRunners_[1].model_.record_.draining_ = false;
+}
+
+// The task is started again, and does not run twice at the same time.
+static void checkStartedAgain(HandoverWorld &world)
+{
+    runUntilStarts(world, 2, Milliseconds(40'000));
+    runFor(world, Milliseconds(1'000));
+    checkNoViolation(world);
+}
+
+static constexpr Milliseconds LateBy{8'000};
+static constexpr Milliseconds LongTask{17'000};
+
+// Guards against two runs at a time where a repeated start is carried out late and lengthens the lease of a life that
+// the leader has not seen.
+Test(handoverCases, leaseLengthenedByALateStart)
+{
+    HandoverWorld world(1, {3, 2, 1});
+    startWithALateCall(world, RunnerOp::Start, LateBy, LongTask);
+    checkStartedAgain(world);
+}
+
+// The same with a late hold.
+Test(handoverCases, leaseLengthenedByALateHold)
+{
+    HandoverWorld world(1, {3, 2, 1});
+    startWithALateCall(world, RunnerOp::Hold, LateBy, LongTask);
+    checkStartedAgain(world);
+}
+
+// The same where the next leader starts the task again.
+Test(handoverCases, leaseOfAFormerLeaderLengthenedByALateStart)
+{
+    HandoverWorld world(1, {3, 2, 1});
+    startWithALateCall(world, RunnerOp::Start, LateBy, LongTask);
+    killLeader(world);
+    checkStartedAgain(world);
+}
+
+Test(handoverCases, leaseOfAFormerLeaderLengthenedByALateHold)
+{
+    HandoverWorld world(1, {3, 2, 1});
+    startWithALateCall(world, RunnerOp::Hold, LateBy, LongTask);
+    killLeader(world);
+    checkStartedAgain(world);
+}
+
+// The same after two more changes of leader.
+Test(handoverCases, leaseOfTheThirdLastLeaderLengthenedByALateHold)
+{
+    HandoverWorld world(1, {3, 2, 1});
+    startWithALateCall(world, RunnerOp::Hold, LateBy, LongTask);
+    for (int i = 0; i < 3; ++i) {
+        killLeader(world);
+        runFor(world, Milliseconds(1'500));
+        runUntil(world, Milliseconds(5'000), "no leader", [&] { return world.leaderIndex() != SIZE_MAX; });
+    }
+    checkStartedAgain(world);
+}
+
+// Has a hold that was sent to a life of runner 0, which has a task, be carried out late by the next life, to which the
+// leader gives another task before it knows of the restart.
+static void startBeforeALateHoldOfTheFormerLife(HandoverWorld &world, Milliseconds duration)
+{
+    prepareUnseenLife(world, duration);
+    submitOneTask(world, 2);
+    runUntilStarts(world, 1, Milliseconds(500));
+    runFor(world, Milliseconds(300));
+    const auto isSent = holdBackOneCall(world, RunnerOp::Hold, 0, LateBy);
+    runUntil(world, Milliseconds(4'000), "no hold was held back", [&] { return *isSent; });
+    restartUnseen(world);
+    setCuts(world.answerCuts_, 1);
+    submitOneTask(world);
+    runUntilStarts(world, 2, Milliseconds(500));
+    setCuts(world.runnerCuts_, 1);
+    world.simulatedRunners_[1].model_.record_.draining_ = false;
+}
+
+// Guards against two runs at a time where a hold that was sent to the former life lengthens the lease of the next one.
+Test(handoverCases, leaseLengthenedByALateHoldOfTheFormerLife)
+{
+    HandoverWorld world(1, {3, 2, 1});
+    startBeforeALateHoldOfTheFormerLife(world, LongTask);
+    runUntil(world, Milliseconds(40'000), "the task was not started again",
+             [&] { return world.checker_.runs_.at(OnlyTask).size() == 2; });
+    runFor(world, Milliseconds(1'000));
+    checkNoViolation(world);
+}
+
+// Guards against an end that is acknowledged after the task was started again: the run has ended unheard, a late call
+// has lengthened the lease, and the runner is back within it.
+static void checkRegainedWithinItsLease(RunnerOp lateOp, bool killsLeader)
+{
+    HandoverWorld world(1, {3, 2, 1});
+    startWithALateCall(world, lateOp, LateBy, Milliseconds(3'000));
+    if (killsLeader) {
+        killLeader(world);
+    }
+    runUntilStarts(world, 2, Milliseconds(40'000));
+    const SimulatedRunner &runner = world.simulatedRunners_[0];
+    cr_assert_gt(runner.model_.leaseUntilMs_, world.runnerClockMs(runner) + 1'000, "the lease is over");
+    cr_assert_eq(runner.model_.finished_.size(), 1, "no end waits to be acknowledged");
+    reconnect(world);
+    runFor(world, Milliseconds(25'000));
+    checkNoViolation(world);
+}
+
+Test(handoverCases, endIsNotedInALeaseLengthenedByALateStart)
+{
+    checkRegainedWithinItsLease(RunnerOp::Start, false);
+}
+
+Test(handoverCases, endIsNotedInALeaseLengthenedByALateHold)
+{
+    checkRegainedWithinItsLease(RunnerOp::Hold, false);
+}
+
+Test(handoverCases, nextLeaderNotesAnEndInALeaseLengthenedByALateHold)
+{
+    checkRegainedWithinItsLease(RunnerOp::Hold, true);
+}
+
+// Has the first copy of a start be held back; the second one is answered. The run ends and is acknowledged.
+static void runOnceWithAHeldBackStart(HandoverWorld &world, Milliseconds delay)
+{
+    prepareUnseenLife(world, Milliseconds(200));
+    const auto isSent = holdBackOneCall(world, RunnerOp::Start, 0, delay);
+    submitOneTask(world);
+    runUntil(world, Milliseconds(6'000), "the run is not acknowledged", [&] {
+        const auto runs = world.checker_.runs_.find(OnlyTask);
+        return *isSent && runs != world.checker_.runs_.end() && isNotedDone(runs->second.back());
+    });
+}
+
+// Guards against a run that is repeated because the first copy of its start, to which a repeated start was answered, is
+// carried out late by the next life of the runner.
+Test(handoverCases, firstCopyOfARepeatedStartIsCarriedOutByTheNextLife)
+{
+    HandoverWorld world(1, {3, 2, 1});
+    runOnceWithAHeldBackStart(world, LateBy);
+    restartUnseen(world);
+    runFor(world, Milliseconds(15'000));
+    checkNoViolation(world);
+}
+
+// The same where the store tells of the new life at once, so that the leader calls it before the late start comes.
+Test(handoverCases, firstCopyOfARepeatedStartIsCarriedOutByASeenLife)
+{
+    HandoverWorld world(1, {3, 2, 1});
+    runOnceWithAHeldBackStart(world, LateBy);
+    world.crash(0);
+    world.restart(0);
+    runFor(world, Milliseconds(15'000));
+    checkNoViolation(world);
+}
+
+// The same where the start was not repeated: the task has run elsewhere.
+Test(handoverCases, withdrawnStartIsCarriedOutByTheNextLife)
+{
+    HandoverWorld world(1, {3, 2, 1});
+    prepareUnseenLife(world, Milliseconds(200));
+    const auto isSent = holdBackOneCall(world, RunnerOp::Start, 0, Milliseconds(11'000));
+    submitOneTask(world);
+    runUntil(world, Milliseconds(500), "no start was sent", [&] { return *isSent; });
+    world.simulatedRunners_[1].model_.record_.draining_ = false;
+    world.crash(0); // the call is on its way to the next life
+    world.restart(0);
+    runUntil(world, Milliseconds(7'000), "the task has not run", [&] {
+        const auto runs = world.checker_.runs_.find(OnlyTask);
+        return runs != world.checker_.runs_.end() && isNotedDone(runs->second.back());
+    });
+    restartUnseen(world);
+    runFor(world, Milliseconds(15'000));
+    checkNoViolation(world);
+}
+
+// Guards against a task that runs again after its end: a hold with the number of an end of the former life is carried
+// out late by the next one, which has ended a run that no leader has heard of.
+static void checkLateAcknowledgement(bool killsLeader)
+{
+    HandoverWorld world(1, {3, 2, 1});
+    prepareUnseenLife(world, Milliseconds(1'500));
+    auto isAcknowledged = std::make_shared<bool>(false);
+    world.heldBackFor_ = [isAcknowledged](const RunnerCall &call) -> std::optional<Milliseconds> {
+        if (*isAcknowledged || call.op_ != RunnerOp::Hold || call.acknowledgedEnd_ == 0) {
+            return std::nullopt;
+        }
+        *isAcknowledged = true;
+        return Milliseconds(4'000);
+    };
+    submitOneTask(world, 2);
+    runUntil(world, Milliseconds(7'000), "no end was acknowledged", [&] { return *isAcknowledged; });
+    restartUnseen(world); // the call is on its way to the next life
+    setCuts(world.answerCuts_, 1);
+    const std::uint64_t startsBefore = world.starts_;
+    submitOneTask(world);
+    runUntilStarts(world, startsBefore + 1, Milliseconds(500));
+    setCuts(world.runnerCuts_, 1);
+    if (killsLeader) {
+        killLeader(world);
+    }
+    world.simulatedRunners_[1].model_.record_.draining_ = false;
+    runFor(world, Milliseconds(25'000));
+    cr_assert_geq(world.checker_.runs_.at(OnlyTask).size(), 1);
+    checkNoViolation(world);
+}
+
+Test(handoverCases, lateAcknowledgementInALifeThatIsNeverHeard)
+{
+    checkLateAcknowledgement(false);
+}
+
+Test(handoverCases, lateAcknowledgementInALifeThatTheNextLeaderNeverHears)
+{
+    checkLateAcknowledgement(true);
+}
+
+// Guards against two runs at a time after a second restart: the first life that the leader has not seen is given the
+// task, and the second one carries out a copy of the start late.
+Test(handoverCases, startIsCarriedOutBySecondUnseenLife)
+{
+    HandoverWorld world(1, {3, 2, 1});
+    startWithALateCall(world, RunnerOp::Start, LateBy, LongTask);
+    runFor(world, Milliseconds(1'000));
+    restartUnseen(world);
+    runFor(world, Milliseconds(25'000));
+    checkNoViolation(world);
+}
+
+// Guards against two runs at a time where calls reach an unseen life and its answers do not come back, for tasks that
+// end before and after the leases.
+Test(handoverCases, answersOfAnUnseenLifeAreNotHeard)
+{
+    for (const bool killsLeader : {false, true}) {
+        for (int seconds = 8; seconds <= 14; ++seconds) {
+            HandoverWorld world(1, {3, 2, 1});
+            prepareUnseenLife(world, std::chrono::seconds(seconds));
+            restartUnseen(world);
+            setCuts(world.answerCuts_, 1);
+            submitOneTask(world);
+            runUntilStarts(world, 1, Milliseconds(500));
+            world.simulatedRunners_[1].model_.record_.draining_ = false;
+            if (killsLeader) {
+                killLeader(world);
+            }
+            runUntilStarts(world, 2, Milliseconds(40'000));
+            reconnect(world);
+            runFor(world, Milliseconds(20'000));
+            checkNoViolation(world);
+        }
+    }
+}
+
+// Guards against two runs, or an end that is noted after the task was started again, where the runner is heard again
+// just before or just after the leader stops to wait for something: an answer, a hold, its own lease, the longest one.
+Test(handoverCases, unseenLifeIsHeardAtADeadline)
+{
+    constexpr std::array<int, 4> Deadlines{700, 2'200, 6'930, 11'200};
+    constexpr std::array<int, 6> Offsets{-300, -100, -30, 30, 100, 300};
+    for (const bool killsLeader : {false, true}) {
+        for (const int duration : {1'000, 14'000}) {
+            for (const int deadline : Deadlines) {
+                for (const int offset : Offsets) {
+                    HandoverWorld world(1, {3, 2, 1});
+                    prepareUnseenLife(world, Milliseconds(duration));
+                    restartUnseen(world);
+                    startBeforeACut(world, Milliseconds(0));
+                    if (killsLeader) {
+                        killLeader(world);
+                    }
+                    runFor(world, Milliseconds(deadline + offset));
+                    reconnect(world);
+                    runFor(world, Milliseconds(25'000));
+                    checkNoViolation(world);
+                }
+            }
+        }
+    }
+}
--- a/tests/control/test_handover_checker.cpp
+++ b/tests/control/test_handover_checker.cpp
@@ -194,3 +194,15 @@
     observeStart(checker, RunnerA, Task, 4, 2, 2, at(400));
     cr_assert_eq(checker.violations_.size(), 1);
 }
+
+// Guards against a checker that exempts such starts where calls that are carried out late are not excused.
+Test(handoverChecker, startsThatAreNotRefusableAreFoundWithoutTheExemption)
+{
+    RunChecker checker;
+    checker.exemptsUnrefusableStarts_ = false;
+    observeStart(checker, RunnerA, Task, 1, 1, 0, at(0));
+    observeStart(checker, RunnerB, Task, 2, 1, 0, at(100), false);
+    checker.runs_.at(Task).back().startedByLateCall_ = true;
+    checkOnly(checker, ViolationKind::ConcurrentRuns, 100);
+    cr_assert_eq(causeOf(checker, checker.violations_.front()), "one leader, late start of the later run");
+}
