Fix: [test] A stall of 400 ms broke the count of connections of two transport tests

Cause, by a trace of the connections: when the proxy's or the accepting daemon's thread stands still for longer than the silence limit of the tests (400 ms), the dialling daemon closes both connections before their hello is answered and dials again. The accepting daemon then reads all four hellos and rightly counts four established connections, two of them until it finds them silent. The count never is 2 again. The transport does as its header says; the check assumed that no thread stands still for 400 ms.

Both tests now run on a clock that the test advances: it stands still, or advances by a tenth of the limit only after heartbeats have arrived. The ids contain the process id. The checks are stricter: both daemons have exactly two connections and have closed none before the fault; after it each has closed exactly one, for the expected cause, has established exactly three, and has not seen the peer down. That a connection which delivers isn't found silent in real time is still checked by heartbeatsTakeTurnsAndKeepBothConnections.

New: connectionsGivenUpBeforeTheirHelloArrivesLoseNoMessage, the traced case without load; the transport holds it.

--- a/tests/net/test_transport.cpp
+++ b/tests/net/test_transport.cpp
@@ -10,6 +10,7 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <numeric>
 #include <optional>
 #include <thread>
 
@@ -19,15 +20,28 @@
 static constexpr Milliseconds TestTimeout{3000}; // longer than any wait in a passing test
 static constexpr Milliseconds SilenceLimit{400};
 
+// Clock that stands still until the test advances it. No connection is found silent meanwhile, whatever the load.
+class ManualClock final : public Clock
+{
+public:
+    [[nodiscard]] TimePoint now() const override { return TimePoint(elapsed_.load()); }
+    void advance(Milliseconds time) { elapsed_ = elapsed_.load() + time; }
+
+private:
+    std::atomic<Milliseconds> elapsed_{Milliseconds(1'000'000)}; // the epoch means "never"
+};
+
 // Transport on its own thread that records its events; a second thread sends heartbeats to the peers.
 class TestDaemon
 {
 public:
+    // Uses the system's clock without `clock`.
     explicit TestDaemon(const std::string &id, std::map<std::string, std::string> overrides = {},
-                        std::size_t maxQueued = 8'000'000)
+                        std::size_t maxQueued = 8'000'000, const Clock *clock = nullptr)
         : id_(id)
         , transport_(
-              settings(id, std::move(overrides), maxQueued), [this](Event event) { record(std::move(event)); }, clock_)
+              settings(id, std::move(overrides), maxQueued), [this](Event event) { record(std::move(event)); },
+              clock != nullptr ? *clock : systemClock_)
     {
         cr_assert(!transport_.listen());
         thread_ = std::thread([this] { transport_.run(); });
@@ -61,6 +75,29 @@
         const ConfigPush message{BundleVersion{number}, std::string(padding, 'x')};
         transport_.post([this, to, message] { transport_.send(DaemonId(to), message); });
     }
+    void sendHeartbeat()
+    {
+        const std::lock_guard lock(mutex_);
+        for (const PeerAddress &peer : peers_) {
+            transport_.post([this, to = peer.daemon_] { transport_.send(to, Heartbeat{}); });
+        }
+    }
+    // Number of closed connections, per cause or for all causes.
+    [[nodiscard]] std::uint64_t closedCount(CloseCause cause) const
+    {
+        return transport_.counters().closedByCause_.at(static_cast<std::size_t>(cause));
+    }
+    [[nodiscard]] std::uint64_t closedCount() const
+    {
+        const auto closedByCause = transport_.counters().closedByCause_;
+        return std::accumulate(closedByCause.begin(), closedByCause.end(), std::uint64_t{0});
+    }
+    [[nodiscard]] std::uint64_t establishedCount() const { return transport_.counters().connectionsEstablished_; }
+    [[nodiscard]] int heartbeatsReceived()
+    {
+        const std::lock_guard lock(mutex_);
+        return heartbeatsReceived_;
+    }
     // Waits until the recorded events satisfy the condition.
     template <typename Condition>
     bool waitForEvents(Condition condition)
@@ -71,8 +108,7 @@
     // Waits until `count` connections were closed for the cause.
     bool waitUntilClosed(CloseCause cause, std::uint64_t count = 1)
     {
-        return pollUntil(
-            [&] { return transport_.counters().closedByCause_.at(static_cast<std::size_t>(cause)) >= count; });
+        return pollUntil([&] { return closedCount(cause) >= count; });
     }
     // Waits for a condition that no event announces, such as a counter.
     template <typename Condition>
@@ -93,7 +129,7 @@
     int heartbeatsReceived_ = 0;
     std::vector<std::uint64_t> receivedVersions_; // of the received ConfigPush messages, in order
     std::atomic<bool> sendsHeartbeats_{true};
-    SystemClock clock_;
+    SystemClock systemClock_;
     std::string id_;
     PeerTransport transport_;
 
@@ -130,10 +166,7 @@
     {
         while (!stopping_) {
             if (sendsHeartbeats_) {
-                const std::lock_guard lock(mutex_);
-                for (const PeerAddress &peer : peers_) {
-                    transport_.post([this, to = peer.daemon_] { transport_.send(to, Heartbeat{}); });
-                }
+                sendHeartbeat();
             }
             std::this_thread::sleep_for(Milliseconds(50));
         }
@@ -192,8 +225,9 @@
 class TcpProxy
 {
 public:
-    explicit TcpProxy(std::uint16_t target)
-        : listener_(RawSocket::listenOnLoopback())
+    explicit TcpProxy(std::uint16_t target, bool isStalled = false)
+        : isStalled_(isStalled)
+        , listener_(RawSocket::listenOnLoopback())
         , thread_([this, target] { run(target); })
     {
     }
@@ -205,6 +239,7 @@
         thread_.join();
     }
     [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(listener_.port()); }
+    std::atomic<bool> isStalled_; // accepts and forwards nothing
     std::atomic<int> silencedConnections_{0}; // number of connections, from the oldest, that forward nothing
     std::atomic<int> closedConnections_{0}; // number of connections, from the oldest, that are closed
 
@@ -219,6 +254,10 @@
         std::vector<Pair> pairs;
         listener_.setNonBlocking();
         while (!stopping_) {
+            if (isStalled_) {
+                std::this_thread::sleep_for(Milliseconds(1));
+                continue;
+            }
             if (RawSocket accepted = listener_.accept(); accepted.isOpen()) {
                 pairs.push_back({std::move(accepted), RawSocket::connectTo(target)});
             }
@@ -239,31 +278,82 @@
     std::thread thread_;
 };
 
+// Two daemons on a manual clock; the one with the lower id dials through a proxy. The ids are those of this process:
+// another test's daemon that dials a port which has been given to this one must not count as a peer.
+struct ProxiedPair
+{
+    explicit ProxiedPair(bool isStalled = false)
+        : proxy_(high_.transport_.port(), isStalled)
+    {
+    }
+    void connect()
+    {
+        low_.setPeers({high_.address()});
+        high_.setPeers({low_.address()});
+    }
+    // Advances the clock by a fraction of the limit, after which each open connection carries a heartbeat; waits for
+    // those that arrive. Connections that deliver are thus not found silent.
+    void advanceWithHeartbeats()
+    {
+        constexpr int MaxConnections = 4; // of one peer; heartbeats take turns on them
+        const int lowBefore = low_.heartbeatsReceived();
+        const int highBefore = high_.heartbeatsReceived();
+        clock_.advance(SilenceLimit / 10);
+        for (int i = 0; i < MaxConnections; ++i) {
+            low_.sendHeartbeat();
+            high_.sendHeartbeat();
+        }
+        cr_assert(low_.waitForEvents([&] { return low_.heartbeatsReceived_ > lowBefore; }));
+        cr_assert(high_.waitForEvents([&] { return high_.heartbeatsReceived_ > highBefore; }));
+        std::this_thread::sleep_for(SilenceLimit / 8); // longer than between two checks for silence
+    }
+    bool waitUntilEstablished(std::uint64_t lowCount, std::uint64_t highCount)
+    {
+        return low_.pollUntil(
+            [&] { return low_.establishedCount() == lowCount && high_.establishedCount() == highCount; });
+    }
+    void checkAllDelivered(std::uint64_t last)
+    {
+        cr_assert(high_.waitForEvents([&] { return high_.receivedVersions_.size() >= last; }));
+        cr_assert(low_.waitForEvents([&] { return low_.receivedVersions_.size() >= last; }));
+        cr_assert(high_.receivedVersions_ == versionsUpTo(last));
+        cr_assert(low_.receivedVersions_ == versionsUpTo(last));
+    }
+
+    ManualClock clock_;
+    TestDaemon high_{"b#" + std::to_string(::getpid()), {}, 8'000'000, &clock_};
+    TcpProxy proxy_;
+    TestDaemon low_{
+        "a#" + std::to_string(::getpid()), {{"a", "127.0.0.1:1"}, {"b", proxy_.address()}}, 8'000'000, &clock_};
+};
+
 // Sends numbered messages through a proxy in both directions, calls `injectFault` halfway, and checks that all messages
-// arrive once and in order, and that the peers stay up.
+// arrive once and in order, that one connection is closed and replaced, and that the peers stay up.
 static void checkDeliveryThroughFaultyProxy(void (*injectFault)(TcpProxy &), CloseCause cause)
 {
-    TestDaemon high("b#1");
-    TcpProxy proxy(high.transport_.port());
-    TestDaemon low("a#1", {{"a", "127.0.0.1:1"}, {"b", proxy.address()}});
-    low.setPeers({high.address()});
-    high.setPeers({low.address()});
-    cr_assert(low.pollUntil([&] { return low.transport_.counters().connectionsEstablished_ == 2; }));
-    cr_assert(high.pollUntil([&] { return high.transport_.counters().connectionsEstablished_ == 2; }));
+    ProxiedPair pair;
+    TestDaemon &low = pair.low_;
+    TestDaemon &high = pair.high_;
+    pair.connect();
+    cr_assert(pair.waitUntilEstablished(2, 2));
+    cr_assert(low.closedCount() == 0 && high.closedCount() == 0);
     for (std::uint64_t i = 1; i <= 100; ++i) {
-        low.sendConfigPush("b#1", i);
-        high.sendConfigPush("a#1", i);
+        low.sendConfigPush(high.id_, i);
+        high.sendConfigPush(low.id_, i);
         if (i == 50) {
-            injectFault(proxy);
+            injectFault(pair.proxy_);
         }
         std::this_thread::sleep_for(Milliseconds(2));
     }
-    cr_assert(high.waitForEvents([&] { return high.receivedVersions_.size() >= 100; }));
-    cr_assert(low.waitForEvents([&] { return low.receivedVersions_.size() >= 100; }));
-    cr_assert(high.receivedVersions_ == versionsUpTo(100));
-    cr_assert(low.receivedVersions_ == versionsUpTo(100));
-    cr_assert(low.waitUntilClosed(cause));
-    cr_assert(low.pollUntil([&] { return low.transport_.counters().connectionsEstablished_ == 3; }));
+    cr_assert(low.pollUntil([&] {
+        if (cause == CloseCause::Silent) {
+            pair.advanceWithHeartbeats();
+        }
+        return low.closedCount(cause) == 1 && high.closedCount(cause) == 1;
+    }));
+    pair.checkAllDelivered(100);
+    cr_assert(pair.waitUntilEstablished(3, 3));
+    cr_assert(low.closedCount() == 1 && high.closedCount() == 1);
     cr_assert(low.peerDownCount_ == 0 && high.peerDownCount_ == 0);
 }
 
@@ -279,6 +369,33 @@
     checkDeliveryThroughFaultyProxy([](TcpProxy &proxy) { proxy.silencedConnections_ = 1; }, CloseCause::Silent);
 }
 
+// Guards against messages lost on connections that the dialling side has given up before the other side reads their
+// hellos and counts them as established.
+Test(transport, connectionsGivenUpBeforeTheirHelloArrivesLoseNoMessage, .timeout = 20)
+{
+    ProxiedPair pair(true);
+    pair.connect();
+    cr_assert(pair.low_.pollUntil([&] {
+        pair.clock_.advance(SilenceLimit / 10);
+        std::this_thread::sleep_for(SilenceLimit / 8);
+        return pair.low_.closedCount(CloseCause::Silent) == 2;
+    }));
+    pair.proxy_.isStalled_ = false;
+    cr_assert(pair.waitUntilEstablished(2, 4));
+    for (std::uint64_t i = 1; i <= 100; ++i) {
+        pair.low_.sendConfigPush(pair.high_.id_, i);
+        pair.high_.sendConfigPush(pair.low_.id_, i);
+    }
+    cr_assert(pair.high_.pollUntil([&] {
+        pair.advanceWithHeartbeats();
+        return pair.high_.closedCount(CloseCause::Silent) == 2;
+    }));
+    pair.checkAllDelivered(100);
+    cr_assert(pair.low_.closedCount() == 2 && pair.high_.closedCount() == 2);
+    cr_assert(pair.low_.peerDownCount_ == 0 && pair.high_.peerDownCount_ == 0);
+    cr_assert(pair.low_.establishedCount() == 2 && pair.high_.establishedCount() == 4);
+}
+
 // Guards against a connection that is found silent because all heartbeats go to the other one, and against sending each
 // heartbeat on both.
 Test(transport, heartbeatsTakeTurnsAndKeepBothConnections, .timeout = 20)
