Codechange: [net] Parse a numeric address once

parseEndpoint() called isAddress() and then parseAddress() on the same text. parseNumericAddress() does both; isAddress() uses it.

--- a/src/net/address.cpp
+++ b/src/net/address.cpp
@@ -1,16 +1,13 @@
 // Address checks and overrides, see address_func.h.
 #include "net/address_func.h"
 
-#include "http/http_type.h"
-
 #include <arpa/inet.h>
 
 namespace mimosapier
 {
 
-bool isAddress(std::string_view text)
+bool parseNumericAddress(std::string_view text, HttpAddress &address)
 {
-    HttpAddress address;
     if (!parseAddress(text, address)) {
         return false;
     }
@@ -18,6 +15,12 @@
     return inet_pton(text.front() == '[' ? AF_INET6 : AF_INET, address.ip_.c_str(), &binary) == 1;
 }
 
+bool isAddress(std::string_view text)
+{
+    HttpAddress address;
+    return parseNumericAddress(text, address);
+}
+
 std::string_view daemonName(std::string_view daemonId)
 {
     return daemonId.substr(0, daemonId.find('#'));
--- a/src/net/address_func.h
+++ b/src/net/address_func.h
@@ -2,6 +2,8 @@
 // the transport, the worker client and the settings reader; the functions are pure and may run on any thread.
 #pragma once
 
+#include "http/http_type.h"
+
 #include <map>
 #include <string>
 #include <string_view>
@@ -13,6 +15,9 @@
 // name.
 bool isAddress(std::string_view text);
 
+// Parses such an address. Returns false when isAddress() does.
+bool parseNumericAddress(std::string_view text, HttpAddress &address);
+
 // Name of a daemon, which stays the same over restarts: the part of the id before '#', or the whole id without one.
 std::string_view daemonName(std::string_view daemonId);
 
--- a/src/net/transport.cpp
+++ b/src/net/transport.cpp
@@ -2,7 +2,6 @@
 #include "net/transport_internal.h"
 
 #include "core/message/codec_func.h"
-#include "http/http_type.h"
 #include "net/address_func.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -36,7 +35,7 @@
 static std::error_code parseEndpoint(const std::string &text, tcp::endpoint &endpoint)
 {
     HttpAddress address;
-    if (!isAddress(text) || !parseAddress(text, address)) {
+    if (!parseNumericAddress(text, address)) {
         return ErrorKind::BadSetting;
     }
     endpoint = tcp::endpoint(asio::ip::make_address(address.ip_), address.port_);
