Change: [soak] The next life of a runner carries out calls that had reached the former one

A server that is back under its old id takes calls that were meant for its former life. The stand-in dropped them: late calls when the life had changed, and calls that arrived while the runner was down. The fault `silent` is not used for the time between two lives any more, so a longer one goes on.

Calls and leases wait for the next life now, and a hold that waits gets no answer.

--- a/tests/soak/check_twice.py
+++ b/tests/soak/check_twice.py
@@ -13,7 +13,11 @@
   end    task run how          a run ended
   noted  task run how token    the first acknowledgement of this end, by a hold with this token
   lease_over                   the lease of the runner lapsed
-  down                         the process was killed (written by the driver after its end)
+  down                         the process was killed (written by the driver after its end), or a life of it has ended
+  misdirected  path token      a call that had reached the former incarnation is carried out by this one; `task` and `run`
+                               where the call names them
+
+Other events do not bear on the rule: a misdirected call begins and acknowledges nothing but by the events above.
 """
 
 import collections
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -11,9 +11,10 @@
 A runner that is inner and unregistered does not reach the store either while it is cut off.
 
 POST /recut {"down": S, "unregistered": S, "wait": S, "task": S, "cut_after": S, "cut": S} begins the runner's next life
-under its id, after `down`. Calls to the former life stay without an answer, and the next one registers only after
-`unregistered`. When a task of at least the length `task` has begun in it, or after `wait`, it is cut off from all daemons
-and from the store, `cut_after` later and for `cut`. The answer comes with the cut: {"Began": BOOL}.
+under its id, after `down`, and that life registers only after `unregistered`. Calls that have reached the former life and
+are not carried out yet, and those that arrive while the runner is down, are carried out by the next life and stay without
+an answer. When a task of at least the length `task` has begun in it, or after `wait`, it is cut off from all daemons and
+from the store, `cut_after` later and for `cut`. The answer comes with the cut: {"Began": BOOL}.
 """
 
 import argparse
@@ -45,6 +46,7 @@
                             "drain": 0.0}
         self.registers_from_ = 0.0
         self.sequence_ = 0
+        self.up_ = asyncio.Event()  # not set between two lives
         self.journal_ = open(args.journal, "a", buffering=1)
         self.begin_life()
         if args.partition:
@@ -65,6 +67,7 @@
         self.awaited_task_s_ = 0.0
         self.began_task_ = asyncio.Event()
         self.note("born")
+        self.up_.set()
 
     def clock(self):
         return int((time.monotonic() - self.started_) * self.clock_rate_ * 1000) + 1000
@@ -89,8 +92,8 @@
         for _, timer in self.active_.values():
             timer.cancel()
         self.active_.clear()
+        self.up_.clear()
         self.note("down")
-        self.fault_ends_["silent"] = time.monotonic() + body["down"]
         self.registers_from_ = time.monotonic() + body["down"] + body["unregistered"]
         await asyncio.sleep(body["down"])
         self.begin_life()
@@ -159,6 +162,7 @@
     async def lease_loop(self):
         while True:
             await asyncio.sleep(LEASE_CHECK_S)
+            await self.up_.wait()
             self.check_lease()
 
     def extend(self, body):
@@ -181,12 +185,15 @@
         late = self.has_fault("late") and self.random_.random() < LATE_SHARE
         if late:
             await asyncio.sleep(self.random_.uniform(*LATE_RANGE_S))
+        await self.up_.wait()
         if life != self.started_:
-            return None
+            self.note("misdirected", path=request.target, task=request.body.get("Task"), run=request.body.get("RunId"),
+                      token=token)
         answer = await self.execute(request, token)
         lost = self.has_fault("lossy") and self.random_.random() < LOST_SHARE
-        is_silent = self.has_fault("silent") or self.is_cut_off_from(token) or life != self.started_
-        return None if late or lost or is_silent else answer
+        has_ended = life != self.started_ or not self.up_.is_set()
+        is_silent = self.has_fault("silent") or self.is_cut_off_from(token)
+        return None if late or lost or is_silent or has_ended else answer
 
     async def execute(self, request, token):
         self.check_lease()
--- a/tests/soak/test_check_twice.py
+++ b/tests/soak/test_check_twice.py
@@ -155,6 +155,12 @@
 
 
 class FiguresAndFilesTest(unittest.TestCase):
+    def test_misdirected_call_is_no_start(self):
+        journal = Journal().start(1, "r1", 1, 5).end(2, "r1", 1).noted(3, "r1", 1, 5).add(4, "r1", "born", born=2)
+        journal.add(5, "r1", "misdirected", run=1, born=2, path="/run-start", token=5)
+        self.assertEqual(journal.kinds(), [])
+        self.assertEqual(check_twice.summarize(journal.events)["runs"], 1)
+
     def test_summary(self):
         journal = Journal().start(1, "r1", 1, 5).end(2, "r1", 1, "failed").start(3, "r2", 2, 5).end(4, "r2", 2)
         journal.noted(5, "r2", 2, 5).start(6, "r1", 1, 5, task="b").end(7, "r1", 1, task="b").start(8, "r1", 1, 5, task="c")
--- a/tests/soak/test_stand_ins.py
+++ b/tests/soak/test_stand_ins.py
@@ -145,6 +145,66 @@
         events = [event["what"] for event in self.events("born", "down", "start", "cut off")]
         self.assertEqual(events, ["born", "down", "born", "start", "cut off"])
 
+    async def begin_next_life(self, down_s):
+        """Returns the task of the call once the runner is down; the next life is not cut off."""
+        fault = {"down": down_s, "unregistered": 0, "wait": 0, "task": 600, "cut_after": 0, "cut": 0}
+        recut = asyncio.create_task(self.post("/recut", **fault))
+        await self.until(lambda: self.events("down"))
+        return recut
+
+    async def send_unanswered(self, path, timeout_s, **body):
+        status, _ = await call(self.runner.address, "POST", path, body, {"X-Expect-Instance": "server-0"}, timeout_s)
+        self.assertEqual(status, 0)
+
+    async def test_call_that_arrives_while_the_runner_is_down_is_carried_out_by_its_next_life(self):
+        recut = await self.begin_next_life(1)
+        await self.send_unanswered("/run-start", 2, Task="a.0.0.0", RunId=1, Spec='{"ms":[60000]}', FencingToken=5,
+                                   UntilMs=9000)
+        await recut
+        events = self.events("born", "down", "misdirected", "start")
+        self.assertEqual([event["what"] for event in events], ["born", "down", "born", "misdirected", "start"])
+        self.assertEqual({event["born"] for event in events[2:]}, {events[2]["born"]})
+        _, answer = await self.post("/hold", FencingToken=5)
+        self.assertEqual([row[:2] for row in answer["Active"]], [["a.0.0.0", 1]])
+
+    async def test_late_acknowledgement_meant_for_the_former_life_is_carried_out_by_the_next_one(self):
+        await self.post("/fault", late=600)
+        headers = {"X-Expect-Instance": "server-0"}
+        holds = [asyncio.create_task(call(self.runner.address, "POST", "/hold", {"FencingToken": 5, "LastSeen": 1}, headers))
+                 for _ in range(40)]
+        await asyncio.sleep(0.2)
+        await self.post("/fault", late=0)
+        await (await self.begin_next_life(0))
+        await self.start()
+        await self.until(lambda: self.events("noted"))
+        events = [event["what"] for event in self.events("misdirected", "end", "noted")]
+        self.assertEqual(events[events.index("noted") - 1], "misdirected")
+        await asyncio.gather(*holds)
+
+    async def test_calls_held_back_are_not_carried_out_while_the_runner_is_down(self):
+        await self.post("/fault", slow=600)
+        order = {"RunId": 1, "Spec": '{"ms":[60000]}', "FencingToken": 5, "UntilMs": 9000}
+        starts = [asyncio.create_task(call(self.runner.address, "POST", "/run-start", {"Task": f"a.0.0.{index}", **order},
+                                           {"X-Expect-Instance": "server-0"})) for index in range(40)]
+        await asyncio.sleep(0.2)
+        await (await self.begin_next_life(0.6))
+        statuses = [status for status, _ in await asyncio.gather(*starts)]
+        events = self.events("born", "down", "start", "misdirected")
+        what = [event["what"] for event in events]
+        self.assertEqual(what[what.index("down") + 1], "born")
+        late = [event["task"] for event in events if event["what"] == "misdirected"]
+        self.assertGreater(len(late), 0)
+        self.assertEqual(late, [event["task"] for event in events[what.index("down"):] if event["what"] == "start"])
+        self.assertEqual(statuses.count(0), len(late))  # the others were carried out, and answered, before
+
+    async def test_hold_that_waits_is_not_answered_once_the_runner_is_down(self):
+        await self.start(work_ms=60_000)
+        hold = asyncio.create_task(self.send_unanswered("/hold", 3, FencingToken=5, WaitMs=500))
+        await asyncio.sleep(0.2)
+        await (await self.begin_next_life(1))
+        await hold
+        self.assertEqual(self.events("misdirected"), [])
+
 
 class StoreTest(unittest.IsolatedAsyncioTestCase):
     async def test_overlapping_faults_of_one_port(self):
