Change: [standin] The runner model shortens leases to the longest that the platform grants

The model gave each lease in full, so that a start that names a time of a former incarnation's clock held its lease for as long as it said, and only the simulated cluster of changes of leader shortened it. The member holdMaxMs_ has the platform's 10,000 ms; HandoverRunners needs no shortening of its own.

Kinder than the platform's page, mended too: a stop lengthened the lease and ended whatever run of the task was there; a start of another run of a running task was answered as carried out though nothing began, and is superseded now.

Not mended: the model rejects no start as late. With that rule cell::leasesOfARunnerWithoutAClockAreTakenForEnded fails, as starts to a runner that gives no clock name no end of their lease.

--- a/src/standin/runner_model.h
+++ b/src/standin/runner_model.h
@@ -1,5 +1,6 @@
 // In-memory model of a runner that follows the platform's rules for fencing tokens, leases, runs and lists of finished
-// runs. It performs no I/O and reads no clock: callers pass the time. Not thread-safe.
+// runs. It has no capacity, rejects no start as late, and ends a stopped run at once. It performs no I/O and reads no
+// clock: callers pass the time. Not thread-safe.
 #pragma once
 
 #include "core/message/runner_type.h"
@@ -25,6 +26,7 @@
     std::int64_t startedUnixMs_ = 1;
     std::int64_t clockOffsetMs_ = 1'000; // the runner's clock when elapsedMs is 0
     std::int64_t leaseUntilMs_ = 0; // on the runner's clock
+    std::int64_t holdMaxMs_ = 10'000; // longest lease, on the runner's clock; a longer one is shortened to it
     std::map<StagedTask, std::uint64_t> active_; // run number by task
     std::vector<FinishedRun> finished_; // not acknowledged, ascending by number
     std::map<StagedTask, std::uint64_t> highestEndedRuns_; // by task; later starts need a higher run number
@@ -32,10 +34,12 @@
     std::uint64_t lastEndNumber_ = 0; // number of the latest finished run
     std::vector<std::pair<StagedTask, std::uint64_t>> starts_; // all started runs, in order: task and run number
 
+    std::int64_t clockMs(std::int64_t elapsedMs) const { return clockOffsetMs_ + elapsedMs; }
+
     // Ends all runs when the lease has expired. `elapsedMs` is the time since the start of the test or process.
     void expire(std::int64_t elapsedMs)
     {
-        if (elapsedMs + clockOffsetMs_ > leaseUntilMs_) {
+        if (clockMs(elapsedMs) > leaseUntilMs_) {
             while (!active_.empty()) {
                 end(active_.begin()->first, RunEnd::Lapsed);
             }
@@ -47,7 +51,9 @@
     {
         const RunnerRecord record = record_;
         const auto starts = starts_; // of all incarnations
+        const std::int64_t holdMaxMs = holdMaxMs_;
         *this = {};
+        holdMaxMs_ = holdMaxMs;
         record_ = record;
         record_.startedUnixMs_ = startedUnixMs;
         starts_ = starts;
@@ -97,26 +103,24 @@
             reply.status_ = RunnerStatus::OtherIncarnation;
             return reply;
         }
-        reply.clockMs_ = givesClock_ ? clockOffsetMs_ + elapsedMs : -1;
+        reply.clockMs_ = givesClock_ ? clockMs(elapsedMs) : -1;
         reply.status_ = RunnerStatus::Ok;
         if (call.token_.value_ < token_) {
             reply.status_ = RunnerStatus::Fenced;
             return reply;
         }
         token_ = call.token_.value_;
-        leaseUntilMs_ = std::max(leaseUntilMs_, call.untilMs_);
         if (call.op_ == RunnerOp::Start) {
             startSpecs_.push_back(call.spec_);
-            const auto ended = highestEndedRuns_.find(call.task_);
-            if (ended != highestEndedRuns_.end() && call.run_.value_ <= ended->second) {
-                reply.status_ = RunnerStatus::Superseded;
-            } else if (active_.emplace(call.task_, call.run_.value_).second) {
-                starts_.emplace_back(call.task_, call.run_.value_);
-            }
+            reply.status_ = start(call, elapsedMs);
         } else if (call.op_ == RunnerOp::Stop) {
-            end(call.task_, RunEnd::Stopped);
+            const auto active = active_.find(call.task_);
+            if (active != active_.end() && active->second == call.run_.value_) {
+                end(call.task_, RunEnd::Stopped);
+            }
             highestEndedRuns_[call.task_] = std::max(highestEndedRuns_[call.task_], call.run_.value_);
         } else {
+            lengthenLease(call, elapsedMs);
             std::erase_if(finished_, [&call](const FinishedRun &run) { return run.number_ <= call.acknowledgedEnd_; });
             reply.startedUnixMs_ = startedUnixMs_; // only lists of runs name the incarnation
             const auto listed = static_cast<std::ptrdiff_t>(std::min(finished_.size(), ListedEnds));
@@ -127,6 +131,29 @@
         }
         return reply;
     }
+
+    // The lease applies to everything that runs here and is never shortened.
+    void lengthenLease(const RunnerCall &call, std::int64_t elapsedMs)
+    {
+        leaseUntilMs_ = std::max(leaseUntilMs_, std::min(call.untilMs_, clockMs(elapsedMs) + holdMaxMs_));
+    }
+
+    // A start that is rejected as superseded lengthens the lease all the same.
+    RunnerStatus start(const RunnerCall &call, std::int64_t elapsedMs)
+    {
+        const auto active = active_.find(call.task_);
+        const auto ended = highestEndedRuns_.find(call.task_);
+        lengthenLease(call, elapsedMs);
+        if (active != active_.end()) {
+            return active->second == call.run_.value_ ? RunnerStatus::Ok : RunnerStatus::Superseded;
+        }
+        if (ended != highestEndedRuns_.end() && call.run_.value_ <= ended->second) {
+            return RunnerStatus::Superseded;
+        }
+        active_.emplace(call.task_, call.run_.value_);
+        starts_.emplace_back(call.task_, call.run_.value_);
+        return RunnerStatus::Ok;
+    }
 };
 
 } // namespace mimosapier
--- a/tests/control/handover_runners.h
+++ b/tests/control/handover_runners.h
@@ -9,8 +9,8 @@
 namespace mimosapier
 {
 
-// A runner: the model, and what the model leaves out. The model has neither capacity nor a limit of leases, and ends a
-// stopped run at once.
+// A runner: the model, and what the model leaves out. The model has no capacity, rejects no start as
+// late, and ends a stopped run at once.
 struct SimulatedRunner
 {
     RunnerModel model_;
@@ -38,7 +38,6 @@
 
 struct HandoverRunners : HandoverBase
 {
-    static constexpr Milliseconds HoldMax{10'000};
     static constexpr Milliseconds EntryLifetime{1'500}; // of discovery entries without heartbeats
     static constexpr std::int64_t TaskCpus = 1'000;
     // A hold waits for up to 1.5 s, and a call without an answer ends after 0.7 s.
@@ -203,7 +202,7 @@
         return reply;
     }
 
-    // The run that is stopped ends a little later; the model would end whatever run of the task there is, and at once.
+    // The run that is stopped ends a little later; the model would end it at once.
     RunnerReply executeStop(std::size_t index, const RunnerCall &call)
     {
         RunnerModel &model = simulatedRunners_[index].model_;
@@ -218,11 +217,10 @@
         return rejectStart(simulatedRunners_[index], call, RunnerStatus::Ok);
     }
 
-    RunnerReply execute(std::size_t index, RunnerCall call, bool isRefusable)
+    RunnerReply execute(std::size_t index, const RunnerCall &call, bool isRefusable)
     {
         SimulatedRunner &runner = simulatedRunners_[index];
         checkLease(runner);
-        call.untilMs_ = std::min(call.untilMs_, runnerClockMs(runner) + HoldMax.count());
         if (call.token_.value_ < runner.model_.token_) {
             ++fencedCalls_;
             return runner.model_.execute(call, now_, runnerElapsedMs(runner));
