--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -13,11 +13,13 @@
 constexpr Milliseconds TaskLease{6'500};
 // Slowest rate of a runner's clock relative to the leader's; the platform allows a deviation of 2%.
 constexpr double MinClockRate = 0.98;
+constexpr Milliseconds LateCallBound{12'000}; // of the platform: a call without an answer is carried out by then
 constexpr Milliseconds LeaseMargin{300}; // for late timers of the leader and the runner
 // A runner with tasks answers a hold when a run ends, or after this time. The leases are renewed four times within
 // TaskLease.
 constexpr Milliseconds HoldWait{1'500};
 constexpr Milliseconds HoldPause{80}; // pause after a hold, so that one call gets runs that end close together
+constexpr Milliseconds LapsePollInterval{500}; // of the holds to a runner of which the lease is to lapse
 constexpr Milliseconds HoldRetryDelay{250}; // delay after a hold without an answer
 constexpr Milliseconds CallTimeout{700}; // for calls to runners: the round trip takes 40 ms, a busy instance longer
 constexpr Milliseconds StartRetryDelay{60}; // first retry delay of a start or stop; doubles with each attempt
@@ -130,14 +132,25 @@
 void extendLeaseToLongest(const Cell &cell, Runner &runner, TimePoint now);
 // Counts with the lease that the runner has granted to a start that named this end, by the clock in its answer.
 void noteGrantedLease(const Cell &cell, Runner &runner, std::int64_t untilMs, const RunnerReply &reply, TimePoint now);
-// The end of the lease that a start without an answer has if it has come to an incarnation of the runner that this
-// leader has not seen; empty for other placements.
-TimePoint unseenIncarnationLeaseEnd(const Cell &cell, const Placement &placement);
+// The end of the lease that the placement has if its start has come to an incarnation of the runner that this leader
+// has not seen; empty if it has not.
+TimePoint unseenIncarnationLeaseEnd(const Cell &cell, const Runner &runner, const Placement &placement);
+// The time after the end of all calls of former leaders in which the leases of a runner that never answers have ended.
+Milliseconds formerLeadersLeaseWait(const Cell &cell);
 // True when the clock in a reply shows that the runner has restarted: its clock has begun anew.
 bool hasClockRestarted(const Runner &runner, const RunnerReply &reply);
 // Takes the runner's clock from a reply.
 void updateClock(const Cell &cell, Runner &runner, const RunnerReply &reply, TimePoint now);
 
+// Defined in late_calls.cpp. All times are those at which calls were sent.
+
+// The present incarnation of the runner has answered a call.
+void noteAnsweredCall(Cell &cell, Runner &runner, TimePoint sentAt, CellTime now, CellActions &actions);
+// A call to the runner was given up without an answer.
+void noteUnansweredCall(Cell &cell, Runner &runner, TimePoint sentAt, CellTime now, CellActions &actions);
+// True when an unanswered call of this time has to be expected to be carried out late.
+bool areCallsLate(const Cell &cell, TimePoint sentAt);
+
 // Defined in runners.cpp.
 
 // Reserves the resources for a run of a waiting task. The reference is valid until the placement is released.
@@ -176,8 +189,10 @@
 bool hasStartProof(const Cell &cell, const Runner &runner, TimePoint now);
 // True when tasks may be placed on the runner now.
 bool isUsable(const Cell &cell, const Runner &runner, TimePoint now);
-// Acknowledges the ends whose consequences are in the store.
+// Acknowledges the ends whose consequences are in the store, unless they wait for the lapse of the runner's lease.
 void acknowledgeEnds(const Cell &cell, Runner &runner);
+// Forgets the presumed runs of which no list can tell any more.
+void removePresumedRuns(Cell &cell, TimePoint now);
 
 // Defined in crashes.cpp.
 
@@ -308,6 +323,6 @@
     std::vector<StoredRun> tasks_;
 };
 
-bool decodeRunners(std::string_view bytes, std::vector<StoredRunner> &runners);
+bool decodeRunners(std::string_view bytes, std::vector<StoredRunner> &runners, std::int64_t &lateCallUnixMs);
 
 } // namespace mimosapier::detail
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -183,8 +183,9 @@
               return candidate.text_.starts_with(R"({"event":"recovering")");
           });
     cr_assert(line != world.actions_.log_.end());
-    cr_assert(line->text_.ends_with(R"("jobs":1,"runners":4,"tasks_done":1,"stored_runs":1,"runners_in_use":3})"), "%s",
-              line->text_.c_str());
+    cr_assert(line->text_.ends_with(
+                  R"("jobs":1,"runners":4,"tasks_done":1,"stored_runs":1,"runners_in_use":3,"lease_wait_ms":10504})"),
+              "%s", line->text_.c_str());
 }
 
 // Guards against a task that runs again after its end, of which no log tells why it was waiting.
@@ -1502,6 +1503,169 @@
     cr_assert_eq(world.startsOf(starts[1].task_), isRepeated ? 2 : 1);
 }
 
+// Has a life of runner r0 that the leader has not seen run both tasks of job 2. The answers are lost, and the tasks
+// start again on r1 once the leases that the leader counts are over. A late call has lengthened the lease of r0, which
+// answers then.
+static std::vector<RunnerCall> repeatTasksOfAnUnseenLife(CellWorld &world)
+{
+    const std::vector<RunnerCall> starts = startsOnAnUnseenLife(world);
+    RunnerModel &runner = world.runners_.at(RunnerId("r0"));
+    for (const RunnerCall &start : starts) {
+        runner.execute(start, world.now_, world.elapsedMs());
+    }
+    runner.reachable_ = false;
+    while (world.startsOf(starts[0].task_) == 1 && world.now_ < world.start_ + std::chrono::seconds(40)) {
+        world.run(Milliseconds(50));
+    }
+    cr_assert_eq(world.startsOf(starts[0].task_), 2, "the task was not started again");
+    runner.leaseUntilMs_ = world.clockOf(runner) + 2'000;
+    return starts;
+}
+
+// Runs until the runner has been told to forget its ends.
+static void checkAcknowledgedAfterLapse(CellWorld &world, const RunnerModel &runner)
+{
+    cr_assert(!runner.finished_.empty());
+    const TimePoint end = world.now_ + std::chrono::seconds(20);
+    std::int64_t leaseUntilMs = 0; // before the latest call
+    while (!runner.finished_.empty() && world.now_ < end) {
+        leaseUntilMs = runner.leaseUntilMs_;
+        world.run(Milliseconds(5));
+    }
+    cr_assert(runner.finished_.empty(), "the end is never acknowledged");
+    cr_assert_gt(world.clockOf(runner), leaseUntilMs, "acknowledged %lld ms before the lease has lapsed",
+                 static_cast<long long>(leaseUntilMs - world.clockOf(runner)));
+}
+
+// Guards against a task that counts as run twice: its run in a life that was not heard had ended as done, the task was
+// started again elsewhere, and the leader acknowledged the first end when it heard of it.
+Test(cell, endOfARepeatedTaskIsAcknowledgedDuringTheLease)
+{
+    CellWorld world(1, 2);
+    const std::vector<RunnerCall> starts = repeatTasksOfAnUnseenLife(world);
+    RunnerModel &runner = world.runners_.at(RunnerId("r0"));
+    runner.end(starts[0].task_, RunEnd::Done);
+    runner.end(starts[1].task_, RunEnd::Stopped);
+    runner.reachable_ = true;
+    world.run(Milliseconds(500));
+    checkAcknowledgedAfterLapse(world, runner);
+    world.submit(3, 20);
+    world.run(Milliseconds(1'000));
+    cr_assert(!runner.active_.empty(), "the runner is not used again");
+}
+
+// The same where the job has ended meanwhile, so that the leader does not know its tasks any more.
+Test(cell, endOfARepeatedTaskOfAnEndedJobIsAcknowledgedDuringTheLease)
+{
+    CellWorld world(1, 2);
+    const std::vector<RunnerCall> starts = repeatTasksOfAnUnseenLife(world);
+    RunnerModel &runner = world.runners_.at(RunnerId("r0"));
+    for (const RunnerCall &start : starts) {
+        world.endRun(RunnerId("r1"), start.task_, RunEnd::Done);
+    }
+    world.run(Milliseconds(300));
+    cr_assert(queryState(world, 2) == StagedState::Completed);
+    runner.end(starts[0].task_, RunEnd::Done);
+    runner.end(starts[1].task_, RunEnd::Done);
+    runner.reachable_ = true;
+    checkAcknowledgedAfterLapse(world, runner);
+}
+
+// Guards against a runner that stands idle after each time that it was cut off: if its lease has lapsed since the end
+// of the run, the end may be acknowledged at once.
+Test(cell, endOfARepeatedTaskIsAcknowledgedAfterALapse)
+{
+    CellWorld world(1, 2);
+    world.listRunners();
+    world.run(Milliseconds(300));
+    world.submit(1);
+    world.run(Milliseconds(300));
+    const RunnerId first = world.runnerOf(FirstTask);
+    RunnerModel &runner = world.runners_.at(first);
+    runner.end(FirstTask, RunEnd::Done);
+    runner.reachable_ = false;
+    world.run(Milliseconds(11'000));
+    cr_assert_eq(world.startsOf(FirstTask), 2);
+    runner.reachable_ = true;
+    world.run(Milliseconds(600));
+    cr_assert(runner.finished_.empty(), "not acknowledged although the lease has lapsed");
+}
+
+// Has a reachable runner leave calls without an answer, which shows the leader that calls are carried out late.
+static void leaveACallUnanswered(CellWorld &world, const RunnerId &id)
+{
+    RunnerModel &runner = world.runners_.at(id);
+    world.submit(9, 4, 8'000); // a runner with tasks is held
+    world.run(Milliseconds(300));
+    cr_assert(!runner.active_.empty());
+    runner.dropsReplies_ = true;
+    world.run(Milliseconds(100)); // longer than the pause between two holds
+    runner.dropsReplies_ = false;
+    world.run(Milliseconds(400));
+    cr_assert(world.cell_->lateCallAt_ != TimePoint{}, "the leader has not noticed it");
+}
+
+// Guards against two runs at a time: calls of the former life of a runner, which its next life carried out seconds
+// late, lengthened the lease of a run that this life had begun. The leader had counted the lease from the answers that
+// it gave up.
+Test(cell, leaseThatALateCallHasLengthenedIsTakenForEnded)
+{
+    constexpr Milliseconds Lateness{11'900}; // of the latest call
+    for (const bool areCallsLate : {false, true}) {
+        CellWorld world(1, 2);
+        RunnerModel &runner = world.runners_.at(RunnerId("r0"));
+        if (areCallsLate) {
+            world.listRunners();
+            world.run(Milliseconds(300));
+            leaveACallUnanswered(world, RunnerId("r0"));
+            for (std::uint32_t i = 0; i < 4; ++i) {
+                const StagedTask task{StagedJobId{9}, 0, 0, i};
+                world.run(Milliseconds(200));
+                world.endRun(world.runnerOf(task), task, RunEnd::Done);
+            }
+        }
+        const std::vector<RunnerCall> starts = startsOnAnUnseenLife(world);
+        runner.execute(starts[1], world.now_, world.elapsedMs());
+        runner.reachable_ = false;
+        for (const RunnerCall &start : starts) {
+            world.answerRunnerCall(start); // without an answer
+        }
+        const Milliseconds wait = (areCallsLate ? Lateness : Milliseconds(0)) + Milliseconds(10'200);
+        world.run(wait);
+        cr_assert_eq(world.startsOf(starts[1].task_), 1, "started again while the first run may still be at work");
+        world.run(Milliseconds(2'000));
+        cr_assert_eq(world.startsOf(starts[1].task_), 2, "not started again");
+    }
+}
+
+// Guards against an end that no leader hears of: a late acknowledgement of the former life covered it. While calls are
+// late, no start may be under way together with an acknowledgement.
+Test(cell, startIsUnderWayTogetherWithALateAcknowledgement)
+{
+    CellWorld world(1, 1);
+    world.listRunners();
+    world.run(Milliseconds(300));
+    leaveACallUnanswered(world, RunnerId("r0"));
+    world.holdsWait_ = true;
+    world.run(Milliseconds(200));
+    const auto placed = world.runners_.at(RunnerId("r0")).active_.begin()->first;
+    world.endRun(RunnerId("r0"), placed, RunEnd::Done);
+    bool isAcknowledged = false;
+    world.submit(2, 3, 500);
+    for (int step = 0; step < 400; ++step) {
+        world.run(Milliseconds(5));
+        const bool isUnderWay = std::any_of(world.actions_.runners_.begin(), world.actions_.runners_.end(),
+                                            [](const RunnerCall &call) { return call.acknowledgedEnd_ > 0; });
+        isAcknowledged = isAcknowledged || isUnderWay;
+        for (const RunnerCall &call : world.actions_.runners_) {
+            cr_assert(!isUnderWay || call.op_ != RunnerOp::Start, "a start beside an acknowledgement");
+            cr_assert(call.acknowledgedEnd_ == 0 || call.wait_ == Milliseconds(0), "the acknowledgement waits");
+        }
+    }
+    cr_assert(isAcknowledged);
+    cr_assert_eq(world.startsOf({StagedJobId{2}, 0, 0, 2}), 1);
+}
+
 // Guards against two runs at a time on runners that give no clock: the leader extended no lease, and took the runs for
 // ended once the lease that it had counted first was over.
 Test(cell, leasesOfARunnerWithoutAClockAreTakenForEnded)
@@ -1540,6 +1704,26 @@
     return world;
 }
 
+// Guards against two runs at a time after a change of leader: the former leader's calls may still be carried out late
+// by a life that neither of the two has heard, and the next leader waited only for calls that are carried out on time.
+Test(cell, nextLeaderDoesNotWaitForLateCalls)
+{
+    CellWorld before(1, 2);
+    before.listRunners();
+    before.run(Milliseconds(300));
+    leaveACallUnanswered(before, RunnerId("r0"));
+    before.submit(1);
+    before.run(Milliseconds(300));
+    const RunnerId holder = before.runnerOf(FirstTask);
+    cr_assert(!holder.empty());
+    auto world = nextLeader(before, {1});
+    world->runners_.at(holder).reachable_ = false;
+    world->run(Milliseconds(12'000 + 10'200)); // the latest call, and the longest lease on a clock that is 2% slow
+    cr_assert_eq(world->startsOf(FirstTask), 1, "started again while the first run may still be at work");
+    world->run(Milliseconds(1'000));
+    cr_assert_eq(world->startsOf(FirstTask), 2, "not started again");
+}
+
 // Guards against crashes that are forgotten with the leader: each crash here is followed by a change of leader that has
 // not seen it.
 Test(cell, crashesCountAcrossChangesOfLeader)
