Fix: [cell] A hold that waited when its runner crashed is no sign of late calls

After an ordinary crash the leader counted with late calls for 12 s: unanswered starts on lost runners, and recovered jobs after a change of leader, would wait for 22.5 s instead of 10.5. A hold that waits for an end is given up 2.2 s after it was sent, and a start that was sent after it may have been answered before the crash, so that the runner seemed to have answered only the later call.

A hold now counts as open until it is given up.

--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -1315,7 +1315,9 @@
         beginIncarnation(cell, *runner, reply.startedUnixMs_, now, actions);
     }
     if (reply.status_ == RunnerStatus::Unknown) {
-        noteUnansweredCall(cell, *runner, reply.sentAt_, now, actions);
+        // A hold may have waited for an end until the runner was lost, while it still answered calls sent after it.
+        const TimePoint openSince = reply.op_ == RunnerOp::Hold ? now.steady_ : reply.sentAt_;
+        noteUnansweredCall(cell, *runner, openSince, now, actions);
         // Holds to a runner that is silent, or was not heard yet, ask for no lease.
         const bool holdAskedForLease = reply.op_ == RunnerOp::Hold && runner->stateKnown_ && runner->failedCalls_ == 0;
         if (reply.op_ == RunnerOp::Start || holdAskedForLease) {
--- a/tests/cell/test_cell.cpp
+++ b/tests/cell/test_cell.cpp
@@ -1638,6 +1638,32 @@
     }
 }
 
+// Guards against long waits after each crash: a hold that waited for an end when its runner crashed was taken for a
+// late call, as the runner had answered a start that was sent after it.
+Test(cell, holdOfACrashedRunnerIsTakenForALateCall)
+{
+    CellWorld world(1, 1);
+    world.listRunners();
+    world.run(Milliseconds(300));
+    world.holdsWait_ = true;
+    world.submit(1);
+    world.run(Milliseconds(300));
+    cr_assert_eq(world.waitingHolds_.size(), 1);
+    const auto [sentAt, hold] = world.waitingHolds_.front();
+    world.submit(2);
+    world.run(Milliseconds(100));
+    cr_assert_eq(world.startsOf({StagedJobId{2}, 0, 0, 0}), 1);
+    world.waitingHolds_.clear();
+    setRunnersReachable(world, false);
+    world.run(Milliseconds(2'000));
+    RunnerReply unanswered;
+    unanswered.id_ = hold.id_;
+    unanswered.runner_ = hold.runner_;
+    unanswered.sentAt_ = sentAt;
+    handleRunnerReply(*world.cell_, unanswered, world.time(), world.actions_);
+    cr_assert(world.cell_->lateCallAt_ == TimePoint{});
+}
+
 // Guards against an end that no leader hears of: a late acknowledgement of the former life covered it. While calls are
 // late, no start may be under way together with an acknowledgement.
 Test(cell, startIsUnderWayTogetherWithALateAcknowledgement)
