--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -151,7 +151,7 @@
 // True when an unanswered call of this time has to be expected to be carried out late.
 bool areCallsLate(const Cell &cell, TimePoint sentAt);
 
-// Defined in runners.cpp.
+// Defined in runners.cpp, runner_losses.cpp, runner_replies.cpp and runner_timers.cpp.
 
 // Reserves the resources for a run of a waiting task. The reference is valid until the placement is released.
 Placement &addPlacement(Cell &cell, Runner &runner, Job &job, const StagedTask &task, RunNumber run);
