Fix: [cell] Repeated submissions used up an account's share

What callers saw: an account that sends several times its share had two thirds of the jobs within the share refused, then accepted late or answered 504. Cause: each attempt of a job took a submission from the account's token bucket, so the repetitions of refused submissions took the tokens of first ones. The last repetition came with some 20 ms left; the entry daemon forwarded it and answered with an unknown outcome when its deadline passed. Work beyond the shares was accepted while others of its queue waited for 10 s. Change: attempts of a refused job count once against the share, and a repetition takes a token only from a bucket that is half full. An entry daemon refuses a submission with less than 80 ms for the answer. Submissions beyond the share are refused while earlier ones of the queue wait for more than half of their slack.

--- a/src/core/cell/admission.cpp
+++ b/src/core/cell/admission.cpp
@@ -20,6 +20,12 @@
 static constexpr double MaxWaitObjectives = 1.5;
 // Size of an account's token bucket, in seconds of its share: a larger burst counts as beyond the share.
 static constexpr double ShareBurstSeconds = 2;
+// The client of a refused submission repeats it, so an account far beyond its share sends several times as many
+// submissions as jobs. A repetition within the share again takes a token only above this part of the bucket: the tokens
+// go to first submissions, which can still be served in time.
+static constexpr double RepetitionReserve = 0.5;
+static constexpr Milliseconds RefusedKept{10'000}; // clients repeat a submission within their deadline of a few seconds
+static constexpr std::size_t MaxRefused = 50'000; // memory: about 100 B each
 // Submissions beyond the share are accepted while the work ahead takes less time than this.
 static constexpr Milliseconds IdleWait{250};
 // Limit of the waiting work beyond the shares, as the time that the whole capacity needs for it. More work could wait
@@ -186,6 +192,15 @@
     return Milliseconds(static_cast<std::int64_t>(std::min(waitMs, static_cast<double>(MaxQueueWait.count()))));
 }
 
+// True when jobs of the queue beyond the shares wait so long that a further one would miss its objective. Work beyond
+// the shares comes after all other work, of any priority, so the capacity alone does not tell how long it waits.
+static bool isBeyondShareStalled(Cell &cell, const Job &job, Milliseconds slack, TimePoint now)
+{
+    refreshWaitingWork(cell, now);
+    const WaitingJobs waiting = waitingJobs(cell.waitingWork_.jobsBeyondShare_, job);
+    return waiting.count_ > 0 && now - waiting.oldestAt_ > std::max(IdleWait, slack / 2);
+}
+
 // Time that the waiting work beyond the accounts' shares would take. This work is placed after all other work.
 static Milliseconds beyondShareWait(Cell &cell, const Job &job, TimePoint now)
 {
@@ -196,26 +211,57 @@
         : processingTime(cell, beyondShare->second, job.policy_.service_);
 }
 
-bool takeToken(Cell &cell, const std::string &name, TimePoint now)
+// Takes one submission from the account's token bucket unless fewer than `reserve` of the bucket, as a fraction, are
+// left. Result: whether one was taken.
+static bool takeToken(Account &account, double reserve, TimePoint now)
 {
-    const auto found = cell.accounts_.find(name);
-    if (found == cell.accounts_.end() || found->second.config_.weight_ <= 0) {
-        return true;
-    }
-    Account &account = found->second;
     const double bucketSize = std::max(1.0, account.config_.weight_ * ShareBurstSeconds);
     const double seconds = std::chrono::duration<double>(now - account.refilledAt_).count();
     account.tokens_ = account.refilledAt_ == TimePoint{}
         ? bucketSize
         : std::min(bucketSize, account.tokens_ + seconds * account.config_.weight_);
     account.refilledAt_ = now;
-    if (account.tokens_ < 1) {
+    if (account.tokens_ < std::max(1.0, bucketSize * reserve)) {
         return false;
     }
     account.tokens_ -= 1;
     return true;
 }
 
+bool isBeyondShare(Cell &cell, const Job &job, TimePoint now)
+{
+    const auto found = cell.accounts_.find(job.account_);
+    if (found == cell.accounts_.end() || found->second.config_.weight_ <= 0) {
+        return false;
+    }
+    const auto refused = cell.refused_.find(job.id_);
+    if (refused == cell.refused_.end()) {
+        return !takeToken(found->second, 0, now);
+    }
+    return refused->second.beyondShare_ && !takeToken(found->second, RepetitionReserve, now);
+}
+
+void noteRefusedSubmission(Cell &cell, const Job &job, TimePoint now)
+{
+    const auto [entry, inserted] = cell.refused_.try_emplace(job.id_, RefusedSubmission{job.beyondShare_, now});
+    entry->second.beyondShare_ = job.beyondShare_;
+    if (inserted) {
+        cell.refusedQueue_.emplace_back(now, job.id_);
+    }
+}
+
+void removeRefusedSubmissions(Cell &cell, TimePoint now)
+{
+    auto &queue = cell.refusedQueue_;
+    while (!queue.empty() && (now > queue.front().first + RefusedKept || queue.size() > MaxRefused)) {
+        const auto found = cell.refused_.find(queue.front().second);
+        if (found != cell.refused_.end() && found->second.refusedAt_ == queue.front().first) {
+            cell.refused_.erase(found);
+        }
+        queue.pop_front();
+    }
+}
+
 std::optional<CellReply> checkSubmit(Cell &cell, const CellRequest &request, const Job &job, TimePoint now,
                                      std::string_view &reason)
 {
@@ -245,7 +291,7 @@
     const Milliseconds forCapacity = capacityWait(cell, job, now);
     const Milliseconds forQueue = queueWait(cell, job, now);
     if (job.beyondShare_
-        && (forCapacity > IdleWait || forQueue > maxQueueWait
+        && (forCapacity > IdleWait || forQueue > maxQueueWait || isBeyondShareStalled(cell, job, maxQueueWait, now)
             || beyondShareWait(cell, job, now) > MaxBeyondShareWait)) {
         reason = "beyond-share";
         refusal.retryAfter_ = std::max(LoadRetryAfter, std::max(forCapacity, forQueue));
--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -209,6 +209,7 @@
         advanceRecurringJobs(cell, now);
         removeEndedJobs(cell, now);
         removeCancelledUnknown(cell, now.steady_);
+        removeRefusedSubmissions(cell, now.steady_);
         removeClosedRisks(cell);
         removePresumedRuns(cell, now.steady_);
         std::erase_if(cell.unstartedJobs_, [&cell](StagedJobId id) {
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -377,6 +377,13 @@
     TimePoint arrivedAt_;
 };
 
+// A submission that was refused for load. Its repetitions count as the same submission against the account's share.
+struct RefusedSubmission
+{
+    bool beyondShare_ = false;
+    TimePoint refusedAt_; // the first time
+};
+
 // A placement with presumedEndAt_.
 struct PresumedEnd
 {
@@ -441,6 +448,9 @@
     // them may still be under way, or be held up in a daemon that stands still. Oldest first in cancelledUnknownQueue_.
     std::unordered_set<StagedJobId> cancelledUnknown_;
     std::deque<std::pair<TimePoint, StagedJobId>> cancelledUnknownQueue_;
+    // Submissions that were refused for load a short time ago, oldest first in refusedQueue_.
+    std::unordered_map<StagedJobId, RefusedSubmission> refused_;
+    std::deque<std::pair<TimePoint, StagedJobId>> refusedQueue_;
     std::deque<RunnerCrash> recentCrashes_; // of the last RackLossWindow, oldest first
     TimePoint lateCallAt_; // when the latest call that a reachable runner left unanswered was sent; see late_calls.cpp
     std::int64_t lateCallUnixMs_ = 0; // the same in the stored list of runners; 0: none
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -262,8 +262,13 @@
 // Checks a submit without changing the state of the cell. Result: the refusal with its `reason`, or no value.
 std::optional<CellReply> checkSubmit(Cell &cell, const CellRequest &request, const Job &job, TimePoint now,
                                      std::string_view &reason);
-// Takes one submission from the account's token bucket. Result: false if the bucket is empty.
-bool takeToken(Cell &cell, const std::string &name, TimePoint now);
+// True when the job counts as beyond its account's share. Takes a submission from the account's token bucket unless an
+// earlier attempt of the same job has taken one.
+bool isBeyondShare(Cell &cell, const Job &job, TimePoint now);
+// Has repetitions of the refused submission count as the same one, see isBeyondShare().
+void noteRefusedSubmission(Cell &cell, const Job &job, TimePoint now);
+// Forgets the refused submissions that clients do not repeat any more.
+void removeRefusedSubmissions(Cell &cell, TimePoint now);
 // Counts an accepted job that has not started.
 void addWaitingWork(Cell &cell, const Job &job, TimePoint now);
 // Counts the first start of a job of this queue for the queue's start rate.
--- a/src/core/cell/submit_cmd.cpp
+++ b/src/core/cell/submit_cmd.cpp
@@ -54,7 +54,7 @@
     job->acceptedUnixMs_ = now.unixMs_;
     job->submittedAt_ = now.steady_;
     setObjectives(*job);
-    job->beyondShare_ = !takeToken(cell, job->account_, now.steady_);
+    job->beyondShare_ = isBeyondShare(cell, *job, now.steady_);
     std::string_view reason;
     const auto refusal = checkSubmit(cell, request, *job, now.steady_, reason);
     JsonObject line = logEvent(refusal ? "submit-refused" : "submit");
@@ -64,9 +64,11 @@
     if (refusal) {
         line.text("reason", reason).number("retry_after_ms", refusal->retryAfter_.count());
         addLogLine(actions, line);
+        noteRefusedSubmission(cell, *job, now.steady_);
         reply(actions, from, *refusal);
         return;
     }
+    cell.refused_.erase(job->id_);
     line.number("objective_ms", objectiveOf(*job).count());
     addLogLine(actions, line);
     job->waitingSubmits_.emplace_back(from, request.call_);
--- a/src/core/control/requests.cpp
+++ b/src/core/control/requests.cpp
@@ -18,6 +18,10 @@
 // A leaving daemon refuses requests that arrive less than this before its leave deadline: there is not enough time to
 // answer them.
 static constexpr Milliseconds LastRequestMargin{900};
+// A submission is refused when less time than this is left for the leader's answer, which takes a round trip of 40 ms
+// between regions and a write to the store. Forwarded, it would be answered as of unknown outcome.
+static constexpr Milliseconds MinSubmitTime{80};
+static constexpr Milliseconds ShortDeadlineRetryAfter{1'000};
 static constexpr std::size_t MaxOpenRequests = 4'000; // memory: about 2 KB each
 static constexpr std::size_t JobIdDigits = 16;
 
@@ -277,6 +281,15 @@
     if (control.leaving_) {
         open.deadline_ = std::min(open.deadline_, control.leaveDeadline_);
     }
+    if (open.request_.verb_ == CellVerb::Submit && open.deadline_ < now.steady_ + MinSubmitTime) {
+        JsonObject line = beginLogLine("request-rejected");
+        line.text("job", jobText(open.request_.job_)).text("account", open.request_.account_);
+        line.text("error", "deadline-too-short").number("remaining_ms", request.remaining_.count());
+        appendLogLine(actions, line, LogLevel::Warning);
+        actions.answers_.push_back(
+            errorAnswer(request.call_, CellVerb::Submit, ErrorKind::Overloaded, ShortDeadlineRetryAfter));
+        return;
+    }
     const std::uint64_t call = request.call_.value_;
     OpenRequest &stored = control.requests_.insert_or_assign(call, std::move(open)).first->second;
     forwardRequest(control, stored, now, actions);
--- /dev/null
+++ b/tests/cell/test_admission.cpp
@@ -0,0 +1,65 @@
+// Tests of the admission of submitted jobs: loads of accounts far beyond their share, replayed without a network.
+#include "cell/cell_world.h"
+
+#include <criterion/criterion.h>
+
+#include <queue>
+
+using namespace mimosapier;
+
+namespace
+{
+
+struct Attempt
+{
+    TimePoint at_;
+    std::uint64_t job_ = 0;
+    int number_ = 1;
+    auto operator<=>(const Attempt &) const = default;
+};
+
+} // namespace
+
+// Guards against an account's share that is used up by repeated submissions. Replays an account that submits six times
+// its share for 3 s, with clients that repeat a refused submission four times, 700 ms apart. The repetitions took most
+// of the share, so that two thirds of the jobs within it were accepted only when they were late.
+Test(admission, repeatedSubmissionsDoNotUseTheShare)
+{
+    constexpr double SharePerSecond = 10;
+    CellWorld world;
+    world.config_.accounts_[0].weight_ = SharePerSecond;
+    world.config_.queues_[0].policy_.targetCompletion_ = Milliseconds(1'000'000); // nothing within the share is refused
+    applyConfig(*world.cell_, world.config_);
+    world.listRunners();
+    world.run(Milliseconds(100));
+    std::priority_queue<Attempt, std::vector<Attempt>, std::greater<>> attempts;
+    for (std::uint64_t i = 0; i < 180; ++i) {
+        attempts.push({world.now_ + Milliseconds(i * 1'000 / 60), i + 1, 1});
+    }
+    std::vector<std::pair<Attempt, std::uint64_t>> open; // with the id of the call
+    std::size_t acceptedAtOnce = 0;
+    while (!attempts.empty() || !open.empty()) {
+        while (!attempts.empty() && attempts.top().at_ <= world.now_) {
+            CellRequest request = world.submission(attempts.top().job_, 1, 5'000);
+            request.submitted_.steps_[0].estimate_ = Milliseconds(10'000);
+            open.emplace_back(attempts.top(), world.send(request));
+            attempts.pop();
+        }
+        world.run(Milliseconds(5));
+        std::erase_if(open, [&](const auto &entry) {
+            const auto reply = world.replies_.find(entry.second);
+            if (reply == world.replies_.end()) {
+                return false;
+            }
+            const Attempt &attempt = entry.first;
+            if (reply->second.outcome_ == CellOutcome::Ok) {
+                acceptedAtOnce += attempt.number_ == 1 ? 1 : 0;
+            } else if (attempt.number_ < 5) {
+                attempts.push({world.now_ + Milliseconds(700), attempt.job_, attempt.number_ + 1});
+            }
+            return true;
+        });
+    }
+    // The bucket holds the share of 2 s, and 3 s pass.
+    cr_assert_geq(acceptedAtOnce, 45, "%zu jobs were accepted at their first submission", acceptedAtOnce);
+}
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -1054,3 +1054,28 @@
     cluster.run(Milliseconds(400));
     cr_assert(answerOf(entry, call) != nullptr && answerOf(entry, call)->error_ == ErrorKind::None);
 }
+
+// Guards against a submission that is answered as of unknown outcome although no leader could have answered it in time.
+// A client that was refused repeats its submission until its deadline; the last attempt came with a few milliseconds
+// left.
+Test(control, submissionWithoutTimeForAnAnswerIsRefused)
+{
+    ControlCluster cluster;
+    cluster.run(StartupTime);
+    ClusterDaemon &entry = cluster.follower();
+    ClientRequest request;
+    request.call_ = CallId{++entry.lastCall_};
+    request.method_ = ClientMethod::Submit;
+    request.host_ = "h";
+    request.path_ = "/q/0000000000000007";
+    request.key_ = "key";
+    request.remaining_ = Milliseconds(150);
+    request.submitted_.emplace().steps_.resize(1);
+    onClientRequest(*entry.control_, std::move(request), cluster.cellTime(), entry.actions_);
+    cluster.run(Milliseconds(10));
+    const ClientAnswer *answer = answerOf(entry, entry.lastCall_);
+    cr_assert(answer != nullptr && answer->error_ == ErrorKind::Overloaded);
+    cr_assert_gt(answer->retryAfter_.count(), 0);
+    cluster.run(Milliseconds(1'000));
+    cr_assert_eq(cluster.startCount(), 0);
+}
