--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -211,6 +211,7 @@
         const CellTime time = now();
         finishBatch(*control_, time, actions_);
         metrics_.observeStep(clock_.now() - time.steady_);
+        metrics_.setEvacuatedZones(control_->evacuatedZones_.size());
         performActions();
         ready_ = isServing(*control_, time.steady_);
         checkLeave();
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -6,6 +6,7 @@
 #include <prometheus/collectable.h>
 #include <prometheus/counter.h>
 #include <prometheus/exposer.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -114,6 +115,11 @@
     CounterFamily &workerCalls_ = counter("mimosapier_worker_calls_total", "Calls of workers by kind and status.");
     CounterFamily &runnerCalls_ = counter("mimosapier_runner_calls_total", "Calls of runners by kind and status.");
     CounterFamily &cellEvents_ = counter("mimosapier_cell_events_total", "Rare events of the cell's control logic.");
+    prometheus::Gauge &evacuatedZones_ = prometheus::BuildGauge()
+                                             .Name("mimosapier_evacuated_zones")
+                                             .Help("Evacuated availability zones that the daemon knows of.")
+                                             .Register(*registry_)
+                                             .Add({});
     prometheus::Family<prometheus::Histogram> &latencies_ = prometheus::BuildHistogram()
                                                                 .Name("mimosapier_request_seconds")
                                                                 .Help("Time from a request's arrival to its answer.")
@@ -208,6 +214,11 @@
     state_->cellEvents_.Add({{"event", std::string(event)}}).Increment(count);
 }
 
+void Metrics::setEvacuatedZones(std::size_t count)
+{
+    state_->evacuatedZones_.Set(static_cast<double>(count));
+}
+
 void Metrics::observeStep(Duration duration)
 {
     state_->steps_.Observe(std::chrono::duration<double>(duration).count());
--- a/src/daemon/metrics_base.h
+++ b/src/daemon/metrics_base.h
@@ -40,6 +40,7 @@
     void observeStep(Duration duration); // time of one step of the decision logic
     void observeRequest(std::string_view kind, Duration duration); // time from arrival to answer
     void countRunnerCall(std::string_view operation, std::string_view status);
+    void setEvacuatedZones(std::size_t count); // known to this daemon
     void countCellEvent(std::string_view event, std::uint32_t count);
 
     // Text that GET /metrics returns.
