--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -224,6 +224,9 @@
         cell.nextTimersAt_ = now.steady_ + TimerInterval;
         checkAllRunnerTimers(cell, now, actions);
     }
+    if (!cell.gangRooms_.rooms_.empty() && now.steady_ >= cell.gangRooms_.nextAt_) {
+        cell.placementDue_ = true; // the plan of the reservations, or the renewal of their tickets, is due
+    }
     if (cell.placementDue_ && now.steady_ >= cell.nextPlacementAt_) {
         cell.placementDue_ = false;
         cell.nextPlacementAt_ = now.steady_ + passInterval(cell.readySteps_.size());
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -90,6 +90,7 @@
     bool inReadySteps_ = false; // has an entry in Cell::readySteps_
     bool queryPending_ = false; // a policy query is queued or in flight
     TimePoint queryNotBefore_; // earliest time of the next query after an unanswered one
+    TimePoint answerExpectedAt_; // of the latest query that was sent
     std::map<RunnerId, PolicyVerdict> verdicts_; // answers of the policy service so far
     std::map<RunnerId, std::uint32_t> perRunner_; // number of placed tasks by runner, for the anti-affinity limit
 };
@@ -168,6 +169,7 @@
     bool mayHaveCrashed_ = false; // the runner has restarted while the start had no answer
     bool spansRestart_ = false; // the runner restarted, and its list does not yet show in which incarnation the run is
     bool isolated_ = false; // nothing else may start on the runner, see crashes.cpp
+    Milliseconds roomHeld_{-1}; // how long runners were reserved for the gang before its start; -1: not reserved
     bool orphan_ = false; // does not belong to a placed task of a known job
     std::uint32_t attempts_ = 0; // calls sent in the current phase
     TimePoint startedAt_; // when the start was first sent, or when this leader learned of the run; empty for an orphan
@@ -200,6 +202,26 @@
     bool awaitsLapse_ = false; // not acknowledged before the runner's lease has lapsed, see mustAwaitLapse()
 };
 
+struct StepRef
+{
+    StagedJobId job_;
+    std::uint32_t occurrence_ = 0;
+    std::uint32_t step_ = 0;
+    auto operator<=>(const StepRef &) const = default;
+};
+
+// Part of a gang's reservation on one runner, see gang_room.cpp.
+struct RoomHold
+{
+    std::uint32_t order_ = 0; // place of the reservation in the order of urgency
+    std::uint32_t priority_ = 0; // of the gang's queue
+    TimePoint completeAt_; // GangRoom::completeAt_
+    Resources reserved_; // for the members that are to start here
+    // Left at completeAt_ beside the runs that may still be there and the reservations that are complete by then.
+    // Negative when the leader has ignored the reservation for more urgent work.
+    Resources spare_;
+};
+
 // State of one runner, as far as this leader knows.
 struct Runner
 {
@@ -218,6 +240,7 @@
     std::vector<StoredRun> storedRuns_; // runs that the stored list names; emptied by finishRecovery()
     bool storedAsInUse_ = false; // the stored list has this runner as in use (not quiescent), see isQuiescent()
     Resources used_; // reserved by the placements
+    std::vector<RoomHold> roomHolds_; // for waiting gangs
     std::unordered_map<StagedTask, Placement> tasks_;
     std::uint32_t orphans_ = 0; // number of placements with orphan_
     std::uint32_t isolatedTasks_ = 0; // number of placements with isolated_
@@ -292,14 +315,6 @@
     TimePoint refilledAt_;
 };
 
-struct StepRef
-{
-    StagedJobId job_;
-    std::uint32_t occurrence_ = 0;
-    std::uint32_t step_ = 0;
-    auto operator<=>(const StepRef &) const = default;
-};
-
 // A daemon that sends policy queries. The policy service handles one query at a time from each daemon.
 struct PolicyQuerier
 {
@@ -317,6 +332,31 @@
     std::vector<RunnerId> queriedRunners_;
     TimePoint sentAt_;
     TimePoint expiresAt_; // from then on the query counts as unanswered
+    bool renewsTickets_ = false; // for the runners that are reserved for a gang
+};
+
+// Runners that are reserved for the members of a waiting gang.
+struct GangRoom
+{
+    StepRef step_;
+    std::uint32_t order_ = 0; // see RoomHold::order_
+    std::map<RunnerId, std::uint32_t> members_; // number of members by runner
+    std::vector<RunnerId> alternates_; // runners that have room next; not reserved, but asked for tickets
+    TimePoint reservedAt_; // when the gang got its first reservation, which later ones have replaced without a gap
+    TimePoint completeAt_; // all members are expected to fit, and their tickets to be there
+    TimePoint renewAt_; // when to send the query that renews the tickets; TimePoint::max(): they last or are not needed
+    bool learnsMore_ = false; // there is time for a query about further runners
+    bool logged_ = false; // a log line has told of the reservation
+    bool hasLostRunner_ = false; // one of the runners cannot be used any more
+};
+
+// Reservations of a leader. Invariant: Runner::roomHolds_ has the same reservations by runner, as far as the runner
+// still exists.
+struct GangRooms
+{
+    std::vector<GangRoom> rooms_; // most urgent first
+    TimePoint plannedAt_; // when they were last planned
+    TimePoint nextAt_; // of the next planning
 };
 
 // The writes of one lane transaction. The transaction is repeated until its outcome is known.
@@ -425,6 +465,7 @@
     std::vector<StepRef> readySteps_; // steps with waiting tasks; placement removes the steps that have none any more
     std::vector<StepRef> queryQueue_; // steps that need a policy query, by urgency at the last sort, then new ones
     std::map<std::uint64_t, InFlightQuery> inFlightQueries_; // by call id
+    GangRooms gangRooms_;
     std::vector<PolicyQuerier> queriers_; // daemons that can send policy queries
     std::map<std::string, double> allowedShare_; // by queue: smoothed fraction of queried runners that are allowed
     std::array<CommitLane, LaneCount> lanes_;
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -257,6 +257,41 @@
 // Resources that a task reserves on a runner. Fill tasks reserve no processors: they use those that others leave idle.
 Resources reservedSize(const StepSpec &spec);
 
+// Defined in gang_room.cpp.
+
+// What the reservations for gangs leave to one step.
+struct RoomAccess
+{
+    std::uint32_t order_ = UINT32_MAX; // only reservations before this place bind; the step's own has it
+    std::uint32_t priority_ = 0; // of the step's queue
+    bool ignoresLowerPriority_ = false; // reservations for gangs of lower priority do not bind
+    TimePoint end_; // expected end of a task that starts now
+};
+
+// When the run is expected to end, by its start and the client's estimate; TimePoint::max(): not by itself.
+TimePoint expectedEnd(const Cell &cell, const Placement &placement, const StepSpec &spec, const Job &job);
+RoomAccess roomAccessOf(const Cell &cell, const Job &job, const StepRef &ref, TimePoint now);
+// True when a task of the step has to start soon to meet the job's objective: reservations for gangs of lower priority
+// do not bind it then.
+bool mayIgnoreRooms(const Job &job, const StepRef &ref, TimePoint now);
+// Resources of the runner that are free for the step now.
+Resources freeFor(const Runner &runner, const RoomAccess &access);
+// Takes a new placement of a step with this access into account.
+void notePlacementInRooms(Runner &runner, const Placement &placement, const RoomAccess &access);
+// True for a gang that may get a reservation: it waits as a whole, could start, and its job still has a value.
+bool wantsRoom(const Cell &cell, const Job &job, const StepRef &ref, TimePoint now);
+const GangRoom *findRoom(const Cell &cell, const StepRef &ref);
+// Number of members of the gang that the runner holds when nothing else runs there.
+std::uint32_t membersThatMayRun(const Runner &runner, const StepSpec &spec);
+// Number of members that the runners which the policy allows are to hold; until then more runners are asked about.
+std::uint32_t wantedKnownMembers(const StepSpec &spec);
+// Releases the reservation of the gang if it has one. `cause` is logged. Result: how long it was held; -1: none.
+Milliseconds releaseRoom(Cell &cell, const StepRef &ref, std::string_view cause, TimePoint now, CellActions &actions);
+// Releases the reservations of gangs that do not wait any more, and plans all reservations anew when it is time.
+void updateGangRooms(Cell &cell, CellTime now, CellActions &actions);
+// Has the reservations planned anew with the next pass over the waiting steps.
+void replanGangRooms(Cell &cell);
+
 // Defined in admission.cpp.
 
 // Checks a submit without changing the state of the cell. Result: the refusal with its `reason`, or no value.
@@ -298,6 +333,12 @@
 
 // Defined in placement.cpp, policy.cpp and lanes.cpp.
 
+// Number of tasks of this size that the account's limit still allows.
+std::uint32_t tasksWithinLimit(const Cell &cell, const Job &job, const Resources &size);
+// Number of tasks of this size that fit into the free resources; UINT32_MAX for tasks without a size.
+std::uint32_t fittingTasks(const Resources &free, const Resources &size);
+// Estimated time that the policy service takes for a query.
+double policyQueryMs(const QueuePolicy &policy, std::size_t runners);
 // Starts the waiting tasks that fit, most urgent first.
 void placeWaiting(Cell &cell, CellTime now, CellActions &actions);
 // Queues a policy query for the step unless one is pending or the retry delay has not passed.
--- a/src/core/cell/cell_type.h
+++ b/src/core/cell/cell_type.h
@@ -65,6 +65,7 @@
     double processorShare_ = 1; // processors that this daemon may use on its instance
     double storeWritesPerSecond_ = 400; // limit for all daemons together
     Milliseconds minLease_{1'000}; // shortest lease that the store grants
+    double gangRoomShare_ = 0; // share of a service's processors that may be reserved for waiting gangs; 0: none
 };
 
 // Time as the decision logic sees it: a steady clock for intervals, the wall clock for scheduled occurrences.
--- /dev/null
+++ b/src/core/cell/gang_room.cpp
@@ -0,0 +1,601 @@
+// Reservations of runners for waiting gangs.
+//
+// Designed for large gangs on a fleet that steady small work keeps almost full: all members have to fit at one moment,
+// and small work would take each processor as it becomes free. This is conservative backfill with one reservation for
+// each waiting gang. In the order of urgency, each gang gets the runners on which all its members fit first when the
+// runs there end at their expected times. Until then, other work starts on these runners only if it is expected to end
+// before the reservation is complete, or if it fits beside the members. Urgent work of a higher priority ignores
+// reservations when it would otherwise miss its objective.
+//
+// A reservation covers all members or is not made, so gangs do not hold parts against each other. All reservations are
+// planned anew at a limited rate: estimates are rough, and a runner whose runs end early may replace one whose runs are
+// overdue. Runners where members fit already are the first choice, so a new plan keeps what was gathered.
+#include "core/cell/cell_internal.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace mimosapier::detail
+{
+
+// Shortest time between two plans. Runs of small work take about a second, so a plan misses few of their ends.
+static constexpr Milliseconds PlanInterval{50};
+// Shortest time between two plans after a runner was lost.
+static constexpr Milliseconds LossPlanInterval{10};
+// Added to the interval for each runner and each run that the last plan examined: about 0.1 us each, so that plans take
+// a fortieth of a processor.
+static constexpr std::chrono::microseconds PlanIntervalPerItem{4};
+static constexpr std::size_t MaxPlannedGangs = 32; // the next gangs wait for the first ones to start
+// An overdue run is expected to run for this part of its run time so far, and at least for MinRemaining.
+static constexpr int OverduePart = 8;
+static constexpr Milliseconds MinRemaining{50};
+// A runner that is reserved for the gang keeps its place unless another one has room earlier by more than this.
+static constexpr Milliseconds KeepReserved{200};
+static constexpr Milliseconds QueryRoundTrip{60}; // messages between the leader, a daemon and the policy service
+// Tickets that are valid for this long after the reservation is complete are not renewed before.
+static constexpr Milliseconds TicketReserve{200};
+// Work of a higher priority ignores reservations when its slack is below this time plus a quarter of its estimate.
+static constexpr Milliseconds UrgentSlack{500};
+static constexpr int UrgentEstimatePart = 4;
+// More runners are asked about until the allowed ones can hold this multiple of the members: of runners that are 80%
+// full, a third of the capacity becomes free within a second or two.
+static constexpr std::uint32_t KnownCapacityFactor = 3;
+
+TimePoint expectedEnd(const Cell & /*cell*/, const Placement &placement, const StepSpec &spec, const Job & /*job*/)
+{
+    return spec.longRunning_ ? TimePoint::max() : placement.startedAt_ + spec.estimate_;
+}
+
+namespace
+{
+
+// A run that is expected to end.
+struct RunRelease
+{
+    TimePoint at_;
+    TimePoint certainAt_; // has ended by then even if it takes half as long again; TimePoint::max(): it is overdue
+    Resources size_;
+};
+
+// A usable runner in a plan.
+struct PlannedRunner
+{
+    Runner *runner_ = nullptr;
+    Resources free_; // now, without what the plan has reserved
+    std::vector<RunRelease> releases_; // ascending by time; without runs that do not end by themselves
+};
+
+// A member of a gang fits on a runner from this time on.
+struct MemberFit
+{
+    TimePoint rank_; // at_, or earlier for a runner that is reserved for the gang already
+    bool isReservedForOther_ = false;
+    std::size_t runner_ = 0; // index of the PlannedRunner
+    TimePoint at_;
+
+    bool operator<(const MemberFit &other) const
+    {
+        return std::tie(rank_, isReservedForOther_, runner_, at_)
+            < std::tie(other.rank_, other.isReservedForOther_, other.runner_, other.at_);
+    }
+};
+
+struct Plan
+{
+    std::map<std::string, std::vector<PlannedRunner>> runnersByService_;
+    std::map<std::string, std::int64_t> capacity_; // milli-CPUs of the usable runners by service
+    std::map<std::string, std::int64_t> reserved_; // milli-CPUs by service
+    std::vector<GangRoom> rooms_;
+    std::size_t items_ = 0; // runners and runs examined; a measure of the cost
+};
+
+} // namespace
+
+static RunRelease plannedRelease(Cell &cell, const StagedTask &task, const Placement &placement, TimePoint now)
+{
+    const Job *job = findJob(cell, task.job_);
+    if (job == nullptr || task.step_ >= job->submitted_.steps_.size() || placement.phase_ == PlacementPhase::Stopping
+        || isPresumedEnded(placement)) {
+        return {now + MinRemaining, TimePoint::max(), placement.size_};
+    }
+    if (placement.startedAt_ == TimePoint{}) { // its start is planned
+        return {now + stepSpec(*job, task.step_).estimate_, TimePoint::max(), placement.size_};
+    }
+    const TimePoint end = expectedEnd(cell, placement, stepSpec(*job, task.step_), *job);
+    if (end == TimePoint::max()) {
+        return {end, end, placement.size_};
+    }
+    if (end > now + MinRemaining) {
+        return {end, end + (end - placement.startedAt_) / 2, placement.size_};
+    }
+    const Duration remaining = std::max<Duration>(MinRemaining, (now - placement.startedAt_) / OverduePart);
+    return {now + remaining, TimePoint::max(), placement.size_};
+}
+
+static std::vector<PlannedRunner> &runnersOf(Cell &cell, Plan &plan, const std::string &service, TimePoint now)
+{
+    const auto [entry, inserted] = plan.runnersByService_.try_emplace(service);
+    if (!inserted) {
+        return entry->second;
+    }
+    for (const auto &[id, runner] : cell.runners_) {
+        if (runner->record_.service_ != service || !isUsable(cell, *runner, now)) {
+            continue;
+        }
+        PlannedRunner &planned = entry->second.emplace_back();
+        planned.runner_ = runner.get();
+        planned.free_ = runner->record_.capacity_ - runner->used_;
+        planned.releases_.reserve(runner->tasks_.size());
+        for (const auto &[task, placement] : runner->tasks_) {
+            const RunRelease release = plannedRelease(cell, task, placement, now);
+            if (release.at_ != TimePoint::max()) {
+                planned.releases_.push_back(release);
+            }
+        }
+        std::sort(planned.releases_.begin(), planned.releases_.end(),
+                  [](const RunRelease &left, const RunRelease &right) { return left.at_ < right.at_; });
+        plan.items_ += runner->tasks_.size() + 1;
+        plan.capacity_[service] += runner->record_.capacity_.milliCpus_;
+    }
+    return entry->second;
+}
+
+// Time that a policy query about this many runners takes until its answer is there.
+static Milliseconds queryTime(const QueuePolicy &policy, std::size_t runners)
+{
+    return QueryRoundTrip + Milliseconds(static_cast<std::int64_t>(std::ceil(policyQueryMs(policy, runners))));
+}
+
+static Resources multiplied(const Resources &size, std::int64_t count)
+{
+    return {size.milliCpus_ * count, size.memoryMb_ * count, size.accelerators_ * count, 0};
+}
+
+static std::uint32_t membersOnEmpty(const Runner &runner, const StepSpec &spec, const Resources &size)
+{
+    const std::uint32_t limit = spec.antiAffinity_ > 0 ? std::min(spec.antiAffinity_, spec.count_) : spec.count_;
+    return std::min(limit, fittingTasks(runner.record_.capacity_, size));
+}
+
+std::uint32_t membersThatMayRun(const Runner &runner, const StepSpec &spec)
+{
+    return hasRequiredLabel(spec, runner) ? membersOnEmpty(runner, spec, reservedSize(spec)) : 0;
+}
+
+std::uint32_t wantedKnownMembers(const StepSpec &spec)
+{
+    return spec.count_ * KnownCapacityFactor;
+}
+
+namespace
+{
+
+// A gang that is to get a reservation.
+struct WaitingGang
+{
+    const Job &job_;
+    const StepState &step_;
+    const StepSpec &spec_;
+    StepRef ref_;
+    const GangRoom *old_; // its present reservation; nullptr: none
+};
+
+} // namespace
+
+// End of the time in which a start may use the step's ticket for the runner; empty: there is no ticket.
+static TimePoint ticketUntil(const StepState &step, const Runner &runner, TimePoint now)
+{
+    return hasTicket(step, runner, now) ? step.verdicts_.at(runner.record_.id_).validUntil_ - TicketMargin
+                                        : TimePoint{};
+}
+
+// Adds the times from which on the members fit on the runner.
+static void addFits(std::vector<MemberFit> &fits, const WaitingGang &gang, const PlannedRunner &planned,
+                    std::size_t index, TimePoint ticketsAt, TimePoint now)
+{
+    const Resources size = reservedSize(gang.spec_);
+    const Runner &runner = *planned.runner_;
+    const std::uint32_t limit = membersOnEmpty(runner, gang.spec_, size);
+    std::uint32_t kept = 0; // members for which the runner is reserved
+    if (gang.old_ != nullptr) {
+        const auto member = gang.old_->members_.find(runner.record_.id_);
+        kept = member == gang.old_->members_.end() ? 0 : member->second;
+    }
+    const bool isReservedForOther
+        = std::any_of(runner.roomHolds_.begin(), runner.roomHolds_.end(), [&gang](const RoomHold &hold) {
+              return gang.old_ == nullptr || hold.order_ != gang.old_->order_;
+          });
+    const TimePoint ticketEnd
+        = gang.job_.policy_.policyQueries_ ? ticketUntil(gang.step_, runner, now) : TimePoint::max();
+    std::uint32_t count = 0;
+    Resources free = planned.free_;
+    const auto addUpTo = [&](std::uint32_t fitting, TimePoint at) {
+        const TimePoint usableAt = at <= ticketEnd ? at : std::max(at, ticketsAt);
+        for (; count < std::min(fitting, limit); ++count) {
+            const TimePoint rank = count < kept ? std::max(now, usableAt - KeepReserved) : usableAt;
+            fits.push_back({rank, isReservedForOther && kept == 0, index, usableAt});
+        }
+    };
+    addUpTo(fittingTasks(free, size), now);
+    for (const RunRelease &release : planned.releases_) {
+        if (count >= limit) {
+            break;
+        }
+        free += release.size_;
+        addUpTo(fittingTasks(free, size), release.at_);
+    }
+}
+
+// Upper estimate of the time of a query that renews the tickets of a gang.
+static Milliseconds renewalTime(const WaitingGang &gang, std::size_t runners)
+{
+    const std::size_t count = gang.spec_.count_;
+    return queryTime(gang.job_.policy_, std::min(count + count / 2, runners));
+}
+
+// Sets when the tickets are to be renewed, and whether a query about further runners fits in before.
+static void planQueries(Cell &cell, GangRoom &room, const WaitingGang &gang, std::uint32_t knownMembers,
+                        bool hasUnknown, Milliseconds cost, TimePoint now)
+{
+    room.renewAt_ = TimePoint::max();
+    if (!gang.job_.policy_.policyQueries_) {
+        return;
+    }
+    TimePoint validUntil = TimePoint::max();
+    for (const auto &[id, members] : room.members_) {
+        validUntil = std::min(validUntil, ticketUntil(gang.step_, *findRunner(cell, id), now));
+    }
+    if (validUntil < room.completeAt_ + TicketReserve) {
+        room.renewAt_ = std::max(room.completeAt_ - cost, validUntil - cost);
+    }
+    room.learnsMore_ = hasUnknown && knownMembers < wantedKnownMembers(gang.spec_)
+        && std::min(room.renewAt_, room.completeAt_) > now + 2 * cost;
+}
+
+// Plans the reservation of a gang. Result: why none is possible; empty if it was added to the plan.
+static std::string_view planRoom(Cell &cell, Plan &plan, const WaitingGang &gang, TimePoint now)
+{
+    const QueuePolicy &policy = gang.job_.policy_;
+    std::vector<PlannedRunner> &runners = runnersOf(cell, plan, policy.service_, now);
+    const Resources size = reservedSize(gang.spec_);
+    const std::uint32_t count = gang.spec_.count_;
+    const std::int64_t milliCpus = size.milliCpus_ * count;
+    std::int64_t &reserved = plan.reserved_[policy.service_];
+    const double limit = cell.settings_.gangRoomShare_ * static_cast<double>(plan.capacity_[policy.service_]);
+    if (static_cast<double>(reserved + milliCpus) > limit) {
+        return "share";
+    }
+    TimePoint ticketsAt = now;
+    if (policy.policyQueries_) {
+        if (gang.step_.verdicts_.empty()) {
+            return "no-verdicts";
+        }
+        ticketsAt = gang.step_.queryPending_ && gang.step_.answerExpectedAt_ > now
+            ? gang.step_.answerExpectedAt_
+            : now + renewalTime(gang, runners.size());
+    }
+    std::vector<MemberFit> fits;
+    std::uint32_t knownMembers = 0;
+    bool hasUnknown = false;
+    for (std::size_t i = 0; i < runners.size(); ++i) {
+        const Runner &runner = *runners[i].runner_;
+        if (policy.policyQueries_) {
+            const auto verdict = gang.step_.verdicts_.find(runner.record_.id_);
+            hasUnknown = hasUnknown || verdict == gang.step_.verdicts_.end();
+            if (verdict == gang.step_.verdicts_.end() || !verdict->second.allowed_) {
+                continue;
+            }
+        }
+        if (!hasRequiredLabel(gang.spec_, runner)) {
+            continue;
+        }
+        knownMembers += membersOnEmpty(runner, gang.spec_, size);
+        addFits(fits, gang, runners[i], i, ticketsAt, now);
+        plan.items_ += runners[i].releases_.size() + 1;
+    }
+    if (fits.size() < count) {
+        return "no-capacity";
+    }
+    std::sort(fits.begin(), fits.end());
+    GangRoom room;
+    room.step_ = gang.ref_;
+    room.order_ = static_cast<std::uint32_t>(plan.rooms_.size());
+    room.completeAt_ = now;
+    for (std::uint32_t i = 0; i < count; ++i) {
+        PlannedRunner &planned = runners[fits[i].runner_];
+        ++room.members_[planned.runner_->record_.id_];
+        planned.free_ -= size;
+        room.completeAt_ = std::max(room.completeAt_, fits[i].at_);
+    }
+    // Estimates are rough: tickets for half as many members on other runners let them replace those that are late.
+    for (std::size_t i = count; i < fits.size() && i < count + count / 2; ++i) {
+        const RunnerId &id = runners[fits[i].runner_].runner_->record_.id_;
+        if (!room.members_.contains(id)
+            && std::find(room.alternates_.begin(), room.alternates_.end(), id) == room.alternates_.end()) {
+            room.alternates_.push_back(id);
+        }
+    }
+    room.reservedAt_ = gang.old_ != nullptr ? gang.old_->reservedAt_ : now;
+    room.logged_ = gang.old_ != nullptr && gang.old_->logged_;
+    planQueries(cell, room, gang, knownMembers, hasUnknown, renewalTime(gang, runners.size()), now);
+    reserved += milliCpus;
+    plan.rooms_.push_back(std::move(room));
+    return {};
+}
+
+// Puts the planned reservations onto the runners.
+static void holdRunners(Cell &cell, Plan &plan)
+{
+    for (const auto &[id, runner] : cell.runners_) {
+        runner->roomHolds_.clear();
+    }
+    for (const GangRoom &room : plan.rooms_) {
+        const Job &job = *findJob(cell, room.step_.job_);
+        const Resources size = reservedSize(stepSpec(job, room.step_.step_));
+        for (const auto &[id, members] : room.members_) {
+            findRunner(cell, id)->roomHolds_.push_back(
+                {room.order_, job.policy_.priority_, room.completeAt_, multiplied(size, members), {}});
+        }
+    }
+    for (auto &[service, runners] : plan.runnersByService_) {
+        for (const PlannedRunner &planned : runners) {
+            Runner &runner = *planned.runner_;
+            for (RoomHold &hold : runner.roomHolds_) {
+                hold.spare_ = runner.record_.capacity_ - runner.used_;
+                for (const RunRelease &release : planned.releases_) {
+                    if (release.certainAt_ <= hold.completeAt_) {
+                        hold.spare_ += release.size_;
+                    }
+                }
+                for (const RoomHold &other : runner.roomHolds_) {
+                    if (other.completeAt_ <= hold.completeAt_) {
+                        hold.spare_ -= other.reserved_;
+                    }
+                }
+            }
+        }
+    }
+}
+
+static void logReserved(const Cell &cell, GangRoom &room, const Job &job, bool isAfterLoss, TimePoint now,
+                        CellActions &actions)
+{
+    if ((room.logged_ && !isAfterLoss) || room.completeAt_ <= now) { // a gang that fits now starts at once
+        return;
+    }
+    room.logged_ = true;
+    JsonObject line = logEvent("room-reserved");
+    line.text("job", jobText(job.id_)).number("step", room.step_.step_);
+    line.text("cause", isAfterLoss ? "runner-left" : "waiting");
+    line.number("members", stepSpec(job, room.step_.step_).count_);
+    line.number("runners", static_cast<std::int64_t>(room.members_.size()));
+    line.number("expected_ms", std::chrono::duration_cast<Milliseconds>(room.completeAt_ - now).count());
+    line.number("wait_ms", std::chrono::duration_cast<Milliseconds>(now - job.submittedAt_).count());
+    line.number("rooms", static_cast<std::int64_t>(cell.gangRooms_.rooms_.size()));
+    addLogLine(actions, line);
+}
+
+static void logReleased(const GangRoom &room, std::string_view cause, TimePoint now, CellActions &actions)
+{
+    if (!room.logged_) {
+        return;
+    }
+    JsonObject line = logEvent("room-released");
+    line.text("job", jobText(room.step_.job_)).number("step", room.step_.step_).text("cause", cause);
+    line.number("runners", static_cast<std::int64_t>(room.members_.size()));
+    line.number("held_ms", std::chrono::duration_cast<Milliseconds>(now - room.reservedAt_).count());
+    line.number("expected_ms", std::chrono::duration_cast<Milliseconds>(room.completeAt_ - now).count());
+    addLogLine(actions, line);
+}
+
+const GangRoom *findRoom(const Cell &cell, const StepRef &ref)
+{
+    const auto &rooms = cell.gangRooms_.rooms_;
+    const auto found
+        = std::find_if(rooms.begin(), rooms.end(), [&ref](const GangRoom &room) { return room.step_ == ref; });
+    return found == rooms.end() ? nullptr : &*found;
+}
+
+Milliseconds releaseRoom(Cell &cell, const StepRef &ref, std::string_view cause, TimePoint now, CellActions &actions)
+{
+    const GangRoom *found = findRoom(cell, ref);
+    if (found == nullptr) {
+        return Milliseconds(-1);
+    }
+    const GangRoom room = *found;
+    for (const auto &[id, members] : room.members_) {
+        Runner *runner = findRunner(cell, id);
+        if (runner == nullptr) {
+            continue;
+        }
+        const auto hold = std::find_if(runner->roomHolds_.begin(), runner->roomHolds_.end(),
+                                       [&room](const RoomHold &entry) { return entry.order_ == room.order_; });
+        if (hold == runner->roomHolds_.end()) {
+            continue;
+        }
+        const RoomHold released = *hold;
+        runner->roomHolds_.erase(hold);
+        for (RoomHold &other : runner->roomHolds_) {
+            if (released.completeAt_ <= other.completeAt_) {
+                other.spare_ += released.reserved_;
+            }
+        }
+    }
+    std::erase_if(cell.gangRooms_.rooms_, [&ref](const GangRoom &entry) { return entry.step_ == ref; });
+    logReleased(room, cause, now, actions);
+    return std::chrono::duration_cast<Milliseconds>(now - room.reservedAt_);
+}
+
+RoomAccess roomAccessOf(const Cell &cell, const Job &job, const StepRef &ref, TimePoint now)
+{
+    RoomAccess access;
+    access.priority_ = job.policy_.priority_;
+    Placement started;
+    started.startedAt_ = now;
+    access.end_ = expectedEnd(cell, started, stepSpec(job, ref.step_), job);
+    const GangRoom *room = findRoom(cell, ref);
+    if (room != nullptr) {
+        access.order_ = room->order_;
+    }
+    return access;
+}
+
+bool mayIgnoreRooms(const Job &job, const StepRef &ref, TimePoint now)
+{
+    const Milliseconds estimate = job.criticalPaths_[ref.step_];
+    return job.submitted_.repeatCount_ == 0 && !stepSpec(job, ref.step_).longRunning_
+        && urgencyOf(job, ref, now).class_ == UrgencyClass::InTime
+        && job.objectiveAt_ - now - estimate < UrgentSlack + estimate / UrgentEstimatePart;
+}
+
+// True when the reservation binds a step with this access.
+static bool isBinding(const RoomHold &hold, const RoomAccess &access)
+{
+    return hold.order_ < access.order_ && access.end_ > hold.completeAt_
+        && !(access.ignoresLowerPriority_ && hold.priority_ > access.priority_);
+}
+
+Resources freeFor(const Runner &runner, const RoomAccess &access)
+{
+    Resources free = runner.record_.capacity_ - runner.used_;
+    free.slots_ = 0;
+    for (const RoomHold &hold : runner.roomHolds_) {
+        if (!isBinding(hold, access)) {
+            continue;
+        }
+        Resources spare = hold.spare_;
+        for (const RoomHold &own : runner.roomHolds_) {
+            if (own.order_ == access.order_ && own.completeAt_ <= hold.completeAt_) {
+                spare += own.reserved_;
+            }
+        }
+        free.milliCpus_ = std::min(free.milliCpus_, spare.milliCpus_);
+        free.memoryMb_ = std::min(free.memoryMb_, spare.memoryMb_);
+        free.accelerators_ = std::min(free.accelerators_, spare.accelerators_);
+    }
+    return free;
+}
+
+void notePlacementInRooms(Runner &runner, const Placement &placement, const RoomAccess &access)
+{
+    for (RoomHold &hold : runner.roomHolds_) {
+        if (access.end_ > hold.completeAt_) {
+            hold.spare_ -= placement.size_;
+        }
+    }
+}
+
+bool wantsRoom(const Cell &cell, const Job &job, const StepRef &ref, TimePoint now)
+{
+    if (cell.settings_.gangRoomShare_ <= 0 || isFinal(job) || !job.stored_
+        || (job.recovered_ && !cell.allTasksKnown_)) {
+        return false;
+    }
+    const auto occurrence = job.occurrences_.find(ref.occurrence_);
+    if (occurrence == job.occurrences_.end() || ref.step_ >= occurrence->second.steps_.size()) {
+        return false;
+    }
+    const StepSpec &spec = stepSpec(job, ref.step_);
+    const StepState &step = occurrence->second.steps_[ref.step_];
+    return spec.gang_ && step.waiting_ > 0 && step.waiting_ == step.tasks_.size()
+        && std::all_of(step.tasks_.begin(), step.tasks_.end(),
+                       [now](const TaskRecord &task) { return task.notBefore_ <= now; })
+        && urgencyOf(job, ref, now).class_ != UrgencyClass::BestEffort
+        && tasksWithinLimit(cell, job, spec.size_) >= spec.count_;
+}
+
+// Releases the reservations of gangs that cannot start any more.
+static void releaseEnded(Cell &cell, TimePoint now, CellActions &actions)
+{
+    std::vector<StepRef> ended;
+    for (const GangRoom &room : cell.gangRooms_.rooms_) {
+        const Job *job = findJob(cell, room.step_.job_);
+        if (job == nullptr || isFinal(*job) || !job->occurrences_.contains(room.step_.occurrence_)) {
+            ended.push_back(room.step_);
+        }
+    }
+    for (const StepRef &ref : ended) {
+        releaseRoom(cell, ref, "job-ended", now, actions);
+    }
+}
+
+// Has the reservations planned anew soon if one of their runners cannot be used any more.
+static void noteLostRunners(Cell &cell, TimePoint now)
+{
+    GangRooms &state = cell.gangRooms_;
+    for (GangRoom &room : state.rooms_) {
+        for (const auto &[id, members] : room.members_) {
+            const Runner *runner = findRunner(cell, id);
+            if (runner == nullptr || !isUsable(cell, *runner, now)) {
+                room.hasLostRunner_ = true;
+                state.nextAt_ = std::min<TimePoint>(state.nextAt_, state.plannedAt_ + LossPlanInterval);
+                break;
+            }
+        }
+    }
+}
+
+void replanGangRooms(Cell &cell)
+{
+    cell.gangRooms_.nextAt_ = {};
+}
+
+// Plans the reservations of the most urgent gangs. `causes`: why a gang has none.
+static Plan planRooms(Cell &cell, std::map<StepRef, std::string_view> &causes, TimePoint now)
+{
+    Plan plan;
+    std::size_t gangs = 0;
+    for (const StepRef &ref : cell.readySteps_) {
+        const Job *job = findJob(cell, ref.job_);
+        if (job == nullptr || !wantsRoom(cell, *job, ref, now)) {
+            continue;
+        }
+        if (++gangs > MaxPlannedGangs) {
+            break;
+        }
+        const StepState &step = job->occurrences_.at(ref.occurrence_).steps_[ref.step_];
+        const std::string_view cause
+            = planRoom(cell, plan, {*job, step, stepSpec(*job, ref.step_), ref, findRoom(cell, ref)}, now);
+        if (!cause.empty()) {
+            causes[ref] = cause;
+        }
+    }
+    return plan;
+}
+
+void updateGangRooms(Cell &cell, CellTime now, CellActions &actions)
+{
+    if (cell.settings_.gangRoomShare_ <= 0) {
+        return;
+    }
+    GangRooms &state = cell.gangRooms_;
+    releaseEnded(cell, now.steady_, actions);
+    noteLostRunners(cell, now.steady_);
+    if (now.steady_ < state.nextAt_) {
+        return;
+    }
+    std::map<StepRef, std::string_view> causes;
+    Plan plan = planRooms(cell, causes, now.steady_);
+    const std::vector<GangRoom> before = std::move(state.rooms_);
+    state.rooms_ = plan.rooms_;
+    holdRunners(cell, plan);
+    for (GangRoom &room : state.rooms_) {
+        const bool isAfterLoss = std::any_of(before.begin(), before.end(), [&room](const GangRoom &old) {
+            return old.step_ == room.step_ && old.hasLostRunner_;
+        });
+        logReserved(cell, room, *findJob(cell, room.step_.job_), isAfterLoss, now.steady_, actions);
+    }
+    for (const GangRoom &old : before) {
+        if (findRoom(cell, old.step_) == nullptr) {
+            const auto cause = causes.find(old.step_);
+            logReleased(old, cause == causes.end() ? "not-waiting" : cause->second, now.steady_, actions);
+        }
+    }
+    state.plannedAt_ = now.steady_;
+    state.nextAt_
+        = now.steady_ + std::max<Duration>(PlanInterval, PlanIntervalPerItem * static_cast<std::int64_t>(plan.items_));
+    cell.runnersExamined_ += plan.items_;
+}
+
+} // namespace mimosapier::detail
--- a/src/core/cell/placement.cpp
+++ b/src/core/cell/placement.cpp
@@ -11,13 +11,6 @@
 namespace mimosapier::detail
 {
 
-static Resources freeOn(const Runner &runner)
-{
-    Resources free = runner.record_.capacity_ - runner.used_;
-    free.slots_ = 0;
-    return free;
-}
-
 namespace
 {
 
@@ -37,6 +30,7 @@
     StepState &step_;
     const StepSpec &spec_;
     StepRef ref_;
+    RoomAccess access_{};
 };
 
 } // namespace
@@ -46,26 +40,26 @@
     return {context.ref_.job_, context.ref_.occurrence_, context.ref_.step_, index};
 }
 
-static std::uint32_t fittingTasks(const Candidate &candidate, const Resources &size)
+std::uint32_t fittingTasks(const Resources &free, const Resources &size)
 {
-    std::uint32_t fitting = candidate.antiAffinityLeft_;
-    if (size.milliCpus_ > 0) {
-        fitting = std::min<std::uint32_t>(
-            fitting,
-            static_cast<std::uint32_t>(std::max<std::int64_t>(0, candidate.free_.milliCpus_ / size.milliCpus_)));
-    }
-    if (size.memoryMb_ > 0) {
-        fitting = std::min<std::uint32_t>(
-            fitting, static_cast<std::uint32_t>(std::max<std::int64_t>(0, candidate.free_.memoryMb_ / size.memoryMb_)));
-    }
-    if (size.accelerators_ > 0) {
-        fitting = std::min<std::uint32_t>(
-            fitting,
-            static_cast<std::uint32_t>(std::max<std::int64_t>(0, candidate.free_.accelerators_ / size.accelerators_)));
-    }
+    std::uint32_t fitting = UINT32_MAX;
+    const auto limit = [&](std::int64_t Resources::*dimension) {
+        if (size.*dimension > 0) {
+            fitting = std::min(
+                fitting, static_cast<std::uint32_t>(std::max<std::int64_t>(0, free.*dimension / (size.*dimension))));
+        }
+    };
+    limit(&Resources::milliCpus_);
+    limit(&Resources::memoryMb_);
+    limit(&Resources::accelerators_);
     return fitting;
 }
 
+static std::uint32_t fittingTasks(const Candidate &candidate, const Resources &size)
+{
+    return std::min(candidate.antiAffinityLeft_, fittingTasks(candidate.free_, size));
+}
+
 static std::vector<Candidate> candidatesOf(FreeCapacityIndex &freeCapacity, const StepContext &context, TimePoint now)
 {
     std::vector<Candidate> candidates;
@@ -81,7 +75,7 @@
             || (policy.policyQueries_ && !hasTicket(context.step_, *runner, now))) {
             continue;
         }
-        Candidate candidate{runner, freeOn(*runner), context.spec_.count_, true};
+        Candidate candidate{runner, freeFor(*runner, context.access_), context.spec_.count_, true};
         if (context.spec_.antiAffinity_ > 0) {
             const auto placed = context.step_.perRunner_.find(runner->record_.id_);
             const std::uint32_t there = placed == context.step_.perRunner_.end() ? 0 : placed->second;
@@ -96,8 +90,7 @@
     return candidates;
 }
 
-// Number of tasks of this size that the account's limit still allows.
-static std::uint32_t tasksWithinLimit(const Cell &cell, const Job &job, const Resources &size)
+std::uint32_t tasksWithinLimit(const Cell &cell, const Job &job, const Resources &size)
 {
     const auto found = cell.accounts_.find(job.account_);
     if (found == cell.accounts_.end()) {
@@ -172,6 +165,7 @@
 {
     Runner &runner = *candidate.runner_;
     Placement &placement = addPlacement(cell, runner, context.job_, taskOf(context, index), RunNumber{run});
+    notePlacementInRooms(runner, placement, context.access_);
     candidate.free_ -= placement.size_;
     --candidate.antiAffinityLeft_;
     placement.checkpoint_ = context.step_.tasks_[index].checkpoint_;
@@ -251,7 +245,19 @@
 
 } // namespace
 
-static PlaceResult placeGang(Cell &cell, FreeCapacityIndex &freeCapacity, const StepContext &context, CellTime now,
+// Has the reservations for gangs of lower priority not bind the step any more. Result: false when they still do, or did
+// not before.
+static bool ignoreRooms(const Cell &cell, StepContext &context, TimePoint now)
+{
+    if (cell.gangRooms_.rooms_.empty() || context.access_.ignoresLowerPriority_
+        || !mayIgnoreRooms(context.job_, context.ref_, now)) {
+        return false;
+    }
+    context.access_.ignoresLowerPriority_ = true;
+    return true;
+}
+
+static PlaceResult placeGang(Cell &cell, FreeCapacityIndex &freeCapacity, StepContext &context, CellTime now,
                              CellActions &actions)
 {
     StepState &step = context.step_;
@@ -269,7 +275,11 @@
         return PlaceResult::Blocked;
     }
     std::vector<Candidate> candidates = candidatesOf(freeCapacity, context, now.steady_);
-    const std::vector<std::size_t> chosen = chooseGangRunners(context, candidates);
+    std::vector<std::size_t> chosen = chooseGangRunners(context, candidates);
+    if (chosen.empty() && ignoreRooms(cell, context, now.steady_)) {
+        candidates = candidatesOf(freeCapacity, context, now.steady_);
+        chosen = chooseGangRunners(context, candidates);
+    }
     if (chosen.empty()) {
         return PlaceResult::RunnersMissing;
     }
@@ -285,14 +295,16 @@
         }
     }
     const bool isRisky = std::any_of(step.tasks_.begin(), step.tasks_.end(), isSuspect);
+    const Milliseconds roomHeld = releaseRoom(cell, context.ref_, "started", now.steady_, actions);
     for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
         step.tasks_[i].checkpoint_ = checkpoint;
         Candidate &candidate = candidates[chosen[i]];
+        Placement &placement = placeTask(cell, context, i, candidate, run);
+        placement.roomHeld_ = roomHeld;
         if (!isRisky) {
-            startTask(cell, context, i, candidate, run, now, actions);
+            sendStart(cell, *candidate.runner_, taskOf(context, i), placement, now, actions);
             continue;
         }
-        placeTask(cell, context, i, candidate, run);
         if (isSuspect(step.tasks_[i])) {
             recordRisk(cell, context.job_, taskOf(context, i), RunNumber{run}, *candidate.runner_);
         }
@@ -332,7 +344,7 @@
     return SuspectResult::Placed;
 }
 
-static PlaceResult placeTasks(Cell &cell, FreeCapacityIndex &freeCapacity, const StepContext &context, CellTime now,
+static PlaceResult placeTasks(Cell &cell, FreeCapacityIndex &freeCapacity, StepContext &context, CellTime now,
                               CellActions &actions)
 {
     StepState &step = context.step_;
@@ -341,6 +353,9 @@
         return PlaceResult::Blocked;
     }
     std::vector<Candidate> candidates = candidatesOf(freeCapacity, context, now.steady_);
+    if (candidates.empty() && ignoreRooms(cell, context, now.steady_)) {
+        candidates = candidatesOf(freeCapacity, context, now.steady_);
+    }
     const Resources size = reservedSize(context.spec_);
     for (std::uint32_t i = 0; i < step.tasks_.size() && allowed > 0 && !candidates.empty(); ++i) {
         TaskRecord &task = step.tasks_[i];
@@ -357,6 +372,10 @@
             continue;
         }
         Candidate *best = bestCandidateForTask(candidates, size, task.failedRuns_.empty() ? RunnerId{} : task.runner_);
+        if (best == nullptr && ignoreRooms(cell, context, now.steady_)) {
+            candidates = candidatesOf(freeCapacity, context, now.steady_);
+            best = bestCandidateForTask(candidates, size, task.failedRuns_.empty() ? RunnerId{} : task.runner_);
+        }
         if (best == nullptr) {
             return PlaceResult::RunnersMissing;
         }
@@ -405,22 +424,34 @@
     }
 }
 
+// True when runners are reserved for the gang and nothing is to be asked about them yet.
+static bool hasRoomWithoutQuery(const Cell &cell, const StepRef &ref, TimePoint now)
+{
+    const GangRoom *room = findRoom(cell, ref);
+    return room != nullptr && now < room->renewAt_ && !room->learnsMore_;
+}
+
 void placeWaiting(Cell &cell, CellTime now, CellActions &actions)
 {
     if (cell.superseded_) {
         return;
     }
     sortByUrgency(cell, now.steady_);
+    updateGangRooms(cell, now, actions);
     FreeCapacityIndex freeCapacity(cell, now.steady_);
     const std::vector<StepRef> refs = cell.readySteps_;
     for (const StepRef &ref : refs) {
-        const auto context = findContext(cell, ref);
+        auto context = findContext(cell, ref);
         if (!context || !context->job_.stored_ || (context->job_.recovered_ && !cell.allTasksKnown_)) {
             continue;
         }
+        if (!cell.gangRooms_.rooms_.empty()) {
+            context->access_ = roomAccessOf(cell, context->job_, ref, now.steady_);
+        }
         const PlaceResult result = context->spec_.gang_ ? placeGang(cell, freeCapacity, *context, now, actions)
                                                         : placeTasks(cell, freeCapacity, *context, now, actions);
-        if (result == PlaceResult::RunnersMissing && context->job_.policy_.policyQueries_) {
+        if (result == PlaceResult::RunnersMissing && context->job_.policy_.policyQueries_
+            && !hasRoomWithoutQuery(cell, ref, now.steady_)) {
             queuePolicyQuery(cell, context->job_, ref.occurrence_, ref.step_, now.steady_);
         }
     }
--- a/src/core/cell/policy.cpp
+++ b/src/core/cell/policy.cpp
@@ -26,6 +26,7 @@
 static constexpr Milliseconds QueryRetryDelay{150}; // delay after a query without an answer
 static constexpr Milliseconds PipelineLead{30}; // a query is sent this long before the estimated end of the last one
 static constexpr std::uint32_t MaxQueriesInFlight = 2; // for each daemon
+static constexpr std::size_t RenewalDaemonPart = 3; // at most one in this many daemons renews tickets of waiting gangs
 // A pass ends after this many steps for which no query could be sent. When all runners are full, a long queue would
 // otherwise be examined as a whole with each batch of events.
 static constexpr std::size_t MaxUnsentPerPass = 64;
@@ -46,25 +47,9 @@
     }
 }
 
-static std::uint32_t fittingTasks(const Runner &runner, const Resources &size)
-{
-    const Resources free = runner.record_.capacity_ - runner.used_;
-    std::int64_t fitting = INT32_MAX;
-    if (size.milliCpus_ > 0) {
-        fitting = std::min(fitting, free.milliCpus_ / size.milliCpus_);
-    }
-    if (size.memoryMb_ > 0) {
-        fitting = std::min(fitting, free.memoryMb_ / size.memoryMb_);
-    }
-    if (size.accelerators_ > 0) {
-        fitting = std::min(fitting, free.accelerators_ / size.accelerators_);
-    }
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, fitting));
-}
-
 // Chooses the runners to query for the waiting tasks; empty if no answer could let them start now.
 static std::vector<RunnerId> chooseRunners(const Cell &cell, FreeCapacityIndex &freeCapacity, const Job &job,
-                                           std::uint32_t index, const StepState &step, TimePoint now)
+                                           const StepRef &ref, const StepState &step, TimePoint now)
 {
     struct Entry
     {
@@ -72,8 +57,10 @@
         double expected_ = 0; // expected number of tasks
         bool allowed_ = false;
     };
-    const StepSpec &spec = stepSpec(job, index);
+    const StepSpec &spec = stepSpec(job, ref.step_);
     const Resources size = reservedSize(spec);
+    RoomAccess access = roomAccessOf(cell, job, ref, now);
+    access.ignoresLowerPriority_ = mayIgnoreRooms(job, ref, now);
     const auto share = cell.allowedShare_.find(job.policy_.queue_);
     const double likely = share == cell.allowedShare_.end() ? InitialAllowedShare : share->second;
     std::vector<Entry> entries;
@@ -90,7 +77,7 @@
         if (verdict != step.verdicts_.end() && !verdict->second.allowed_) {
             continue;
         }
-        std::uint32_t fitting = fittingTasks(*runner, size);
+        std::uint32_t fitting = fittingTasks(freeFor(*runner, access), size);
         if (spec.antiAffinity_ > 0) {
             fitting = std::min(fitting, spec.antiAffinity_);
         }
@@ -131,8 +118,101 @@
     return chosen;
 }
 
-// Estimated time that the policy service takes for a query: the cost of the query.
-static double serviceMs(const QueuePolicy &policy, std::size_t runners)
+namespace
+{
+
+// The runners to query for a gang that may get a reservation.
+struct GangQuery
+{
+    std::vector<RunnerId> runners_; // empty: no query now
+    bool renewsTickets_ = false;
+};
+
+} // namespace
+
+// Chooses unknown runners, also full ones, until the allowed ones can hold the gang with a reserve: verdicts are final.
+static std::vector<RunnerId> chooseUnknownRunners(const Cell &cell, FreeCapacityIndex &freeCapacity, const Job &job,
+                                                  const StepRef &ref, const StepState &step, TimePoint now)
+{
+    struct Entry
+    {
+        std::uint32_t fitting_ = 0; // members that fit now
+        std::int64_t milliCpus_ = 0; // free now
+        std::uint32_t members_ = 0; // members that fit when the runner is empty
+        RunnerId id_;
+    };
+    const StepSpec &spec = stepSpec(job, ref.step_);
+    const Resources size = reservedSize(spec);
+    const RoomAccess access = roomAccessOf(cell, job, ref, now);
+    const auto share = cell.allowedShare_.find(job.policy_.queue_);
+    const double likely = share == cell.allowedShare_.end() ? InitialAllowedShare : share->second;
+    double expected = 0;
+    std::vector<Entry> entries;
+    for (const RunnerFreeCapacity &entry : freeCapacity.runnersWithFree(job.policy_.service_, INT64_MIN)) {
+        const Runner &runner = *entry.runner_;
+        const std::uint32_t members = membersThatMayRun(runner, spec);
+        const auto verdict = step.verdicts_.find(runner.record_.id_);
+        if (verdict != step.verdicts_.end()) {
+            expected += verdict->second.allowed_ ? members : 0;
+        } else if (members > 0) {
+            const Resources free = freeFor(runner, access);
+            entries.push_back(
+                {std::min(fittingTasks(free, size), members), free.milliCpus_, members, runner.record_.id_});
+        }
+    }
+    std::sort(entries.begin(), entries.end(), [](const Entry &left, const Entry &right) {
+        return std::tie(left.fitting_, left.milliCpus_, left.id_)
+            > std::tie(right.fitting_, right.milliCpus_, right.id_);
+    });
+    std::vector<RunnerId> chosen;
+    for (const Entry &entry : entries) {
+        if (chosen.size() >= MaxRunnersPerQuery || expected >= wantedKnownMembers(spec)) {
+            break;
+        }
+        chosen.push_back(entry.id_);
+        expected += entry.members_ * likely;
+    }
+    return chosen;
+}
+
+// True when another daemon may be used for renewing tickets: the others remain for first queries.
+static bool mayRenewTickets(const Cell &cell)
+{
+    const auto renewals = std::count_if(cell.inFlightQueries_.begin(), cell.inFlightQueries_.end(),
+                                        [](const auto &entry) { return entry.second.renewsTickets_; });
+    return static_cast<std::size_t>(renewals) < std::max<std::size_t>(1, cell.queriers_.size() / RenewalDaemonPart);
+}
+
+// Chooses the query for a gang that may get a reservation.
+static GangQuery chooseGangQuery(const Cell &cell, FreeCapacityIndex &freeCapacity, const Job &job, const StepRef &ref,
+                                 const StepState &step, TimePoint now)
+{
+    const GangRoom *room = findRoom(cell, ref);
+    if (room == nullptr) {
+        GangQuery query{chooseUnknownRunners(cell, freeCapacity, job, ref, step, now), false};
+        if (query.runners_.empty()) { // all are known, and the share of reservations is used up
+            query.runners_ = chooseRunners(cell, freeCapacity, job, ref, step, now);
+        }
+        return query;
+    }
+    if (now >= room->renewAt_) {
+        GangQuery query{{}, true};
+        if (mayRenewTickets(cell)) {
+            for (const auto &[id, members] : room->members_) {
+                query.runners_.push_back(id);
+            }
+            query.runners_.insert(query.runners_.end(), room->alternates_.begin(), room->alternates_.end());
+            query.runners_.resize(std::min(query.runners_.size(), MaxRunnersPerQuery));
+        }
+        return query;
+    }
+    if (room->learnsMore_) {
+        return {chooseUnknownRunners(cell, freeCapacity, job, ref, step, now), false};
+    }
+    return {};
+}
+
+double detail::policyQueryMs(const QueuePolicy &policy, std::size_t runners)
 {
     return policy.decideMs_ + policy.perRunnerMs_ * static_cast<double>(runners);
 }
@@ -172,15 +252,21 @@
         return true;
     }
     // Choosing runners is wasted work when no daemon can take even the cheapest query of this queue.
-    if (chooseQuerier(cell, serviceMs(job->policy_, 1), now.steady_) == nullptr) {
+    if (chooseQuerier(cell, policyQueryMs(job->policy_, 1), now.steady_) == nullptr) {
         return false;
     }
-    const std::vector<RunnerId> runners = chooseRunners(cell, freeCapacity, *job, ref.step_, step, now.steady_);
+    GangQuery choice;
+    if (wantsRoom(cell, *job, ref, now.steady_)) {
+        choice = chooseGangQuery(cell, freeCapacity, *job, ref, step, now.steady_);
+    } else {
+        choice.runners_ = chooseRunners(cell, freeCapacity, *job, ref, step, now.steady_);
+    }
+    const std::vector<RunnerId> &runners = choice.runners_;
     if (runners.empty()) {
         step.queryPending_ = false;
         return true;
     }
-    const double cost = serviceMs(job->policy_, runners.size());
+    const double cost = policyQueryMs(job->policy_, runners.size());
     PolicyQuerier *querier = chooseQuerier(cell, cost, now.steady_);
     if (querier == nullptr) {
         return false;
@@ -195,8 +281,13 @@
     query.step_ = ref.step_;
     query.runners_ = runners;
     query.timeout_ = costTime + AnswerMargin;
-    cell.inFlightQueries_[query.call_.value_]
-        = {ref, querier->daemon_, runners, now.steady_, now.steady_ + query.timeout_ + AnswerMargin};
+    step.answerExpectedAt_ = querier->busyUntil_;
+    cell.inFlightQueries_[query.call_.value_] = {ref,
+                                                 querier->daemon_,
+                                                 runners,
+                                                 now.steady_,
+                                                 now.steady_ + query.timeout_ + AnswerMargin,
+                                                 choice.renewsTickets_};
     JsonObject line = logEvent("policy-query");
     line.text("job", jobText(ref.job_)).number("step", ref.step_).text("asker", querier->daemon_.value_);
     line.number("runners", static_cast<std::int64_t>(runners.size())).number("cost_ms", costTime.count());
@@ -345,7 +436,10 @@
         verdict.validUntil_ = now.steady_ + job->policy_.ticketValid_;
         verdict.startedUnixMs_ = runner != nullptr ? runner->startedUnixMs_ : 0;
     }
-    if (!query.queriedRunners_.empty()) {
+    if (stepSpec(*job, query.step_.step_).gang_) {
+        replanGangRooms(cell); // with the new verdicts and tickets
+    }
+    if (!query.queriedRunners_.empty() && !query.renewsTickets_) {
         const double share
             = static_cast<double>(answer.allowed_.size()) / static_cast<double>(query.queriedRunners_.size());
         double &smoothed = cell.allowedShare_.try_emplace(job->policy_.queue_, InitialAllowedShare).first->second;
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -169,6 +169,7 @@
     control.cell_.revocationDelay_ = Milliseconds(cell.revokeMs_);
     control.cell_.statusRetention_ = std::chrono::seconds(cell.statusS_);
     control.cell_.remoteFactor_ = cell.remoteFactor_;
+    control.cell_.gangRoomShare_ = cell.gangRoomShare_;
     control.cell_.processorShare_ = cell.processorShare_;
     control.cell_.storeWritesPerSecond_ = static_cast<double>(cell.storeWritesPerS_);
     control.cell_.minLease_ = Milliseconds(cell.storeMinLeaseMs_);
@@ -350,6 +351,7 @@
     JsonObject line;
     line.text("event", "started").text("daemon", self_.value_).text("zone", settings_.zone_);
     line.real("processor_share", cell.processorShare_).real("remote_factor", cell.remoteFactor_);
+    line.real("gang_room_share", cell.gangRoomShare_);
     const auto number
         = [&line](std::string_view name, std::uint64_t value) { line.number(name, static_cast<std::int64_t>(value)); };
     number("hold_max_ms", cell.holdMaxMs_);
--- a/src/daemon/table/log_event_table.h
+++ b/src/daemon/table/log_event_table.h
@@ -9,7 +9,7 @@
 {
 
 // Ascending.
-inline constexpr std::array<std::string_view, 34> FrequentLogEvents{
+inline constexpr std::array<std::string_view, 36> FrequentLogEvents{
     "accepted",         "bad-discovery-entry",
     "bad-record",       "bad-store-items",
     "cancel",           "end",
@@ -18,7 +18,8 @@
     "policy-lost",      "policy-query",
     "relay-refused",    "relay-replies-late",
     "relay-unanswered", "request-failed",
-    "request-rejected", "runner-held",
+    "request-rejected", "room-released",
+    "room-reserved",    "runner-held",
     "runner-lapsed",    "runner-listed",
     "runner-lost",      "runner-paused",
     "runner-regained",  "runner-silent",
--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -135,6 +136,14 @@
         }
         for (const PolicyDispatch &dispatch : sent.policy_) {
             ++queries_;
+            if (policyTime_) {
+                TimePoint &freeAt = querierFreeAt_[dispatch.to_];
+                freeAt = std::max(freeAt, now_) + policyTime_(dispatch.query_);
+                const auto later = std::find_if(waitingQueries_.begin(), waitingQueries_.end(),
+                                                [&freeAt](const auto &entry) { return entry.first > freeAt; });
+                waitingQueries_.insert(later, {freeAt, dispatch});
+                continue;
+            }
             policyFreeAt_ = std::max(policyFreeAt_, now_) + policyDelay_;
             waitingQueries_.emplace_back(policyFreeAt_, dispatch);
         }
@@ -151,7 +160,7 @@
             answer.call_ = dispatch.query_.call_;
             answer.answered_ = true;
             for (const RunnerId &id : dispatch.query_.runners_) {
-                if (!disallowedRunners_.contains(id)) {
+                if (!disallowedRunners_.contains(id) && (!isAllowed_ || isAllowed_(dispatch.query_.job_, id))) {
                     answer.allowed_.push_back({id, "t"});
                 }
             }
@@ -288,6 +297,10 @@
     std::uint64_t queries_ = 0; // policy queries received
     std::set<RunnerId> disallowedRunners_; // runners that the policy service does not allow
     Milliseconds policyDelay_{0}; // time that the policy service takes for a query; it handles one at a time
+    // If set, the time that the policy service takes for a query; it handles one at a time from each daemon.
+    std::function<Milliseconds(const PolicyQuery &)> policyTime_;
+    std::map<DaemonId, TimePoint> querierFreeAt_; // with policyTime_: when all queries of the daemon are handled
+    std::function<bool(StagedJobId, const RunnerId &)> isAllowed_; // if set, also decides which runners are allowed
     TimePoint policyFreeAt_; // when the service has handled all queries so far
     std::deque<std::pair<TimePoint, PolicyDispatch>> waitingQueries_; // with the time of the answer
     bool holdsWait_ = false; // runners delay the answer to a hold until a run ends, see deliverRunnerCall()
