--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -212,6 +212,7 @@
         removeRefusedSubmissions(cell, now.steady_);
         removeClosedRisks(cell);
         removePresumedRuns(cell, now.steady_);
+        maintainRunTimes(cell, now.steady_, actions);
         std::erase_if(cell.unstartedJobs_, [&cell](StagedJobId id) {
             const Job *job = findJob(cell, id);
             return job == nullptr || job->started_ || isFinal(*job);
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -79,6 +79,29 @@
     std::int64_t startedUnixMs_ = 0; // start time of the runner's incarnation that the ticket was issued for
 };
 
+// What this leader has learned of the runner at an address. Kept while the runner is not listed.
+struct RunnerHistory
+{
+    double speed_ = 0; // natural logarithm, relative to the average runner; see run_times.cpp
+    double comparisons_ = 0; // with other runners, that speed_ rests on
+    TimePoint usedAt_; // when a runner at the address was last listed or ended a run
+};
+
+// Run time of a task that has ended as done.
+struct RunSample
+{
+    std::shared_ptr<RunnerHistory> runner_;
+    double logMs_ = 0; // natural logarithm of the run time in ms
+};
+
+// Run times of one step. Only with CellSettings::learnedRunTimes_, as are the RunnerHistory.
+struct StepRunTimes
+{
+    std::vector<RunSample> samples_; // the latest ends, in no order; none of gangs
+    std::size_t samplesSeen_ = 0;
+    std::shared_ptr<RunnerHistory> slowest_; // of the runners that have the members of a gang
+};
+
 // State of one step of one occurrence.
 struct StepState
 {
@@ -92,6 +115,7 @@
     TimePoint queryNotBefore_; // earliest time of the next query after an unanswered one
     std::map<RunnerId, PolicyVerdict> verdicts_; // answers of the policy service so far
     std::map<RunnerId, std::uint32_t> perRunner_; // number of placed tasks by runner, for the anti-affinity limit
+    StepRunTimes runTimes_;
 };
 
 // One execution of the steps of a job. A job that does not recur has occurrence 0 only.
@@ -169,6 +193,9 @@
     bool spansRestart_ = false; // the runner restarted, and its list does not yet show in which incarnation the run is
     bool isolated_ = false; // nothing else may start on the runner, see crashes.cpp
     bool orphan_ = false; // does not belong to a placed task of a known job
+    std::uint32_t occurrence_ = 0; // of the task, as is step_; not set for an orphan
+    std::uint32_t step_ = 0;
+    std::shared_ptr<RunnerHistory> history_; // of the runner; see Runner::history_
     std::uint32_t attempts_ = 0; // calls sent in the current phase
     TimePoint startedAt_; // when the start was first sent, or when this leader learned of the run; empty for an orphan
     // Time of the runner's last answer to a start or stop of the task; empty: none. If a hold that was sent later lists
@@ -253,6 +280,7 @@
     // failed calls is called silent.
     std::uint32_t failedCalls_ = 0;
     std::uint32_t failedRuns_ = 0; // consecutive runs that ended as failed
+    std::shared_ptr<RunnerHistory> history_; // of the address; empty without CellSettings::learnedRunTimes_
 };
 
 // A risky run of which it is open whether its runner has survived it.
@@ -369,6 +397,30 @@
     TimePoint countedAt_;
 };
 
+// Ratio of the run time on an average runner to the client's estimate, as natural logarithm.
+struct RunTimeRatio
+{
+    double log_ = 0; // smoothed
+    double spread_ = 0.5; // standard deviation, smoothed; the initial value is the least of published estimates
+    double steps_ = 0; // number of steps that it rests on
+    TimePoint updatedAt_;
+};
+
+// Ratios of a queue, which hold for accounts that have none of their own.
+struct QueueRunTimes
+{
+    RunTimeRatio all_;
+    std::map<std::string, RunTimeRatio> byAccount_;
+};
+
+// What this leader has learned from the ends of runs, see run_times.cpp. A new leader learns anew.
+struct RunTimes
+{
+    std::map<std::string, QueueRunTimes> queues_;
+    std::map<std::string, std::shared_ptr<RunnerHistory>> runners_; // by address
+    TimePoint nextLogAt_;
+};
+
 // A request of which the answer depends on whether this daemon still leads, see leadership_check.cpp.
 struct UnconfirmedRequest
 {
@@ -458,6 +510,7 @@
     std::vector<OpenRisk> openRisks_; // also some that were closed since the last slow tick
     WaitingWork waitingWork_;
     std::map<std::string, StartRate> startRates_; // by queue
+    RunTimes runTimes_;
     std::map<std::string, double> serviceCapacity_; // by service: milli-CPUs of listed runners that are not draining
     bool capacityStale_ = true; // serviceCapacity_ has to be recomputed
     std::uint64_t runnersExamined_ = 0; // by placement and policy queries; a measure of the cost of decisions
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -194,6 +194,24 @@
 // Forgets the presumed runs of which no list can tell any more.
 void removePresumedRuns(Cell &cell, TimePoint now);
 
+// Defined in run_times.cpp. Without CellSettings::learnedRunTimes_, nothing is learned.
+
+// Gives a listed runner the history of its address.
+void attachHistory(Cell &cell, Runner &runner, TimePoint now);
+// A run of the step was placed on the runner; called for each member of a gang.
+void noteRunPlaced(const Runner &runner, const StagedTask &task, const StepSpec &spec, StepState &step,
+                   Placement &placement);
+// Learns from an end, before it is handled.
+void noteRunEnd(Cell &cell, const Runner &runner, const FinishedRun &end, TimePoint now, CellActions &actions);
+// Logs what was learned, keeps the speeds centred on the average runner, and forgets runners and accounts that are
+// gone.
+void maintainRunTimes(Cell &cell, TimePoint now, CellActions &actions);
+// The client's estimate of the run time, corrected by what was learned, for an average runner.
+Milliseconds expectedRunTime(const Cell &cell, const StepSpec &spec, const Job &job);
+// When the run will probably end: half of the runs end earlier. The time may have passed, as the function does not know
+// the present time. TimePoint::max() for a run of which no start was sent.
+TimePoint expectedEnd(const Cell &cell, const Placement &placement, const StepSpec &spec, const Job &job);
+
 // Defined in crashes.cpp.
 
 // True when a runner has crashed, or may have crashed, under the task.
--- a/src/core/cell/cell_type.h
+++ b/src/core/cell/cell_type.h
@@ -65,6 +65,7 @@
     double processorShare_ = 1; // processors that this daemon may use on its instance
     double storeWritesPerSecond_ = 400; // limit for all daemons together
     Milliseconds minLease_{1'000}; // shortest lease that the store grants
+    bool learnedRunTimes_ = false; // learn run times and speeds from the ends of runs, see run_times.cpp
 };
 
 // Time as the decision logic sees it: a steady clock for intervals, the wall clock for scheduled occurrences.
@@ -95,9 +96,10 @@
     TaskGivenUp, // too many runners have crashed under a task
     BadEntry, // an entry of a list in the store that cannot be read
     TaskRepeated, // a task was started again after a run that has ended as done
+    Straggler, // a run took over three times as long as others of its step; only with learnedRunTimes_
 };
 
-inline constexpr std::size_t CellCounterCount = 5;
+inline constexpr std::size_t CellCounterCount = 6;
 
 // What the caller of the decision logic has to carry out.
 struct CellActions
--- a/src/core/cell/runner_replies.cpp
+++ b/src/core/cell/runner_replies.cpp
@@ -167,6 +167,7 @@
                     std::chrono::duration_cast<Milliseconds>(now.steady_ - placed->second.startedAt_).count());
     }
     addLogLine(actions, line);
+    noteRunEnd(cell, runner, end, now.steady_, actions);
     updateFailedRuns(runner, end, now, actions);
     Job *job = findJob(cell, end.task_.job_);
     if (job != nullptr && !isFinal(*job)) {
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -130,6 +130,7 @@
     record->runner_ = runner.record_.id_;
     --step->waiting_;
     ++step->perRunner_[runner.record_.id_];
+    noteRunPlaced(runner, task, spec, *step, placement);
     return runner.tasks_.insert_or_assign(task, std::move(placement)).first->second;
 }
 
@@ -365,6 +366,7 @@
     const bool wasQuiescent = isQuiescent(runner);
     cell.placementDue_ = cell.placementDue_ || record.capacity_ != runner.record_.capacity_;
     runner.record_ = record;
+    attachHistory(cell, runner, now.steady_);
     updateStoredState(cell, runner, wasQuiescent);
     cell.capacityStale_ = true;
 }
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -172,6 +172,7 @@
     control.cell_.processorShare_ = cell.processorShare_;
     control.cell_.storeWritesPerSecond_ = static_cast<double>(cell.storeWritesPerS_);
     control.cell_.minLease_ = Milliseconds(cell.storeMinLeaseMs_);
+    control.cell_.learnedRunTimes_ = cell.learnedRunTimes_ != 0;
     return control;
 }
 
@@ -264,7 +265,7 @@
 
 // By CellCounter.
 static constexpr std::array<std::string_view, CellCounterCount> CounterNames{
-    "runner-crash", "task-suspected", "task-given-up", "bad-entry", "task-repeated"};
+    "runner-crash", "task-suspected", "task-given-up", "bad-entry", "task-repeated", "straggler"};
 
 void CellProcess::State::countActions()
 {
@@ -360,6 +361,7 @@
     number("grace_ms", cell.graceMs_);
     number("store_writes_per_s", cell.storeWritesPerS_);
     number("store_min_lease_ms", cell.storeMinLeaseMs_);
+    number("learned_run_times", cell.learnedRunTimes_);
     return {LogLevel::Info, line.finish()};
 }
 
