--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -84,6 +84,12 @@
 {
     double speed_ = 0; // natural logarithm, relative to the average runner; see run_times.cpp
     double comparisons_ = 0; // with other runners, that speed_ rests on
+    // See runner_trust.cpp; both at decayedAt_, from where they decay with time.
+    double trouble_ = 0; // weighted number of crashes, restarts, silences and the like
+    double failedShare_ = 0; // smoothed share of runs that failed
+    double runs_ = 0; // that failedShare_ rests on, up to a limit
+    TimePoint decayedAt_;
+    bool suspect_ = false; // as last logged
     TimePoint usedAt_; // when a runner at the address was last listed or ended a run
 };
 
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -196,8 +196,8 @@
 
 // Defined in run_times.cpp. Without CellSettings::learnedRunTimes_, nothing is learned.
 
-// Gives a listed runner the history of its address.
-void attachHistory(Cell &cell, Runner &runner, TimePoint now);
+// Gives a listed runner the history of its address; `wasListed`: its entry was in the discovery list before.
+void attachHistory(Cell &cell, Runner &runner, bool wasListed, CellTime now, CellActions &actions);
 // A run of the step was placed on the runner; called for each member of a gang.
 void noteRunPlaced(const Runner &runner, const StagedTask &task, const StepSpec &spec, StepState &step,
                    Placement &placement);
@@ -212,6 +212,38 @@
 // the present time. TimePoint::max() for a run of which no start was sent.
 TimePoint expectedEnd(const Cell &cell, const Placement &placement, const StepSpec &spec, const Job &job);
 
+// Speed of the runner relative to others, in steps of about a quarter; 0: average or not known.
+std::int64_t speedClass(const Runner &runner);
+// True when the step is better started on a fast runner: otherwise its job may miss its objective.
+bool prefersFastRunner(const Cell &cell, const StepSpec &spec, const StepRef &ref, const Job &job, TimePoint now);
+
+// Defined in runner_trust.cpp. Without CellSettings::learnedRunTimes_, nothing is noted and every risk is Low.
+
+// How likely a run on the runner is to be lost.
+enum class RunnerRisk : std::uint8_t {
+    Low,
+    Raised, // one failure or silence a short time ago
+    High, // several, or a crash
+};
+
+enum class RunnerTrouble : std::uint8_t {
+    Crash,
+    Relisted, // its address is listed again after a time without an entry
+    Silence,
+    Regained, // it answers again after a silence
+    NotReached, // a start certainly did not arrive
+};
+
+RunnerRisk riskOf(const Runner &runner, TimePoint now);
+void noteTrouble(const Runner &runner, RunnerTrouble trouble, TimePoint now, CellActions &actions);
+// A run on the runner was `failed`, or has ended as done. `endsGang`: it was the first failure in the run of a gang.
+void noteRunResult(const Runner &runner, bool failed, bool endsGang, TimePoint now, CellActions &actions);
+// Logs that a runner is not suspect any more. Result: whether it is suspect.
+bool updateSuspect(const std::string &address, RunnerHistory &history, TimePoint now, CellActions &actions);
+// True when runners without a high risk could hold the gang if they were empty: it waits for them.
+bool canTrustedRunnersHoldGang(const Cell &cell, const StepSpec &spec, const StepState &step, const Job &job,
+                               TimePoint now);
+
 // Defined in crashes.cpp.
 
 // True when a runner has crashed, or may have crashed, under the task.
--- a/src/core/cell/cell_type.h
+++ b/src/core/cell/cell_type.h
@@ -50,7 +50,7 @@
     std::vector<ServiceConfig> services_;
 };
 
-// Times and limits of the deployment. The decision logic does not read stopTimeout_, gangTimeout_, remoteFactor_ and
+// Times and limits of the deployment. The decision logic does not read stopTimeout_, gangTimeout_ and
 // storeWritesPerSecond_.
 struct CellSettings
 {
@@ -97,9 +97,10 @@
     BadEntry, // an entry of a list in the store that cannot be read
     TaskRepeated, // a task was started again after a run that has ended as done
     Straggler, // a run took over three times as long as others of its step; only with learnedRunTimes_
+    RunnerSuspected, // a runner has crashed, flapped or failed runs lately; only with learnedRunTimes_
 };
 
-inline constexpr std::size_t CellCounterCount = 6;
+inline constexpr std::size_t CellCounterCount = 7;
 
 // What the caller of the decision logic has to carry out.
 struct CellActions
--- a/src/core/cell/crashes.cpp
+++ b/src/core/cell/crashes.cpp
@@ -283,6 +283,7 @@
         return;
     }
     count(actions, CellCounter::RunnerCrash);
+    noteTrouble(runner, RunnerTrouble::Crash, now.steady_, actions);
     std::erase_if(cell.recentCrashes_,
                   [&now](const RunnerCrash &crash) { return now.steady_ > crash.at_ + RackLossWindow; });
     RunnerCrash &crash
--- a/src/core/cell/placement.cpp
+++ b/src/core/cell/placement.cpp
@@ -6,6 +6,10 @@
 #include "core/cell/cell_internal.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
+#include <numeric>
+#include <set>
 #include <tuple>
 
 namespace mimosapier::detail
@@ -143,12 +147,15 @@
     return best;
 }
 
-// The best candidate for one task: near the data, not the runner to avoid, with the fewest consecutive failed runs,
-// then with the fewest free processors.
-static Candidate *bestCandidateForTask(std::vector<Candidate> &candidates, const Resources &size, const RunnerId &avoid)
+// The best candidate for one task: near the data, not the runner to avoid, with the lowest risk, fast if the job has
+// little slack, with the fewest consecutive failed runs, then with the fewest free processors.
+static Candidate *bestCandidateForTask(const Cell &cell, const StepContext &context, std::vector<Candidate> &candidates,
+                                       const Resources &size, const RunnerId &avoid, TimePoint now)
 {
-    const auto rank = [&avoid](const Candidate &candidate) {
+    const bool fast = prefersFastRunner(cell, context.spec_, context.ref_, context.job_, now);
+    const auto rank = [&avoid, fast, now](const Candidate &candidate) {
         return std::make_tuple(!candidate.nearData_, candidate.runner_->record_.id_ == avoid,
+                               riskOf(*candidate.runner_, now), fast ? -speedClass(*candidate.runner_) : 0,
                                candidate.runner_->failedRuns_, candidate.free_.milliCpus_);
     };
     return bestCandidate(candidates, size, rank, [](const Candidate &) { return true; });
@@ -195,17 +202,15 @@
     return std::max(used, job.runFloor_) + 1;
 }
 
-// Chooses runners for all members of a gang: one index into `candidates` per member. Result: empty if they do not fit.
-static std::vector<std::size_t> chooseGangRunners(const StepContext &context, std::vector<Candidate> candidates)
+// Fills the candidates in `order` with the members of a gang, after sorting them: those with room for the most members
+// first. Result: one index into `candidates` per member, or empty if they do not fit.
+static std::vector<std::size_t> fillWithGang(const StepContext &context, const std::vector<Candidate> &candidates,
+                                             std::vector<std::size_t> order)
 {
     const Resources size = reservedSize(context.spec_);
-    std::vector<std::size_t> order(candidates.size());
-    for (std::size_t i = 0; i < order.size(); ++i) {
-        order[i] = i;
-    }
     std::map<std::string, std::uint32_t> rackFit;
-    for (const Candidate &candidate : candidates) {
-        rackFit[candidate.runner_->record_.rack_] += fittingTasks(candidate, size);
+    for (const std::size_t i : order) {
+        rackFit[candidates[i].runner_->record_.rack_] += fittingTasks(candidates[i], size);
     }
     // A gang that is slower across racks takes the racks with the most free capacity first.
     std::stable_sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
@@ -234,6 +239,76 @@
     return chosen;
 }
 
+// Cost of running a gang on the chosen runners, as the logarithm of the time that it takes: the slowest runner and the
+// distance count for all members, and each further runner adds to the risk that the run is lost.
+static double gangCost(const Cell &cell, const StepContext &context, const std::vector<Candidate> &candidates,
+                       const std::vector<std::size_t> &chosen)
+{
+    // Assumed: 7 runners cost as much as a speed that is lower by 13%.
+    constexpr double CostPerRunner = 0.02;
+    std::set<std::size_t> runners;
+    std::set<std::string_view> racks;
+    double slowest = std::numeric_limits<double>::max();
+    bool isRemote = false;
+    for (const std::size_t i : chosen) {
+        const Runner &runner = *candidates[i].runner_;
+        runners.insert(i);
+        racks.insert(runner.record_.rack_);
+        slowest = std::min(slowest, runner.history_ ? runner.history_->speed_ : 0);
+        isRemote = isRemote || !candidates[i].nearData_;
+    }
+    isRemote = isRemote || (context.spec_.sameRack_ && racks.size() > 1);
+    return CostPerRunner * static_cast<double>(runners.size()) - slowest
+        + (isRemote ? std::log(cell.settings_.remoteFactor_) : 0);
+}
+
+// Chooses runners for all members of a gang: one index into `candidates` per member. Result: empty if they do not fit,
+// or if the gang is to wait for runners with less risk. The gang is as fast as its slowest runner, so the runners are
+// chosen from those of at least one speed, for each speed in turn.
+static std::vector<std::size_t> chooseGangRunners(const Cell &cell, const StepContext &context,
+                                                  const std::vector<Candidate> &candidates, TimePoint now)
+{
+    std::vector<std::size_t> all(candidates.size());
+    std::iota(all.begin(), all.end(), 0);
+    if (!cell.settings_.learnedRunTimes_) {
+        return fillWithGang(context, candidates, std::move(all));
+    }
+    const Resources size = reservedSize(context.spec_);
+    for (const RunnerRisk risk : {RunnerRisk::Low, RunnerRisk::Raised, RunnerRisk::High}) {
+        if (risk == RunnerRisk::High
+            && canTrustedRunnersHoldGang(cell, context.spec_, context.step_, context.job_, now)) {
+            break;
+        }
+        std::map<std::int64_t, std::vector<std::size_t>, std::greater<>> bySpeed;
+        for (const std::size_t i : all) {
+            if (riskOf(*candidates[i].runner_, now) <= risk) {
+                bySpeed[speedClass(*candidates[i].runner_)].push_back(i);
+            }
+        }
+        std::vector<std::size_t> order;
+        std::vector<std::size_t> best;
+        double bestCost = std::numeric_limits<double>::max();
+        std::uint64_t fitting = 0;
+        for (const auto &[speed, indices] : bySpeed) {
+            order.insert(order.end(), indices.begin(), indices.end());
+            for (const std::size_t i : indices) {
+                fitting += fittingTasks(candidates[i], size);
+            }
+            std::vector<std::size_t> chosen = fitting < context.spec_.count_ ? std::vector<std::size_t>{}
+                                                                             : fillWithGang(context, candidates, order);
+            const double cost = chosen.empty() ? bestCost : gangCost(cell, context, candidates, chosen);
+            if (cost < bestCost) {
+                best = std::move(chosen);
+                bestCost = cost;
+            }
+        }
+        if (!best.empty()) {
+            return best;
+        }
+    }
+    return {};
+}
+
 namespace
 {
 
@@ -269,7 +344,7 @@
         return PlaceResult::Blocked;
     }
     std::vector<Candidate> candidates = candidatesOf(freeCapacity, context, now.steady_);
-    const std::vector<std::size_t> chosen = chooseGangRunners(context, candidates);
+    const std::vector<std::size_t> chosen = chooseGangRunners(cell, context, candidates, now.steady_);
     if (chosen.empty()) {
         return PlaceResult::RunnersMissing;
     }
@@ -356,7 +431,8 @@
             allowed -= result == SuspectResult::Placed ? 1 : 0;
             continue;
         }
-        Candidate *best = bestCandidateForTask(candidates, size, task.failedRuns_.empty() ? RunnerId{} : task.runner_);
+        const RunnerId avoid = task.failedRuns_.empty() ? RunnerId{} : task.runner_;
+        Candidate *best = bestCandidateForTask(cell, context, candidates, size, avoid, now.steady_);
         if (best == nullptr) {
             return PlaceResult::RunnersMissing;
         }
--- a/src/core/cell/run_times.cpp
+++ b/src/core/cell/run_times.cpp
@@ -28,22 +28,34 @@
 static constexpr double PriorComparisons = 2; // comparisons that the assumption of an average speed counts as
 static constexpr double MaxComparisons = 30; // a runner whose speed changes is known again after this many runs
 static constexpr double StragglerDifference = 1.1; // of the logarithms of run times: a factor of 3
+static constexpr double SpeedClassWidth = 0.25; // above the error of a learned speed, below the difference of two kinds
+// A runner of speed 0.6 takes 1.7 times as long as the average one, and a run at one standard deviation (0.4) above the
+// median 1.5 times as long as expected.
+static constexpr double SlowRunFactor = 2.5;
 static constexpr std::size_t MaxQueues = 256; // memory: 100 B each, as for accounts
 static constexpr std::size_t MaxAccountsPerQueue = 256;
+static constexpr Milliseconds RecentStart{10'000}; // time since the start by the runner's wall clock
 static constexpr std::chrono::minutes HistoryKept{10}; // for a runner that is not listed
 static constexpr Milliseconds LogInterval{10'000};
 
-void attachHistory(Cell &cell, Runner &runner, TimePoint now)
+void attachHistory(Cell &cell, Runner &runner, bool wasListed, CellTime now, CellActions &actions)
 {
     if (!cell.settings_.learnedRunTimes_) {
         return;
     }
     auto &slot = cell.runTimes_.runners_[runner.record_.address_];
-    if (!slot) {
+    const bool isKnown = slot != nullptr;
+    if (!isKnown) {
         slot = std::make_shared<RunnerHistory>();
     }
-    slot->usedAt_ = now;
+    slot->usedAt_ = now.steady_;
     runner.history_ = slot;
+    // A runner that this leader sees for the first time may have restarted under an earlier one.
+    const std::int64_t ageMs = now.unixMs_ - runner.record_.startedUnixMs_;
+    const bool hasJustStarted = !isKnown && runner.record_.startedUnixMs_ != 0 && ageMs < RecentStart.count();
+    if (!wasListed && (isKnown || hasJustStarted)) {
+        noteTrouble(runner, RunnerTrouble::Relisted, now.steady_, actions);
+    }
 }
 
 void noteRunPlaced(const Runner &runner, const StagedTask &task, const StepSpec &spec, StepState &step,
@@ -178,6 +190,15 @@
     Job *job = findJob(cell, end.task_.job_);
     StepState *step = nullptr;
     const TaskRecord *task = job != nullptr && !isFinal(*job) ? findTask(*job, end.task_, &step) : nullptr;
+    if (end.end_ == RunEnd::Done || end.end_ == RunEnd::Failed) {
+        const bool isMember = task != nullptr && stepSpec(*job, end.task_.step_).gang_;
+        const bool isFirst = isMember
+            && std::find(step->gangFailedRuns_.begin(), step->gangFailedRuns_.end(), end.run_.value_)
+                == step->gangFailedRuns_.end();
+        if (end.end_ == RunEnd::Done || !isMember || isFirst) {
+            noteRunResult(runner, end.end_ == RunEnd::Failed, isFirst, now, actions);
+        }
+    }
     const auto placed = runner.tasks_.find(end.task_);
     if (task == nullptr || task->state_ == TaskState::Done || placed == runner.tasks_.end()) {
         return;
@@ -254,6 +275,23 @@
     return placement.startedAt_ + toMilliseconds(sum / (hasEstimate + samples) - speed);
 }
 
+std::int64_t speedClass(const Runner &runner)
+{
+    return std::lround(speedOf(runner.history_) / SpeedClassWidth);
+}
+
+bool prefersFastRunner(const Cell &cell, const StepSpec &spec, const StepRef &ref, const Job &job, TimePoint now)
+{
+    if (!cell.settings_.learnedRunTimes_ || spec.longRunning_ || job.submitted_.repeatCount_ > 0
+        || now > job.valueEndsAt_) {
+        return false;
+    }
+    const double estimate = static_cast<double>(job.criticalPaths_[ref.step_].count());
+    const double chain = estimate * std::exp(learnedRatio(cell, job));
+    const double left = std::chrono::duration<double, std::milli>(job.objectiveAt_ - now).count();
+    return left < SlowRunFactor * chain;
+}
+
 // The speeds are known relative to each other only. Moves their mean to 0 and the ratios by as much, so that neither
 // drifts.
 static void centreSpeeds(RunTimes &runTimes)
@@ -281,7 +319,7 @@
     }
 }
 
-static void logRunTimes(const RunTimes &runTimes, TimePoint now, CellActions &actions)
+static void logRunTimes(const RunTimes &runTimes, std::int64_t suspects, TimePoint now, CellActions &actions)
 {
     double slowest = 0;
     double fastest = 0;
@@ -298,6 +336,7 @@
         line.number("steps", std::lround(queue.all_.steps_));
         line.number("accounts", static_cast<std::int64_t>(queue.byAccount_.size()));
         line.real("slowest_runner", std::exp(slowest)).real("fastest_runner", std::exp(fastest));
+        line.number("suspect_runners", suspects);
         addLogLine(actions, line);
     }
 }
@@ -312,7 +351,11 @@
         return entry.second.use_count() == 1 && now - entry.second->usedAt_ > HistoryKept;
     });
     centreSpeeds(cell.runTimes_);
-    logRunTimes(cell.runTimes_, now, actions);
+    std::int64_t suspects = 0;
+    for (const auto &[address, runner] : cell.runTimes_.runners_) {
+        suspects += updateSuspect(address, *runner, now, actions) ? 1 : 0;
+    }
+    logRunTimes(cell.runTimes_, suspects, now, actions);
 }
 
 } // namespace mimosapier::detail
--- a/src/core/cell/runner_replies.cpp
+++ b/src/core/cell/runner_replies.cpp
@@ -362,10 +362,12 @@
             JsonObject line = logEvent("runner-silent");
             line.text("runner", runner.record_.id_.value_).text("status", runnerStatusName(reply.status_));
             addLogLine(actions, line, LogLevel::Warning);
+            noteTrouble(runner, RunnerTrouble::Silence, now.steady_, actions);
         }
         return;
     }
     if (runner.failedCalls_ > 0) {
+        noteTrouble(runner, RunnerTrouble::Regained, now.steady_, actions);
         JsonObject line = logEvent("runner-regained");
         line.text("runner", runner.record_.id_.value_).number("failed_calls", runner.failedCalls_);
         addLogLine(actions, line);
@@ -420,6 +422,11 @@
         || reply.status_ == RunnerStatus::NoCapacity) {
         runner.avoidUntil_ = std::max(runner.avoidUntil_, now.steady_ + RejectedStartPause);
     }
+    if (reply.status_ == RunnerStatus::Unhealthy) {
+        noteRunResult(runner, true, false, now.steady_, actions);
+    } else if (reply.status_ == RunnerStatus::NotSent) {
+        noteTrouble(runner, RunnerTrouble::NotReached, now.steady_, actions);
+    }
     Job *job = findJob(cell, reply.task_.job_);
     StepState *step = nullptr;
     if (job != nullptr && findTask(*job, reply.task_, &step) != nullptr && reply.status_ == RunnerStatus::BadTicket) {
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -362,11 +362,12 @@
     if (record.startedUnixMs_ != 0 && runner.startedUnixMs_ != 0 && record.startedUnixMs_ > runner.startedUnixMs_) {
         beginIncarnation(cell, runner, record.startedUnixMs_, now, actions);
     }
+    const bool wasListed = runner.inDiscovery_;
     runner.inDiscovery_ = true;
     const bool wasQuiescent = isQuiescent(runner);
     cell.placementDue_ = cell.placementDue_ || record.capacity_ != runner.record_.capacity_;
     runner.record_ = record;
-    attachHistory(cell, runner, now.steady_);
+    attachHistory(cell, runner, wasListed, now, actions);
     updateStoredState(cell, runner, wasQuiescent);
     cell.capacityStale_ = true;
 }
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -265,7 +265,7 @@
 
 // By CellCounter.
 static constexpr std::array<std::string_view, CellCounterCount> CounterNames{
-    "runner-crash", "task-suspected", "task-given-up", "bad-entry", "task-repeated", "straggler"};
+    "runner-crash", "task-suspected", "task-given-up", "bad-entry", "task-repeated", "straggler", "runner-suspected"};
 
 void CellProcess::State::countActions()
 {
