--- a/src/core/cell/runner_replies.cpp
+++ b/src/core/cell/runner_replies.cpp
@@ -6,21 +6,20 @@
 namespace mimosapier::detail
 {
 
+// Takes a checkpoint of any run of the task unless a later one is known: the ends of members of a gang, and lists of
+// runners that were silent, may arrive in any order. Later checkpoints are greater, compared as text.
+static void raiseCheckpoint(TaskRecord &task, const std::string &checkpoint)
+{
+    task.checkpoint_ = std::max(task.checkpoint_, checkpoint);
+}
+
 static void prepareRetry(Job &job, const StagedTask &id, const FinishedRun &end, CellTime now)
 {
-    StepState *step = nullptr;
-    TaskRecord *task = findTask(job, id, &step);
+    TaskRecord *task = findTask(job, id, nullptr);
     if (task == nullptr || task->state_ == TaskState::Done) {
         return;
     }
-    if (!end.checkpoint_.empty()) {
-        task->checkpoint_ = end.checkpoint_;
-        if (stepSpec(job, id.step_).gang_) { // a checkpoint of any member is valid for all
-            for (TaskRecord &member : step->tasks_) {
-                member.checkpoint_ = end.checkpoint_;
-            }
-        }
-    }
+    raiseCheckpoint(*task, end.checkpoint_); // placeGang() takes the greatest of all members
     constexpr Milliseconds FailedRunRetryDelay{
         100}; // lets the ends of a failing runner arrive before the task is placed again
     if (end.end_ == RunEnd::Failed) {
@@ -276,13 +275,10 @@
 
 static void updateCheckpoint(Cell &cell, const ActiveRun &active)
 {
-    if (active.checkpoint_.empty()) {
-        return;
-    }
     Job *job = findJob(cell, active.task_.job_);
     TaskRecord *task = job != nullptr ? findTask(*job, active.task_, nullptr) : nullptr;
     if (task != nullptr && task->state_ == TaskState::Placed && task->run_ == active.run_.value_) {
-        task->checkpoint_ = active.checkpoint_;
+        raiseCheckpoint(*task, active.checkpoint_);
     }
 }
 
--- a/src/standin/runner_model.h
+++ b/src/standin/runner_model.h
@@ -28,6 +28,7 @@
     std::int64_t leaseUntilMs_ = 0; // on the runner's clock
     std::int64_t holdMaxMs_ = 10'000; // longest lease, on the runner's clock; a longer one is shortened to it
     std::map<StagedTask, std::uint64_t> active_; // run number by task
+    std::map<StagedTask, std::string> checkpoints_; // latest one by task; named by lists and ends
     std::vector<FinishedRun> finished_; // not acknowledged, ascending by number
     std::map<StagedTask, std::uint64_t> highestEndedRuns_; // by task; later starts need a higher run number
     std::vector<std::string> startSpecs_; // of all start calls, including repeated ones
@@ -61,12 +62,18 @@
         clockOffsetMs_ = -elapsedMs;
     }
 
+    std::string checkpointOf(const StagedTask &task) const
+    {
+        const auto found = checkpoints_.find(task);
+        return found == checkpoints_.end() ? "" : found->second;
+    }
+
     // Moves the active run of the task to the finished ones. Does nothing when the task has no active run.
     void end(const StagedTask &task, RunEnd reason)
     {
         const auto found = active_.find(task);
         if (found != active_.end()) {
-            finished_.push_back({++lastEndNumber_, task, RunNumber{found->second}, reason, ""});
+            finished_.push_back({++lastEndNumber_, task, RunNumber{found->second}, reason, checkpointOf(task)});
             highestEndedRuns_[task] = std::max(highestEndedRuns_[task], found->second);
             active_.erase(found);
         }
@@ -126,7 +133,7 @@
             const auto listed = static_cast<std::ptrdiff_t>(std::min(finished_.size(), ListedEnds));
             reply.finished_.assign(finished_.begin(), finished_.begin() + listed);
             for (const auto &[task, run] : active_) {
-                reply.active_.push_back({task, RunNumber{run}, "", 100, 0});
+                reply.active_.push_back({task, RunNumber{run}, checkpointOf(task), 100, 0});
             }
         }
         return reply;
