--- a/src/core/cell/policy.cpp
+++ b/src/core/cell/policy.cpp
@@ -71,6 +71,7 @@
         RunnerId id_;
         double expected_ = 0; // expected number of tasks
         bool allowed_ = false;
+        bool suspect_ = false; // placed last, so asked for last
     };
     const StepSpec &spec = stepSpec(job, index);
     const Resources size = reservedSize(spec);
@@ -109,14 +110,15 @@
             }
         }
         unknown = unknown || !allowed;
-        entries.push_back({id, expected, allowed});
+        entries.push_back({id, expected, allowed, riskOf(*runner, now) == RunnerRisk::High});
     }
     const double wanted = spec.gang_ ? spec.count_ : std::min<double>(step.waiting_, spec.count_);
     if (spec.gang_ && !unknown && total < wanted) {
         return {};
     }
     std::sort(entries.begin(), entries.end(), [](const Entry &a, const Entry &b) {
-        return std::make_tuple(!a.allowed_, -a.expected_) < std::make_tuple(!b.allowed_, -b.expected_);
+        return std::make_tuple(a.suspect_, !a.allowed_, -a.expected_)
+            < std::make_tuple(b.suspect_, !b.allowed_, -b.expected_);
     });
     std::vector<RunnerId> chosen;
     double expected = 0;
--- a/tests/cell/test_runner_choice.cpp
+++ b/tests/cell/test_runner_choice.cpp
@@ -44,7 +44,7 @@
             for (const auto &[id, runner] : runners_) {
                 for (const auto &[task, number] : runner.active_) {
                     const auto [began, isNew] = beganAt_.try_emplace(std::make_pair(task, number), now_);
-                    if (now_ - began->second >= Milliseconds(runMs_)) {
+                    if (now_ - began->second >= Milliseconds(longJobs_.contains(task.job_.value_) ? 5'000 : runMs_)) {
                         over.emplace_back(id, task);
                     }
                 }
@@ -119,6 +119,7 @@
     }
 
     std::int64_t runMs_ = 500;
+    std::set<std::uint64_t> longJobs_; // their runs take 5 s
     std::map<RunnerId, double> failing_; // probability by runner
     std::set<std::uint64_t> gangs_;
     std::map<std::pair<StagedTask, std::uint64_t>, TimePoint> beganAt_;
@@ -221,6 +222,40 @@
     cr_assert_eq(world.runnersOf(3).size(), 8U);
 }
 
+// Guards against a gang that waits because its policy queries name the runners that it must not use: these are empty,
+// so they were named first. Replays a gang whose verdicts are all known and whose tickets have expired, three runners
+// that restarted, and twelve others with room for two members each.
+Test(runner_choice, policyQueriesNameSuspectRunnersLast)
+{
+    ChoiceWorld world(15);
+    for (int i = 0; i < 3; ++i) {
+        world.restart("r" + std::to_string(i));
+    }
+    world.run(Milliseconds(300));
+    world.runMs_ = 1'000;
+    world.longJobs_ = {1};
+    for (std::uint64_t id = 1; id <= 2; ++id) { // a task of each on each of the twelve
+        CellRequest wide = world.submission(id, 12, 4'000);
+        wide.submitted_.steps_[0].antiAffinity_ = 1;
+        world.send(wide);
+    }
+    world.run(Milliseconds(100));
+    CellRequest gang = world.submission(100, 20, MemberSize, true);
+    gang.policy_.policyQueries_ = true;
+    world.gangs_.insert(100);
+    world.send(gang);
+    world.run(Milliseconds(100));
+    StepState &step = world.cell_->jobs_.at(StagedJobId{100})->occurrences_.at(0).steps_[0];
+    for (const auto &[id, runner] : world.cell_->runners_) {
+        step.verdicts_[id] = {true, "t", {}, runner->startedUnixMs_};
+    }
+    world.run(Milliseconds(1'500)); // the tasks of one of the wide jobs have ended
+    cr_assert_geq(world.runnersOf(100).size(), 10U, "the gang has not started");
+    for (int i = 0; i < 3; ++i) {
+        cr_assert_eq(world.runnersOf(100).count("r" + std::to_string(i)), 0);
+    }
+}
+
 // Guards against gangs that one slow runner holds up while faster ones are free, and against gangs on many runners with
 // little room each. Six runners are fast and six slow.
 Test(runner_choice, gangsPreferFastRunnersAndFewOfThem)
