--- a/src/core/cell/cell_type.h
+++ b/src/core/cell/cell_type.h
@@ -50,7 +50,7 @@
     std::vector<ServiceConfig> services_;
 };
 
-// Times and limits of the deployment. The decision logic does not read stopTimeout_, gangTimeout_, remoteFactor_ and
+// Times and limits of the deployment. The decision logic does not read stopTimeout_, gangTimeout_ and
 // storeWritesPerSecond_.
 struct CellSettings
 {
@@ -66,6 +66,7 @@
     double storeWritesPerSecond_ = 400; // limit for all daemons together
     Milliseconds minLease_{1'000}; // shortest lease that the store grants
     double gangRoomShare_ = 0; // share of a service's processors that may be reserved for waiting gangs; 0: none
+    bool learnedRunTimes_ = false; // learn run times and speeds from the ends of runs, see run_times.cpp
 };
 
 // Time as the decision logic sees it: a steady clock for intervals, the wall clock for scheduled occurrences.
@@ -96,9 +97,11 @@
     TaskGivenUp, // too many runners have crashed under a task
     BadEntry, // an entry of a list in the store that cannot be read
     TaskRepeated, // a task was started again after a run that has ended as done
+    Straggler, // a run took over three times as long as others of its step; only with learnedRunTimes_
+    RunnerSuspected, // a runner has crashed, flapped or failed runs lately; only with learnedRunTimes_
 };
 
-inline constexpr std::size_t CellCounterCount = 5;
+inline constexpr std::size_t CellCounterCount = 7;
 
 // What the caller of the decision logic has to carry out.
 struct CellActions
--- a/src/core/cell/gang_room.cpp
+++ b/src/core/cell/gang_room.cpp
@@ -40,11 +40,6 @@
 // full, a quarter of the capacity becomes free within a second. With 2, gangs wait a quarter longer in bench_gang_room.
 static constexpr std::uint32_t KnownCapacityFactor = 4;
 
-TimePoint expectedEnd(const Cell & /*cell*/, const Placement &placement, const StepSpec &spec, const Job & /*job*/)
-{
-    return spec.longRunning_ ? TimePoint::max() : placement.startedAt_ + spec.estimate_;
-}
-
 namespace
 {
 
--- a/src/core/cell/runner_replies.cpp
+++ b/src/core/cell/runner_replies.cpp
@@ -6,21 +6,20 @@
 namespace mimosapier::detail
 {
 
+// Takes a checkpoint of any run of the task unless a later one is known: the ends of members of a gang, and lists of
+// runners that were silent, may arrive in any order. Later checkpoints are greater, compared as text.
+static void raiseCheckpoint(TaskRecord &task, const std::string &checkpoint)
+{
+    task.checkpoint_ = std::max(task.checkpoint_, checkpoint);
+}
+
 static void prepareRetry(Job &job, const StagedTask &id, const FinishedRun &end, CellTime now)
 {
-    StepState *step = nullptr;
-    TaskRecord *task = findTask(job, id, &step);
+    TaskRecord *task = findTask(job, id, nullptr);
     if (task == nullptr || task->state_ == TaskState::Done) {
         return;
     }
-    if (!end.checkpoint_.empty()) {
-        task->checkpoint_ = end.checkpoint_;
-        if (stepSpec(job, id.step_).gang_) { // a checkpoint of any member is valid for all
-            for (TaskRecord &member : step->tasks_) {
-                member.checkpoint_ = end.checkpoint_;
-            }
-        }
-    }
+    raiseCheckpoint(*task, end.checkpoint_); // placeGang() takes the greatest of all members
     constexpr Milliseconds FailedRunRetryDelay{
         100}; // lets the ends of a failing runner arrive before the task is placed again
     if (end.end_ == RunEnd::Failed) {
@@ -167,6 +166,7 @@
                     std::chrono::duration_cast<Milliseconds>(now.steady_ - placed->second.startedAt_).count());
     }
     addLogLine(actions, line);
+    noteRunEnd(cell, runner, end, now.steady_, actions);
     updateFailedRuns(runner, end, now, actions);
     Job *job = findJob(cell, end.task_.job_);
     if (job != nullptr && !isFinal(*job)) {
@@ -275,13 +275,10 @@
 
 static void updateCheckpoint(Cell &cell, const ActiveRun &active)
 {
-    if (active.checkpoint_.empty()) {
-        return;
-    }
     Job *job = findJob(cell, active.task_.job_);
     TaskRecord *task = job != nullptr ? findTask(*job, active.task_, nullptr) : nullptr;
     if (task != nullptr && task->state_ == TaskState::Placed && task->run_ == active.run_.value_) {
-        task->checkpoint_ = active.checkpoint_;
+        raiseCheckpoint(*task, active.checkpoint_);
     }
 }
 
@@ -361,10 +358,12 @@
             JsonObject line = logEvent("runner-silent");
             line.text("runner", runner.record_.id_.value_).text("status", runnerStatusName(reply.status_));
             addLogLine(actions, line, LogLevel::Warning);
+            noteTrouble(runner, RunnerTrouble::Silence, now.steady_, actions);
         }
         return;
     }
     if (runner.failedCalls_ > 0) {
+        noteTrouble(runner, RunnerTrouble::Regained, now.steady_, actions);
         JsonObject line = logEvent("runner-regained");
         line.text("runner", runner.record_.id_.value_).number("failed_calls", runner.failedCalls_);
         addLogLine(actions, line);
@@ -419,6 +418,11 @@
         || reply.status_ == RunnerStatus::NoCapacity) {
         runner.avoidUntil_ = std::max(runner.avoidUntil_, now.steady_ + RejectedStartPause);
     }
+    if (reply.status_ == RunnerStatus::Unhealthy) {
+        noteRunResult(runner, true, false, now.steady_, actions);
+    } else if (reply.status_ == RunnerStatus::NotSent) {
+        noteTrouble(runner, RunnerTrouble::NotReached, now.steady_, actions);
+    }
     Job *job = findJob(cell, reply.task_.job_);
     StepState *step = nullptr;
     if (job != nullptr && findTask(*job, reply.task_, &step) != nullptr && reply.status_ == RunnerStatus::BadTicket) {
