Feature: [cell] Tasks go to runners that are not slow after their start

Cause: a runner that has just started is slow for a time, which its entry names (ColdRemainingMs); as the emptiest one it got tasks and gangs at once.

Change: the entry's field is decoded and counted down with the leader's clock. Placement takes warm runners first; a cold one takes a task only when no warm one has room.

--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -249,6 +249,7 @@
     TimePoint unansweredLeaseAt_; // when the latest call that asked for a lease was given up; empty: all were answered
     TimePoint leaseEndsBy_; // by this time all leases there have expired, unless they are extended; empty: no lease
     TimePoint avoidUntil_; // no task is placed there before this time
+    TimePoint warmAt_; // the runner is slow after its start until then
     // Holds without a usable answer since the last successful one, and calls that reached another runner. A runner with
     // failed calls is called silent.
     std::uint32_t failedCalls_ = 0;
--- a/src/core/cell/placement.cpp
+++ b/src/core/cell/placement.cpp
@@ -28,6 +28,7 @@
     Resources free_;
     std::uint32_t antiAffinityLeft_ = 0; // further tasks of the step that anti-affinity allows
     bool nearData_ = true; // in the rack of the step's data, or the step has no such rack
+    bool cold_ = false; // slow after its start: takes a task only when no warm candidate has room
 };
 
 struct StepContext
@@ -81,7 +82,7 @@
             || (policy.policyQueries_ && !hasTicket(context.step_, *runner, now))) {
             continue;
         }
-        Candidate candidate{runner, freeOn(*runner), context.spec_.count_, true};
+        Candidate candidate{runner, freeOn(*runner), context.spec_.count_, true, now < runner->warmAt_};
         if (context.spec_.antiAffinity_ > 0) {
             const auto placed = context.step_.perRunner_.find(runner->record_.id_);
             const std::uint32_t there = placed == context.step_.perRunner_.end() ? 0 : placed->second;
@@ -128,7 +129,8 @@
     return static_cast<std::uint32_t>(allowed);
 }
 
-// The candidate with room for a task of this size that `isAllowed` accepts and that has the lowest rank; nullptr: none.
+// The candidate with room for a task of this size that `isAllowed` accepts and that has the lowest rank among the warm
+// ones, or among all if no warm one has room; nullptr: none.
 template <typename Rank, typename IsAllowed>
 static Candidate *bestCandidate(std::vector<Candidate> &candidates, const Resources &size, const Rank &rank,
                                 const IsAllowed &isAllowed)
@@ -136,7 +138,7 @@
     Candidate *best = nullptr;
     for (Candidate &candidate : candidates) {
         if (fittingTasks(candidate, size) > 0 && isAllowed(candidate)
-            && (best == nullptr || rank(candidate) < rank(*best))) {
+            && (best == nullptr || std::pair(candidate.cold_, rank(candidate)) < std::pair(best->cold_, rank(*best)))) {
             best = &candidate;
         }
     }
@@ -211,6 +213,9 @@
     std::stable_sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
         const Candidate &a = candidates[left];
         const Candidate &b = candidates[right];
+        if (a.cold_ != b.cold_) {
+            return b.cold_;
+        }
         if (a.nearData_ != b.nearData_) {
             return a.nearData_;
         }
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -341,6 +341,15 @@
 
 using namespace detail;
 
+// Within an incarnation the time until the runner is warm only counts down: an entry that is read again names the time
+// that was left when it was written.
+static void updateWarmTime(Runner &runner, const RunnerRecord &record, TimePoint now)
+{
+    const TimePoint warmAt = now + record.coldRemaining_;
+    const bool isKnown = runner.inDiscovery_ && record.startedUnixMs_ == runner.record_.startedUnixMs_;
+    runner.warmAt_ = isKnown ? std::min(runner.warmAt_, warmAt) : warmAt;
+}
+
 void updateRunner(Cell &cell, const RunnerRecord &record, CellTime now, CellActions &actions)
 {
     auto &slot = cell.runners_[record.id_];
@@ -362,6 +371,7 @@
     if (record.startedUnixMs_ != 0 && runner.startedUnixMs_ != 0 && record.startedUnixMs_ > runner.startedUnixMs_) {
         beginIncarnation(cell, runner, record.startedUnixMs_, now, actions);
     }
+    updateWarmTime(runner, record, now.steady_);
     runner.inDiscovery_ = true;
     const bool wasQuiescent = isQuiescent(runner);
     cell.placementDue_ = cell.placementDue_ || record.capacity_ != runner.record_.capacity_;
--- a/src/core/message/runner_type.h
+++ b/src/core/message/runner_type.h
@@ -41,6 +41,7 @@
     std::string rack_;
     std::vector<std::string> labels_; // including kind and rack
     std::int64_t startedUnixMs_ = 0; // start of this incarnation; 0: not given
+    Milliseconds coldRemaining_{0}; // how much longer the runner is slow after its start; 0: warm
 };
 
 // Hold renews the lease of all tasks on the runner and reports runs that have ended.
--- a/src/platform/client_codec.cpp
+++ b/src/platform/client_codec.cpp
@@ -282,6 +282,16 @@
 
 // ---- discovery ----
 
+// How much longer the runner is slow. Only a preference depends on it: a value that cannot be read counts as warm.
+static Milliseconds coldRemaining(const Json &entry)
+{
+    constexpr std::int64_t MaxColdMs = 3'600'000; // a runner that claims more would be avoided for good
+    std::int64_t remainingMs = 0;
+    return readIntegerField(entry, "ColdRemainingMs", remainingMs)
+        ? Milliseconds(std::clamp<std::int64_t>(remainingMs, 0, MaxColdMs))
+        : Milliseconds(0);
+}
+
 bool decodeRunnerRecord(std::string_view id, std::string_view bytes, RunnerRecord &record)
 {
     Json json;
@@ -305,6 +315,7 @@
         return false;
     }
     record.draining_ = state == "draining";
+    record.coldRemaining_ = coldRemaining(json);
     const auto labels = json.find("Labels");
     if (labels != json.end() && labels->is_array()) {
         for (const Json &label : *labels) {
--- a/tests/platform/test_wire.cpp
+++ b/tests/platform/test_wire.cpp
@@ -93,6 +93,25 @@
     }
 }
 
+// Guards against a runner whose slowness after its start is not known, and against an entry that is lost, or a runner
+// that is avoided for good, because of an odd value.
+Test(wire, coldRunners)
+{
+    RunnerRecord record;
+    cr_assert(decodeRunnerRecord("i-1", RunnerText, record));
+    cr_assert_eq(record.coldRemaining_, Milliseconds(0), "no value: warm");
+    const std::vector<std::pair<std::string, std::int64_t>> values{
+        {"0", 0},        {"2500", 2'500},     {"2500.7", 2'500}, {"-5", 0},    {"null", 0},
+        {"\"long\"", 0}, {"1e15", 3'600'000}, {"1e300", 0},      {"[2500]", 0}};
+    for (const auto &[value, expected] : values) {
+        std::string text(RunnerText);
+        text.insert(1, "\"ColdRemainingMs\":" + value + ",");
+        RunnerRecord cold;
+        cr_assert(decodeRunnerRecord("i-1", text, cold), "%s", text.c_str());
+        cr_assert_eq(cold.coldRemaining_.count(), expected, "%s", text.c_str());
+    }
+}
+
 // Guards against a list of runs that is decoded in part: the missing runs would wrongly count as ended.
 Test(wire, incompleteListsAreRejected)
 {
