Feature: [cell] Past use of accounts shifts their waiting work in the order

Shares are enforced over seconds. An account that stays within its share there and uses most of the fleet for hours was served like one that has not used anything.

The leader counts each account's use of processor and memory (dominant share of the fleet), decays it with cell.past_use_half_life_s, and compares it with the account's weight by the fair-share factor 2^(-U/S). Within class and priority, the steps of an account above its share are ordered as if their objective were up to cell.past_use_shift_ms later, and never by more than their slack. The half-life is 0 by default: nothing is counted, and the order is as before.

--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -204,6 +204,8 @@
 
 void advanceCell(Cell &cell, CellTime now, CellActions &actions)
 {
+    countPastUse(cell, now.steady_);
+    refreshPastUse(cell, now.steady_);
     if (now.steady_ >= cell.nextSlowTickAt_) {
         cell.nextSlowTickAt_ = now.steady_ + SlowTick;
         advanceRecurringJobs(cell, now);
@@ -230,6 +232,7 @@
         placeWaiting(cell, now, actions);
     }
     sendPolicyQueries(cell, now, actions);
+    countPastUse(cell, now.steady_);
     flushLanes(cell, now, actions);
     pollLeadershipCheck(cell, now, actions);
 }
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -283,6 +283,21 @@
     TimePoint forgetAt_; // the leases of all incarnations that may have had the run are over
 };
 
+// Decayed use of processor and memory by an account, see past_use.cpp. Counted only if CellSettings::pastUseHalfLife_
+// is set.
+struct PastUse
+{
+    double coreSeconds_ = 0; // at countedAt_
+    double cores_ = 0; // in use since countedAt_
+    TimePoint countedAt_; // empty: never
+    bool changed_ = false; // has an entry in PastUseOrder::changedAccounts_
+    // From the last refreshPastUse():
+    bool waits_ = false; // has steps with waiting tasks
+    double weight_ = 0; // of the configuration; 0: no part in the order by past use
+    double factor_ = 1; // fair-share factor
+    Milliseconds shift_{0}; // largest shift of the account's steps
+};
+
 // State of one client account. A token bucket separates submissions within the share from those beyond it.
 struct Account
 {
@@ -290,6 +305,18 @@
     Resources used_; // resources of its placed tasks
     double tokens_ = 0; // submissions left within the share; grows by weight_ per second
     TimePoint refilledAt_;
+    PastUse pastUse_;
+};
+
+// State of the order by past use, see past_use.cpp.
+struct PastUseOrder
+{
+    std::vector<Account *> changedAccounts_; // whose resources in use have changed since countPastUse()
+    double fleetCores_ = 0; // processors of the listed runners
+    double coresPerMb_ = 0; // processors per MB of memory in the fleet
+    std::unordered_map<std::string, Milliseconds> shifts_; // PastUse::shift_ by account, if above 0
+    TimePoint refreshedAt_; // when the shifts were computed
+    bool hasNewAccount_ = false; // an account without use has begun to wait since
 };
 
 struct StepRef
@@ -421,7 +448,8 @@
     std::unordered_map<StagedJobId, std::unique_ptr<Job>> jobs_;
     std::map<RunnerId, std::unique_ptr<Runner>> runners_;
     std::map<RunnerId, std::uint64_t> removedRunners_; // Runner::tokenRaises_ of a runner that is listed again, by id
-    std::map<std::string, Account> accounts_;
+    std::map<std::string, Account> accounts_; // an account is never removed
+    PastUseOrder pastUse_;
     std::vector<StepRef> readySteps_; // steps with waiting tasks; placement removes the steps that have none any more
     std::vector<StepRef> queryQueue_; // steps that need a policy query, by urgency at the last sort, then new ones
     std::map<std::uint64_t, InFlightQuery> inFlightQueries_; // by call id
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -289,13 +289,30 @@
     auto operator<=>(const UrgencyKey &) const = default;
 };
 
-UrgencyKey urgencyOf(const Job &job, const StepRef &ref, TimePoint now);
+UrgencyKey urgencyOf(const Cell &cell, const Job &job, const StepRef &ref, TimePoint now);
+// By how much the step is put back in the order for the past use of its account: never more than the step's slack.
+Duration pastUseShift(const Cell &cell, const Job &job, std::uint32_t step, TimePoint now);
 // Time that the job certainly needs from its first start to its end.
 Milliseconds certainWork(const Job &job);
 // Time from one pass over the waiting steps to the next. It grows with their number, so that the passes never use up
 // the leader's processor.
 Duration passInterval(std::size_t waitingSteps);
 
+// Defined in past_use.cpp.
+
+bool isPastUseCounted(const Cell &cell);
+// The resources in use by the account have changed.
+void notePlacedUse(Cell &cell, Account &account);
+// Counts the use of the accounts that have changed until `now`. Called before and after each batch of changes, so that
+// these count from their own time.
+void countPastUse(Cell &cell, TimePoint now);
+// A step of the account has waiting tasks.
+void noteWaitingAccount(Cell &cell, const std::string &name);
+// Computes the fair-share factors and shifts of all accounts unless the last ones are recent.
+void refreshPastUse(Cell &cell, TimePoint now);
+// The shift of a step of this account that has enough slack.
+Milliseconds largestPastUseShift(const Cell &cell, const std::string &account);
+
 // Defined in placement.cpp, policy.cpp and lanes.cpp.
 
 // Starts the waiting tasks that fit, most urgent first.
--- a/src/core/cell/cell_type.h
+++ b/src/core/cell/cell_type.h
@@ -65,6 +65,8 @@
     double processorShare_ = 1; // processors that this daemon may use on its instance
     double storeWritesPerSecond_ = 400; // limit for all daemons together
     Milliseconds minLease_{1'000}; // shortest lease that the store grants
+    Milliseconds pastUseHalfLife_{0}; // of the past use of accounts; 0: it has no effect and is not counted
+    Milliseconds pastUseShift_{2'000}; // largest shift of a step by the past use of its account
 };
 
 // Time as the decision logic sees it: a steady clock for intervals, the wall clock for scheduled occurrences.
--- a/src/core/cell/jobs.cpp
+++ b/src/core/cell/jobs.cpp
@@ -174,6 +174,7 @@
         state.inReadySteps_ = true;
         cell.readySteps_.push_back({job.id_, occurrence, step});
         cell.placementDue_ = true;
+        noteWaitingAccount(cell, job.account_);
     }
 }
 
--- /dev/null
+++ b/src/core/cell/past_use.cpp
@@ -0,0 +1,181 @@
+// Past use of processor and memory by account, and how far it shifts the account's waiting steps in the order of work.
+//
+// Designed for accounts that stay within their share in each second and still use far more than others over hours. The
+// use decays with the half-life of the operator's setting. An account that has more of it than its part of the weights
+// is ordered by the fair-share factor 2^(-U/S) of batch schedulers, see docs/design/past-use.md. Off by default.
+#include "core/cell/cell_internal.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+
+namespace mimosapier::detail
+{
+
+static constexpr Milliseconds RefreshInterval{500}; // of the shifts; short against the shortest half-life, 60 s
+// Of the shifts while accounts without use begin to wait; a refresh examines all waiting steps.
+static constexpr Milliseconds MinRefreshInterval{50};
+// An account without runs and with less use than this counts as one that never had any.
+static constexpr double MinCoreSeconds = 1;
+// A total use below this part of what the whole fleet would have used counts as this part: after a quiet time, the
+// little use that is left decides nothing.
+static constexpr double MinUseOfFleet = 0.01;
+static constexpr double NoShiftFactor = 0.5; // of an account that has used exactly its share
+static constexpr double MilliCpusPerCore = 1'000;
+
+static double halfLifeSeconds(const Cell &cell)
+{
+    return std::chrono::duration<double>(cell.settings_.pastUseHalfLife_).count();
+}
+
+bool isPastUseCounted(const Cell &cell)
+{
+    return cell.settings_.pastUseHalfLife_ > Duration::zero();
+}
+
+// Resources as processors of the fleet: the dominant share of the fleet's capacity, times the fleet's processors.
+static double equivalentCores(const PastUseOrder &order, const Resources &used)
+{
+    const double cores = static_cast<double>(used.milliCpus_) / MilliCpusPerCore;
+    return std::max({0.0, cores, static_cast<double>(used.memoryMb_) * order.coresPerMb_});
+}
+
+// Counts the use until `now`.
+static void settle(const Cell &cell, PastUse &use, TimePoint now)
+{
+    if (now > use.countedAt_ && use.countedAt_ != TimePoint{}) {
+        const double decayTime = halfLifeSeconds(cell) / std::numbers::ln2;
+        const double decayed = -std::expm1(-std::chrono::duration<double>(now - use.countedAt_).count() / decayTime);
+        use.coreSeconds_ += decayed * (use.cores_ * decayTime - use.coreSeconds_);
+    }
+    use.countedAt_ = now;
+}
+
+void notePlacedUse(Cell &cell, Account &account)
+{
+    if (isPastUseCounted(cell) && !account.pastUse_.changed_) {
+        account.pastUse_.changed_ = true;
+        cell.pastUse_.changedAccounts_.push_back(&account);
+    }
+}
+
+void countPastUse(Cell &cell, TimePoint now)
+{
+    for (Account *account : cell.pastUse_.changedAccounts_) {
+        settle(cell, account->pastUse_, now);
+        account->pastUse_.cores_ = equivalentCores(cell.pastUse_, account->used_);
+        account->pastUse_.changed_ = false;
+    }
+    cell.pastUse_.changedAccounts_.clear();
+}
+
+static void updateFleet(Cell &cell)
+{
+    Resources fleet;
+    for (const auto &[id, runner] : cell.runners_) {
+        if (runner->inDiscovery_) {
+            fleet += runner->record_.capacity_;
+        }
+    }
+    PastUseOrder &order = cell.pastUse_;
+    if (fleet.milliCpus_ > 0) { // otherwise the last known fleet counts
+        order.fleetCores_ = static_cast<double>(fleet.milliCpus_) / MilliCpusPerCore;
+        order.coresPerMb_ = fleet.memoryMb_ > 0 ? order.fleetCores_ / static_cast<double>(fleet.memoryMb_) : 0;
+    }
+}
+
+static void markWaitingAccounts(Cell &cell)
+{
+    for (const StepRef &ref : cell.readySteps_) {
+        const Job *job = findJob(cell, ref.job_);
+        const auto account
+            = job != nullptr && !isFinal(*job) ? cell.accounts_.find(job->account_) : cell.accounts_.end();
+        if (account != cell.accounts_.end()) {
+            account->second.pastUse_.waits_ = true;
+        }
+    }
+    cell.stepsExamined_ += cell.readySteps_.size();
+}
+
+// The shift of an account with this fair-share factor: none up to its share, then rising to the setting.
+static Milliseconds shiftOf(const Cell &cell, double factor)
+{
+    const double part = std::max(0.0, 1 - factor / NoShiftFactor);
+    return Milliseconds(std::llround(part * static_cast<double>(cell.settings_.pastUseShift_.count())));
+}
+
+static bool takesPart(const PastUse &use)
+{
+    return use.weight_ > 0 && (use.coreSeconds_ > 0 || use.cores_ > 0 || use.waits_);
+}
+
+static void updateFactors(Cell &cell)
+{
+    const double decayTime = halfLifeSeconds(cell) / std::numbers::ln2;
+    double total = 0;
+    double weights = 0;
+    for (const auto &[name, account] : cell.accounts_) {
+        if (takesPart(account.pastUse_)) {
+            total += account.pastUse_.coreSeconds_;
+            weights += account.pastUse_.weight_;
+        }
+    }
+    total = std::max(total, MinUseOfFleet * cell.pastUse_.fleetCores_ * decayTime);
+    cell.pastUse_.shifts_.clear();
+    for (auto &[name, account] : cell.accounts_) {
+        PastUse &use = account.pastUse_;
+        use.factor_ = 1;
+        if (takesPart(use) && total > 0) {
+            use.factor_ = std::exp2(-(use.coreSeconds_ / total) / (use.weight_ / weights));
+        }
+        use.shift_ = shiftOf(cell, use.factor_);
+        if (use.shift_ > Milliseconds(0)) {
+            cell.pastUse_.shifts_.emplace(name, use.shift_);
+        }
+    }
+}
+
+void noteWaitingAccount(Cell &cell, const std::string &name)
+{
+    const auto found = isPastUseCounted(cell) ? cell.accounts_.find(name) : cell.accounts_.end();
+    if (found == cell.accounts_.end() || found->second.config_.weight_ <= 0) {
+        return;
+    }
+    PastUse &use = found->second.pastUse_;
+    if (use.coreSeconds_ <= 0 && use.cores_ <= 0 && !use.waits_) {
+        use.waits_ = true;
+        cell.pastUse_.hasNewAccount_ = true;
+    }
+}
+
+void refreshPastUse(Cell &cell, TimePoint now)
+{
+    const Milliseconds interval = cell.pastUse_.hasNewAccount_ ? MinRefreshInterval : RefreshInterval;
+    if (!isPastUseCounted(cell) || now < cell.pastUse_.refreshedAt_ + interval) {
+        return;
+    }
+    cell.pastUse_.refreshedAt_ = now;
+    cell.pastUse_.hasNewAccount_ = false;
+    updateFleet(cell);
+    for (auto &[name, account] : cell.accounts_) {
+        PastUse &use = account.pastUse_;
+        settle(cell, use, now);
+        use.cores_ = equivalentCores(cell.pastUse_, account.used_);
+        use.coreSeconds_ = use.cores_ <= 0 && use.coreSeconds_ < MinCoreSeconds ? 0 : use.coreSeconds_;
+        use.waits_ = false;
+        use.weight_ = 0;
+    }
+    for (const AccountConfig &config : cell.config_.accounts_) {
+        cell.accounts_[config.name_].pastUse_.weight_ = config.weight_;
+    }
+    markWaitingAccounts(cell);
+    updateFactors(cell);
+}
+
+Milliseconds largestPastUseShift(const Cell &cell, const std::string &account)
+{
+    const auto found = cell.pastUse_.shifts_.find(account);
+    return found == cell.pastUse_.shifts_.end() ? Milliseconds(0) : found->second;
+}
+
+} // namespace mimosapier::detail
--- a/src/core/cell/placement.cpp
+++ b/src/core/cell/placement.cpp
@@ -395,7 +395,7 @@
             context->step_.inReadySteps_ = false;
             continue;
         }
-        keys.push_back(urgencyOf(context->job_, ref, now));
+        keys.push_back(urgencyOf(cell, context->job_, ref, now));
     }
     std::sort(keys.begin(), keys.end());
     cell.stepsExamined_ += cell.readySteps_.size();
--- a/src/core/cell/policy.cpp
+++ b/src/core/cell/policy.cpp
@@ -218,7 +218,7 @@
     keys.reserve(cell.queryQueue_.size());
     for (const StepRef &ref : cell.queryQueue_) {
         if (const Job *job = findJob(cell, ref.job_)) {
-            keys.push_back(urgencyOf(*job, ref, now));
+            keys.push_back(urgencyOf(cell, *job, ref, now));
         }
     }
     std::sort(keys.begin(), keys.end());
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -119,7 +119,9 @@
     placement.accountCharge_ = spec.size_;
     placement.account_ = job.account_;
     runner.used_ += placement.size_;
-    cell.accounts_[job.account_].used_ += placement.accountCharge_;
+    Account &account = cell.accounts_[job.account_];
+    account.used_ += placement.accountCharge_;
+    notePlacedUse(cell, account);
     StepState *step = nullptr;
     TaskRecord *record = findTask(job, task, &step);
     placement.previousRun_ = record->run_;
@@ -163,7 +165,9 @@
     if (placement.orphan_) {
         --runner.orphans_;
     } else {
-        cell.accounts_[placement.account_].used_ -= placement.accountCharge_;
+        Account &account = cell.accounts_[placement.account_];
+        account.used_ -= placement.accountCharge_;
+        notePlacedUse(cell, account);
     }
     cell.placementDue_ = true;
     Job *job = findJob(cell, task.job_);
--- a/src/core/cell/urgency.cpp
+++ b/src/core/cell/urgency.cpp
@@ -3,7 +3,7 @@
 // Designed for bursts that exceed what the runners, the policy service or the leader's processor can carry. Jobs that
 // can still meet their objective come first, then those with a value when late, then the rest; within these classes, by
 // priority and then by objective. A backlog that is late anyway thus delays neither the starts nor the policy queries
-// of the jobs after it.
+// of the jobs after it. The objectives of accounts with much past use are taken as later, see past_use.cpp.
 #include "core/cell/cell_internal.h"
 
 #include <algorithm>
@@ -37,9 +37,20 @@
     return end <= job.valueEndsAt_ && !job.beyondShare_ ? UrgencyClass::Late : UrgencyClass::BestEffort;
 }
 
-UrgencyKey urgencyOf(const Job &job, const StepRef &ref, TimePoint now)
+Duration pastUseShift(const Cell &cell, const Job &job, std::uint32_t step, TimePoint now)
 {
-    return {urgencyClassOf(job, ref.step_, now), job.policy_.priority_, job.objectiveAt_, ref};
+    const Milliseconds largest = largestPastUseShift(cell, job.account_);
+    if (largest == Milliseconds(0)) {
+        return Duration::zero();
+    }
+    const Duration slack = job.objectiveAt_ - now - certainPart(job.criticalPaths_[step]);
+    return std::clamp<Duration>(slack, Duration::zero(), largest);
+}
+
+UrgencyKey urgencyOf(const Cell &cell, const Job &job, const StepRef &ref, TimePoint now)
+{
+    const TimePoint objectiveAt = job.objectiveAt_ + pastUseShift(cell, job, ref.step_, now);
+    return {urgencyClassOf(job, ref.step_, now), job.policy_.priority_, objectiveAt, ref};
 }
 
 Duration passInterval(std::size_t waitingSteps)
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -171,6 +171,8 @@
     control.cell_.remoteFactor_ = cell.remoteFactor_;
     control.cell_.processorShare_ = cell.processorShare_;
     control.cell_.storeWritesPerSecond_ = static_cast<double>(cell.storeWritesPerS_);
+    control.cell_.pastUseHalfLife_ = std::chrono::seconds(cell.pastUseHalfLifeS_);
+    control.cell_.pastUseShift_ = Milliseconds(cell.pastUseShiftMs_);
     control.cell_.minLease_ = Milliseconds(cell.storeMinLeaseMs_);
     return control;
 }
@@ -360,6 +362,8 @@
     number("grace_ms", cell.graceMs_);
     number("store_writes_per_s", cell.storeWritesPerS_);
     number("store_min_lease_ms", cell.storeMinLeaseMs_);
+    number("past_use_half_life_s", cell.pastUseHalfLifeS_);
+    number("past_use_shift_ms", cell.pastUseShiftMs_);
     return {LogLevel::Info, line.finish()};
 }
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -54,7 +54,8 @@
     case SettingRule::Count:
         break;
     }
-    return "an integer from " + std::to_string(row.min_) + " to " + std::to_string(row.max_);
+    const std::string zero = row.allowsZero_ ? "0 or " : "";
+    return zero + "an integer from " + std::to_string(row.min_) + " to " + std::to_string(row.max_);
 }
 
 static bool isDialAddress(std::string_view text)
@@ -113,7 +114,8 @@
     case SettingRule::Count:
         break;
     }
-    if (!readCount(value, count) || count < row.min_ || count > row.max_) {
+    const bool isRead = readCount(value, count);
+    if (!isRead || ((count < row.min_ || count > row.max_) && !(row.allowsZero_ && count == 0))) {
         return false;
     }
     (row.cellCount_ != nullptr ? settings.cell_.*row.cellCount_ : settings.limits_.*row.count_) = count;
--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -36,6 +36,8 @@
     std::uint64_t graceMs_ = 6'000; // from SIGTERM to SIGKILL
     std::uint64_t storeWritesPerS_ = 400; // write limit of the store, shared by all daemons
     std::uint64_t storeMinLeaseMs_ = 1'000; // shortest lease that the store grants
+    std::uint64_t pastUseHalfLifeS_ = 0; // half-life of the accounts' past use; 0: it does not count
+    std::uint64_t pastUseShiftMs_ = 2'000; // largest shift of a step in the order by its account's past use
     double remoteFactor_ = 2; // factor by which tasks run longer away from their data
     double processorShare_ = 1; // CPUs available to this instance; may be a fraction
 };
--- a/src/daemon/table/settings_table.h
+++ b/src/daemon/table/settings_table.h
@@ -33,6 +33,7 @@
     std::string CellDeployment::*cellText_ = nullptr; // for keys in section "cell", instead of text_ and count_
     std::uint64_t CellDeployment::*cellCount_ = nullptr;
     double CellDeployment::*cellRatio_ = nullptr;
+    bool allowsZero_ = false; // for Count: 0 (off) is allowed besides the values from min_ to max_
 };
 
 // Helpers that build rows of the section "cell".
@@ -51,6 +52,15 @@
     return row;
 }
 
+// The value 0 is allowed besides those from min to max.
+constexpr SettingRow cellCountOrOff(std::string_view key, std::uint64_t CellDeployment::*count, std::uint64_t min,
+                                    std::uint64_t max)
+{
+    SettingRow row = cellCount(key, count, min, max);
+    row.allowsZero_ = true;
+    return row;
+}
+
 constexpr SettingRow cellRatio(std::string_view key, double CellDeployment::*ratio, std::uint64_t min,
                                std::uint64_t max)
 {
@@ -98,6 +108,8 @@
     cellCount("cell.grace_ms", &CellDeployment::graceMs_, 1'500, 600'000),
     cellCount("cell.store_writes_per_s", &CellDeployment::storeWritesPerS_, 1, 1'000'000),
     cellCount("cell.store_min_lease_ms", &CellDeployment::storeMinLeaseMs_, 1, 600'000),
+    cellCountOrOff("cell.past_use_half_life_s", &CellDeployment::pastUseHalfLifeS_, 60, 604'800),
+    cellCount("cell.past_use_shift_ms", &CellDeployment::pastUseShiftMs_, 0, 600'000),
     cellRatio("cell.remote_factor", &CellDeployment::remoteFactor_, 1, 1'000),
     cellRatio("cell.processor_share", &CellDeployment::processorShare_, 0, 1'000),
 };
--- a/tests/daemon/test_settings.cpp
+++ b/tests/daemon/test_settings.cpp
@@ -86,3 +86,18 @@
     cr_assert(hasProblem(result, "/nonexistent.yaml: cannot be read"));
     cr_assert(hasProblem(result, "--set: got \"nonsense\"; allowed: key=value"));
 }
+
+// Guards against a half-life that is too short to mean anything, and against a range that keeps out 0, which is off.
+Test(settings, pastUseHalfLifeIsOffOrInRange)
+{
+    const std::string good(Good);
+    const auto with
+        = [&good](const std::string &value) { return read(good + "cell:\n  past_use_half_life_s: " + value + "\n"); };
+    cr_assert_eq(with("60").settings_.cell_.pastUseHalfLifeS_, 60U);
+    cr_assert_eq(with("604800").settings_.cell_.pastUseHalfLifeS_, 604'800U);
+    cr_assert(with("0").problems_.empty());
+    for (const std::string value : {"59", "604801", "-60"}) {
+        cr_assert(hasProblem(with(value), "f.yaml:15: cell.past_use_half_life_s: got \"" + value + "\"",
+                             "allowed: 0 or an integer from 60 to 604800"));
+    }
+}
