Feature: [cell] A new leader takes over the past use of accounts

The past use was lost with the leader, so that after each change of leader all accounts counted as new.

The leader writes the key past-use in a transaction of the progress lane, at most once in 10 s and only after use that the store does not have. The recovery reads it with its other parts. The time since the record counts as decay: at least none and at most four half-lives, as the time of day of either daemon may be wrong. A missing record means that all accounts begin anew; a malformed one is logged and ignored; a figure that cannot be one leaves its account out. With the setting off the key is neither read nor written.

--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -136,6 +136,13 @@
     }
 }
 
+void recoverPastUse(Cell &cell, const KvItem &item, CellTime now, CellActions &actions)
+{
+    if (isPastUseCounted(cell) && !restorePastUse(cell, item.value_, now)) {
+        logBadRecord(item, actions);
+    }
+}
+
 // Creates placements for the runs that the stored list names on this runner: it was silent when the previous leader
 // wrote the list. No other task can run there, so other tasks can start without the runner's answer.
 static void placeStoredRuns(Cell &cell, Runner &runner)
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -317,6 +317,8 @@
     std::unordered_map<std::string, Milliseconds> shifts_; // PastUse::shift_ by account, if above 0
     TimePoint refreshedAt_; // when the shifts were computed
     bool hasNewAccount_ = false; // an account without use has begun to wait since
+    bool unstored_ = false; // there is use that the store does not have
+    TimePoint nextStoreAt_; // earliest write to the store
 };
 
 struct StepRef
--- a/src/core/cell/cell_func.h
+++ b/src/core/cell/cell_func.h
@@ -19,6 +19,8 @@
 constexpr std::string_view JobKeyPrefix = "job/"; // an accepted job
 constexpr std::string_view ProgressKeyPrefix = "progress/"; // its state; kept longer than the job's record
 
+constexpr std::string_view PastUseKey = "past-use"; // key of the accounts' past use, see past_use.cpp
+
 // A leader steps down this long after its session has expired, or would have if it had been renewed with the last
 // confirmation of the leadership. While the store is down for everyone, no other leader can be elected, and such
 // outages last up to about 6 s. A new leader waits for the leases of runners that do not answer, counted from the time
@@ -35,11 +37,13 @@
                                std::uint64_t leaderKeyRevision, std::span<const std::uint64_t> laneRevisions,
                                TimePoint electionSentAt, TimePoint now);
 
-// Recovery from the store. The calls come in this order: jobs, progress, list of runners, discovery, finishRecovery().
-// Records that cannot be decoded are logged and skipped; a list of runners that cannot be decoded is ignored.
+// Recovery from the store. The calls come in this order: jobs, progress, list of runners, past use, discovery,
+// finishRecovery(). Records that cannot be decoded are logged and skipped; a list of runners that cannot be decoded is
+// ignored.
 void recoverJob(Cell &cell, const KvItem &item, CellTime now, CellActions &actions);
 void recoverProgress(Cell &cell, const KvItem &item, CellTime now, CellActions &actions);
 void recoverRunners(Cell &cell, std::string_view stored);
+void recoverPastUse(Cell &cell, const KvItem &item, CellTime now, CellActions &actions);
 void finishRecovery(Cell &cell, CellTime now, CellActions &actions);
 
 // Applies a new configuration to accounts and placement. Accepted jobs keep the policy of their queue.
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -310,6 +310,10 @@
 void noteWaitingAccount(Cell &cell, const std::string &name);
 // Computes the fair-share factors and shifts of all accounts unless the last ones are recent.
 void refreshPastUse(Cell &cell, TimePoint now);
+// Adds the record of the past use to the transaction if it is due.
+void collectPastUse(Cell &cell, CellTime now, LaneTransaction &transaction);
+// Takes the past use from the record of an earlier leader. Returns false for malformed bytes.
+bool restorePastUse(Cell &cell, std::string_view bytes, CellTime now);
 // The shift of a step of this account that has enough slack.
 Milliseconds largestPastUseShift(const Cell &cell, const std::string &account);
 
--- a/src/core/cell/lanes.cpp
+++ b/src/core/cell/lanes.cpp
@@ -60,8 +60,9 @@
     }
 }
 
-static void collectProgress(Cell &cell, LaneTransaction &transaction)
+static void collectProgress(Cell &cell, CellTime now, LaneTransaction &transaction)
 {
+    collectPastUse(cell, now, transaction);
     if (cell.runnersDirty_) {
         cell.runnersDirty_ = false;
         transaction.storesRunners_ = true;
@@ -180,7 +181,7 @@
         if (i == AcceptLane) {
             collectJobRecords(cell, transaction);
         } else {
-            collectProgress(cell, transaction);
+            collectProgress(cell, now, transaction);
         }
         if (transaction.call_.writes_.empty() && transaction.call_.removes_.empty()) {
             continue;
--- a/src/core/cell/past_use.cpp
+++ b/src/core/cell/past_use.cpp
@@ -4,11 +4,35 @@
 // use decays with the half-life of the operator's setting. An account that has more of it than its part of the weights
 // is ordered by the fair-share factor 2^(-U/S) of batch schedulers, see docs/design/past-use.md. Off by default.
 #include "core/cell/cell_internal.h"
+#include "core/message/fields.h"
 
 #include <algorithm>
 #include <cmath>
 #include <numbers>
 
+namespace mimosapier
+{
+
+struct AccountUseDocument
+{
+    std::string account_;
+    double coreSeconds_ = 0;
+};
+
+// Record of the past use in the store: a msgpack array. A new field is appended; decoders accept longer arrays.
+struct PastUseDocument
+{
+    std::int64_t unixMs_ = 0; // time of the figures
+    std::vector<AccountUseDocument> accounts_;
+};
+
+MIMOSAPIER_FIELDS(AccountUseDocument, s.account_, s.coreSeconds_)
+MIMOSAPIER_FIELDS(PastUseDocument, s.unixMs_, s.accounts_)
+
+} // namespace mimosapier
+
+#include "core/message/pack_func.h"
+
 namespace mimosapier::detail
 {
 
@@ -22,6 +46,13 @@
 static constexpr double MinUseOfFleet = 0.01;
 static constexpr double NoShiftFactor = 0.5; // of an account that has used exactly its share
 static constexpr double MilliCpusPerCore = 1'000;
+static constexpr double MillisPerSecond = 1'000;
+
+static constexpr Milliseconds StoreInterval{10'000}; // of the record; a new leader lacks the use of at most this time
+static constexpr std::size_t MaxStoredAccounts = 1'000; // those with the most use; about 30 KB
+static constexpr double MaxCoreSeconds = 1e12; // of a stored figure; a million processors for eleven days
+// A record counts as at most this old, in half-lives: the time of day of this daemon or the last leader may be wrong.
+static constexpr std::int64_t MaxRecordAge = 4;
 
 static double halfLifeSeconds(const Cell &cell)
 {
@@ -65,6 +96,7 @@
         settle(cell, account->pastUse_, now);
         account->pastUse_.cores_ = equivalentCores(cell.pastUse_, account->used_);
         account->pastUse_.changed_ = false;
+        cell.pastUse_.unstored_ = true;
     }
     cell.pastUse_.changedAccounts_.clear();
 }
@@ -156,12 +188,16 @@
     }
     cell.pastUse_.refreshedAt_ = now;
     cell.pastUse_.hasNewAccount_ = false;
+    if (cell.pastUse_.nextStoreAt_ == TimePoint{}) {
+        cell.pastUse_.nextStoreAt_ = now + StoreInterval;
+    }
     updateFleet(cell);
     for (auto &[name, account] : cell.accounts_) {
         PastUse &use = account.pastUse_;
         settle(cell, use, now);
         use.cores_ = equivalentCores(cell.pastUse_, account.used_);
         use.coreSeconds_ = use.cores_ <= 0 && use.coreSeconds_ < MinCoreSeconds ? 0 : use.coreSeconds_;
+        cell.pastUse_.unstored_ = cell.pastUse_.unstored_ || use.cores_ > 0;
         use.waits_ = false;
         use.weight_ = 0;
     }
@@ -172,6 +208,55 @@
     updateFactors(cell);
 }
 
+static std::string encodePastUse(Cell &cell, CellTime now)
+{
+    PastUseDocument document;
+    document.unixMs_ = now.unixMs_;
+    for (auto &[name, account] : cell.accounts_) {
+        settle(cell, account.pastUse_, now.steady_);
+        if (account.pastUse_.coreSeconds_ > 0) {
+            document.accounts_.push_back({name, account.pastUse_.coreSeconds_});
+        }
+    }
+    std::stable_sort(document.accounts_.begin(), document.accounts_.end(),
+                     [](const auto &a, const auto &b) { return a.coreSeconds_ > b.coreSeconds_; });
+    document.accounts_.resize(std::min(document.accounts_.size(), MaxStoredAccounts));
+    return packToString(document);
+}
+
+void collectPastUse(Cell &cell, CellTime now, LaneTransaction &transaction)
+{
+    PastUseOrder &order = cell.pastUse_;
+    if (!isPastUseCounted(cell) || !order.unstored_ || now.steady_ < order.nextStoreAt_) {
+        return;
+    }
+    transaction.call_.writes_.push_back({std::string(PastUseKey), encodePastUse(cell, now), 0});
+    order.unstored_ = false;
+    order.nextStoreAt_ = now.steady_ + StoreInterval;
+}
+
+bool restorePastUse(Cell &cell, std::string_view bytes, CellTime now)
+{
+    PastUseDocument document;
+    if (!unpackFromString(bytes, document)) {
+        return false;
+    }
+    const std::int64_t maxAge = MaxRecordAge * cell.settings_.pastUseHalfLife_.count();
+    // A record from the future is one of a clock that was ahead: nothing of it has decayed as far as is known. The
+    // comparison is made without a difference that could overflow.
+    const std::int64_t since = std::clamp(document.unixMs_, now.unixMs_ - maxAge, now.unixMs_);
+    const double halfLives = static_cast<double>(now.unixMs_ - since) / (halfLifeSeconds(cell) * MillisPerSecond);
+    for (const AccountUseDocument &stored : document.accounts_) {
+        if (!(stored.coreSeconds_ > 0 && stored.coreSeconds_ <= MaxCoreSeconds)) {
+            continue;
+        }
+        PastUse &use = cell.accounts_[stored.account_].pastUse_;
+        use.coreSeconds_ = stored.coreSeconds_ * std::exp2(-halfLives);
+        use.countedAt_ = now.steady_;
+    }
+    return true;
+}
+
 Milliseconds largestPastUseShift(const Cell &cell, const std::string &account)
 {
     const auto found = cell.pastUse_.shifts_.find(account);
--- a/src/core/control/control.cpp
+++ b/src/core/control/control.cpp
@@ -331,6 +331,7 @@
     case KvPurpose::RecoverJobs:
     case KvPurpose::RecoverProgress:
     case KvPurpose::RecoverRunners:
+    case KvPurpose::RecoverPastUse:
         handleRecoveryReply(control, reply, now);
         break;
     case KvPurpose::Lane:
--- a/src/core/control/control_base.h
+++ b/src/core/control/control_base.h
@@ -70,7 +70,7 @@
     TimePoint retryAt_;
 };
 
-enum RecoveryPart : std::uint8_t { JobsPart, ProgressPart, RunnersPart, RecoveryPartCount };
+enum RecoveryPart : std::uint8_t { JobsPart, ProgressPart, RunnersPart, PastUsePart, RecoveryPartCount };
 
 // State of the calls that keep a local copy of one key range of the store current: a read, then watches. The copies are
 // config_; members_, leader_ and epoch_; and the runners of cell_.
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -173,6 +173,8 @@
     applyConfig(*control.cell_, control.config_);
     control.recoveryStage_ = RecoveryStage::Reading;
     control.recoveryReads_ = {};
+    // Without the setting nothing is read or written for it.
+    control.recoveryReads_[PastUsePart].done_ = control.settings_.cell_.pastUseHalfLife_ == Milliseconds(0);
     control.discoveredRunners_.clear();
     control.runnerFeed_ = {};
     JsonObject line = beginLogLine("elected");
@@ -498,7 +500,8 @@
 static constexpr std::array<RecoverySpec, RecoveryPartCount> RecoverySpecs{
     RecoverySpec{KvPurpose::RecoverJobs, KvOp::Range, JobKeyPrefix},
     RecoverySpec{KvPurpose::RecoverProgress, KvOp::Range, ProgressKeyPrefix},
-    RecoverySpec{KvPurpose::RecoverRunners, KvOp::Get, "runners"}};
+    RecoverySpec{KvPurpose::RecoverRunners, KvOp::Get, "runners"},
+    RecoverySpec{KvPurpose::RecoverPastUse, KvOp::Get, PastUseKey}};
 
 // Builds the state of the cell from the completed reads, then handles the deferred requests.
 static void applyRecoveryReads(Control &control, CellTime now, ControlActions &actions)
@@ -513,6 +516,9 @@
     for (const KvItem &item : control.recoveryReads_[RunnersPart].items_) {
         recoverRunners(cell, item.value_);
     }
+    for (const KvItem &item : control.recoveryReads_[PastUsePart].items_) {
+        recoverPastUse(cell, item, now, actions.cell_);
+    }
     finishRecovery(cell, now, actions.cell_);
     control.recoveryReads_ = {};
     control.recoveryStage_ = RecoveryStage::Done;
--- a/src/core/message/kv_type.h
+++ b/src/core/message/kv_type.h
@@ -55,6 +55,7 @@
     RecoverJobs,
     RecoverProgress,
     RecoverRunners,
+    RecoverPastUse,
     ReadRunners,
     WatchRunners,
     Lane,
--- a/tests/cell/test_past_use.cpp
+++ b/tests/cell/test_past_use.cpp
@@ -3,8 +3,10 @@
 #include "cell/cell_world.h"
 
 #include <criterion/criterion.h>
+#include <msgpack.hpp>
 
 #include <cmath>
+#include <limits>
 #include <numbers>
 
 using namespace mimosapier;
@@ -21,13 +23,34 @@
     static constexpr Milliseconds RunTime{100};
 
     explicit TwoAccounts(Milliseconds halfLife = HalfLife)
-        : world_(1, 1)
+        : TwoAccounts(1, halfLife)
+    {
+        world_.listRunners();
+        advance(Milliseconds(200));
+    }
+
+    // The leader after `former`, which has ended `later` ago. It reads the record of the past use.
+    TwoAccounts(const TwoAccounts &former, Milliseconds later)
+        : TwoAccounts(2, former.world_.cell_->settings_.pastUseHalfLife_)
+    {
+        world_.start_ -= former.world_.now_ - former.world_.start_ + later; // the time of day goes on
+        recover(former.world_.stored_.at(std::string(PastUseKey)));
+    }
+
+    TwoAccounts(std::uint64_t leadership, Milliseconds halfLife)
+        : world_(leadership, 1)
     {
         world_.cell_->settings_.pastUseHalfLife_ = halfLife;
         world_.config_.accounts_ = {{"a", {"key"}, 1'000, {}}, {"b", {"key2"}, 1'000, {}}};
         applyConfig(*world_.cell_, world_.config_);
+    }
+
+    void recover(const std::string &record)
+    {
+        world_.keepsLog_ = true;
+        recoverPastUse(*world_.cell_, {std::string(PastUseKey), record, 1, false}, world_.time(), world_.actions_);
         world_.listRunners();
-        advance(Milliseconds(200));
+        finishRecovery(*world_.cell_, world_.time(), world_.actions_);
     }
 
     std::uint64_t submit(const std::string &account, Milliseconds targetCompletion = Milliseconds(10'000))
@@ -202,4 +225,100 @@
     accounts.use("a", Milliseconds(30'000));
     cr_assert(!accounts.startsBefore("b", "a"), "the order changes");
     cr_assert_eq(accounts.coreSeconds("a"), 0);
+    cr_assert(!accounts.world_.stored_.contains(std::string(PastUseKey)));
+}
+
+// Guards against a record that uses up the store's writes, and against use that is never stored because nothing else
+// is.
+Test(past_use, theRecordIsWrittenAtMostOnceInTenSeconds)
+{
+    TwoAccounts accounts;
+    const std::string key(PastUseKey);
+    accounts.use("a", Milliseconds(60'000));
+    const int writes = accounts.world_.writes_[key];
+    cr_assert(writes == 5 || writes == 6, "%d writes in a minute of runs", writes);
+    accounts.advance(Milliseconds(60'000));
+    cr_assert_leq(accounts.world_.writes_[key], writes + 1, "written while nothing runs");
+    CellRequest request = accounts.world_.submission(1'000, 1, 10'000);
+    accounts.world_.send(request); // a long run, during which nothing else has to be stored
+    accounts.world_.run(Milliseconds(35'000));
+    cr_assert_geq(accounts.world_.writes_[key], writes + 3);
+}
+
+// Guards against a change of leader after which all accounts count as new.
+Test(past_use, aNewLeaderOrdersAsTheOldOneDid)
+{
+    TwoAccounts former;
+    former.use("a", Milliseconds(120'000));
+    cr_assert(former.startsBefore("b", "a"));
+    TwoAccounts next(former, Milliseconds(5'000));
+    const double expected = former.coreSeconds("a") * std::exp2(-5.0 / 60);
+    const double tenSeconds = 100; // the record may lack the use of 10 s
+    cr_assert_float_eq(next.coreSeconds("a"), expected, tenSeconds, "%f, not %f", next.coreSeconds("a"), expected);
+    next.advance(Milliseconds(30'000)); // until no runs of the former leader are possible any more
+    cr_assert(next.startsBefore("b", "a"));
+}
+
+// A record as an earlier leader has written it; `extra`: with a field of a later version.
+static std::string recordOf(std::int64_t unixMs, const std::map<std::string, double> &coreSeconds, bool extra = false)
+{
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    packer.pack_array(extra ? 3 : 2);
+    packer.pack(unixMs);
+    packer.pack_array(static_cast<std::uint32_t>(coreSeconds.size()));
+    for (const auto &[account, value] : coreSeconds) {
+        packer.pack_array(2);
+        packer.pack(account);
+        packer.pack(value);
+    }
+    if (extra) {
+        packer.pack(std::string("later"));
+    }
+    return {buffer.data(), buffer.size()};
+}
+
+// Guards against a time of day that jumps and takes all past use away, or gives more than was stored: the time without
+// a leader counts as decay, of at most four half-lives.
+Test(past_use, theTimeWithoutALeaderCountsWithinABound)
+{
+    constexpr std::int64_t Year = 365LL * 86'400'000;
+    const std::vector<std::pair<std::int64_t, double>> cases{{0, 1},
+                                                             {-60'000, 0.5},
+                                                             {-120'000, 0.25},
+                                                             {-Year, 1.0 / 16},
+                                                             {Year, 1}, // ms after now, part left
+                                                             {std::numeric_limits<std::int64_t>::min(), 1.0 / 16},
+                                                             {std::numeric_limits<std::int64_t>::max(), 1}};
+    for (const auto &[offset, left] : cases) {
+        TwoAccounts accounts(2, HalfLife);
+        const std::int64_t now = accounts.world_.time().unixMs_;
+        const bool isExtreme = offset < -Year || offset > Year;
+        accounts.recover(recordOf(isExtreme ? offset : now + offset, {{"a", 1'000}}));
+        cr_assert_float_eq(accounts.coreSeconds("a"), 1'000 * left, 1e-6, "record of %lld ms", (long long)offset);
+    }
+}
+
+// Guards against a leader that cannot work with a record it cannot read, or takes over figures that are none.
+Test(past_use, unusableRecordsAreLeftOut)
+{
+    for (const std::string &record : {std::string(), std::string("no record"), std::string("\x92\x01"),
+                                      std::string("\x91\x01"), recordOf(1'000'000, {{"a", 10.5}}).substr(0, 12)}) {
+        TwoAccounts accounts(2, HalfLife);
+        accounts.recover(record);
+        accounts.advance(Milliseconds(100));
+        cr_assert_eq(accounts.world_.linesWith({"\"bad-record\"", "\"past-use\""}), 1, "a record of %zu bytes",
+                     record.size());
+        cr_assert_eq(accounts.coreSeconds("a"), 0);
+    }
+    constexpr double Infinity = std::numeric_limits<double>::infinity();
+    for (const double figure : {-1.0, 1e300, Infinity, -Infinity, std::nan("")}) {
+        TwoAccounts accounts(2, HalfLife);
+        accounts.recover(recordOf(1'000'000, {{"a", figure}, {"b", 5}}));
+        cr_assert_eq(accounts.coreSeconds("a"), 0);
+        cr_assert_eq(accounts.coreSeconds("b"), 5);
+    }
+    TwoAccounts accounts(2, HalfLife);
+    accounts.recover(recordOf(1'000'000, {{"a", 7}}, true));
+    cr_assert_eq(accounts.coreSeconds("a"), 7, "the record of a later version is not read");
 }
