Feature: [cell] Log, metrics and trace of the past use of accounts

An operator could not see which accounts the order by past use puts back, nor that a job waited for it.

The leader logs past-use once in 10 s, with at most 8 accounts, and the shift in the line start of a shifted step.

The record of an earlier leader is now applied to configured accounts only: the others take no part, and creating them would give them the default weight in the admission.

--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -212,7 +212,7 @@
 void advanceCell(Cell &cell, CellTime now, CellActions &actions)
 {
     countPastUse(cell, now.steady_);
-    refreshPastUse(cell, now.steady_);
+    refreshPastUse(cell, now.steady_, actions);
     if (now.steady_ >= cell.nextSlowTickAt_) {
         cell.nextSlowTickAt_ = now.steady_ + SlowTick;
         advanceRecurringJobs(cell, now);
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -319,6 +319,7 @@
     bool hasNewAccount_ = false; // an account without use has begun to wait since
     bool unstored_ = false; // there is use that the store does not have
     TimePoint nextStoreAt_; // earliest write to the store
+    TimePoint nextReportAt_; // to the log and the metrics
 };
 
 struct StepRef
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -308,8 +308,8 @@
 void countPastUse(Cell &cell, TimePoint now);
 // A step of the account has waiting tasks.
 void noteWaitingAccount(Cell &cell, const std::string &name);
-// Computes the fair-share factors and shifts of all accounts unless the last ones are recent.
-void refreshPastUse(Cell &cell, TimePoint now);
+// Computes the fair-share factors and shifts of all accounts unless the last ones are recent, and reports them.
+void refreshPastUse(Cell &cell, TimePoint now, CellActions &actions);
 // Adds the record of the past use to the transaction if it is due.
 void collectPastUse(Cell &cell, CellTime now, LaneTransaction &transaction);
 // Takes the past use from the record of an earlier leader. Returns false for malformed bytes.
--- a/src/core/cell/cell_type.h
+++ b/src/core/cell/cell_type.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -101,6 +102,15 @@
 
 inline constexpr std::size_t CellCounterCount = 5;
 
+// Past use of an account, for the metrics.
+struct AccountUseSample
+{
+    std::string account_;
+    double coreSeconds_ = 0; // decayed
+    double factor_ = 1; // fair-share factor
+    Milliseconds shift_{0}; // largest shift of its steps in the order
+};
+
 // What the caller of the decision logic has to carry out.
 struct CellActions
 {
@@ -110,6 +120,7 @@
     std::vector<PolicyDispatch> policy_;
     std::vector<LogLine> log_; // each line is one JSON object
     std::array<std::uint32_t, CellCounterCount> counts_{}; // by CellCounter
+    std::optional<std::vector<AccountUseSample>> pastUse_; // replaces what the metrics show; empty: unchanged
 };
 
 // Increments a counter.
--- a/src/core/cell/past_use.cpp
+++ b/src/core/cell/past_use.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numbers>
+#include <tuple>
 
 namespace mimosapier
 {
@@ -49,6 +50,9 @@
 static constexpr double MillisPerSecond = 1'000;
 
 static constexpr Milliseconds StoreInterval{10'000}; // of the record; a new leader lacks the use of at most this time
+static constexpr Milliseconds ReportInterval{10'000}; // of the log line and the metrics
+static constexpr std::size_t MaxLoggedAccounts = 8; // in a log line: those with the largest shifts, then the most use
+static constexpr std::size_t MaxReportedAccounts = 100; // in the metrics, as a time series each
 static constexpr std::size_t MaxStoredAccounts = 1'000; // those with the most use; about 30 KB
 static constexpr double MaxCoreSeconds = 1e12; // of a stored figure; a million processors for eleven days
 // A record counts as at most this old, in half-lives: the time of day of this daemon or the last leader may be wrong.
@@ -167,6 +171,42 @@
     }
 }
 
+// Passes the accounts with use to the metrics and the log, so that an operator sees whom the order puts back.
+static void reportPastUse(Cell &cell, TimePoint now, CellActions &actions)
+{
+    if (now < cell.pastUse_.nextReportAt_) {
+        return;
+    }
+    cell.pastUse_.nextReportAt_ = now + ReportInterval;
+    std::vector<AccountUseSample> samples;
+    double total = 0;
+    for (const auto &[name, account] : cell.accounts_) {
+        const PastUse &use = account.pastUse_;
+        if (use.coreSeconds_ > 0) {
+            samples.push_back({name, use.coreSeconds_, use.factor_, use.shift_});
+            total += use.coreSeconds_;
+        }
+    }
+    std::stable_sort(samples.begin(), samples.end(), [](const auto &a, const auto &b) {
+        return std::tie(a.shift_, a.coreSeconds_) > std::tie(b.shift_, b.coreSeconds_);
+    });
+    if (!samples.empty()) {
+        JsonArray top;
+        for (std::size_t i = 0; i < std::min(samples.size(), MaxLoggedAccounts); ++i) {
+            JsonObject entry;
+            entry.text("account", samples[i].account_).real("core_s", samples[i].coreSeconds_);
+            entry.real("factor", samples[i].factor_).number("shift_ms", samples[i].shift_.count());
+            top.raw(entry.finish());
+        }
+        JsonObject line = logEvent("past-use");
+        line.number("accounts", static_cast<std::int64_t>(samples.size())).real("core_s", total);
+        line.number("shifted", static_cast<std::int64_t>(cell.pastUse_.shifts_.size())).raw("top", top.finish());
+        addLogLine(actions, line);
+    }
+    samples.resize(std::min(samples.size(), MaxReportedAccounts));
+    actions.pastUse_ = std::move(samples);
+}
+
 void noteWaitingAccount(Cell &cell, const std::string &name)
 {
     const auto found = isPastUseCounted(cell) ? cell.accounts_.find(name) : cell.accounts_.end();
@@ -180,7 +220,7 @@
     }
 }
 
-void refreshPastUse(Cell &cell, TimePoint now)
+void refreshPastUse(Cell &cell, TimePoint now, CellActions &actions)
 {
     const Milliseconds interval = cell.pastUse_.hasNewAccount_ ? MinRefreshInterval : RefreshInterval;
     if (!isPastUseCounted(cell) || now < cell.pastUse_.refreshedAt_ + interval) {
@@ -206,6 +246,7 @@
     }
     markWaitingAccounts(cell);
     updateFactors(cell);
+    reportPastUse(cell, now, actions);
 }
 
 static std::string encodePastUse(Cell &cell, CellTime now)
@@ -247,12 +288,11 @@
     const std::int64_t since = std::clamp(document.unixMs_, now.unixMs_ - maxAge, now.unixMs_);
     const double halfLives = static_cast<double>(now.unixMs_ - since) / (halfLifeSeconds(cell) * MillisPerSecond);
     for (const AccountUseDocument &stored : document.accounts_) {
-        if (!(stored.coreSeconds_ > 0 && stored.coreSeconds_ <= MaxCoreSeconds)) {
-            continue;
+        const auto found = cell.accounts_.find(stored.account_); // others are not configured and take no part
+        if (found != cell.accounts_.end() && stored.coreSeconds_ > 0 && stored.coreSeconds_ <= MaxCoreSeconds) {
+            found->second.pastUse_.coreSeconds_ = stored.coreSeconds_ * std::exp2(-halfLives);
+            found->second.pastUse_.countedAt_ = now.steady_;
         }
-        PastUse &use = cell.accounts_[stored.account_].pastUse_;
-        use.coreSeconds_ = stored.coreSeconds_ * std::exp2(-halfLives);
-        use.countedAt_ = now.steady_;
     }
     return true;
 }
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -216,6 +216,10 @@
     line.number("confirmed_ms", ageMs(now.steady_, cell.leadershipCheck_.confirmedAt_));
     line.number("held_ms", ageMs(now.steady_, runner.heldAt_));
     line.number("wait_ms", std::chrono::duration_cast<Milliseconds>(now.steady_ - job.submittedAt_).count());
+    const auto shift = std::chrono::duration_cast<Milliseconds>(pastUseShift(cell, job, task.step_, now.steady_));
+    if (shift > Milliseconds(0)) {
+        line.number("past_use_shift_ms", shift.count());
+    }
     if (job.recovered_ || placement.previousRun_ != 0) {
         line.text("after", releaseCauseName(placement.previousRelease_, job.recovered_));
         line.number("after_run", static_cast<std::int64_t>(placement.previousRun_));
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -198,6 +198,9 @@
     appendLogLine(actions, line, LogLevel::Warning);
     control.ownRetiredEpoch_ = std::max(control.ownRetiredEpoch_, control.cell_->epoch_);
     control.highestRetiredEpoch_ = std::max(control.highestRetiredEpoch_, control.ownRetiredEpoch_);
+    if (control.settings_.cell_.pastUseHalfLife_ > Milliseconds(0)) {
+        actions.cell_.pastUse_.emplace(); // the next leader reports the accounts
+    }
     control.nextBeaconAt_ = now.steady_; // tells the peers at once that this epoch has ended
     const auto replyNotLeader = [&actions](const DaemonId &from, const CellRequest &request) {
         actions.cell_.replies_.push_back({from, {request.call_, CellOutcome::NotLeader, {}, 0, {}}});
--- a/src/ctl/trace_cmd.cpp
+++ b/src/ctl/trace_cmd.cpp
@@ -40,6 +40,10 @@
     for (std::size_t part = 0; part < Labels.size(); ++part) {
         io.out_ << "  " << Labels.at(part) << ' ' << trace.partMs_.at(part) << " ms\n";
     }
+    if (trace.pastUseShiftMs_ > 0) {
+        io.out_ << "  past use of the account: ordered as if the objective were up to " << trace.pastUseShiftMs_
+                << " ms later\n";
+    }
     io.out_ << "  starts " << trace.starts_;
     for (const auto &[how, count] : trace.ends_) {
         io.out_ << ", " << how << ' ' << count;
--- a/src/ctl/trace_log.cpp
+++ b/src/ctl/trace_log.cpp
@@ -96,6 +96,7 @@
     JobTimes &times = state.times_;
     if (line.event_ == "start") {
         ++state.trace_.starts_;
+        state.trace_.pastUseShiftMs_ = std::max(state.trace_.pastUseShiftMs_, numberField(json, "past_use_shift_ms"));
         if (times.firstStart_ < 0) {
             times.firstStart_ = line.unixMs_;
             if (times.queriesInFlight_ > 0) {
@@ -137,6 +138,43 @@
     }
 }
 
+// Shifts by past use of the accounts in a line `past-use`.
+struct PastUseLine
+{
+    std::int64_t unixMs_ = 0;
+    std::map<std::string, std::int64_t> shiftMs_; // by account
+};
+
+static PastUseLine readPastUseLine(const TraceLine &line)
+{
+    PastUseLine result{line.unixMs_, {}};
+    Json json;
+    parseJson(line.text_, json);
+    const auto top = json.find("top");
+    if (top != json.end() && top->is_array()) {
+        for (const Json &entry : *top) {
+            if (entry.is_object()) {
+                result.shiftMs_[textField(entry, "account")] = numberField(entry, "shift_ms");
+            }
+        }
+    }
+    return result;
+}
+
+// Adds the shift that the leader has logged for the account while the job waited: a job that has not started has no
+// line of its own with it.
+static void addLoggedShift(JobState &state, std::int64_t logEndMs, const std::vector<PastUseLine> &pastUse)
+{
+    JobTrace &trace = state.trace_;
+    const std::int64_t until = state.times_.firstStart_ >= 0 ? state.times_.firstStart_ : logEndMs;
+    for (const PastUseLine &line : pastUse) {
+        const auto shift = line.shiftMs_.find(trace.account_);
+        if (line.unixMs_ >= trace.submittedMs_ && line.unixMs_ <= until && shift != line.shiftMs_.end()) {
+            trace.pastUseShiftMs_ = std::max(trace.pastUseShiftMs_, shift->second);
+        }
+    }
+}
+
 static void finishTrace(JobState &state, std::int64_t logEndMs, const std::set<std::int64_t> &elections)
 {
     JobTrace &trace = state.trace_;
@@ -170,9 +208,12 @@
                      [](const TraceLine &a, const TraceLine &b) { return a.unixMs_ < b.unixMs_; });
     std::map<std::string, JobState> states;
     std::set<std::int64_t> elections;
+    std::vector<PastUseLine> pastUse;
     for (const TraceLine &line : log.lines_) {
         if (line.event_ == "elected") {
             elections.insert(line.unixMs_);
+        } else if (line.event_ == "past-use") {
+            pastUse.push_back(readPastUseLine(line));
         }
         if (line.job_.empty()) {
             continue;
@@ -194,6 +235,7 @@
     for (auto &[job, state] : states) {
         if (state.trace_.submittedMs_ >= 0) {
             finishTrace(state, logEnd, elections);
+            addLoggedShift(state, logEnd, pastUse);
             traces.push_back(std::move(state.trace_));
         }
     }
--- a/src/ctl/trace_type.h
+++ b/src/ctl/trace_type.h
@@ -65,6 +65,7 @@
     std::array<std::int64_t, static_cast<std::size_t>(TracePart::Count)> partMs_{}; // by TracePart
     std::uint32_t starts_ = 0;
     std::map<std::string, std::uint32_t> ends_; // number of ends by kind
+    std::int64_t pastUseShiftMs_ = 0; // largest known shift of its steps in the order by the past use of its account
     std::uint32_t leaderChanges_ = 0; // elections between the submit and the end
 };
 
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -284,6 +284,9 @@
             metrics_.countCellEvent(CounterNames.at(i), actions_.cell_.counts_.at(i));
         }
     }
+    if (actions_.cell_.pastUse_) {
+        metrics_.setPastUse(*actions_.cell_.pastUse_);
+    }
 }
 
 void CellProcess::State::addMetricSources()
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <exception>
+#include <mutex>
 #include <utility>
 #include <vector>
 
@@ -57,6 +58,7 @@
         if (transport_) {
             collectTransport(transport_(), families);
         }
+        collectPastUse(families);
         const LogDrops drops = droppedLogLines();
         MetricFamily &dropped = families.emplace_back(MetricFamily{
             "mimosapier_log_lines_dropped_total", "Structured log lines dropped, by rate.", MetricType::Counter, {}});
@@ -66,10 +68,33 @@
         return families;
     }
 
+    void setPastUse(std::vector<AccountUseSample> samples)
+    {
+        const std::lock_guard lock(pastUseMutex_);
+        pastUse_ = std::move(samples);
+    }
+
     std::vector<std::pair<std::string, std::function<std::size_t()>>> rings_;
     std::function<TransportCounters()> transport_;
 
 private:
+    void collectPastUse(std::vector<MetricFamily> &families) const
+    {
+        MetricFamily use{
+            "mimosapier_past_use_core_seconds", "Decayed use by account, at the leader.", MetricType::Gauge, {}};
+        MetricFamily factor{
+            "mimosapier_past_use_factor", "Fair-share factor by account, at the leader.", MetricType::Gauge, {}};
+        const std::lock_guard lock(pastUseMutex_);
+        for (const AccountUseSample &account : pastUse_) {
+            use.metric.push_back(sample(MetricType::Gauge, account.coreSeconds_, {{"account", account.account_}}));
+            factor.metric.push_back(sample(MetricType::Gauge, account.factor_, {{"account", account.account_}}));
+        }
+        if (!pastUse_.empty()) {
+            families.push_back(std::move(use));
+            families.push_back(std::move(factor));
+        }
+    }
+
     static void collectTransport(const TransportCounters &counters, std::vector<MetricFamily> &families)
     {
         const auto add = [&families](std::string name, std::string help) -> MetricFamily & {
@@ -96,6 +121,9 @@
         put(messages, counters.messagesDropped_, {{"kind", "dropped"}});
         put(messages, counters.messagesResent_, {{"kind", "repeated"}});
     }
+
+    mutable std::mutex pastUseMutex_; // of pastUse_, which the decision thread replaces
+    std::vector<AccountUseSample> pastUse_;
 };
 
 } // namespace
@@ -208,6 +236,11 @@
     state_->cellEvents_.Add({{"event", std::string(event)}}).Increment(count);
 }
 
+void Metrics::setPastUse(std::span<const AccountUseSample> samples)
+{
+    state_->scrapeCollector_->setPastUse({samples.begin(), samples.end()});
+}
+
 void Metrics::observeStep(Duration duration)
 {
     state_->steps_.Observe(std::chrono::duration<double>(duration).count());
--- a/src/daemon/metrics_base.h
+++ b/src/daemon/metrics_base.h
@@ -2,6 +2,7 @@
 // CellProcess; updated by all threads.
 #pragma once
 
+#include "core/cell/cell_type.h"
 #include "core/message/caller_type.h"
 #include "core/message/store_type.h"
 #include "core/message/worker_type.h"
@@ -9,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -41,6 +43,8 @@
     void observeRequest(std::string_view kind, Duration duration); // time from arrival to answer
     void countRunnerCall(std::string_view operation, std::string_view status);
     void countCellEvent(std::string_view event, std::uint32_t count);
+    // Replaces the accounts of the metrics of past use; the caller bounds their number.
+    void setPastUse(std::span<const AccountUseSample> samples);
 
     // Text that GET /metrics returns.
     [[nodiscard]] std::string render() const;
--- a/tests/cell/test_past_use.cpp
+++ b/tests/cell/test_past_use.cpp
@@ -322,3 +322,44 @@
     accounts.recover(recordOf(1'000'000, {{"a", 7}}, true));
     cr_assert_eq(accounts.coreSeconds("a"), 7, "the record of a later version is not read");
 }
+
+// Guards against an order that an operator cannot explain: the start of a shifted step and a line in 10 s name the
+// shift, and the line and the metrics stay bounded with many accounts.
+Test(past_use, theShiftIsLogged)
+{
+    TwoAccounts accounts;
+    accounts.use("a", Milliseconds(120'000));
+    accounts.world_.keepsLog_ = true;
+    cr_assert(accounts.startsBefore("b", "a"));
+    cr_assert_eq(accounts.world_.linesWith({R"("event":"start")", R"("past_use_shift_ms":)"}), 1, "that of a only");
+    accounts.advance(Milliseconds(60'000));
+    const std::int64_t lines = accounts.world_.linesWith({R"("event":"past-use")", R"({"account":"a","core_s":)"});
+    cr_assert(lines == 6 || lines == 7, "%lld lines in a minute", static_cast<long long>(lines));
+}
+
+Test(past_use, reportsStayBoundedWithManyAccounts)
+{
+    TwoAccounts accounts;
+    Cell &cell = *accounts.world_.cell_;
+    for (int i = 0; i < 500; ++i) {
+        const std::string name = "account-" + std::to_string(i);
+        accounts.world_.config_.accounts_.push_back({name, {}, 1'000, {}});
+        cell.accounts_[name].pastUse_.coreSeconds_ = 1'000.0 * i;
+    }
+    applyConfig(cell, accounts.world_.config_);
+    accounts.world_.log_.clear();
+    CellActions actions;
+    accounts.advance(Milliseconds(9'000));
+    for (int i = 0; i < 200 && !actions.pastUse_; ++i) {
+        accounts.world_.now_ += Milliseconds(50);
+        advanceCell(cell, accounts.world_.time(), actions);
+    }
+    cr_assert(actions.pastUse_.has_value());
+    cr_assert_eq(actions.pastUse_->size(), 100U);
+    cr_assert_eq(actions.pastUse_->front().account_, "account-499");
+    const auto line = std::find_if(actions.log_.begin(), actions.log_.end(), [](const LogLine &entry) {
+        return entry.text_.find("\"past-use\"") != std::string::npos;
+    });
+    cr_assert(line != actions.log_.end() && line->text_.size() < 1'500);
+    cr_assert(line->text_.find("\"accounts\":499") != std::string::npos, "%s", line->text_.c_str());
+}
--- a/tests/control/test_past_use_control.cpp
+++ b/tests/control/test_past_use_control.cpp
@@ -168,3 +168,14 @@
     cr_assert_not_null(cluster.leader());
     cr_assert(!cluster.store_.space(KvSpace::Own).contains(std::string(PastUseKey)));
 }
+
+// Guards against metrics of accounts that a daemon goes on showing after it has stepped down.
+Test(past_use_control, aFormerLeaderReportsNoAccounts)
+{
+    PastUseCluster cluster;
+    ClusterDaemon &former = *cluster.leader();
+    beginLeaving(*former.control_, cluster.cellTime(), former.actions_);
+    finishBatch(*former.control_, cluster.cellTime(), former.actions_);
+    cr_assert(!former.control_->cell_, "it still leads");
+    cr_assert(former.actions_.cell_.pastUse_ && former.actions_.cell_.pastUse_->empty());
+}
