Feature: [ctl] Check a cell's configuration before it is put in force

Daemons ignore a configuration with an error as a whole and log only its size, and an entry that no request can reach went unnoticed.

mimosapierctl config check FILE [--against FILE] reads it with the decoder of the daemon. The decoder now notes what is malformed with place, key, value and what is allowed; what it accepts is as before. The command adds entries that never match, limits that contradict each other and the differences from the configuration in force, as text or JSON, and exits with 0 (clean), 1 (findings) or 2 (unreadable). API keys are not shown.

Not checked: limits against the capacity of runners, which is not in the configuration.

--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -182,6 +182,13 @@
         ->allow_extra_args(false)
         ->required();
     trace->add_option("id", options.trace_.job_, "Job: 16 hexadecimal digits; default: all jobs, counted by cause");
+    CLI::App &config = *parser.app_.add_subcommand("config", "The configuration of a cell")->require_subcommand(1);
+    CLI::App *check = addCommand(parser, config, "check",
+                                 "Checks a configuration; needs no address. Exit code 1: it has findings, 2: it cannot "
+                                 "be read",
+                                 configCheckCmd);
+    check->add_option("file", options.config_.file_, "JSON; - for standard input")->required();
+    check->add_option("--against", options.config_.against_, "The configuration in force; shows the differences");
     addCommand(parser, parser.app_, "instances", "Lists the workers", instancesCmd);
     addCommand(parser, parser.app_, "report", "Shows service levels and burn rates of error budgets", reportCmd)
         ->add_option("--html", options.htmlFile_, "Also writes an HTML page to this file");
@@ -212,8 +219,8 @@
     } catch (const CLI::ParseError &error) {
         return parser.app_.exit(error, io.out_, io.err_) == 0 ? ExitCode::Done : ExitCode::Usage;
     }
-    const bool readsLogs = !parser.options_.trace_.files_.empty();
-    if (parser.options_.addresses_.empty() && !readsLogs) {
+    const bool readsFilesOnly = !parser.options_.trace_.files_.empty() || !parser.options_.config_.file_.empty();
+    if (parser.options_.addresses_.empty() && !readsFilesOnly) {
         io.err_ << "--address is required\nRun with --help for more information.\n";
         return ExitCode::Usage;
     }
--- a/src/ctl/completion/mimosapierctl.bash
+++ b/src/ctl/completion/mimosapierctl.bash
@@ -5,13 +5,14 @@
     local previous=${COMP_WORDS[COMP_CWORD - 1]}
     local general="--address --key-file --as --json --help"
     case $previous in
-    --key-file | --file | --html | --log | draft)
+    --key-file | --file | --html | --log | --against | draft | check)
         COMPREPLY=($(compgen -f -- "$current"))
         return
         ;;
     bundle) COMPREPLY=($(compgen -W "draft sign show diff drafts status" -- "$current")); return ;;
     team) COMPREPLY=($(compgen -W "add remove" -- "$current")); return ;;
     key) COMPREPLY=($(compgen -W "grant withdraw" -- "$current")); return ;;
+    config) COMPREPLY=($(compgen -W "check" -- "$current")); return ;;
     policy) COMPREPLY=($(compgen -W "waiting packing crossing" -- "$current")); return ;;
     esac
     local word options=$general command=
@@ -26,11 +27,12 @@
         add) command=1 options+=" --share --limit --home-region" ;;
         report) command=1 options+=" --html" ;;
         trace) command=1 options+=" --log" ;;
-        bundle | team | key | share | limit | policy | instances) command=1 ;;
+        check) command=1 options+=" --against" ;;
+        bundle | team | key | share | limit | policy | instances | config) command=1 ;;
         esac
     done
     if [[ -z $command ]]; then
-        options+=" submit status wait explain cancel bundle team key share limit policy instances report trace"
+        options+=" submit status wait explain cancel bundle team key share limit policy instances report trace config"
     fi
     COMPREPLY=($(compgen -W "$options" -- "$current"))
 }
--- a/src/ctl/ctl_internal.h
+++ b/src/ctl/ctl_internal.h
@@ -1,6 +1,7 @@
 // Declarations shared by the source files of mimosapierctl, and by its tests.
 #pragma once
 
+#include "core/cell/cell_type.h"
 #include "ctl/ctl_type.h"
 #include "ctl/trace_type.h"
 
@@ -83,6 +84,46 @@
 // trace_cmd.cpp
 ExitCode traceCmd(const Options &options, const CommandIo &io);
 
+// config_check.cpp
+enum class ConfigFindingKind : std::uint8_t {
+    Error, // the decoder of the daemon rejects the configuration
+    NeverMatches, // an entry that no request can reach, or whose jobs no runner can take
+    Contradiction, // values that cannot have been meant together
+};
+
+struct ConfigFinding
+{
+    ConfigFindingKind kind_ = ConfigFindingKind::Error;
+    std::string place_; // as "Routes[2]"; empty: the document
+    std::string key_;
+    std::string value_; // never an API key
+    std::string text_; // what is allowed, or what follows
+};
+
+struct ConfigDifference
+{
+    std::string entry_; // kind and name, as "queue q"
+    std::string change_; // added, removed or changed
+    std::string key_; // of the changed value
+    std::string from_;
+    std::string to_;
+};
+
+struct ConfigReport
+{
+    std::vector<ConfigFinding> findings_;
+    std::vector<ConfigDifference> differences_;
+};
+
+std::string_view findingKindName(ConfigFindingKind kind);
+// Adds the entries that can never match and the limits that contradict each other.
+void checkConfig(const CellConfig &config, ConfigReport &report);
+// Adds the differences of `after` from `before`, the configuration in force.
+void compareConfigs(const CellConfig &before, const CellConfig &after, ConfigReport &report);
+
+// config_cmd.cpp
+ExitCode configCheckCmd(const Options &options, const CommandIo &io);
+
 // report.cpp
 // Counts of one time window.
 struct WindowCounts
--- a/src/ctl/ctl_type.h
+++ b/src/ctl/ctl_type.h
@@ -17,7 +17,7 @@
 // Exit codes of the process, documented in the output of --help. The values are fixed, because scripts rely on them.
 enum class ExitCode : std::uint8_t {
     Done = 0, // done, accepted by submit, or shown
-    Failed = 1, // the work ran and failed, or was cancelled
+    Failed = 1, // the work ran and failed, or was cancelled; or the configuration has findings
     Usage = 2, // wrong arguments, or a local file that cannot be read or written
     Refused = 3, // not run; or the configuration is unchanged
     Unknown = 4, // the request may have taken effect
@@ -81,6 +81,12 @@
     std::string job_; // 16 hexadecimal digits; empty: all jobs, by cause
 };
 
+struct ConfigOptions
+{
+    std::string file_; // configuration of a cell; "-" for standard input
+    std::string against_; // the one in force; empty: no comparison
+};
+
 struct Options
 {
     std::vector<std::string> addresses_; // "ip:port" of entry instances
@@ -90,6 +96,7 @@
     JobOptions job_;
     BundleOptions bundle_;
     TraceOptions trace_;
+    ConfigOptions config_;
     std::string htmlFile_; // the report is written here; empty: no file
 };
 
--- a/src/platform/client_codec.cpp
+++ b/src/platform/client_codec.cpp
@@ -204,45 +204,147 @@
 
 // ---- configuration ----
 
-static bool decodeQueue(const Json &json, QueueConfig &queue)
+namespace
+{
+
+// Reads the fields of one object of the configuration and notes those that are malformed.
+class ConfigReader
+{
+public:
+    // `place`: where the object is, as "Routes[2]"; empty: the document.
+    ConfigReader(const Json &object, std::string place, std::vector<ConfigProblem> &problems)
+        : object_(object)
+        , place_(std::move(place))
+        , problems_(problems)
+    {
+        if (!object.is_object()) {
+            add("", object, "an object");
+        }
+    }
+
+    template <typename T>
+    void field(const char *name, T &out, std::string_view allowed)
+    {
+        if (object_.is_object() && !readField(object_, name, out)) {
+            add(name, object_.at(name), allowed);
+        }
+    }
+
+    void integer(const char *name, std::int64_t &out, std::int64_t min, std::int64_t max)
+    {
+        if (object_.is_object() && (!readIntegerField(object_, name, out) || out < min || out > max)) {
+            add(name, object_.at(name), "a number from " + std::to_string(min) + " to " + std::to_string(max));
+        }
+    }
+
+    void milliseconds(const char *name, Milliseconds &out)
+    {
+        std::int64_t count = out.count();
+        integer(name, count, -MaxInteger, MaxInteger);
+        out = Milliseconds(count);
+    }
+
+    // The member with this name; nullptr: none.
+    const Json *find(const char *name) const
+    {
+        const auto found = object_.is_object() ? object_.find(name) : object_.end();
+        return found == object_.end() ? nullptr : &*found;
+    }
+
+    // The same; nullptr also if it is null.
+    const Json *member(const char *name) const
+    {
+        const Json *found = find(name);
+        return found == nullptr || found->is_null() ? nullptr : found;
+    }
+
+    ConfigReader inner(const char *name, const Json &object)
+    {
+        return {object, place_.empty() ? name : place_ + "." + name, problems_};
+    }
+
+    ConfigReader element(const char *name, std::size_t index, const Json &object)
+    {
+        return inner((std::string(name) + "[" + std::to_string(index) + "]").c_str(), object);
+    }
+
+    void add(std::string_view key, const Json &value, std::string_view allowed)
+    {
+        constexpr std::size_t MaxValueBytes = 80;
+        isValid_ = false;
+        if (problems_.size() >= MaxConfigProblems) {
+            return;
+        }
+        std::string text = value.is_structured() ? std::string(value.type_name()) : dumpJson(value);
+        if (text.size() > MaxValueBytes) {
+            text = text.substr(0, MaxValueBytes) + "...";
+        }
+        problems_.push_back({place_, std::string(key), std::move(text), std::string(allowed)});
+    }
+
+    // For a value that is a secret: names only its type.
+    void addHidden(std::string_view key, const Json &value, std::string_view allowed)
+    {
+        add(key, Json(value.type_name()), allowed);
+    }
+
+    bool isValid() const { return isValid_; }
+
+private:
+    const Json &object_;
+    std::string place_;
+    std::vector<ConfigProblem> &problems_;
+    bool isValid_ = true;
+};
+
+} // namespace
+
+static constexpr std::string_view Text = "a text";
+static constexpr std::string_view Number = "a number";
+static constexpr std::string_view Flag = "true or false";
+static constexpr std::string_view Count = "an integer from 0 to 4294967295";
+
+static bool decodeQueue(ConfigReader reader, QueueConfig &queue)
 {
     std::uint32_t priority = 0;
     std::uint32_t attempts = 1;
     QueuePolicy &policy = queue.policy_;
-    if (!json.is_object() || !readField(json, "Name", policy.queue_) || !readField(json, "Host", queue.host_)
-        || !readField(json, "Prefix", queue.prefix_) || !readField(json, "Service", policy.service_)
-        || !readField(json, "Public", queue.public_) || !readField(json, "Priority", priority)
-        || !readField(json, "MaxAttempts", attempts) || !readField(json, "SlackFactor", policy.slackFactor_)
-        || !readMilliseconds(json, "TargetCompletionMs", policy.targetCompletion_)) {
-        return false;
-    }
+    reader.field("Name", policy.queue_, Text);
+    reader.field("Host", queue.host_, Text);
+    reader.field("Prefix", queue.prefix_, Text);
+    reader.field("Service", policy.service_, Text);
+    reader.field("Public", queue.public_, Flag);
+    reader.field("Priority", priority, Count);
+    reader.field("MaxAttempts", attempts, Count);
+    reader.field("SlackFactor", policy.slackFactor_, Number);
+    reader.milliseconds("TargetCompletionMs", policy.targetCompletion_);
     policy.priority_ = priority;
     policy.maxAttempts_ = std::max(attempts, 1U);
-    const auto advice = json.find("Advice");
-    if (advice != json.end() && advice->is_object()) {
-        policy.policyQueries_ = true;
-        return readField(*advice, "DecideMs", policy.decideMs_)
-            && readField(*advice, "PerWorkerMs", policy.perRunnerMs_)
-            && readMilliseconds(*advice, "ValidMs", policy.ticketValid_);
+    const Json *advice = reader.member("Advice");
+    if (advice == nullptr || !advice->is_object()) {
+        return reader.isValid();
     }
-    return true;
+    policy.policyQueries_ = true;
+    ConfigReader adviceReader = reader.inner("Advice", *advice);
+    adviceReader.field("DecideMs", policy.decideMs_, Number);
+    adviceReader.field("PerWorkerMs", policy.perRunnerMs_, Number);
+    adviceReader.milliseconds("ValidMs", policy.ticketValid_);
+    return reader.isValid() && adviceReader.isValid();
 }
 
-static bool decodeAccount(const Json &json, AccountConfig &account)
+static bool decodeKeys(ConfigReader &reader, AccountConfig &account)
 {
-    if (!json.is_object() || !readField(json, "Name", account.name_) || !readField(json, "Weight", account.weight_)) {
-        return false;
+    const Json *keys = reader.find("ApiKeys");
+    if (keys == nullptr) {
+        return true;
     }
-    const auto cap = json.find("Cap");
-    if (cap != json.end() && !cap->is_null() && !readResources(*cap, account.cap_)) {
+    if (!keys->is_array()) {
+        reader.addHidden("ApiKeys", *keys, "a list of texts");
         return false;
     }
-    const auto keys = json.find("ApiKeys");
-    if (keys == json.end() || !keys->is_array()) {
-        return keys == json.end();
-    }
     for (const Json &key : *keys) {
         if (!key.is_string()) {
+            reader.addHidden("ApiKeys", key, "a list of texts");
             return false;
         }
         account.keys_.insert(key.get<std::string>());
@@ -250,34 +352,71 @@
     return true;
 }
 
+static bool decodeAccount(ConfigReader reader, AccountConfig &account)
+{
+    reader.field("Name", account.name_, Text);
+    reader.field("Weight", account.weight_, Number);
+    bool valid = true;
+    if (const Json *cap = reader.member("Cap")) {
+        ConfigReader capReader = reader.inner("Cap", *cap);
+        capReader.integer("Cpu", account.cap_.milliCpus_, 0, MaxResource);
+        capReader.integer("MemMb", account.cap_.memoryMb_, 0, MaxResource);
+        capReader.integer("Gpu", account.cap_.accelerators_, 0, MaxResource);
+        valid = capReader.isValid();
+    }
+    return valid && decodeKeys(reader, account) && reader.isValid();
+}
+
 // Decodes each element of an optional array. Returns false if an element is malformed.
 template <typename T, typename Decode>
-static bool decodeOptionalArray(const Json &json, const char *name, std::vector<T> &out, Decode decode)
+static bool decodeOptionalArray(ConfigReader &reader, const char *name, std::vector<T> &out, Decode decode)
 {
-    const auto found = json.find(name);
-    if (found == json.end() || found->is_null()) {
+    const Json *array = reader.member(name);
+    if (array == nullptr) {
         return true;
     }
-    if (!found->is_array()) {
+    if (!array->is_array()) {
+        reader.add(name, *array, "a list");
         return false;
     }
-    return std::all_of(found->begin(), found->end(),
-                       [&out, &decode](const Json &element) { return decode(element, out.emplace_back()); });
+    bool valid = true;
+    for (std::size_t i = 0; i < array->size(); ++i) {
+        valid = decode(reader.element(name, i, (*array)[i]), out.emplace_back()) && valid;
+    }
+    return valid;
 }
 
-bool decodeCellConfig(std::string_view text, CellConfig &config)
+static bool decodeService(ConfigReader reader, ServiceConfig &service)
+{
+    reader.field("Name", service.name_, Text);
+    reader.field("EnforcesCapacity", service.enforcesCapacity_, Flag);
+    return reader.isValid();
+}
+
+bool readCellConfig(std::string_view text, CellConfig &config, std::vector<ConfigProblem> &problems)
 {
     Json json;
-    if (!parseJson(text, json) || !json.is_object() || !readField(json, "Version", config.version_)
-        || config.version_ == 0) {
+    if (!parseJson(text, json)) {
+        problems.push_back({"", "", "", "JSON"});
         return false;
     }
-    return decodeOptionalArray(json, "Routes", config.queues_, decodeQueue)
-        && decodeOptionalArray(json, "Tenants", config.accounts_, decodeAccount)
-        && decodeOptionalArray(json, "Services", config.services_, [](const Json &element, ServiceConfig &service) {
-               return readField(element, "Name", service.name_)
-                   && readField(element, "EnforcesCapacity", service.enforcesCapacity_);
-           });
+    ConfigReader reader(json, "", problems);
+    constexpr std::string_view Version = "an integer from 1 to 18446744073709551615";
+    reader.field("Version", config.version_, Version);
+    if (reader.isValid() && config.version_ == 0) {
+        const Json *version = reader.member("Version");
+        reader.add("Version", version != nullptr ? *version : Json(), Version);
+    }
+    bool valid = decodeOptionalArray(reader, "Routes", config.queues_, decodeQueue);
+    valid = decodeOptionalArray(reader, "Tenants", config.accounts_, decodeAccount) && valid;
+    valid = decodeOptionalArray(reader, "Services", config.services_, decodeService) && valid;
+    return valid && reader.isValid();
+}
+
+bool decodeCellConfig(std::string_view text, CellConfig &config)
+{
+    std::vector<ConfigProblem> problems;
+    return readCellConfig(text, config, problems);
 }
 
 // ---- discovery ----
--- a/src/platform/platform_codec_func.h
+++ b/src/platform/platform_codec_func.h
@@ -11,6 +11,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace mimosapier
 {
@@ -30,8 +31,21 @@
 
 // ---- store entries that others write ----
 
+// A malformed value of the operator's configuration.
+struct ConfigProblem
+{
+    std::string place_; // object that has the value, as "Routes[2].Advice"; empty: the document
+    std::string key_; // empty: the object itself
+    std::string value_; // JSON, shortened; only the type of a value that contains a secret or others
+    std::string allowed_; // allowed values
+};
+
+constexpr std::size_t MaxConfigProblems = 100; // further ones are not named
+
 // Decodes the operator's configuration. Returns false if any part of it is malformed.
 bool decodeCellConfig(std::string_view text, CellConfig &config);
+// The same, and names what is malformed. decodeCellConfig() calls it.
+bool readCellConfig(std::string_view text, CellConfig &config, std::vector<ConfigProblem> &problems);
 // Decodes the entry by which the runner `id` registers itself. Returns false if it is malformed.
 bool decodeRunnerRecord(std::string_view id, std::string_view bytes, RunnerRecord &record);
 
