--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -136,6 +136,13 @@
     }
 }
 
+void recoverPastUse(Cell &cell, const KvItem &item, CellTime now, CellActions &actions)
+{
+    if (isPastUseCounted(cell) && !restorePastUse(cell, item.value_, now)) {
+        logBadRecord(item, actions);
+    }
+}
+
 // Creates placements for the runs that the stored list names on this runner: it was silent when the previous leader
 // wrote the list. No other task can run there, so other tasks can start without the runner's answer.
 static void placeStoredRuns(Cell &cell, Runner &runner)
@@ -204,6 +211,8 @@
 
 void advanceCell(Cell &cell, CellTime now, CellActions &actions)
 {
+    countPastUse(cell, now.steady_);
+    refreshPastUse(cell, now.steady_, actions);
     if (now.steady_ >= cell.nextSlowTickAt_) {
         cell.nextSlowTickAt_ = now.steady_ + SlowTick;
         advanceRecurringJobs(cell, now);
@@ -234,6 +243,7 @@
         placeWaiting(cell, now, actions);
     }
     sendPolicyQueries(cell, now, actions);
+    countPastUse(cell, now.steady_);
     flushLanes(cell, now, actions);
     pollLeadershipCheck(cell, now, actions);
 }
--- a/src/core/cell/cell_type.h
+++ b/src/core/cell/cell_type.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -67,6 +68,8 @@
     Milliseconds minLease_{1'000}; // shortest lease that the store grants
     double gangRoomShare_ = 0; // share of a service's processors that may be reserved for waiting gangs; 0: none
     bool learnedRunTimes_ = false; // learn run times and speeds from the ends of runs, see run_times.cpp
+    Milliseconds pastUseHalfLife_{0}; // of the past use of accounts; 0: it has no effect and is not counted
+    Milliseconds pastUseShift_{2'000}; // largest shift of a step by the past use of its account
 };
 
 // Time as the decision logic sees it: a steady clock for intervals, the wall clock for scheduled occurrences.
@@ -103,6 +106,15 @@
 
 inline constexpr std::size_t CellCounterCount = 7;
 
+// Past use of an account, for the metrics.
+struct AccountUseSample
+{
+    std::string account_;
+    double coreSeconds_ = 0; // decayed
+    double factor_ = 1; // fair-share factor
+    Milliseconds shift_{0}; // largest shift of its steps in the order
+};
+
 // What the caller of the decision logic has to carry out.
 struct CellActions
 {
@@ -112,6 +124,7 @@
     std::vector<PolicyDispatch> policy_;
     std::vector<LogLine> log_; // each line is one JSON object
     std::array<std::uint32_t, CellCounterCount> counts_{}; // by CellCounter
+    std::optional<std::vector<AccountUseSample>> pastUse_; // replaces what the metrics show; empty: unchanged
 };
 
 // Increments a counter.
--- a/src/core/cell/gang_room.cpp
+++ b/src/core/cell/gang_room.cpp
@@ -436,11 +436,11 @@
     return access;
 }
 
-bool mayIgnoreRooms(const Job &job, const StepRef &ref, TimePoint now)
+bool mayIgnoreRooms(const Cell &cell, const Job &job, const StepRef &ref, TimePoint now)
 {
     const Milliseconds estimate = job.criticalPaths_[ref.step_];
     return job.submitted_.repeatCount_ == 0 && !stepSpec(job, ref.step_).longRunning_
-        && urgencyOf(job, ref, now).class_ == UrgencyClass::InTime
+        && urgencyOf(cell, job, ref, now).class_ == UrgencyClass::InTime
         && job.objectiveAt_ - now - estimate < UrgentSlack + estimate / UrgentEstimatePart;
 }
 
@@ -496,7 +496,7 @@
     return spec.gang_ && step.waiting_ > 0 && step.waiting_ == step.tasks_.size()
         && std::all_of(step.tasks_.begin(), step.tasks_.end(),
                        [now](const TaskRecord &task) { return task.notBefore_ <= now; })
-        && urgencyOf(job, ref, now).class_ != UrgencyClass::BestEffort
+        && urgencyOf(cell, job, ref, now).class_ != UrgencyClass::BestEffort
         && tasksWithinLimit(cell, job, spec.size_) >= spec.count_;
 }
 
--- a/src/core/cell/placement.cpp
+++ b/src/core/cell/placement.cpp
@@ -331,7 +331,7 @@
 static bool ignoreRooms(const Cell &cell, StepContext &context, TimePoint now)
 {
     if (cell.gangRooms_.rooms_.empty() || context.access_.ignoresLowerPriority_
-        || !mayIgnoreRooms(context.job_, context.ref_, now)) {
+        || !mayIgnoreRooms(cell, context.job_, context.ref_, now)) {
         return false;
     }
     context.access_.ignoresLowerPriority_ = true;
@@ -496,7 +496,7 @@
             context->step_.inReadySteps_ = false;
             continue;
         }
-        keys.push_back(urgencyOf(context->job_, ref, now));
+        keys.push_back(urgencyOf(cell, context->job_, ref, now));
     }
     std::sort(keys.begin(), keys.end());
     cell.stepsExamined_ += cell.readySteps_.size();
--- a/src/core/cell/policy.cpp
+++ b/src/core/cell/policy.cpp
@@ -66,7 +66,7 @@
     const StepSpec &spec = stepSpec(job, ref.step_);
     const Resources size = reservedSize(spec);
     RoomAccess access = roomAccessOf(cell, job, ref, now);
-    access.ignoresLowerPriority_ = mayIgnoreRooms(job, ref, now);
+    access.ignoresLowerPriority_ = mayIgnoreRooms(cell, job, ref, now);
     const auto share = cell.allowedShare_.find(job.policy_.queue_);
     const double likely = share == cell.allowedShare_.end() ? InitialAllowedShare : share->second;
     std::vector<Entry> entries;
@@ -325,7 +325,7 @@
     keys.reserve(cell.queryQueue_.size());
     for (const StepRef &ref : cell.queryQueue_) {
         if (const Job *job = findJob(cell, ref.job_)) {
-            keys.push_back(urgencyOf(*job, ref, now));
+            keys.push_back(urgencyOf(cell, *job, ref, now));
         }
     }
     std::sort(keys.begin(), keys.end());
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -120,7 +120,9 @@
     placement.accountCharge_ = spec.size_;
     placement.account_ = job.account_;
     runner.used_ += placement.size_;
-    cell.accounts_[job.account_].used_ += placement.accountCharge_;
+    Account &account = cell.accounts_[job.account_];
+    account.used_ += placement.accountCharge_;
+    notePlacedUse(cell, account);
     StepState *step = nullptr;
     TaskRecord *record = findTask(job, task, &step);
     placement.previousRun_ = record->run_;
@@ -165,7 +167,9 @@
     if (placement.orphan_) {
         --runner.orphans_;
     } else {
-        cell.accounts_[placement.account_].used_ -= placement.accountCharge_;
+        Account &account = cell.accounts_[placement.account_];
+        account.used_ -= placement.accountCharge_;
+        notePlacedUse(cell, account);
     }
     cell.placementDue_ = true;
     Job *job = findJob(cell, task.job_);
@@ -217,6 +221,10 @@
     if (placement.roomHeld_ >= Milliseconds(0)) {
         line.number("room_ms", placement.roomHeld_.count());
     }
+    const auto shift = std::chrono::duration_cast<Milliseconds>(pastUseShift(cell, job, task.step_, now.steady_));
+    if (shift > Milliseconds(0)) {
+        line.number("past_use_shift_ms", shift.count());
+    }
     if (job.recovered_ || placement.previousRun_ != 0) {
         line.text("after", releaseCauseName(placement.previousRelease_, job.recovered_));
         line.number("after_run", static_cast<std::int64_t>(placement.previousRun_));
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -176,6 +176,8 @@
     }
     control.recoveryStage_ = RecoveryStage::Reading;
     control.recoveryReads_ = {};
+    // Without the setting nothing is read or written for it.
+    control.recoveryReads_[PastUsePart].done_ = control.settings_.cell_.pastUseHalfLife_ == Milliseconds(0);
     control.discoveredRunners_.clear();
     control.runnerFeed_ = {};
     JsonObject line = beginLogLine("elected");
@@ -199,6 +201,9 @@
     appendLogLine(actions, line, LogLevel::Warning);
     control.ownRetiredEpoch_ = std::max(control.ownRetiredEpoch_, control.cell_->epoch_);
     control.highestRetiredEpoch_ = std::max(control.highestRetiredEpoch_, control.ownRetiredEpoch_);
+    if (control.settings_.cell_.pastUseHalfLife_ > Milliseconds(0)) {
+        actions.cell_.pastUse_.emplace(); // the next leader reports the accounts
+    }
     control.nextBeaconAt_ = now.steady_; // tells the peers at once that this epoch has ended
     const auto replyNotLeader = [&actions](const DaemonId &from, const CellRequest &request) {
         actions.cell_.replies_.push_back({from, {request.call_, CellOutcome::NotLeader, {}, 0, {}}});
@@ -501,7 +506,8 @@
 static constexpr std::array<RecoverySpec, RecoveryPartCount> RecoverySpecs{
     RecoverySpec{KvPurpose::RecoverJobs, KvOp::Range, JobKeyPrefix},
     RecoverySpec{KvPurpose::RecoverProgress, KvOp::Range, ProgressKeyPrefix},
-    RecoverySpec{KvPurpose::RecoverRunners, KvOp::Get, "runners"}};
+    RecoverySpec{KvPurpose::RecoverRunners, KvOp::Get, "runners"},
+    RecoverySpec{KvPurpose::RecoverPastUse, KvOp::Get, PastUseKey}};
 
 // Builds the state of the cell from the completed reads, then handles the deferred requests.
 static void applyRecoveryReads(Control &control, CellTime now, ControlActions &actions)
@@ -516,6 +522,9 @@
     for (const KvItem &item : control.recoveryReads_[RunnersPart].items_) {
         recoverRunners(cell, item.value_);
     }
+    for (const KvItem &item : control.recoveryReads_[PastUsePart].items_) {
+        recoverPastUse(cell, item, now, actions.cell_);
+    }
     finishRecovery(cell, now, actions.cell_);
     control.recoveryReads_ = {};
     control.recoveryStage_ = RecoveryStage::Done;
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -172,6 +172,8 @@
     control.cell_.gangRoomShare_ = cell.gangRoomShare_;
     control.cell_.processorShare_ = cell.processorShare_;
     control.cell_.storeWritesPerSecond_ = static_cast<double>(cell.storeWritesPerS_);
+    control.cell_.pastUseHalfLife_ = std::chrono::seconds(cell.pastUseHalfLifeS_);
+    control.cell_.pastUseShift_ = Milliseconds(cell.pastUseShiftMs_);
     control.cell_.minLease_ = Milliseconds(cell.storeMinLeaseMs_);
     control.cell_.learnedRunTimes_ = cell.learnedRunTimes_ != 0;
     return control;
@@ -285,6 +287,9 @@
             metrics_.countCellEvent(CounterNames.at(i), actions_.cell_.counts_.at(i));
         }
     }
+    if (actions_.cell_.pastUse_) {
+        metrics_.setPastUse(*actions_.cell_.pastUse_);
+    }
 }
 
 void CellProcess::State::addMetricSources()
@@ -365,6 +370,8 @@
     number("store_writes_per_s", cell.storeWritesPerS_);
     number("store_min_lease_ms", cell.storeMinLeaseMs_);
     number("learned_run_times", cell.learnedRunTimes_);
+    number("past_use_half_life_s", cell.pastUseHalfLifeS_);
+    number("past_use_shift_ms", cell.pastUseShiftMs_);
     return {LogLevel::Info, line.finish()};
 }
 
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <exception>
+#include <mutex>
 #include <utility>
 #include <vector>
 
@@ -58,6 +59,7 @@
         if (transport_) {
             collectTransport(transport_(), families);
         }
+        collectPastUse(families);
         const LogDrops drops = droppedLogLines();
         MetricFamily &dropped = families.emplace_back(MetricFamily{
             "mimosapier_log_lines_dropped_total", "Structured log lines dropped, by rate.", MetricType::Counter, {}});
@@ -67,10 +69,33 @@
         return families;
     }
 
+    void setPastUse(std::vector<AccountUseSample> samples)
+    {
+        const std::lock_guard lock(pastUseMutex_);
+        pastUse_ = std::move(samples);
+    }
+
     std::vector<std::pair<std::string, std::function<std::size_t()>>> rings_;
     std::function<TransportCounters()> transport_;
 
 private:
+    void collectPastUse(std::vector<MetricFamily> &families) const
+    {
+        MetricFamily use{
+            "mimosapier_past_use_core_seconds", "Decayed use by account, at the leader.", MetricType::Gauge, {}};
+        MetricFamily factor{
+            "mimosapier_past_use_factor", "Fair-share factor by account, at the leader.", MetricType::Gauge, {}};
+        const std::lock_guard lock(pastUseMutex_);
+        for (const AccountUseSample &account : pastUse_) {
+            use.metric.push_back(sample(MetricType::Gauge, account.coreSeconds_, {{"account", account.account_}}));
+            factor.metric.push_back(sample(MetricType::Gauge, account.factor_, {{"account", account.account_}}));
+        }
+        if (!pastUse_.empty()) {
+            families.push_back(std::move(use));
+            families.push_back(std::move(factor));
+        }
+    }
+
     static void collectTransport(const TransportCounters &counters, std::vector<MetricFamily> &families)
     {
         const auto add = [&families](std::string name, std::string help) -> MetricFamily & {
@@ -97,6 +122,9 @@
         put(messages, counters.messagesDropped_, {{"kind", "dropped"}});
         put(messages, counters.messagesResent_, {{"kind", "repeated"}});
     }
+
+    mutable std::mutex pastUseMutex_; // of pastUse_, which the decision thread replaces
+    std::vector<AccountUseSample> pastUse_;
 };
 
 } // namespace
@@ -219,6 +247,11 @@
     state_->evacuatedZones_.Set(static_cast<double>(count));
 }
 
+void Metrics::setPastUse(std::span<const AccountUseSample> samples)
+{
+    state_->scrapeCollector_->setPastUse({samples.begin(), samples.end()});
+}
+
 void Metrics::observeStep(Duration duration)
 {
     state_->steps_.Observe(std::chrono::duration<double>(duration).count());
