--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -218,6 +218,7 @@
             return job == nullptr || job->started_ || isFinal(*job);
         });
         expirePolicyQueries(cell, now, actions);
+        startCopies(cell, now, actions);
         cell.placementDue_ = true; // retries may have become due
     }
     requestConfirmation(cell, now.steady_ - ConfirmationInterval);
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -8,9 +8,10 @@
 // "stored list of runners" to the store; the runners themselves write the discovery list.
 //
 // Invariants:
-// - A task is placed on at most one runner. The task is placed again only after this runner has reported the end of the
-//   run, or after the end is presumed (see Placement::presumedEndAt_) and the store has shown that this daemon led at
-//   that time or later.
+// - A task is placed on at most one runner, apart from the copy of a straggler (see copies.cpp). The task is placed
+// again
+//   only after this runner has reported the end of the run, or after the end is presumed (see
+//   Placement::presumedEndAt_) and the store has shown that this daemon led at that time or later.
 // - The resources reserved on a runner and for an account are the sums over the placements there.
 // - The end of a run is acknowledged to a runner only after its consequences are in the store.
 // - The stored list of runners names a run, or has its runner as in use, until the consequences of its end are in the
@@ -68,6 +69,9 @@
     RunnerId runner_; // current runner while Placed, otherwise the last one
     ReleaseCause released_ = ReleaseCause::None; // of the last placement
     TimePoint notBefore_; // earliest time of a retry
+    // Run number and runner of a second run while the first one goes on, see copies.cpp; 0: none. Only while Placed.
+    std::uint64_t copyRun_ = 0;
+    RunnerId copyRunner_;
 };
 
 // Answer of the policy service about one runner for one step.
@@ -117,6 +121,7 @@
     std::vector<std::uint64_t> gangFailedRuns_; // run numbers of the runs in which a member of the gang failed
     bool ready_ = false; // all steps that this one depends on are done
     bool inReadySteps_ = false; // has an entry in Cell::readySteps_
+    std::uint32_t copiesWanted_ = 0; // number of stragglers for which no runner with a ticket was found
     bool queryPending_ = false; // a policy query is queued or in flight
     TimePoint queryNotBefore_; // earliest time of the next query after an unanswered one
     std::map<RunnerId, PolicyVerdict> verdicts_; // answers of the policy service so far
@@ -197,6 +202,7 @@
     TimePoint startUnansweredAt_;
     bool mayHaveCrashed_ = false; // the runner has restarted while the start had no answer
     bool spansRestart_ = false; // the runner restarted, and its list does not yet show in which incarnation the run is
+    bool copy_ = false; // it is TaskRecord::copyRun_
     bool isolated_ = false; // nothing else may start on the runner, see crashes.cpp
     bool orphan_ = false; // does not belong to a placed task of a known job
     std::uint32_t occurrence_ = 0; // of the task, as is step_; not set for an orphan
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -244,6 +244,18 @@
 bool canTrustedRunnersHoldGang(const Cell &cell, const StepSpec &spec, const StepState &step, const Job &job,
                                TimePoint now);
 
+// Defined in copies.cpp. Without CellSettings::copyShare_, no task gets a copy.
+
+// Starts second runs of stragglers, in steps that allow it.
+void startCopies(Cell &cell, CellTime now, CellActions &actions);
+// True when the tasks of the step may have two runs at a time.
+bool mayHaveCopies(const Cell &cell, const StepSpec &spec);
+// The run on the runner has ended as done: stops the other run of the task, if there is one.
+void stopOtherRun(Cell &cell, const Runner &runner, TaskRecord &task, const StagedTask &id, CellTime now,
+                  CellActions &actions);
+// The placement on the runner is being released. Result: true if the other run of the task goes on in its place.
+bool continuesElsewhere(Cell &cell, const Runner &runner, TaskRecord &task, const StagedTask &id);
+
 // Defined in crashes.cpp.
 
 // True when a runner has crashed, or may have crashed, under the task.
--- a/src/core/cell/cell_type.h
+++ b/src/core/cell/cell_type.h
@@ -65,6 +65,7 @@
     double processorShare_ = 1; // processors that this daemon may use on its instance
     double storeWritesPerSecond_ = 400; // limit for all daemons together
     Milliseconds minLease_{1'000}; // shortest lease that the store grants
+    double copyShare_ = 0; // share of a service's processors that copies of stragglers may use; needs learnedRunTimes_
     bool learnedRunTimes_ = false; // learn run times and speeds from the ends of runs, see run_times.cpp
 };
 
@@ -98,9 +99,10 @@
     TaskRepeated, // a task was started again after a run that has ended as done
     Straggler, // a run took over three times as long as others of its step; only with learnedRunTimes_
     RunnerSuspected, // a runner has crashed, flapped or failed runs lately; only with learnedRunTimes_
+    CopyStarted, // a straggler has got a second run, see CellSettings::copyShare_
 };
 
-inline constexpr std::size_t CellCounterCount = 7;
+inline constexpr std::size_t CellCounterCount = 8;
 
 // What the caller of the decision logic has to carry out.
 struct CellActions
--- a/src/core/cell/policy.cpp
+++ b/src/core/cell/policy.cpp
@@ -112,7 +112,7 @@
         unknown = unknown || !allowed;
         entries.push_back({id, expected, allowed, riskOf(*runner, now) == RunnerRisk::High});
     }
-    const double wanted = spec.gang_ ? spec.count_ : std::min<double>(step.waiting_, spec.count_);
+    const double wanted = spec.gang_ ? spec.count_ : std::min<double>(step.waiting_ + step.copiesWanted_, spec.count_);
     if (spec.gang_ && !unknown && total < wanted) {
         return {};
     }
@@ -169,7 +169,7 @@
         return true;
     }
     StepState &step = job->occurrences_.at(ref.occurrence_).steps_[ref.step_];
-    if (step.waiting_ == 0) {
+    if (step.waiting_ == 0 && step.copiesWanted_ == 0) {
         step.queryPending_ = false;
         return true;
     }
--- a/src/core/cell/runner_replies.cpp
+++ b/src/core/cell/runner_replies.cpp
@@ -45,8 +45,8 @@
     StepState *step = nullptr;
     TaskRecord *task = findTask(job, id, &step);
     const StepSpec &spec = stepSpec(job, id.step_);
-    if (task == nullptr || task->state_ == TaskState::Done || spec.longRunning_) {
-        return;
+    if (task == nullptr || task->state_ == TaskState::Done || spec.longRunning_ || task->copyRun_ != 0) {
+        return; // of two runs, only the end of the last one counts as an attempt
     }
     std::vector<std::uint64_t> &runs = spec.gang_ ? step->gangFailedRuns_ : task->failedRuns_;
     if (!addFailedRun(runs, end.run_.value_)) {
@@ -88,7 +88,7 @@
                               const TaskRecord &task, CellActions &actions)
 {
     const StepSpec &spec = stepSpec(job, end.task_.step_);
-    if (end.end_ != RunEnd::Done || spec.longRunning_) {
+    if (end.end_ != RunEnd::Done || spec.longRunning_ || mayHaveCopies(cell, spec)) {
         return;
     }
     const bool laterStarted = end.run_.value_ < task.run_;
@@ -127,7 +127,9 @@
         return presumed != cell.presumedRuns_.end(); // the job does not tell any more
     }
     const TaskRecord *task = findTask(*job, end.task_, nullptr);
-    return task != nullptr && !stepSpec(*job, end.task_.step_).longRunning_ && end.run_.value_ < task->run_;
+    const StepSpec &spec = stepSpec(*job, end.task_.step_);
+    // The platform allows a start after a known end in steps that may have copies.
+    return task != nullptr && !spec.longRunning_ && !mayHaveCopies(cell, spec) && end.run_.value_ < task->run_;
 }
 
 static void awaitLapse(Runner &runner, UnstoredEnd &end, CellActions &actions)
@@ -183,6 +185,7 @@
             }
             if (end.end_ == RunEnd::Done && !stepSpec(*job, end.task_.step_).longRunning_) {
                 markStarted(cell, *job, now.steady_);
+                stopOtherRun(cell, runner, *task, end.task_, now, actions);
                 completeTask(cell, *job, end.task_, now, actions);
             } else if (end.end_ == RunEnd::Failed) {
                 countFailure(cell, *job, end.task_, end, now, actions);
@@ -224,6 +227,11 @@
         return;
     }
     const auto placed = holder->tasks_.find(id);
+    const Job *job = findJob(cell, id.job_);
+    if (placed != holder->tasks_.end() && placed->second.begun_ && job != nullptr
+        && mayHaveCopies(cell, stepSpec(*job, id.step_))) {
+        return; // it goes on; the later run is stopped as an orphan
+    }
     if (placed != holder->tasks_.end() && placed->second.run_ < run) {
         cancelPlannedStart(cell, *holder, id);
         releasePlacement(cell, *holder, id, ReleaseCause::LaterRun);
--- a/src/core/cell/runners.cpp
+++ b/src/core/cell/runners.cpp
@@ -178,6 +178,9 @@
         step->perRunner_.erase(count);
     }
     record->released_ = cause;
+    if (continuesElsewhere(cell, runner, *record, task)) {
+        return;
+    }
     if (record->state_ == TaskState::Placed) {
         record->state_ = TaskState::Waiting;
         ++step->waiting_;
@@ -311,6 +314,11 @@
                     if (Runner *runner = findRunner(cell, step.tasks_[i].runner_)) {
                         stopPlacement(cell, *runner, {job.id_, number, s, i}, now, actions);
                     }
+                    Runner *copyRunner
+                        = step.tasks_[i].copyRun_ != 0 ? findRunner(cell, step.tasks_[i].copyRunner_) : nullptr;
+                    if (copyRunner != nullptr) {
+                        stopPlacement(cell, *copyRunner, {job.id_, number, s, i}, now, actions);
+                    }
                 }
             }
         }
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -172,6 +172,7 @@
     control.cell_.processorShare_ = cell.processorShare_;
     control.cell_.storeWritesPerSecond_ = static_cast<double>(cell.storeWritesPerS_);
     control.cell_.minLease_ = Milliseconds(cell.storeMinLeaseMs_);
+    control.cell_.copyShare_ = cell.copyShare_;
     control.cell_.learnedRunTimes_ = cell.learnedRunTimes_ != 0;
     return control;
 }
@@ -265,7 +266,8 @@
 
 // By CellCounter.
 static constexpr std::array<std::string_view, CellCounterCount> CounterNames{
-    "runner-crash", "task-suspected", "task-given-up", "bad-entry", "task-repeated", "straggler", "runner-suspected"};
+    "runner-crash",  "task-suspected", "task-given-up",    "bad-entry",
+    "task-repeated", "straggler",      "runner-suspected", "copy-started"};
 
 void CellProcess::State::countActions()
 {
@@ -362,6 +364,7 @@
     number("store_writes_per_s", cell.storeWritesPerS_);
     number("store_min_lease_ms", cell.storeMinLeaseMs_);
     number("learned_run_times", cell.learnedRunTimes_);
+    line.real("copy_share", cell.copyShare_);
     return {LogLevel::Info, line.finish()};
 }
 
--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -38,6 +38,7 @@
     std::uint64_t storeMinLeaseMs_ = 1'000; // shortest lease that the store grants
     double remoteFactor_ = 2; // factor by which tasks run longer away from their data
     std::uint64_t learnedRunTimes_ = 0; // 1: learn run times and speeds from the ends of runs
+    double copyShare_ = 0; // share of the processors that copies of stragglers may use; needs learnedRunTimes_
     double processorShare_ = 1; // CPUs available to this instance; may be a fraction
 };
 
--- a/src/daemon/table/log_event_table.h
+++ b/src/daemon/table/log_event_table.h
@@ -9,12 +9,13 @@
 {
 
 // Ascending.
-inline constexpr std::array<std::string_view, 35> FrequentLogEvents{
+inline constexpr std::array<std::string_view, 36> FrequentLogEvents{
     "accepted",
     "bad-discovery-entry",
     "bad-record",
     "bad-store-items",
     "cancel",
+    "copy-started",
     "end",
     "end-awaits-lapse",
     "job-ended",
--- a/src/daemon/table/settings_table.h
+++ b/src/daemon/table/settings_table.h
@@ -99,6 +99,7 @@
     cellCount("cell.store_writes_per_s", &CellDeployment::storeWritesPerS_, 1, 1'000'000),
     cellCount("cell.store_min_lease_ms", &CellDeployment::storeMinLeaseMs_, 1, 600'000),
     cellCount("cell.learned_run_times", &CellDeployment::learnedRunTimes_, 0, 1),
+    cellRatio("cell.copy_share", &CellDeployment::copyShare_, 0, 1),
     cellRatio("cell.remote_factor", &CellDeployment::remoteFactor_, 1, 1'000),
     cellRatio("cell.processor_share", &CellDeployment::processorShare_, 0, 1'000),
 };
