--- a/src/core/cell/cell_type.h
+++ b/src/core/cell/cell_type.h
@@ -67,6 +67,7 @@
     double storeWritesPerSecond_ = 400; // limit for all daemons together
     Milliseconds minLease_{1'000}; // shortest lease that the store grants
     double gangRoomShare_ = 0; // share of a service's processors that may be reserved for waiting gangs; 0: none
+    double copyShare_ = 0; // share of a service's processors that copies of stragglers may use; needs learnedRunTimes_
     bool learnedRunTimes_ = false; // learn run times and speeds from the ends of runs, see run_times.cpp
     Milliseconds pastUseHalfLife_{0}; // of the past use of accounts; 0: it has no effect and is not counted
     Milliseconds pastUseShift_{2'000}; // largest shift of a step by the past use of its account
@@ -102,9 +103,10 @@
     TaskRepeated, // a task was started again after a run that has ended as done
     Straggler, // a run took over three times as long as others of its step; only with learnedRunTimes_
     RunnerSuspected, // a runner has crashed, flapped or failed runs lately; only with learnedRunTimes_
+    CopyStarted, // a straggler has got a second run, see CellSettings::copyShare_
 };
 
-inline constexpr std::size_t CellCounterCount = 7;
+inline constexpr std::size_t CellCounterCount = 8;
 
 // Past use of an account, for the metrics.
 struct AccountUseSample
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -175,6 +175,7 @@
     control.cell_.pastUseHalfLife_ = std::chrono::seconds(cell.pastUseHalfLifeS_);
     control.cell_.pastUseShift_ = Milliseconds(cell.pastUseShiftMs_);
     control.cell_.minLease_ = Milliseconds(cell.storeMinLeaseMs_);
+    control.cell_.copyShare_ = cell.copyShare_;
     control.cell_.learnedRunTimes_ = cell.learnedRunTimes_ != 0;
     return control;
 }
@@ -269,7 +270,8 @@
 
 // By CellCounter.
 static constexpr std::array<std::string_view, CellCounterCount> CounterNames{
-    "runner-crash", "task-suspected", "task-given-up", "bad-entry", "task-repeated", "straggler", "runner-suspected"};
+    "runner-crash",  "task-suspected", "task-given-up",    "bad-entry",
+    "task-repeated", "straggler",      "runner-suspected", "copy-started"};
 
 void CellProcess::State::countActions()
 {
@@ -372,6 +374,7 @@
     number("learned_run_times", cell.learnedRunTimes_);
     number("past_use_half_life_s", cell.pastUseHalfLifeS_);
     number("past_use_shift_ms", cell.pastUseShiftMs_);
+    line.real("copy_share", cell.copyShare_);
     return {LogLevel::Info, line.finish()};
 }
 
--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -41,6 +41,7 @@
     double remoteFactor_ = 2; // factor by which tasks run longer away from their data
     double gangRoomShare_ = 0; // share of a service's CPUs that may be reserved for waiting gangs
     std::uint64_t learnedRunTimes_ = 0; // 1: learn run times and speeds from the ends of runs
+    double copyShare_ = 0; // share of the processors that copies of stragglers may use; needs learnedRunTimes_
     double processorShare_ = 1; // CPUs available to this instance; may be a fraction
 };
 
--- a/src/daemon/table/settings_table.h
+++ b/src/daemon/table/settings_table.h
@@ -111,6 +111,7 @@
     cellCount("cell.learned_run_times", &CellDeployment::learnedRunTimes_, 0, 1),
     cellCountOrOff("cell.past_use_half_life_s", &CellDeployment::pastUseHalfLifeS_, 60, 604'800),
     cellCount("cell.past_use_shift_ms", &CellDeployment::pastUseShiftMs_, 0, 600'000),
+    cellRatio("cell.copy_share", &CellDeployment::copyShare_, 0, 1),
     cellRatio("cell.remote_factor", &CellDeployment::remoteFactor_, 1, 1'000),
     cellRatio("cell.gang_room_share", &CellDeployment::gangRoomShare_, 0, 1),
     cellRatio("cell.processor_share", &CellDeployment::processorShare_, 0, 1'000),
