--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -357,6 +357,7 @@
     std::vector<GangRoom> rooms_; // most urgent first
     TimePoint plannedAt_; // when they were last planned
     TimePoint nextAt_; // of the next planning
+    TimePoint runnersCheckedAt_; // when it was last checked that all runners can still be used
     Duration interval_{0}; // shortest time between two, by the cost of the last one
 };
 
--- a/src/core/cell/gang_room.cpp
+++ b/src/core/cell/gang_room.cpp
@@ -434,7 +434,7 @@
     Placement started;
     started.startedAt_ = now;
     access.end_ = expectedEnd(cell, started, stepSpec(job, ref.step_), job);
-    const GangRoom *room = findRoom(cell, ref);
+    const GangRoom *room = stepSpec(job, ref.step_).gang_ ? findRoom(cell, ref) : nullptr;
     if (room != nullptr) {
         access.order_ = room->order_;
     }
@@ -540,6 +540,10 @@
 static void noteLostRunners(Cell &cell, TimePoint now)
 {
     GangRooms &state = cell.gangRooms_;
+    if (now < state.runnersCheckedAt_ + EarlyPlanInterval) {
+        return;
+    }
+    state.runnersCheckedAt_ = now;
     for (GangRoom &room : state.rooms_) {
         for (const auto &[id, members] : room.members_) {
             const Runner *runner = findRunner(cell, id);
