Feature: [ctl] mimosapierctl zone evacuate, restore and list

Cause: an operator had to write and remove the keys of an evacuation with a program of his own.

Not tried against a store that lets operators alone write under op/.

--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -3,6 +3,8 @@
 
 #include <CLI/CLI.hpp>
 
+#include <algorithm>
+#include <cctype>
 #include <fstream>
 
 namespace mimosapier
@@ -22,6 +24,7 @@
   mimosapierctl --as ben bundle sign 8-0f3c5a2277e01b9d
   mimosapierctl --as ann key withdraw school --hash 2bb80d53...
   mimosapierctl trace --log d1.log --log d2.log 5d7b9b719d1eae97
+  mimosapierctl zone evacuate north-1 --store 10.0.0.9:2379
   mimosapierctl --address 10.0.0.1:8080 --address 10.0.0.2:8080 report --html report.html)";
 
 using CommandFunction = std::function<ExitCode(const Options &, const CommandIo &)>;
@@ -149,6 +152,35 @@
     policy->add_option("value", bundle.value_, "Value of the weight, 0 or more")->required();
 }
 
+// Checks the name of a zone. Result: what is wrong with it; empty: nothing.
+static std::string checkZone(const std::string &name)
+{
+    static constexpr std::string_view Punctuation = "-._:";
+    const bool valid = !name.empty() && std::all_of(name.begin(), name.end(), [](unsigned char c) {
+        return (c < 0x80 && std::isalnum(c) != 0) || Punctuation.find(static_cast<char>(c)) != std::string_view::npos;
+    });
+    return valid ? "" : "A zone's name has letters, digits and -._: only";
+}
+
+static void addZoneCommands(Parser &parser)
+{
+    ZoneOptions &zone = parser.options_.zone_;
+    CLI::App &group
+        = *parser.app_.add_subcommand("zone", "Evacuates availability zones of a cell; needs the store's address only")
+               ->require_subcommand(1);
+    CLI::App *evacuate = addCommand(parser, group, "evacuate", "Lets no task start in a zone", evacuateZoneCmd);
+    CLI::App *restore = addCommand(parser, group, "restore", "Ends the evacuation of a zone", restoreZoneCmd);
+    CLI::App *list = addCommand(parser, group, "list", "Lists the evacuated zones", listZonesCmd);
+    for (CLI::App *command : {evacuate, restore, list}) {
+        command->add_option("--store", zone.store_, "\"ip:port\" of the store")->required();
+        if (command != list) {
+            command->add_option("zone", zone.name_, "Zone, as the runners' entries name it")
+                ->required()
+                ->check(checkZone);
+        }
+    }
+}
+
 static void addOptions(Parser &parser)
 {
     Options &options = parser.options_;
@@ -167,6 +199,7 @@
     addJobCommands(parser);
     addBundleCommands(parser);
     addEditCommands(parser);
+    addZoneCommands(parser);
     CLI::App *status = addCommand(parser, parser.app_, "status",
                                   "Shows the state of a job; without id: members and shards as a daemon knows them",
                                   [](const Options &commandOptions, const CommandIo &io) {
@@ -212,8 +245,8 @@
     } catch (const CLI::ParseError &error) {
         return parser.app_.exit(error, io.out_, io.err_) == 0 ? ExitCode::Done : ExitCode::Usage;
     }
-    const bool readsLogs = !parser.options_.trace_.files_.empty();
-    if (parser.options_.addresses_.empty() && !readsLogs) {
+    const bool needsNoDaemon = !parser.options_.trace_.files_.empty() || !parser.options_.zone_.store_.empty();
+    if (parser.options_.addresses_.empty() && !needsNoDaemon) {
         io.err_ << "--address is required\nRun with --help for more information.\n";
         return ExitCode::Usage;
     }
--- a/src/ctl/completion/mimosapierctl.bash
+++ b/src/ctl/completion/mimosapierctl.bash
@@ -12,6 +12,7 @@
     bundle) COMPREPLY=($(compgen -W "draft sign show diff drafts status" -- "$current")); return ;;
     team) COMPREPLY=($(compgen -W "add remove" -- "$current")); return ;;
     key) COMPREPLY=($(compgen -W "grant withdraw" -- "$current")); return ;;
+    zone) COMPREPLY=($(compgen -W "evacuate restore list" -- "$current")); return ;;
     policy) COMPREPLY=($(compgen -W "waiting packing crossing" -- "$current")); return ;;
     esac
     local word options=$general command=
@@ -26,11 +27,12 @@
         add) command=1 options+=" --share --limit --home-region" ;;
         report) command=1 options+=" --html" ;;
         trace) command=1 options+=" --log" ;;
-        bundle | team | key | share | limit | policy | instances) command=1 ;;
+        evacuate | restore | list) command=1 options+=" --store" ;;
+        bundle | team | key | zone | share | limit | policy | instances) command=1 ;;
         esac
     done
     if [[ -z $command ]]; then
-        options+=" submit status wait explain cancel bundle team key share limit policy instances report trace"
+        options+=" submit status wait explain cancel bundle team key share limit policy instances report trace zone"
     fi
     COMPREPLY=($(compgen -W "$options" -- "$current"))
 }
--- a/src/ctl/ctl_internal.h
+++ b/src/ctl/ctl_internal.h
@@ -83,6 +83,11 @@
 // trace_cmd.cpp
 ExitCode traceCmd(const Options &options, const CommandIo &io);
 
+// zone_cmd.cpp
+ExitCode evacuateZoneCmd(const Options &options, const CommandIo &io);
+ExitCode restoreZoneCmd(const Options &options, const CommandIo &io);
+ExitCode listZonesCmd(const Options &options, const CommandIo &io);
+
 // report.cpp
 // Counts of one time window.
 struct WindowCounts
--- a/src/ctl/ctl_type.h
+++ b/src/ctl/ctl_type.h
@@ -81,6 +81,12 @@
     std::string job_; // 16 hexadecimal digits; empty: all jobs, by cause
 };
 
+struct ZoneOptions
+{
+    std::string store_; // "ip:port" of the cell's store
+    std::string name_; // availability zone
+};
+
 struct Options
 {
     std::vector<std::string> addresses_; // "ip:port" of entry instances
@@ -90,6 +96,7 @@
     JobOptions job_;
     BundleOptions bundle_;
     TraceOptions trace_;
+    ZoneOptions zone_;
     std::string htmlFile_; // the report is written here; empty: no file
 };
 
