Feature: [control] Test of the bound of an evacuation while the store rejects the leader

Cause: the tests had the leader's watches fail, but not the case that the bound of 13 s is for: all its calls are rejected, with peers or without.

--- a/tests/control/test_zones.cpp
+++ b/tests/control/test_zones.cpp
@@ -201,6 +201,43 @@
     cr_assert(leader.control_->evacuatedZones_.empty(), "the watch repeated a change that the peer had told before");
 }
 
+// Guards against starts in the zone after the bound, 5 s, or 13 s while the store rejects some daemons: the store
+// rejects all calls of the leader, which has peers or none, from the moment of the evacuation on, while jobs wait.
+Test(zones, rejectedLeaderKeepsTheBound)
+{
+    for (const bool isolated : {false, true}) {
+        ZoneCluster cluster;
+        cluster.run(StartupTime);
+        cluster.runUnderLoad(Milliseconds(1'500));
+        ClusterDaemon &leader = *cluster.leader();
+        for (int i = 0; i < 400; ++i) {
+            cluster.sendRequest(cluster.follower(), ClientMethod::Submit, ++cluster.lastJob_);
+        }
+        cluster.run(Milliseconds(100));
+        leader.storeReachable_ = false;
+        if (isolated) {
+            cluster.isolated_.insert(leader.id_);
+        }
+        cluster.evacuate("north");
+        const TimePoint evacuatedAt = cluster.now_;
+        TimePoint lastStartAt = evacuatedAt;
+        std::size_t starts = cluster.startsIn("north");
+        const std::size_t southStarts = cluster.startsIn("south");
+        while (cluster.now_ < evacuatedAt + Milliseconds(20'000)) {
+            cluster.runUnderLoad(Milliseconds(50));
+            if (const std::size_t now = cluster.startsIn("north"); now > starts) {
+                starts = now;
+                lastStartAt = cluster.now_;
+            }
+        }
+        const auto lastMs = std::chrono::duration_cast<Milliseconds>(lastStartAt - evacuatedAt).count();
+        cr_assert_leq(lastMs, isolated ? 13'000 : 5'000, "isolated: %d, the last start came after %d ms", isolated,
+                      static_cast<int>(lastMs));
+        cr_assert_gt(cluster.startsIn("south"), southStarts + 50);
+        cr_assert(cluster.leader() != nullptr && cluster.leader() != &leader);
+    }
+}
+
 // Guards against a set of zones that a peer with older knowledge, or of the previous version, brings back or removes.
 Test(zones, olderSetOfAPeerIsIgnored)
 {
