--- a/src/ctl/completion/mimosapierctl.bash
+++ b/src/ctl/completion/mimosapierctl.bash
@@ -13,6 +13,7 @@
     team) COMPREPLY=($(compgen -W "add remove" -- "$current")); return ;;
     key) COMPREPLY=($(compgen -W "grant withdraw" -- "$current")); return ;;
     config) COMPREPLY=($(compgen -W "check" -- "$current")); return ;;
+    zone) COMPREPLY=($(compgen -W "evacuate restore list" -- "$current")); return ;;
     policy) COMPREPLY=($(compgen -W "waiting packing crossing" -- "$current")); return ;;
     esac
     local word options=$general command=
@@ -28,11 +29,12 @@
         report) command=1 options+=" --html" ;;
         trace) command=1 options+=" --log" ;;
         check) command=1 options+=" --against" ;;
-        bundle | team | key | share | limit | policy | instances | config) command=1 ;;
+        evacuate | restore | list) command=1 options+=" --store" ;;
+        bundle | team | key | zone | share | limit | policy | instances | config) command=1 ;;
         esac
     done
     if [[ -z $command ]]; then
-        options+=" submit status wait explain cancel bundle team key share limit policy instances report trace config"
+        options+=" submit status wait explain cancel bundle team key share limit policy instances report trace config zone"
     fi
     COMPREPLY=($(compgen -W "$options" -- "$current"))
 }
--- a/src/ctl/ctl_internal.h
+++ b/src/ctl/ctl_internal.h
@@ -124,6 +124,11 @@
 // config_cmd.cpp
 ExitCode configCheckCmd(const Options &options, const CommandIo &io);
 
+// zone_cmd.cpp
+ExitCode evacuateZoneCmd(const Options &options, const CommandIo &io);
+ExitCode restoreZoneCmd(const Options &options, const CommandIo &io);
+ExitCode listZonesCmd(const Options &options, const CommandIo &io);
+
 // report.cpp
 // Counts of one time window.
 struct WindowCounts
--- a/src/ctl/ctl_type.h
+++ b/src/ctl/ctl_type.h
@@ -87,6 +87,12 @@
     std::string against_; // the one in force; empty: no comparison
 };
 
+struct ZoneOptions
+{
+    std::string store_; // "ip:port" of the cell's store
+    std::string name_; // availability zone
+};
+
 struct Options
 {
     std::vector<std::string> addresses_; // "ip:port" of entry instances
@@ -97,6 +103,7 @@
     BundleOptions bundle_;
     TraceOptions trace_;
     ConfigOptions config_;
+    ZoneOptions zone_;
     std::string htmlFile_; // the report is written here; empty: no file
 };
 
