Fix: [http] Requests and responses could hold any number of bytes while they were read

Cause: The library's parser leaves header fields, chunk lines and trailers in the caller's buffer until their end arrives, and that buffer had no limit. The sum over all connections had none either. A failed assertion of the library also ended the process: it is called with less than five bytes when the last chunk line ("0") and the byte after it arrive separately. Change: MessageReader parses step by step, bounds what is pending in every state, and does not call the parser with less than the shortest end of a body. Server and client use it, and wait for input without a buffer of their own. ReadBudget bounds all connections together and refuses the largest unfinished request (503, not-run). At the limit of connections the one that has waited longest for a whole request is closed instead of the new one. A request that is too slow is answered 408 instead of being closed without an answer; slowClientIsClosed therefore expects the 408 and the close.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -2,12 +2,14 @@
 // pool when the connection can be reused.
 #include "http/client_base.h"
 
+#include "http/message_reader_internal.h"
+#include "http/read_budget_base.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
@@ -34,8 +36,7 @@
     }
 
     boost::asio::ip::tcp::socket socket_;
-    boost::beast::flat_buffer buffer_;
-    std::optional<http::response_parser<http::string_body>> parser_;
+    std::optional<ResponseReader> reader_; // of the response to the current call
     TimePoint idleSince_; // valid while the connection is in the pool
     // Incremented when the connection leaves the pool, so that a late wait result of an earlier idle period is ignored.
     std::uint64_t useCount_ = 0;
@@ -62,6 +63,7 @@
     boost::asio::steady_timer timer_;
     CallStage stage_ = CallStage::Waiting;
     std::shared_ptr<Connection> connection_;
+    std::optional<ReadBudget::Account> account_; // set while a response is read
 };
 
 struct Pool
@@ -76,7 +78,7 @@
 {
 public:
     ClientState(boost::asio::io_context &context, HttpClientOptions options)
-        : options_(options)
+        : options_(std::move(options))
         , strand_(boost::asio::make_strand(context))
         , sweepTimer_(strand_)
     {
@@ -93,6 +95,9 @@
     void connect(const std::shared_ptr<Call> &call);
     void sendRequest(const std::shared_ptr<Call> &call);
     void readResponse(const std::shared_ptr<Call> &call);
+    void waitForResponse(const std::shared_ptr<Call> &call);
+    void onReadable(const std::shared_ptr<Call> &call, boost::system::error_code error);
+    void finishResponse(const std::shared_ptr<Call> &call, bool canReuse);
     void armTimer(const std::shared_ptr<Call> &call, TimePoint expiry);
     void returnToPool(const std::string &address, const std::shared_ptr<Connection> &connection);
     void fail(const std::shared_ptr<Call> &call, HttpDelivery delivery, std::error_code error);
@@ -190,6 +195,7 @@
             }
             boost::system::error_code ignored;
             call->connection_->socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+            call->connection_->socket_.non_blocking(true, ignored); // reads take what is there, see onReadable()
             self->armTimer(call, call->deadline_);
             self->sendRequest(call);
         });
@@ -217,30 +223,70 @@
 
 void ClientState::readResponse(const std::shared_ptr<Call> &call)
 {
-    Connection &connection = *call->connection_;
-    connection.parser_.emplace();
-    connection.parser_->body_limit(options_.maxBodyBytes_);
-    http::async_read(
-        connection.socket_, connection.buffer_, *connection.parser_,
-        [self = shared_from_this(), call, ownedConnection = call->connection_](boost::system::error_code error,
-                                                                               std::size_t) {
-            if (call->stage_ == CallStage::Finished) {
-                return;
-            }
-            if (error) {
-                self->fail(call, HttpDelivery::MaybeSent, error);
-                return;
-            }
-            auto message = call->connection_->parser_->release();
-            std::string entityTag(message[http::field::etag]);
-            if (message.keep_alive() && call->connection_->buffer_.size() == 0) {
-                self->returnToPool(call->address_, call->connection_);
-                call->connection_.reset();
+    call->connection_->reader_.emplace(options_.response_);
+    call->account_.emplace([strand = strand_, weakSelf = weak_from_this(), weakCall = std::weak_ptr(call)] {
+        boost::asio::post(strand, [weakSelf, weakCall] {
+            const auto self = weakSelf.lock();
+            const auto evicted = weakCall.lock();
+            if (self && evicted && evicted->stage_ != CallStage::Finished) {
+                self->fail(evicted, HttpDelivery::MaybeSent, std::make_error_code(std::errc::no_buffer_space));
             }
-            self->finish(
-                call,
-                {HttpDelivery::Answered, message.result_int(), std::move(message.body()), {}, std::move(entityTag)});
         });
+    });
+    waitForResponse(call);
+}
+
+void ClientState::waitForResponse(const std::shared_ptr<Call> &call)
+{
+    call->connection_->socket_.async_wait(
+        boost::asio::ip::tcp::socket::wait_read,
+        [self = shared_from_this(), call](boost::system::error_code error) { self->onReadable(call, error); });
+}
+
+void ClientState::onReadable(const std::shared_ptr<Call> &call, boost::system::error_code error)
+{
+    if (call->stage_ == CallStage::Finished) {
+        return;
+    }
+    ResponseReader &reader = *call->connection_->reader_;
+    auto &buffer = inputBuffer();
+    std::size_t bytes = 0;
+    if (!error) {
+        bytes = call->connection_->socket_.read_some(boost::asio::buffer(buffer), error);
+    }
+    if (error == boost::asio::error::eof && reader.finishAtEnd()) {
+        finishResponse(call, false);
+        return;
+    }
+    if (error && error != boost::asio::error::would_block) {
+        fail(call, HttpDelivery::MaybeSent, error);
+        return;
+    }
+    const std::size_t taken = reader.feed({buffer.data(), bytes});
+    if (reader.refusal() != HttpRefusal::Count) {
+        fail(call, HttpDelivery::MaybeSent, std::make_error_code(std::errc::message_size));
+    } else if (reader.isDone()) {
+        finishResponse(call, taken == bytes && reader.keepAlive());
+    } else {
+        if (options_.budget_) {
+            options_.budget_->update(*call->account_, reader.heldBytes(), 0);
+        }
+        waitForResponse(call);
+    }
+}
+
+void ClientState::finishResponse(const std::shared_ptr<Call> &call, bool canReuse)
+{
+    const auto connection = call->connection_;
+    const unsigned status = connection->reader_->status();
+    HttpRequest message = std::move(connection->reader_->message());
+    connection->reader_.reset();
+    std::string entityTag(headerValue(message, "ETag"));
+    if (canReuse) {
+        returnToPool(call->address_, connection);
+        call->connection_.reset();
+    }
+    finish(call, {HttpDelivery::Answered, status, std::move(message.body_), {}, std::move(entityTag)});
 }
 
 // Puts a connection into the pool, and removes it from there when the server closes it.
@@ -304,6 +350,9 @@
 {
     call->stage_ = CallStage::Finished;
     call->timer_.cancel();
+    if (call->account_ && options_.budget_) {
+        options_.budget_->remove(*call->account_);
+    }
     if (call->connection_) {
         boost::system::error_code ignored;
         call->connection_->socket_.close(ignored);
@@ -346,7 +395,7 @@
 } // namespace detail
 
 HttpClient::HttpClient(boost::asio::io_context &context, HttpClientOptions options)
-    : state_(std::make_shared<detail::ClientState>(context, options))
+    : state_(std::make_shared<detail::ClientState>(context, std::move(options)))
 {
 }
 
--- a/src/http/client_base.h
+++ b/src/http/client_base.h
@@ -5,6 +5,7 @@
 
 #include "core/common/time_type.h"
 #include "http/http_type.h"
+#include "http/message_limits_type.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -21,6 +22,8 @@
 namespace mimosapier
 {
 
+class ReadBudget;
+
 namespace detail
 {
 class ClientState;
@@ -32,7 +35,8 @@
     Milliseconds idleTimeout_{30'000}; // of unused connections; shorter than the server's: the client closes first
     std::size_t maxConnections_ = 16; // per address
     std::size_t maxWaiting_ = 1'000; // calls per address that wait for a connection; more fail at once
-    std::size_t maxBodyBytes_ = 8 * 1024 * 1024; // of a response
+    HttpMessageLimits response_{.maxBodyBytes_ = 8 * 1024 * 1024};
+    std::shared_ptr<ReadBudget> budget_{}; // of unfinished responses; null: no common limit
 };
 
 enum class HttpDelivery : std::uint8_t {
@@ -63,8 +67,9 @@
 
     // Sends a request to "ip:port". May be called from any thread. The callback runs exactly once, on the io_context.
     // `timeout` covers the whole call, including the wait for a connection. The errors without a socket error are
-    // timed_out, operation_canceled after close(), no_buffer_space when maxWaiting_ calls wait, and invalid_argument
-    // for a malformed address. A connection whose call failed is closed.
+    // timed_out, operation_canceled after close(), no_buffer_space when maxWaiting_ calls wait or the budget is
+    // exceeded, message_size for a response over its limits, and invalid_argument for a malformed address. A connection
+    // whose call failed is closed.
     void send(std::string address, HttpRequest request, Milliseconds timeout, HttpCallback callback);
 
     // Closes all connections; calls that have not finished fail with std::errc::operation_canceled. May be called from
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -12,10 +12,12 @@
 {
 
 constexpr Milliseconds AcceptRetryDelay{100}; // after a failed accept, for example without a free file descriptor
+// Connections over the limit that may still be open while they are closed to make room.
+constexpr std::size_t MaxReplaced = 16;
 
 ServerState::ServerState(boost::asio::io_context &context, HttpServerOptions options, HttpHandler handler)
     : context_(context)
-    , options_(options)
+    , options_(std::move(options))
     , handler_(std::move(handler))
     , strand_(boost::asio::make_strand(context))
     , acceptor_(strand_)
@@ -78,13 +80,20 @@
                 return;
             }
             std::shared_ptr<ServerConnection> connection;
+            std::vector<std::shared_ptr<ServerConnection>> replaced;
             {
                 const std::scoped_lock lock(self->mutex_);
-                if (self->connections_.size() < self->options_.maxConnections_) {
+                if (self->makeRoom(replaced)) {
                     connection = std::make_shared<ServerConnection>(self, std::move(socket));
                     self->connections_.emplace(connection.get(), connection);
                 }
             }
+            for (const auto &other : replaced) {
+                boost::asio::post(other->executor(), [other] { other->replace(); });
+            }
+            if (!connection) {
+                self->countRefusal(HttpRefusal::Connections);
+            }
             if (connection) {
                 boost::asio::post(connection->executor(), [connection] { connection->start(); });
             }
@@ -92,6 +101,40 @@
         });
 }
 
+// Chooses connections to close so that one more fits: those that have waited longest without a whole request. Returns
+// false when there are too few, or too many are still being closed. Called with mutex_ locked.
+bool ServerState::makeRoom(std::vector<std::shared_ptr<ServerConnection>> &replaced)
+{
+    while (connections_.size() - replacedCount_ >= options_.maxConnections_) {
+        auto longest = connections_.end();
+        for (auto item = connections_.begin(); item != connections_.end(); ++item) {
+            // The pointer is valid: the destructor needs mutex_ to remove its connection from the map.
+            const bool canClose = !item->first->replaced_ && item->first->waitingSince() != TimePoint::max();
+            if (canClose
+                && (longest == connections_.end() || item->first->waitingSince() < longest->first->waitingSince())) {
+                longest = item;
+            }
+        }
+        if (longest == connections_.end() || replacedCount_ >= MaxReplaced) {
+            return false;
+        }
+        longest->first->replaced_ = true;
+        ++replacedCount_;
+        if (auto connection = longest->second.lock()) {
+            replaced.push_back(std::move(connection));
+        }
+    }
+    return true;
+}
+
+// Keeps a connection that was to be closed.
+void ServerState::keepReplaced(ServerConnection &connection)
+{
+    const std::scoped_lock lock(mutex_);
+    replacedCount_ -= connection.replaced_ ? 1 : 0;
+    connection.replaced_ = false;
+}
+
 std::vector<std::shared_ptr<ServerConnection>> ServerState::openConnections()
 {
     const std::scoped_lock lock(mutex_);
@@ -141,13 +184,21 @@
     }
 }
 
-void ServerState::remove(const ServerConnection *connection)
+void ServerState::remove(ServerConnection *connection)
 {
     std::unique_lock lock(mutex_);
     connections_.erase(connection);
+    replacedCount_ -= connection->replaced_ ? 1 : 0;
     notifyIfStopped(std::move(lock));
 }
 
+void ServerState::countRefusal(HttpRefusal refusal) const
+{
+    if (options_.refusals_) {
+        options_.refusals_->add(refusal);
+    }
+}
+
 void ServerState::notifyIfStopped(std::unique_lock<std::mutex> lock)
 {
     if (!connections_.empty() || !onStopped_) {
@@ -222,7 +273,7 @@
 }
 
 HttpServer::HttpServer(boost::asio::io_context &context, HttpServerOptions options, HttpHandler handler)
-    : state_(std::make_shared<detail::ServerState>(context, options, std::move(handler)))
+    : state_(std::make_shared<detail::ServerState>(context, std::move(options), std::move(handler)))
 {
 }
 
--- a/src/http/server_base.h
+++ b/src/http/server_base.h
@@ -5,6 +5,7 @@
 
 #include "core/common/time_type.h"
 #include "http/http_type.h"
+#include "http/message_limits_type.h"
 
 #include <cstddef>
 #include <functional>
@@ -21,21 +22,28 @@
 namespace mimosapier
 {
 
+class ReadBudget;
+
 namespace detail
 {
 class ServerState;
 class HttpExchange;
 } // namespace detail
 
-struct HttpServerOptions
+struct HttpServerOptions : HttpMessageLimits
 {
-    std::size_t maxHeaderBytes_ = 16 * 1024;
-    std::size_t maxBodyBytes_ = 1024 * 1024;
-    std::size_t maxConnections_ = 4096; // more are closed at once
+    // For a further connection, the one that has waited longest without a whole request is closed; if all have an open
+    // request, the further one is closed.
+    std::size_t maxConnections_ = 4096;
     std::size_t maxOpenPerConnection_ = 64; // requests without a response; reading pauses at this number
     Milliseconds idleTimeout_{60'000}; // without an open or partly read request
-    Milliseconds requestTimeout_{10'000}; // from the first byte of a request to its last
+    // From the first byte of a request to the end of its header, and to the end of its body. The time for the body is
+    // extended by the time in which the bytes received would arrive at the minimum rate.
+    Milliseconds requestTimeout_{10'000};
+    std::size_t minBytesPerSecond_ = 16 * 1024;
     Milliseconds writeTimeout_{10'000}; // for sending one response
+    std::shared_ptr<ReadBudget> budget_; // null: no common limit on the connections' bytes
+    std::shared_ptr<HttpRefusalCounters> refusals_; // null: not counted
 };
 
 // Sends the response to one request. Copies share the request; only the first call of operator() or drop() has an
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -3,8 +3,9 @@
 
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace mimosapier::detail
@@ -14,15 +15,55 @@
 
 constexpr Milliseconds LingerLimit{2'000}; // time for the client to read the last response and close
 
+static unsigned refusalStatus(HttpRefusal refusal)
+{
+    switch (refusal) {
+    case HttpRefusal::StartLine:
+    case HttpRefusal::HeaderBytes:
+    case HttpRefusal::Fields:
+    case HttpRefusal::TrailerBytes:
+        return 431;
+    case HttpRefusal::ChunkLine:
+    case HttpRefusal::ChunkOverhead:
+    case HttpRefusal::BodyBytes:
+        return 413;
+    case HttpRefusal::HeaderTimeout:
+    case HttpRefusal::BodyTimeout:
+        return 408;
+    case HttpRefusal::Budget:
+        return 503;
+    default:
+        return 400;
+    }
+}
+
+static const char *refusalError(unsigned status)
+{
+    switch (status) {
+    case 413:
+        return "body-too-large";
+    case 408:
+        return "request-timeout";
+    case 503:
+        return "overloaded";
+    default:
+        return "malformed-request";
+    }
+}
+
 ServerConnection::ServerConnection(std::shared_ptr<ServerState> server, boost::asio::ip::tcp::socket socket)
     : server_(std::move(server))
     , socket_(std::move(socket))
     , timer_(socket_.get_executor())
+    , waitingSince_(SystemClock().now())
 {
 }
 
 ServerConnection::~ServerConnection()
 {
+    if (account_ && server_->options_.budget_) {
+        server_->options_.budget_->remove(*account_);
+    }
     server_->remove(this);
 }
 
@@ -30,6 +71,15 @@
 {
     boost::system::error_code ignored;
     socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored); // reads take what is there, see onReadable()
+    // Only the strand locks the pointer, as the last reference must not be released in the budget.
+    account_.emplace([weak = weak_from_this(), executor = executor()] {
+        boost::asio::post(executor, [weak] {
+            if (const auto self = weak.lock()) {
+                self->evict();
+            }
+        });
+    });
     updateReadDeadline();
     read();
 }
@@ -38,10 +88,16 @@
 void ServerConnection::updateReadDeadline()
 {
     const TimePoint now = SystemClock().now();
-    if (requestPartlyRead_) {
-        readDeadline_ = now + server_->options_.requestTimeout_;
+    const HttpServerOptions &options = server_->options_;
+    if (reader_) {
+        readDeadline_ = requestStartedAt_ + options.requestTimeout_;
+        if (reader_->isHeaderDone()) {
+            constexpr std::size_t MsPerSecond = 1'000;
+            const std::size_t rate = std::max<std::size_t>(options.minBytesPerSecond_, 1);
+            readDeadline_ += Milliseconds(requestBytes_ * MsPerSecond / rate);
+        }
     } else if (openExchanges_.empty()) {
-        readDeadline_ = now + server_->options_.idleTimeout_;
+        readDeadline_ = now + options.idleTimeout_;
     } else {
         readDeadline_ = TimePoint::max();
     }
@@ -50,7 +106,7 @@
 
 TimePoint ServerConnection::deadline() const
 {
-    const bool isIdle = openExchanges_.empty() && !requestPartlyRead_ && !writing_ && !lingering_;
+    const bool isIdle = openExchanges_.empty() && !reader_ && !writing_ && !lingering_;
     TimePoint earliest = std::min({writeDeadline_, hardDeadline_, isIdle ? idleDeadline_ : TimePoint::max()});
     return std::min(earliest, readDeadline_);
 }
@@ -73,96 +129,170 @@
         const TimePoint now = SystemClock().now();
         if (self->deadline() > now) {
             self->armTimer();
-        } else if (now >= self->idleDeadline_ && self->openExchanges_.empty() && !self->lingering_
-                   && !self->requestPartlyRead_) {
+        } else if (now >= self->idleDeadline_ && self->openExchanges_.empty() && !self->lingering_ && !self->reader_) {
             self->noMoreRequests_ = true;
             self->shutdownSend();
+        } else if (now >= self->writeDeadline_) {
+            self->server_->countRefusal(HttpRefusal::WriteTimeout);
+            self->close();
+        } else if (self->reader_ && !self->lingering_ && now < self->hardDeadline_) {
+            self->reject(self->reader_->isHeaderDone() ? HttpRefusal::BodyTimeout : HttpRefusal::HeaderTimeout);
         } else {
             self->close();
         }
     });
 }
 
+bool ServerConnection::mayRead() const
+{
+    return !closed_ && !lingering_ && !noMoreRequests_
+        && openExchanges_.size() < server_->options_.maxOpenPerConnection_;
+}
+
 void ServerConnection::read()
 {
-    if (reading_ || closed_ || noMoreRequests_ || openExchanges_.size() >= server_->options_.maxOpenPerConnection_) {
+    if (reading_) {
         return;
     }
-    if (!parser_) {
-        parser_.emplace();
-        parser_->header_limit(static_cast<std::uint32_t>(server_->options_.maxHeaderBytes_));
-        parser_->body_limit(server_->options_.maxBodyBytes_);
-        parser_->eager(true);
-        requestPartlyRead_ = false;
+    while (mayRead() && !unreadInput_.empty()) {
+        const std::string input = std::exchange(unreadInput_, {});
+        processInput(input);
+    }
+    if (!mayRead()) {
+        return;
     }
     reading_ = true;
-    http::async_read_some(socket_, buffer_, *parser_,
-                          [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
-                              self->onRead(error, bytes);
-                          });
+    socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this()](boost::system::error_code error) { self->onReadable(error); });
 }
 
-void ServerConnection::onRead(boost::system::error_code error, std::size_t bytes)
+void ServerConnection::onReadable(boost::system::error_code error)
 {
     reading_ = false;
     if (closed_ || lingering_) {
         return;
     }
-    if (error == http::error::body_limit) {
-        reject(413, "body-too-large");
-    } else if (error == http::error::header_limit || error == http::error::buffer_overflow) {
-        reject(431, "malformed-request");
-    } else if (error && error.category() == http::make_error_code(http::error::bad_value).category()
-               && error != http::error::end_of_stream && error != http::error::partial_message) {
-        reject(400, "malformed-request");
-    } else if (error) {
+    auto &buffer = inputBuffer();
+    std::size_t bytes = 0;
+    if (!error) {
+        bytes = socket_.read_some(boost::asio::buffer(buffer), error);
+    }
+    if (error && error != boost::asio::error::would_block) {
         close(); // the client has closed the connection, so it cannot receive the open responses
-    } else if (parser_->is_done()) {
-        dispatch();
-    } else {
-        if (bytes > 0 && !requestPartlyRead_) {
-            requestPartlyRead_ = true;
-            updateReadDeadline();
+        return;
+    }
+    processInput({buffer.data(), bytes});
+    read();
+}
+
+// Reads requests from `input` while more are accepted, and keeps the rest.
+void ServerConnection::processInput(std::string_view input)
+{
+    while (!input.empty() && mayRead()) {
+        if (!reader_) {
+            reader_.emplace(server_->options_);
+            requestStartedAt_ = SystemClock().now();
+            requestBytes_ = 0;
+        }
+        const std::size_t taken = reader_->feed(input);
+        input.remove_prefix(taken);
+        requestBytes_ += taken;
+        if (reader_->refusal() != HttpRefusal::Count) {
+            reject(reader_->refusal());
+        } else if (reader_->isDone()) {
+            dispatch();
         }
-        read();
+    }
+    if (!noMoreRequests_) {
+        unreadInput_ = input;
+    }
+    updateBudget();
+    if (reader_) {
+        updateReadDeadline();
     }
 }
 
-void ServerConnection::dispatch()
+void ServerConnection::updateBudget()
 {
-    auto message = parser_->release();
-    parser_.reset();
-    requestPartlyRead_ = false;
-    HttpRequest request;
-    request.method_ = std::string(message.method_string());
-    request.target_ = std::string(message.target());
-    for (const auto &field : message) {
-        request.headers_.push_back({std::string(field.name_string()), std::string(field.value())});
+    const auto &budget = server_->options_.budget_;
+    if (budget && account_ && !closed_) {
+        const std::size_t unfinished = (reader_ ? reader_->heldBytes() : 0) + unreadInput_.size();
+        budget->update(*account_, unfinished, openBytes_);
     }
-    request.body_ = std::move(message.body());
+}
 
+// Refuses the unfinished request, or closes the connection if its open requests hold the most bytes.
+void ServerConnection::evict()
+{
+    if (closed_) {
+        return;
+    }
+    if (reader_) {
+        reject(HttpRefusal::Budget);
+    } else if (openBytes_ > 0 || !unreadInput_.empty()) {
+        server_->countRefusal(HttpRefusal::Budget);
+        close();
+    }
+}
+
+void ServerConnection::replace()
+{
+    if (closed_) {
+        return;
+    }
+    if (!openExchanges_.empty()) {
+        server_->keepReplaced(*this);
+        return;
+    }
+    server_->countRefusal(HttpRefusal::Connections);
+    close();
+}
+
+void ServerConnection::dispatch()
+{
+    const std::size_t heldBytes = reader_->heldBytes();
+    const auto &budget = server_->options_.budget_;
+    if (budget && !budget->hasRoomForOpen(heldBytes)) {
+        reject(HttpRefusal::Budget);
+        return;
+    }
+    HttpRequest request = std::move(reader_->message());
     auto exchange = std::make_shared<HttpExchange>();
     exchange->connection_ = weak_from_this();
-    exchange->keepAlive_ = message.keep_alive();
+    exchange->keepAlive_ = reader_->keepAlive();
+    exchange->heldBytes_ = heldBytes;
+    reader_.reset();
+    openBytes_ += heldBytes;
+    waitingSince_ = TimePoint::max();
     noMoreRequests_ = noMoreRequests_ || !exchange->keepAlive_;
     openExchanges_.push_back(exchange);
+    updateBudget();
     updateReadDeadline();
     server_->handler_(std::move(request), HttpResponder(exchange));
-    read();
 }
 
-// Responds to a request that cannot be parsed. Closes the connection, as the start of the next request is unknown.
-void ServerConnection::reject(unsigned status, const char *reason)
+// Responds to a request that is refused before it is whole, and frees what was read of it. Closes the connection, as
+// the start of the next request is unknown.
+void ServerConnection::reject(HttpRefusal refusal)
 {
+    server_->countRefusal(refusal);
+    const unsigned status = refusalStatus(refusal);
     auto exchange = std::make_shared<HttpExchange>();
     exchange->connection_ = weak_from_this();
     exchange->keepAlive_ = false;
     exchange->responded_ = true;
     noMoreRequests_ = true;
-    requestPartlyRead_ = false;
+    reader_.reset();
+    unreadInput_ = {};
     openExchanges_.push_back(exchange);
+    updateBudget();
     updateReadDeadline();
-    respond(exchange, {status, std::string(R"({"outcome":"not-run","error":")") + reason + "\"}", "application/json"});
+    HttpResponse response{status, std::string(R"({"outcome":"not-run","error":")") + refusalError(status) + "\"}",
+                          "application/json"};
+    if (refusal == HttpRefusal::Budget) {
+        response.headers_.push_back({"Retry-After", "1"});
+    }
+    respond(exchange, std::move(response));
 }
 
 void ServerConnection::respond(const std::shared_ptr<HttpExchange> &exchange, HttpResponse response)
@@ -171,7 +301,10 @@
         return;
     }
     exchange->onDisconnect_ = nullptr;
+    openBytes_ = openBytes_ - exchange->heldBytes_ + response.body_.size();
+    exchange->heldBytes_ = response.body_.size();
     exchange->response_ = std::move(response);
+    updateBudget();
     write();
 }
 
@@ -206,7 +339,7 @@
     if (server_->draining_) {
         exchange->keepAlive_ = false;
         // Requests that the client has pipelined after this one get their responses before the connection is closed.
-        message->keep_alive(openExchanges_.size() > 1 || requestPartlyRead_);
+        message->keep_alive(openExchanges_.size() > 1 || reader_);
     } else {
         message->keep_alive(exchange->keepAlive_);
     }
@@ -226,7 +359,12 @@
                 self->close();
                 return;
             }
+            self->openBytes_ -= self->openExchanges_.front()->heldBytes_;
             self->openExchanges_.pop_front();
+            self->updateBudget();
+            if (self->openExchanges_.empty()) {
+                self->waitingSince_ = SystemClock().now();
+            }
             if (isLastResponse) {
                 self->noMoreRequests_ = true;
                 self->shutdownSend();
@@ -257,17 +395,20 @@
 // the client lose the last response.
 void ServerConnection::discardInput()
 {
-    socket_.async_read_some(boost::asio::buffer(discardBuffer_),
-                            [self = shared_from_this()](boost::system::error_code error, std::size_t) {
-                                if (self->closed_) {
-                                    return;
-                                }
-                                if (error && error != boost::asio::error::operation_aborted) {
-                                    self->close();
-                                    return;
-                                }
-                                self->discardInput();
-                            });
+    socket_.async_wait(
+        boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](boost::system::error_code error) {
+            if (self->closed_) {
+                return;
+            }
+            if (!error) {
+                self->socket_.read_some(boost::asio::buffer(inputBuffer()), error);
+            }
+            if (error && error != boost::asio::error::operation_aborted && error != boost::asio::error::would_block) {
+                self->close();
+                return;
+            }
+            self->discardInput();
+        });
 }
 
 void ServerConnection::stop(TimePoint idleDeadline, TimePoint hardDeadline)
@@ -286,6 +427,11 @@
     boost::system::error_code ignored;
     socket_.close(ignored);
     timer_.cancel();
+    reader_.reset();
+    unreadInput_ = {};
+    if (account_ && server_->options_.budget_) {
+        server_->options_.budget_->remove(*account_);
+    }
     std::deque<std::shared_ptr<HttpExchange>> open;
     open.swap(openExchanges_);
     for (const auto &exchange : open) {
--- a/src/http/server_internal.h
+++ b/src/http/server_internal.h
@@ -2,17 +2,15 @@
 // server_connection.cpp.
 #pragma once
 
+#include "http/message_reader_internal.h"
+#include "http/read_budget_base.h"
 #include "http/server_base.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
-#include <array>
 #include <atomic>
 #include <deque>
 #include <mutex>
@@ -31,6 +29,7 @@
     std::weak_ptr<ServerConnection> connection_;
     std::atomic<bool> responded_{false}; // a responder was called; the response may not be sent yet
     std::optional<HttpResponse> response_;
+    std::size_t heldBytes_ = 0; // of the request, then of its response; counted in the budget
     bool keepAlive_ = true; // the connection stays open after the response
     std::function<void()> onDisconnect_; // called when the connection is lost before the response
 };
@@ -47,7 +46,9 @@
     void drain();
     void stop(Milliseconds idleGrace, Milliseconds limit, std::function<void()> onStopped);
     void closeAll();
-    void remove(const ServerConnection *connection);
+    void remove(ServerConnection *connection);
+    void keepReplaced(ServerConnection &connection);
+    void countRefusal(HttpRefusal refusal) const;
 
     boost::asio::io_context &context_;
     const HttpServerOptions options_;
@@ -60,15 +61,18 @@
     std::atomic<bool> stopping_{false};
 
     std::mutex mutex_; // guards the members below
-    std::unordered_map<const ServerConnection *, std::weak_ptr<ServerConnection>> connections_;
+    std::unordered_map<ServerConnection *, std::weak_ptr<ServerConnection>> connections_;
+    std::size_t replacedCount_ = 0; // of connections_, those that are being closed to make room
     std::function<void()> onStopped_;
 
 private:
     void notifyIfStopped(std::unique_lock<std::mutex> lock);
     std::vector<std::shared_ptr<ServerConnection>> openConnections();
+    bool makeRoom(std::vector<std::shared_ptr<ServerConnection>> &replaced);
 };
 
-// One connection. All members are used on the strand of the socket only; executor() may be called from any thread.
+// One connection. All members are used on the strand of the socket only; executor() and waitingSince() may be called
+// from any thread.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection>
 {
 public:
@@ -80,15 +84,22 @@
     void setOnDisconnect(const std::shared_ptr<HttpExchange> &exchange, std::function<void()> callback);
     void stop(TimePoint idleDeadline, TimePoint hardDeadline);
     void close();
+    // Since when the connection has had no whole request; TimePoint::max() while it has one.
+    [[nodiscard]] TimePoint waitingSince() const { return waitingSince_; }
+    // Closes the connection to make room for another one, unless a request has become whole meanwhile.
+    void replace();
+    bool replaced_ = false; // to be closed by replace(); guarded by the server's mutex
     [[nodiscard]] boost::asio::any_io_executor executor() { return socket_.get_executor(); }
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
     void read();
-    void onRead(boost::system::error_code error, std::size_t bytes);
+    void onReadable(boost::system::error_code error);
+    void processInput(std::string_view input);
+    [[nodiscard]] bool mayRead() const;
     void dispatch();
-    void reject(unsigned status, const char *reason);
+    void reject(HttpRefusal refusal);
+    void evict();
+    void updateBudget();
     void write();
     void shutdownSend();
     void discardInput();
@@ -104,11 +115,14 @@
     TimePoint writeDeadline_ = TimePoint::max();
     TimePoint hardDeadline_ = TimePoint::max(); // set by stop(); the connection is closed
     TimePoint idleDeadline_ = TimePoint::max(); // set by stop(); the connection is closed if it is idle
-    boost::beast::flat_buffer buffer_;
-    std::array<char, 4096> discardBuffer_{}; // input while lingering; buffer_ may still be in use by a pending read
-    std::optional<Parser> parser_;
+    std::string unreadInput_; // received while reading was paused; at most one piece
+    std::optional<RequestReader> reader_; // of the next request, once bytes of it have been read
+    TimePoint requestStartedAt_; // first byte of the request in reader_
+    std::size_t requestBytes_ = 0; // received of that request
     std::deque<std::shared_ptr<HttpExchange>> openExchanges_; // in the order of the requests
-    bool requestPartlyRead_ = false; // bytes of the next request have been read
+    std::size_t openBytes_ = 0; // sum of their heldBytes_
+    std::optional<ReadBudget::Account> account_; // set by start()
+    std::atomic<TimePoint> waitingSince_;
     bool reading_ = false;
     bool writing_ = false;
     bool noMoreRequests_ = false; // the connection is closed after the responses to the open requests
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -134,7 +134,9 @@
     options.requestTimeout_ = Milliseconds(100);
     ServerFixture fixture(echo, options);
     const TimePoint start = SystemClock().now();
-    cr_assert(fixture.sendRaw("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab").empty());
+    const std::string response = fixture.sendRaw("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab");
+    cr_assert(response.starts_with("HTTP/1.1 408 ") && response.find("not-run") != std::string::npos);
+    cr_assert(response.find("Connection: close") != std::string::npos);
     cr_assert(SystemClock().now() - start < Milliseconds(1500));
 }
 
