Fix: [net] Unfinished frames of all peers together had no limit

Cause: A frame may have 4 MB, and a hello does not prove who its sender is, so connections with unfinished frames could hold 4 MB each. A decoder also kept the buffer of its longest frame for the life of the connection. Change: The transport counts the bytes of unfinished frames and closes the connection with the most ("read-budget") when they exceed maxBufferedBytes_. A decoder frees a buffer above 64 KB when it is empty.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -153,6 +153,9 @@
     if (error) {
         fail(CloseCause::OversizedFrame);
     }
+    if (state() != SessionState::Closed) {
+        owner_.onBuffered(*this);
+    }
 }
 
 void PeerConnection::onHello(std::string_view body)
--- a/src/net/connection_internal.h
+++ b/src/net/connection_internal.h
@@ -63,6 +63,8 @@
     virtual void onEstablished(PeerConnection &connection) = 0;
     // Called once per connection, when it is closed.
     virtual void onClosed(PeerConnection &connection, bool wasEstablished) = 0;
+    // Called after bytes were received, unless the connection was closed.
+    virtual void onBuffered(PeerConnection &connection) = 0;
     // Processes the body of a frame. Returns why the connection must be closed, or Count to keep it.
     virtual CloseCause onFrame(PeerConnection &connection, std::string_view body) = 0;
 };
@@ -99,6 +101,10 @@
     void setLastSentAt(TimePoint now) { lastSentAt_ = now; }
     [[nodiscard]] bool receivedSinceCheck() const { return receivedSinceCheck_; }
     void clearReceived() { receivedSinceCheck_ = false; }
+    [[nodiscard]] std::size_t bufferedBytes() const { return decoder_.bufferedBytes(); }
+    // Bytes that the owner has counted for the connection.
+    [[nodiscard]] std::size_t countedBytes() const { return countedBytes_; }
+    void setCountedBytes(std::size_t bytes) { countedBytes_ = bytes; }
 
 private:
     void sendHello() override;
@@ -126,6 +132,7 @@
     std::deque<SharedFrame> queue_; // waits for the write in progress
     std::vector<SharedFrame> writing_; // in the write in progress; empty when there is none
     std::size_t queuedBytes_ = 0; // in queue_ and writing_
+    std::size_t countedBytes_ = 0; // of bufferedBytes(), as last counted by the owner
 };
 
 } // namespace mimosapier
--- a/src/net/frame.cpp
+++ b/src/net/frame.cpp
@@ -86,10 +86,17 @@
     return {};
 }
 
+// A decoder keeps a larger buffer only while it holds a part of a frame: each of two connections to each peer would
+// otherwise keep the memory of its longest frame.
+static constexpr std::size_t MaxKeptCapacity = 64 * 1024;
+
 void FrameDecoder::append(std::string_view bytes)
 {
     buffer_.erase(0, start_);
     start_ = 0;
+    if (buffer_.empty() && buffer_.capacity() > MaxKeptCapacity) {
+        buffer_ = {};
+    }
     buffer_ += bytes;
 }
 
--- a/src/net/frame_func.h
+++ b/src/net/frame_func.h
@@ -61,6 +61,9 @@
     // Error: BodyTooLarge; the decoder must not be used after that.
     bool next(std::string_view &body, std::error_code &error);
 
+    // Bytes of frames that have not been returned yet.
+    [[nodiscard]] std::size_t bufferedBytes() const { return buffer_.size() - start_; }
+
 private:
     std::string buffer_;
     std::size_t start_ = 0; // offset in buffer_ of the first byte not yet returned
--- a/src/net/transport.cpp
+++ b/src/net/transport.cpp
@@ -25,6 +25,7 @@
     "wrong-peer",
     "queue-full",
     "too-many-connections",
+    "read-budget",
     "retired"};
 
 std::string_view closeCauseName(CloseCause cause)
--- a/src/net/transport_base.h
+++ b/src/net/transport_base.h
@@ -31,6 +31,7 @@
     std::map<std::string, std::string> addressOverrides_;
     std::uint64_t seed_ = 1; // of the random delays between dials
     std::size_t maxQueuedBytes_ = 8'000'000; // unsent bytes per connection; also unacknowledged bytes per peer
+    std::size_t maxBufferedBytes_ = 64'000'000; // of unfinished frames of all connections; at least two frames
     Milliseconds silenceLimit_{1500};
     Milliseconds minBackoff_{50}; // before a repeated dial; doubled with each failure in a row
     Milliseconds maxBackoff_{1000};
@@ -47,6 +48,7 @@
     WrongPeer, // not the dialled daemon, dialled by the wrong side, or an old generation
     QueueFull, // more than maxQueuedBytes_, or reset()
     TooManyConnections, // of one peer, or without a valid hello
+    ReadBudget, // held the most bytes when all connections together exceeded maxBufferedBytes_
     Retired, // the peer left the set or reset its link, or the transport stops
     Count, // number of causes; as a result it means "no cause"
 };
--- a/src/net/transport_connection.cpp
+++ b/src/net/transport_connection.cpp
@@ -110,6 +110,8 @@
 {
     const ConnectionPtr closedConnection = connection.shared_from_this();
     connections_.erase(closedConnection);
+    bufferedBytes_ -= connection.countedBytes();
+    connection.setCountedBytes(0);
     const DaemonId daemon = connection.peer();
     const auto found = peers_.find(daemon);
     if (found == peers_.end()) {
@@ -144,6 +146,23 @@
     }
 }
 
+// Closes the connection with the most bytes of an unfinished frame when all together hold too many. The hello does not
+// prove who a peer is, so the limit on one frame alone does not bound the memory.
+void PeerTransport::State::onBuffered(PeerConnection &connection)
+{
+    bufferedBytes_ = bufferedBytes_ - connection.countedBytes() + connection.bufferedBytes();
+    connection.setCountedBytes(connection.bufferedBytes());
+    if (bufferedBytes_ <= settings_.maxBufferedBytes_) {
+        return;
+    }
+    const auto largest
+        = std::max_element(connections_.begin(), connections_.end(), [](const auto &left, const auto &right) {
+              return left->countedBytes() < right->countedBytes();
+          });
+    const ConnectionPtr closed = (*largest)->shared_from_this(); // outlives its removal from connections_
+    closed->fail(CloseCause::ReadBudget);
+}
+
 CloseCause PeerTransport::State::onFrame(PeerConnection &connection, std::string_view body)
 {
     FrameNumbers numbers;
--- a/src/net/transport_internal.h
+++ b/src/net/transport_internal.h
@@ -53,6 +53,7 @@
     std::string helloFrame(PeerConnection &connection) override;
     void onEstablished(PeerConnection &connection) override;
     void onClosed(PeerConnection &connection, bool wasEstablished) override;
+    void onBuffered(PeerConnection &connection) override;
     CloseCause onFrame(PeerConnection &connection, std::string_view body) override;
 
     void acceptNext();
@@ -81,6 +82,7 @@
     std::uint64_t lastGeneration_ = 0; // of the link that was reset last
     std::map<DaemonId, Peer> peers_; // the peer set
     std::set<ConnectionPtr> connections_; // all in a state other than Closed
+    std::size_t bufferedBytes_ = 0; // sum of the countedBytes() of connections_
     bool stopping_ = false;
 };
 
--- a/tests/net/test_transport.cpp
+++ b/tests/net/test_transport.cpp
@@ -144,6 +144,7 @@
         settings.addressOverrides_ = std::move(overrides);
         settings.silenceLimit_ = SilenceLimit;
         settings.maxQueuedBytes_ = maxQueued;
+        settings.maxBufferedBytes_ = 2 * maxQueued;
         settings.minBackoff_ = Milliseconds(10);
         settings.maxBackoff_ = Milliseconds(50);
         return settings;
@@ -498,6 +499,26 @@
     cr_assert_eq(daemon.peerUpCount_, 0);
 }
 
+// Guards against unlimited memory use for frames that are announced and never completed: each is within the limit of
+// one frame. The connection that holds the most is closed, and the other one stays.
+Test(transport, unfinishedFramesAreBounded, .timeout = 20)
+{
+    const ManualClock clock;
+    TestDaemon daemon("b#1", {}, 1'000'000, &clock);
+    daemon.setPeers({{DaemonId("a#1"), "127.0.0.1:1"}, {DaemonId("a#2"), "127.0.0.1:1"}});
+    const std::string start("\x00\x3d\x09\x00", 4); // of a frame of MaxFrameBytes
+    const RawSocket small = RawSocket::connectTo(daemon.transport_.port());
+    small.send(makeHello("a#1"));
+    const RawSocket large = RawSocket::connectTo(daemon.transport_.port());
+    large.send(makeHello("a#2"));
+    cr_assert(daemon.waitForEvents([&] { return daemon.peerUpCount_ == 2; }));
+    small.send(start + std::string(500'000, 'x'));
+    large.send(start + std::string(1'800'000, 'x'));
+    cr_assert(daemon.waitUntilClosed(CloseCause::ReadBudget));
+    cr_assert(large.closesWithin(static_cast<int>(TestTimeout.count())));
+    cr_assert_eq(daemon.closedCount(), 1U);
+}
+
 // Guards against unlimited memory use for a peer that does not read what it is sent.
 Test(transport, fullQueueClosesTheConnection, .timeout = 20)
 {
