Fix: [http] A client's body of 1 MB took 80 MB once it was parsed

Cause: Each nested array or small value of a JSON text takes up to 80 bytes for each byte of the text. Change: parseClientJson() counts commas, brackets and depth before it parses. More than 131,072 commas and brackets, or a depth above 64, are answered like a body that is no JSON. A body of 262,144 bytes with a value in every second byte is still accepted.

--- a/src/daemon/caller_codec.cpp
+++ b/src/daemon/caller_codec.cpp
@@ -170,7 +170,7 @@
         return ErrorKind::UnknownPath;
     }
     Json json;
-    const bool valid = parseJson(request.body_, json) && json.is_object();
+    const bool valid = parseClientJson(request.body_, json) && json.is_object();
     if (path == Paths[0]) {
         auto &submit = body.emplace<SubmitRequest>();
         return valid ? parseSubmit(request, json, submit, detail) : malformed(detail, "the body must be a JSON object");
--- a/src/http/json.cpp
+++ b/src/http/json.cpp
@@ -12,6 +12,37 @@
     return !value.is_discarded();
 }
 
+static bool fitsClientLimits(std::string_view text)
+{
+    std::size_t values = 0;
+    std::size_t depth = 0;
+    bool inString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (c == '"') {
+            inString = !inString;
+        } else if (inString) {
+            i += c == '\\' ? 1 : 0;
+        } else if (c == '[' || c == '{') {
+            ++values;
+            ++depth;
+        } else if (c == ']' || c == '}') {
+            depth -= depth > 0 ? 1 : 0;
+        } else if (c == ',') {
+            ++values;
+        }
+        if (values > MaxClientJsonValues || depth > MaxClientJsonDepth) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool parseClientJson(std::string_view text, Json &value)
+{
+    return fitsClientLimits(text) && parseJson(text, value);
+}
+
 std::string dumpJson(const Json &value)
 {
     return value.dump(-1, ' ', false, Json::error_handler_t::replace);
--- a/src/platform/client_codec.cpp
+++ b/src/platform/client_codec.cpp
@@ -100,7 +100,7 @@
 bool decodeSubmittedJob(std::string_view body, SubmittedJob &job)
 {
     Json json;
-    if (!parseJson(body, json) || !json.is_object()) {
+    if (!parseClientJson(body, json) || !json.is_object()) {
         return false;
     }
     const auto steps = json.find("Steps");
--- a/tests/http/test_limits.cpp
+++ b/tests/http/test_limits.cpp
@@ -1,6 +1,7 @@
 // Tests of the limits on what is read: the message reader in each of its states, the budget of all connections, and a
 // client whose server sends without an end.
 #include "http/client_base.h"
+#include "http/json_func.h"
 #include "http/message_reader_internal.h"
 #include "http/read_budget_base.h"
 
@@ -140,6 +141,24 @@
     cr_assert(headerValue(reader.message(), "Authorization").empty());
 }
 
+// Guards against a short text that takes much memory once it is parsed, and against counting what is inside strings.
+Test(limits, jsonOfClientsIsBounded)
+{
+    const auto repeat = [](const std::string &text, std::size_t count) {
+        std::string result;
+        while (count-- > 0) {
+            result += text;
+        }
+        return result;
+    };
+    Json json;
+    cr_assert(!parseClientJson(repeat("[", 65) + repeat("]", 65), json));
+    cr_assert(parseClientJson(repeat("[", 64) + repeat("]", 64), json));
+    cr_assert(!parseClientJson("[0" + repeat(",0", 131'072) + "]", json));
+    cr_assert(parseClientJson("[0" + repeat(",0", 131'071) + "]", json));
+    cr_assert(parseClientJson("[\"\\\"" + repeat("[,", 200'000) + "\"]", json));
+}
+
 // Guards against eviction of small requests while a larger one is there, and against evicting more than needed.
 Test(limits, largestUnfinishedRequestIsEvicted)
 {
