Feature: [daemon] Settings, counters and log lines for the limits on clients

Cause: The limits on requests and connections were constants, did not follow from the memory and descriptors of the instance, and nothing told an operator that clients were refused. Counter mimosapier_client_refusals_total by limit, gauge mimosapier_read_budget_bytes, and the log line clients-refused once in ten seconds for each limit.

--- a/src/daemon/caller_front_end.cpp
+++ b/src/daemon/caller_front_end.cpp
@@ -103,10 +103,9 @@
                                Metrics *metrics)
     : state_(std::make_shared<State>(std::move(settings), thread, std::move(callbacks), metrics))
 {
-    HttpServerOptions options;
-    options.maxBodyBytes_ = state_->settings_.maxBodyBytes_;
     state_->server_ = std::make_unique<HttpServer>(
-        thread.context(), options, [state = state_.get()](const HttpRequest &request, const HttpResponder &respond) {
+        thread.context(), state_->settings_.http_,
+        [state = state_.get()](const HttpRequest &request, const HttpResponder &respond) {
             state->handle(request, respond);
         });
 }
--- a/src/daemon/caller_front_end_base.h
+++ b/src/daemon/caller_front_end_base.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "core/message/event_type.h"
+#include "http/server_base.h"
 
 #include <atomic>
 #include <cstddef>
@@ -23,8 +24,8 @@
 struct CallerFrontEndSettings
 {
     std::string address_; // "ip:port"; port 0 picks a free one
-    std::size_t maxBodyBytes_ = 1'048'576;
     std::size_t maxOpenRequests_ = 8192; // further requests are refused with Overloaded
+    HttpServerOptions http_;
 };
 
 // Connection to the decision thread. The functions are called on the front end's thread.
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -7,6 +7,7 @@
 #include "daemon/log_func.h"
 #include "daemon/metrics_base.h"
 #include "daemon/process_common_base.h"
+#include "daemon/read_limits_func.h"
 #include "daemon/ring_base.h"
 #include "net/transport_base.h"
 #include "platform/client_front_end_base.h"
@@ -60,9 +61,11 @@
     CellTime now() const;
     void checkLeave();
     [[nodiscard]] LogLine startedLine() const;
+    void reportRefusals();
     void stopThreads();
 
     Settings settings_;
+    ReadLimits limits_;
     SystemClock clock_;
     SystemWallClock wallClock_;
     DaemonId self_;
@@ -81,6 +84,7 @@
     Ring<CellPeerCommand> peerCommands_;
     std::unique_ptr<ClientFrontEnd> frontEnd_;
     std::unique_ptr<PlatformClient> platformClient_;
+    RefusalReport refusalReport_; // used on clientThread_ only
     std::unique_ptr<Control> control_; // used on decisionThread_ only
     ControlActions actions_;
     std::vector<CellEvent> batch_;
@@ -95,6 +99,7 @@
 
 CellProcess::State::State(const Settings &settings)
     : settings_(settings)
+    , limits_(readLimits(settings.limits_))
     , self_(newDaemonId(settings.name_))
     , seed_(settings.seed_ ? *settings.seed_ : std::random_device{}())
     , transport_(
@@ -131,7 +136,8 @@
     ClientFrontEndSettings frontEnd;
     frontEnd.address_ = settings_.callerAddress_;
     frontEnd.readyAddress_ = settings_.cell_.readyAddress_;
-    frontEnd.maxBodyBytes_ = settings_.limits_.maxBodyBytes_;
+    frontEnd.clients_ = limits_.clients_;
+    frontEnd.readiness_ = limits_.readiness_;
     frontEnd.maxOpenRequests_ = settings_.limits_.maxOpenRequests_;
     ClientFrontEndCallbacks callbacks;
     callbacks.submit_ = [this](ClientRequest &request) {
@@ -149,8 +155,8 @@
     sinks.runner_ = [this](RunnerReply reply) { results_.putUnbounded(CellEvent(std::move(reply))); };
     sinks.policy_ = [this](PolicyAnswer answer) { results_.putUnbounded(CellEvent(std::move(answer))); };
     platformClient_ = std::make_unique<PlatformClient>(
-        PlatformClientSettings{settings_.storeAddress_, settings_.cell_.policyAddress_}, callThread_, std::move(sinks),
-        clock_);
+        PlatformClientSettings{settings_.storeAddress_, settings_.cell_.policyAddress_, limits_.responses_},
+        callThread_, std::move(sinks), clock_);
 }
 
 ControlSettings CellProcess::State::controlSettings() const
@@ -183,6 +189,7 @@
     transport.listenAddress_ = settings_.peerAddress_;
     transport.addressOverrides_ = settings_.peerAddressOverrides_;
     transport.seed_ = seed_;
+    transport.maxBufferedBytes_ = limits_.peerBytes_;
     return transport;
 }
 
@@ -293,6 +300,8 @@
     metrics_.addRing("platform-calls", [this] { return platformCalls_.depth(); });
     metrics_.addRing("peer-commands", [this] { return peerCommands_.depth(); });
     metrics_.addRing("open-requests", [this] { return frontEnd_->openRequestCount(); });
+    metrics_.addRing("client-connections", [this] { return frontEnd_->connectionCount(); });
+    metrics_.setReadLimits(limits_);
     metrics_.setTransportCounters([this] { return transport_.counters(); });
 }
 
@@ -360,9 +369,20 @@
     number("grace_ms", cell.graceMs_);
     number("store_writes_per_s", cell.storeWritesPerS_);
     number("store_min_lease_ms", cell.storeMinLeaseMs_);
+    number("memory_mb", settings_.limits_.memoryMb_);
+    number("max_connections", limits_.clients_.maxConnections_);
+    number("read_budget_bytes", limits_.requests_->limit());
     return {LogLevel::Info, line.finish()};
 }
 
+// Logs refusals once in each interval, so that refused clients cannot fill the log.
+void CellProcess::State::reportRefusals()
+{
+    const std::vector<LogLine> lines = refusalReport_.newLines(*limits_.refusals_);
+    writeStructuredLog(lines);
+    clientThread_.postAfter(RefusalReportInterval, [this] { reportRefusals(); });
+}
+
 void CellProcess::State::stopThreads()
 {
     stopping_ = true;
@@ -409,6 +429,7 @@
     detail.clear();
     const LogLine line = state.startedLine();
     writeStructuredLog(std::span(&line, 1));
+    state.clientThread_.postAfter(RefusalReportInterval, [&state] { state.reportRefusals(); });
     state.clientThread_.start();
     state.callThread_.start();
     state.transportThread_ = std::thread([&state] { state.transport_.run(); });
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -2,6 +2,7 @@
 #include "daemon/metrics_base.h"
 
 #include "daemon/log_func.h"
+#include "daemon/read_limits_func.h"
 
 #include <prometheus/collectable.h>
 #include <prometheus/counter.h>
@@ -57,6 +58,9 @@
         if (transport_) {
             collectTransport(transport_(), families);
         }
+        if (refusals_) {
+            collectReadLimits(families);
+        }
         const LogDrops drops = droppedLogLines();
         MetricFamily &dropped = families.emplace_back(MetricFamily{
             "mimosapier_log_lines_dropped_total", "Structured log lines dropped, by rate.", MetricType::Counter, {}});
@@ -68,8 +72,31 @@
 
     std::vector<std::pair<std::string, std::function<std::size_t()>>> rings_;
     std::function<TransportCounters()> transport_;
+    std::shared_ptr<HttpRefusalCounters> refusals_;
+    std::shared_ptr<ReadBudget> requests_;
+    std::shared_ptr<ReadBudget> responses_;
 
 private:
+    void collectReadLimits(std::vector<MetricFamily> &families) const
+    {
+        MetricFamily refusals{"mimosapier_client_refusals_total",
+                              "Requests refused and connections closed for a limit, by limit.",
+                              MetricType::Counter,
+                              {}};
+        for (std::size_t i = 0; i < HttpRefusalCount; ++i) {
+            const auto kind = static_cast<HttpRefusal>(i);
+            refusals.metric.push_back(sample(MetricType::Counter, static_cast<double>(refusals_->count(kind)),
+                                             {{"limit", std::string(httpRefusalName(kind))}}));
+        }
+        families.push_back(std::move(refusals));
+        MetricFamily held{"mimosapier_read_budget_bytes", "Bytes held of the read budget.", MetricType::Gauge, {}};
+        held.metric.push_back(
+            sample(MetricType::Gauge, static_cast<double>(requests_->heldBytes()), {{"budget", "requests"}}));
+        held.metric.push_back(
+            sample(MetricType::Gauge, static_cast<double>(responses_->heldBytes()), {{"budget", "responses"}}));
+        families.push_back(std::move(held));
+    }
+
     static void collectTransport(const TransportCounters &counters, std::vector<MetricFamily> &families)
     {
         const auto add = [&families](std::string name, std::string help) -> MetricFamily & {
@@ -161,6 +188,13 @@
     state_->scrapeCollector_->transport_ = std::move(counters);
 }
 
+void Metrics::setReadLimits(const ReadLimits &limits)
+{
+    state_->scrapeCollector_->refusals_ = limits.refusals_;
+    state_->scrapeCollector_->requests_ = limits.requests_;
+    state_->scrapeCollector_->responses_ = limits.responses_;
+}
+
 void Metrics::countRequest(std::string_view kind)
 {
     state_->requests_.Add({{"kind", std::string(kind)}}).Increment();
--- a/src/daemon/metrics_base.h
+++ b/src/daemon/metrics_base.h
@@ -16,6 +16,8 @@
 namespace mimosapier
 {
 
+struct ReadLimits;
+
 class Metrics
 {
 public:
@@ -30,6 +32,7 @@
     // Functions that are called at each scrape, on the scrape's thread. Set before expose().
     void addRing(std::string name, std::function<std::size_t()> depth);
     void setTransportCounters(std::function<TransportCounters()> counters);
+    void setReadLimits(const ReadLimits &limits); // refusals, and bytes held for requests and responses
 
     // The functions below may be called from any thread.
     void countRequest(std::string_view kind);
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -8,6 +8,7 @@
 #include "daemon/log_func.h"
 #include "daemon/metrics_base.h"
 #include "daemon/process_common_base.h"
+#include "daemon/read_limits_func.h"
 #include "daemon/store_client_base.h"
 #include "daemon/worker_client_base.h"
 #include "net/transport_base.h"
@@ -36,9 +37,11 @@
     void onLeaveFinished();
     void stopFrontEnd();
     void answerOpenRequestsUnknown();
+    void reportRefusals();
     void stopThreads();
 
     Settings settings_;
+    ReadLimits limits_;
     SystemClock clock_;
     DaemonId self_;
     std::uint64_t seed_;
@@ -49,6 +52,7 @@
     DecisionThread decisionThread_;
     PeerTransport transport_;
     std::thread transportThread_;
+    RefusalReport refusalReport_; // used on callerThread_ only
     std::optional<CallerFrontEnd> frontEnd_;
     std::optional<StoreClient> storeClient_;
     std::optional<WorkerClient> workerClient_;
@@ -61,15 +65,16 @@
 
 Process::State::State(const Settings &settings)
     : settings_(settings)
+    , limits_(readLimits(settings.limits_))
     , self_(newDaemonId(settings.name_))
     , seed_(settings.seed_ ? *settings.seed_ : std::random_device{}())
     , decisionThread_(nodeSettings(), capacities(), ringCallbacks(), clock_, &metrics_, [this] { onLeaveFinished(); })
     , transport_(
           transportSettings(), [this](Event event) { onPeerEvent(std::move(event)); }, clock_)
 {
-    frontEnd_.emplace(CallerFrontEndSettings{settings_.callerAddress_, settings_.limits_.maxBodyBytes_,
-                                             settings_.limits_.maxOpenRequests_},
-                      callerThread_, callerCallbacks(), &metrics_);
+    frontEnd_.emplace(
+        CallerFrontEndSettings{settings_.callerAddress_, settings_.limits_.maxOpenRequests_, limits_.clients_},
+        callerThread_, callerCallbacks(), &metrics_);
     StoreClientSettings store;
     store.address_ = settings_.storeAddress_;
     store.maxOpenOperations_ = settings_.limits_.storeRing_;
@@ -111,6 +116,7 @@
     transport.listenAddress_ = settings_.peerAddress_;
     transport.addressOverrides_ = settings_.peerAddressOverrides_;
     transport.seed_ = seed_;
+    transport.maxBufferedBytes_ = limits_.peerBytes_;
     return transport;
 }
 
@@ -163,6 +169,7 @@
     metrics_.addRing("store", [this] { return decisionThread_.storeRequestRing().depth(); });
     metrics_.addRing("workers", [this] { return decisionThread_.workerRequestRing().depth(); });
     metrics_.addRing("open-requests", [this] { return frontEnd_->openRequestCount(); });
+    metrics_.setReadLimits(limits_);
     metrics_.setTransportCounters([this] { return transport_.counters(); });
 }
 
@@ -209,6 +216,14 @@
     stopFrontEnd();
 }
 
+// Logs refusals once in each interval, so that refused clients cannot fill the log.
+void Process::State::reportRefusals()
+{
+    const std::vector<LogLine> lines = refusalReport_.newLines(*limits_.refusals_);
+    writeStructuredLog(lines);
+    callerThread_.postAfter(RefusalReportInterval, [this] { reportRefusals(); });
+}
+
 void Process::State::stopThreads()
 {
     decisionThread_.stop();
@@ -251,6 +266,7 @@
     detail.clear();
     writeLog(LogLevel::Info,
              "[daemon] Started as " + state.self_.value_ + "; serving callers on " + callerAddress() + ".");
+    state.callerThread_.postAfter(RefusalReportInterval, [&state] { state.reportRefusals(); });
     state.callerThread_.start();
     state.storeThread_.start();
     state.workerThread_.start();
--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -21,6 +21,23 @@
     std::uint64_t drainMs_ = 1000; // shortest time for which a leaving daemon accepts connections, because load
                                    // balancers need time to see that it is not ready
     std::uint64_t shutdownMs_ = 30'000; // longest graceful shutdown
+    // Limits on one request while it is read, see HttpMessageLimits.
+    std::uint64_t maxRequestLineBytes_ = 16'384;
+    std::uint64_t maxHeaderBytes_ = 32'768; // with the request line
+    std::uint64_t maxHeaderFields_ = 4096; // of header and trailer
+    std::uint64_t maxTrailerBytes_ = 16'384;
+    std::uint64_t maxChunkLineBytes_ = 4096; // size and extensions of one chunk
+    std::uint64_t maxChunkOverheadBytes_ = 2'097'152; // chunk lines and trailer of one body
+    // Limits on one connection, and on all of them.
+    std::uint64_t maxPipelined_ = 64; // requests without a response; reading pauses at this number
+    std::uint64_t requestMs_ = 10'000; // for a header, and for a body besides the time at minBytesPerS_
+    std::uint64_t minBytesPerS_ = 16'384; // rate at which a body may arrive for longer than requestMs_
+    std::uint64_t idleMs_ = 60'000; // without a request
+    std::uint64_t writeMs_ = 10'000; // for sending one response
+    std::uint64_t maxConnections_ = 2048;
+    std::uint64_t readBudgetBytes_ = 0; // of requests and responses of all connections; 0: from memoryMb_
+    std::uint64_t memoryMb_ = 0; // memory of the instance; 0: not known
+    std::uint64_t maxDescriptors_ = 0; // of the process; 0: the limit of the system
 };
 
 // Parameters of the users' platform; used by a daemon of a cell only.
--- a/src/daemon/table/settings_table.h
+++ b/src/daemon/table/settings_table.h
@@ -35,6 +35,13 @@
     double CellDeployment::*cellRatio_ = nullptr;
 };
 
+// Helper that builds rows of the section "limits".
+constexpr SettingRow limitCount(std::string_view key, std::uint64_t Limits::*count, std::uint64_t min,
+                                std::uint64_t max)
+{
+    return {key, SettingRule::Count, false, nullptr, count, min, max};
+}
+
 // Helpers that build rows of the section "cell".
 constexpr SettingRow cellAddress(std::string_view key, SettingRule rule, std::string CellDeployment::*text)
 {
@@ -88,6 +95,21 @@
     SettingRow{"limits.worker_ring", SettingRule::Count, false, nullptr, &Limits::workerRing_, 16, MaxRing},
     SettingRow{"limits.drain_ms", SettingRule::Count, false, nullptr, &Limits::drainMs_, 0, 30'000},
     SettingRow{"limits.shutdown_ms", SettingRule::Count, false, nullptr, &Limits::shutdownMs_, 0, 30'000},
+    limitCount("limits.max_request_line_bytes", &Limits::maxRequestLineBytes_, 256, 1'048'576),
+    limitCount("limits.max_header_bytes", &Limits::maxHeaderBytes_, 1024, 1'048'576),
+    limitCount("limits.max_header_fields", &Limits::maxHeaderFields_, 16, 65'536),
+    limitCount("limits.max_trailer_bytes", &Limits::maxTrailerBytes_, 0, 1'048'576),
+    limitCount("limits.max_chunk_line_bytes", &Limits::maxChunkLineBytes_, 16, 1'048'576),
+    limitCount("limits.max_chunk_overhead_bytes", &Limits::maxChunkOverheadBytes_, 1024, 134'217'728),
+    limitCount("limits.max_pipelined", &Limits::maxPipelined_, 1, 4096),
+    limitCount("limits.request_ms", &Limits::requestMs_, 100, 600'000),
+    limitCount("limits.min_bytes_per_s", &Limits::minBytesPerS_, 1, 1'073'741'824),
+    limitCount("limits.idle_ms", &Limits::idleMs_, 100, 3'600'000),
+    limitCount("limits.write_ms", &Limits::writeMs_, 100, 600'000),
+    limitCount("limits.max_connections", &Limits::maxConnections_, 1, 65'536),
+    limitCount("limits.read_budget_bytes", &Limits::readBudgetBytes_, 0, 1'099'511'627'776),
+    limitCount("limits.memory_mb", &Limits::memoryMb_, 0, 1'048'576),
+    limitCount("limits.max_descriptors", &Limits::maxDescriptors_, 0, 1'048'576),
     cellAddress("cell.ready_address", SettingRule::ListenAddress, &CellDeployment::readyAddress_),
     cellAddress("cell.policy_address", SettingRule::Address, &CellDeployment::policyAddress_),
     cellCount("cell.hold_max_ms", &CellDeployment::holdMaxMs_, 1'000, 600'000),
--- a/src/platform/client_front_end.cpp
+++ b/src/platform/client_front_end.cpp
@@ -2,7 +2,6 @@
 #include "platform/client_front_end_base.h"
 
 #include "daemon/io_thread_base.h"
-#include "http/server_base.h"
 #include "platform/platform_codec_func.h"
 
 #include <atomic>
@@ -22,9 +21,9 @@
     State(ClientFrontEndSettings settings, IoThread &thread, ClientFrontEndCallbacks callbacks)
         : settings_(std::move(settings))
         , callbacks_(std::move(callbacks))
-        , server_(thread.context(), serverOptions(settings_),
+        , server_(thread.context(), settings_.clients_,
                   [this](const HttpRequest &request, const HttpResponder &respond) { serve(request, respond); })
-        , readyServer_(thread.context(), HttpServerOptions{},
+        , readyServer_(thread.context(), settings_.readiness_,
                        [this](const HttpRequest &, const HttpResponder &respond) {
                            HttpResponse response;
                            response.status_ = callbacks_.isReady_() ? StatusOk : StatusUnavailable;
@@ -33,14 +32,6 @@
     {
     }
 
-    static HttpServerOptions serverOptions(const ClientFrontEndSettings &settings)
-    {
-        HttpServerOptions options;
-        options.maxBodyBytes_ = settings.maxBodyBytes_;
-        options.maxConnections_ = settings.maxConnections_;
-        return options;
-    }
-
     void serve(const HttpRequest &http, const HttpResponder &respond);
 
     ClientFrontEndSettings settings_;
@@ -113,6 +104,11 @@
     state_->server_.stop(idleGrace, limit, std::move(onStopped));
 }
 
+std::size_t ClientFrontEnd::connectionCount() const
+{
+    return state_->server_.connectionCount();
+}
+
 std::size_t ClientFrontEnd::openRequestCount() const
 {
     return state_->openRequestCount_;
--- a/src/platform/client_front_end_base.h
+++ b/src/platform/client_front_end_base.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "core/control/control_type.h"
+#include "http/server_base.h"
 
 #include <cstddef>
 #include <functional>
@@ -22,9 +23,9 @@
 {
     std::string address_; // "ip:port" for clients
     std::string readyAddress_; // "ip:port" for the readiness check
-    std::size_t maxBodyBytes_ = 1'048'576;
     std::size_t maxOpenRequests_ = 4'096; // further requests are refused with Overloaded
-    std::size_t maxConnections_ = 2'048; // further connections are closed at once
+    HttpServerOptions clients_;
+    HttpServerOptions readiness_;
 };
 
 // Connection to the decision thread. The functions are called on the front end's thread.
@@ -59,6 +60,8 @@
 
     // Number of requests without an answer. May be called from any thread.
     [[nodiscard]] std::size_t openRequestCount() const;
+    // Number of clients' connections. May be called from any thread.
+    [[nodiscard]] std::size_t connectionCount() const;
 
 private:
     struct State;
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -22,17 +22,18 @@
         : settings_(std::move(settings))
         , sinks_(std::move(sinks))
         , clock_(clock)
-        , store_(thread.context(), options(StoreConnections))
-        , runners_(thread.context(), options(RunnerConnections))
-        , policy_(thread.context(), options(PolicyConnections))
+        , store_(thread.context(), options(StoreConnections, settings_))
+        , runners_(thread.context(), options(RunnerConnections, settings_))
+        , policy_(thread.context(), options(PolicyConnections, settings_))
     {
     }
 
-    static HttpClientOptions options(std::size_t connections)
+    static HttpClientOptions options(std::size_t connections, const PlatformClientSettings &settings)
     {
         HttpClientOptions options;
         options.connectTimeout_ = ConnectTimeout;
         options.maxConnections_ = connections;
+        options.budget_ = settings.responses_;
         return options;
     }
 
--- a/src/platform/platform_client_base.h
+++ b/src/platform/platform_client_base.h
@@ -13,11 +13,13 @@
 {
 
 class IoThread;
+class ReadBudget;
 
 struct PlatformClientSettings
 {
     std::string storeAddress_; // "ip:port"
     std::string policyAddress_; // "ip:port"; empty: no policy service, and each query gets an answer without result
+    std::shared_ptr<ReadBudget> responses_{}; // of the bytes of unfinished responses; null: no common limit
 };
 
 // Receivers of the replies. Called on the client's thread.
--- a/tests/platform/test_template.cpp
+++ b/tests/platform/test_template.cpp
@@ -85,7 +85,7 @@
             {"Ip", "10.0.0.1"},
             {"Advice", "10.0.0.9:1"},
             {"Listen", {{"Frontend", "10.0.0.1:1"}, {"Ready", "10.0.0.1:2"}}},
-            {"Limits", {{"CpuShare", 0.12}, {"Cores", 1}, {"MemoryMb", 160}}},
+            {"Limits", {{"CpuShare", 0.12}, {"Cores", 1}, {"MemoryMb", 160}, {"MaxFds", 3075}}},
             {"platform", {{"Address", "10.0.0.8:1"}, {"WritesPerS", 1200}, {"TtlMinMs", 1500}}},
             {"Bounds",
              {{"HoldMaxMs", 9000},
@@ -115,6 +115,8 @@
     cr_assert_eq(cell.graceMs_, 8'000U);
     cr_assert_eq(cell.storeWritesPerS_, 1'200U);
     cr_assert_eq(cell.storeMinLeaseMs_, 1'500U);
+    cr_assert_eq(result.settings_.limits_.memoryMb_, 160U);
+    cr_assert_eq(result.settings_.limits_.maxDescriptors_, 3'075U);
 }
 
 // Guards against a daemon that does not start because the platform omits optional values.
@@ -128,4 +130,6 @@
     cr_assert(result.problems_.empty(), "%s", result.problems_.empty() ? "" : result.problems_.front().c_str());
     cr_assert(result.settings_.cell_.policyAddress_.empty());
     cr_assert_eq(result.settings_.cell_.graceMs_, CellDeployment{}.graceMs_);
+    cr_assert_eq(result.settings_.limits_.memoryMb_, 0U);
+    cr_assert_eq(result.settings_.limits_.maxDescriptors_, 0U);
 }
--- a/tests/untrusted/test_untrusted_clients.py
+++ b/tests/untrusted/test_untrusted_clients.py
@@ -161,6 +161,11 @@
     def test_chunks_of_one_byte(self):
         self.check(4, CHUNKED, b"1\r\na\r\n", 24 * MEGABYTE)
 
+    def test_last_chunk_in_small_pieces(self):
+        """An assertion of the HTTP library failed when the last chunk line and the next byte came separately."""
+        self.check(1, CHUNKED, trickle=b"0\r\n\r\n")
+        self.check(1, CHUNKED + b"0\r\n", trickle=b"\r\n")
+
     def test_header_fields_without_end(self):
         self.check(4, HEAD, b"X-Field: value\r\n", 24 * MEGABYTE)
 
@@ -184,6 +189,12 @@
         chunk = b"4000\r\n" + b"b" * 0x4000 + b"\r\n"
         self.check(60, CHUNKED, chunk, len(CHUNKED) + 63 * len(chunk))
 
+    def test_whole_bodies_of_many_values(self):
+        """Bodies at the limit that take much memory once they are decoded: deep nesting, and many small values."""
+        for opening, filler in ((b"", b"["), (b"[0", b",[]"), (b'{"Spec":"work","Steps":[{}', b',{"a":0}')):
+            body = (opening + filler * (BODY_BYTES // len(filler)))[:BODY_BYTES]
+            self.check(16, HEAD + f"Content-Length: {BODY_BYTES}\r\n\r\n".encode() + body)
+
     def test_pipelined_requests_with_unread_responses(self):
         self.check(32, b"", b"GET /q/00000000000000ff HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key\r\n\r\n",
                    8 * MEGABYTE)
