Fix: [http] A body that grew took up to twice its limit

Cause: A string that grows doubles its capacity, so a body in chunks of nearly 1 MB took up to 2 MB, and the budget counted only the bytes received. Change: The body grows to an exact capacity, at most the announced length or the limit, and the budget counts the capacity.

--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -90,10 +90,10 @@
 }
 
 template <bool IsRequest>
-void MessageParser<IsRequest>::on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
-                                                 error_code & /*error*/)
+void MessageParser<IsRequest>::on_body_init_impl(const boost::optional<std::uint64_t> &length, error_code & /*error*/)
 {
     // Reserves nothing for a length that the sender has only announced.
+    announcedBytes_ = length.value_or(0);
 }
 
 template <bool IsRequest>
@@ -106,7 +106,13 @@
         return 0;
     }
     if (size > all.capacity()) {
-        all.reserve(std::min(std::max(size, 2 * all.capacity()), limits_.maxBodyBytes_));
+        // A string that grows doubles its capacity, even beyond the limit, so a new one with the exact capacity is
+        // made.
+        const std::size_t longest = announcedBytes_ > 0 ? announcedBytes_ : limits_.maxBodyBytes_;
+        std::string grown;
+        grown.reserve(std::max(size, std::min(2 * all.capacity(), longest)));
+        grown += all;
+        all = std::move(grown);
     }
     all.append(body.data(), body.size());
     return body.size();
--- a/src/http/message_reader_internal.h
+++ b/src/http/message_reader_internal.h
@@ -52,6 +52,7 @@
 
     const HttpMessageLimits &limits_;
     bool headerComplete_ = false;
+    std::uint64_t announcedBytes_ = 0; // length of the body; 0: not known
 };
 
 template <bool IsRequest>
@@ -74,7 +75,7 @@
     // Bytes held for the message.
     [[nodiscard]] std::size_t heldBytes() const
     {
-        return pending_.size() + parser_.messageBytes_ + parser_.message_.body_.size();
+        return pending_.size() + parser_.messageBytes_ + parser_.message_.body_.capacity();
     }
 
     // After isDone().
