Feature: [http] Tests of the budget, of making room and of the minimum rate

Cause: tests/untrusted checks whole processes with lowered limits, but not which request is refused, what it is told, and that the limits follow from the instance.

--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -2,6 +2,7 @@
 // difference between NotSent and MaybeSent.
 #include "http/client_base.h"
 #include "http/json_func.h"
+#include "http/read_budget_base.h"
 #include "http/server_base.h"
 
 #include <boost/asio/io_context.hpp>
@@ -140,6 +141,96 @@
     cr_assert(SystemClock().now() - start < Milliseconds(1500));
 }
 
+// Guards against requests that fill the memory although each is within its limits, against a refusal without an answer,
+// and against bytes of a refused request that stay in the budget.
+Test(http, largestRequestIsRefusedWhenTheBudgetIsExceeded, .timeout = 20)
+{
+    HttpServerOptions options;
+    options.budget_ = std::make_shared<ReadBudget>(std::size_t{50'000});
+    options.refusals_ = std::make_shared<HttpRefusalCounters>();
+    ServerFixture fixture(echo, options);
+    const std::string response
+        = fixture.sendRaw("POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" + std::string(60'000, 'x'));
+    cr_assert(response.starts_with("HTTP/1.1 503 ") && response.find("not-run") != std::string::npos);
+    cr_assert(response.find("Retry-After: 1") != std::string::npos);
+    cr_assert_eq(options.refusals_->count(HttpRefusal::Budget), 1U);
+    cr_assert_eq(options.budget_->heldBytes(), 0U);
+    const auto after
+        = fixture.send(fixture.server_->address(), {"POST", "/", {}, std::string(10'000, 'x')}, 2000).get();
+    cr_assert_eq(after.status_, 200U);
+}
+
+// Guards against silent connections that shut out callers at the limit of connections, and against closing a connection
+// with an open request to make room.
+Test(http, longestWaitingConnectionMakesRoom, .timeout = 20)
+{
+    HttpServerOptions options;
+    options.maxConnections_ = 2;
+    options.refusals_ = std::make_shared<HttpRefusalCounters>();
+    std::promise<HttpResponder> received;
+    ServerFixture fixture(
+        [&](const HttpRequest &request, const HttpResponder &respond) {
+            if (request.target_ == "/hold") {
+                received.set_value(respond);
+            } else {
+                echo(request, respond);
+            }
+        },
+        options);
+    auto held = fixture.send(fixture.server_->address(), {"GET", "/hold", {}, ""}, 5000);
+    const HttpResponder respond = received.get_future().get();
+    const std::string close = "GET /x HTTP/1.1\r\nConnection: close\r\n\r\n";
+    boost::asio::io_context context;
+    std::vector<tcp::socket> silent;
+    HttpAddress address;
+    parseAddress(fixture.server_->address(), address);
+    for (int i = 0; i < 5; ++i) {
+        silent.emplace_back(context).connect({boost::asio::ip::make_address(address.ip_), address.port_});
+    }
+    cr_assert(fixture.sendRaw(close).starts_with("HTTP/1.1 200 "));
+    respond({200, "held", "text/plain"});
+    cr_assert_eq(held.get().body_, "held");
+    // The last one may still be closing.
+    const TimePoint end = SystemClock().now() + Milliseconds(5'000);
+    while (options.refusals_->count(HttpRefusal::Connections) < 5 && SystemClock().now() < end) {
+        std::this_thread::sleep_for(Milliseconds(5));
+    }
+    cr_assert_eq(options.refusals_->count(HttpRefusal::Connections), 5U);
+}
+
+// Guards against a minimum rate that refuses a body which arrives steadily for longer than the time of a request, and
+// against one that does not refuse a slow body.
+Test(http, steadyBodyMayTakeLonger, .timeout = 20)
+{
+    HttpServerOptions options;
+    options.requestTimeout_ = Milliseconds(1'000);
+    options.minBytesPerSecond_ = 1'000;
+    ServerFixture fixture(echo, options);
+    constexpr int Pieces = 12;
+    // Sends a body of 12 pieces, the first one together with the header, and stops after `sentPieces`.
+    const auto responseTo = [&](std::size_t pieceBytes, int sentPieces) {
+        boost::asio::io_context context;
+        tcp::socket socket(context);
+        HttpAddress address;
+        parseAddress(fixture.server_->address(), address);
+        socket.connect({boost::asio::ip::make_address(address.ip_), address.port_});
+        const std::string piece(pieceBytes, 'x');
+        const std::string head = "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: "
+            + std::to_string(Pieces * pieceBytes) + "\r\n\r\n";
+        boost::system::error_code error;
+        boost::asio::write(socket, boost::asio::buffer(head + piece), error);
+        for (int i = 1; i < sentPieces; ++i) {
+            std::this_thread::sleep_for(Milliseconds(100));
+            boost::asio::write(socket, boost::asio::buffer(piece), error);
+        }
+        std::string response;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(response), error);
+        return response;
+    };
+    cr_assert(responseTo(8'000, Pieces).starts_with("HTTP/1.1 200 "));
+    cr_assert(responseTo(1, 1).starts_with("HTTP/1.1 408 "));
+}
+
 // Guards against reporting a timed-out call as NotSent although the server has it, and against using its connection
 // again.
 Test(http, timedOutCallMayHaveBeenSent)
