Fix: [cell] Small gangs waited for few known runners

With reservations on, a small gang asked about runners until the allowed ones could hold four times its members: six runners for three members. It then waited for these while other runners were free. A query now names at least as many runners as lengthen it by half, and a gang that may ignore reservations asks about reserved runners too.

Urgent work ignores reservations with 350 ms plus a quarter of its estimate left instead of 500 ms: it finds other runners more often now. A query that is sent now counts its own time for backfill.

Adds tests of backfill and of urgent work.

--- a/src/core/cell/gang_room.cpp
+++ b/src/core/cell/gang_room.cpp
@@ -33,8 +33,9 @@
 static constexpr Milliseconds QueryRoundTrip{60}; // messages between the leader, a daemon and the policy service
 // Tickets that are valid for this long after the reservation is complete are not renewed before.
 static constexpr Milliseconds TicketReserve{200};
-// Work of a higher priority ignores reservations when its slack is below this time plus a quarter of its estimate.
-static constexpr Milliseconds UrgentSlack{500};
+// Work of a higher priority ignores reservations when its slack is below this time, for a query and a start, plus a
+// quarter of its estimate.
+static constexpr Milliseconds UrgentSlack{350};
 static constexpr int UrgentEstimatePart = 4;
 // More runners are asked about until the allowed ones can hold this multiple of the members: of runners that are 80%
 // full, a quarter of the capacity becomes free within a second. With 2, gangs wait a quarter longer in bench_gang_room.
--- a/src/core/cell/policy.cpp
+++ b/src/core/cell/policy.cpp
@@ -61,6 +61,9 @@
     const Resources size = reservedSize(spec);
     RoomAccess access = roomAccessOf(cell, job, ref, now);
     access.ignoresLowerPriority_ = mayIgnoreRooms(job, ref, now);
+    if (access.end_ != TimePoint::max()) { // the tasks start when the answer is there
+        access.end_ += Milliseconds(static_cast<std::int64_t>(policyQueryMs(job.policy_, MinRunnersPerQuery)));
+    }
     const auto share = cell.allowedShare_.find(job.policy_.queue_);
     const double likely = share == cell.allowedShare_.end() ? InitialAllowedShare : share->second;
     std::vector<Entry> entries;
@@ -130,6 +133,13 @@
 
 } // namespace
 
+// Number of runners that lengthen a query by half at most.
+static std::size_t cheapRunners(const QueuePolicy &policy)
+{
+    return policy.perRunnerMs_ <= 0 ? MaxRunnersPerQuery
+                                    : static_cast<std::size_t>(policy.decideMs_ / policy.perRunnerMs_ / 2);
+}
+
 // Chooses unknown runners, also full ones, until the allowed ones can hold the gang with a reserve: verdicts are final.
 static std::vector<RunnerId> chooseUnknownRunners(const Cell &cell, FreeCapacityIndex &freeCapacity, const Job &job,
                                                   const StepRef &ref, const StepState &step, TimePoint now)
@@ -143,7 +153,8 @@
     };
     const StepSpec &spec = stepSpec(job, ref.step_);
     const Resources size = reservedSize(spec);
-    const RoomAccess access = roomAccessOf(cell, job, ref, now);
+    RoomAccess access = roomAccessOf(cell, job, ref, now);
+    access.ignoresLowerPriority_ = mayIgnoreRooms(job, ref, now);
     const auto share = cell.allowedShare_.find(job.policy_.queue_);
     const double likely = share == cell.allowedShare_.end() ? InitialAllowedShare : share->second;
     double expected = 0;
@@ -165,8 +176,12 @@
             > std::tie(right.fitting_, right.milliCpus_, right.id_);
     });
     std::vector<RunnerId> chosen;
+    if (expected >= wantedKnownMembers(spec)) {
+        return chosen;
+    }
+    const std::size_t cheap = cheapRunners(job.policy_); // a small gang has more to choose from for little time
     for (const Entry &entry : entries) {
-        if (chosen.size() >= MaxRunnersPerQuery || expected >= wantedKnownMembers(spec)) {
+        if (chosen.size() >= MaxRunnersPerQuery || (expected >= wantedKnownMembers(spec) && chosen.size() >= cheap)) {
             break;
         }
         chosen.push_back(entry.id_);
--- a/tests/cell/test_gang_room.cpp
+++ b/tests/cell/test_gang_room.cpp
@@ -339,6 +339,58 @@
     cr_assert(world.queries_ <= 4);
 }
 
+// Fills all runners but four for 5 s; a gang waits for three of the full runners and has the four free ones reserved.
+// Result: when the full runners become free.
+static TimePoint reserveFreeRunners(LoadWorld &world)
+{
+    world.estimateSpread_ = 0;
+    for (int i = 0; i < Runners - 4; ++i) {
+        world.send(world.job(600'000 + static_cast<std::uint64_t>(i), 2, 1, RunnerMilliCpus, Milliseconds(5'000), 4,
+                             Milliseconds(10'000)));
+    }
+    world.advance(Milliseconds(300));
+    world.submitGang(GangId, false);
+    world.awaitRoom(GangId);
+    return world.ending_.top().at_;
+}
+
+// Guards against reserved processors that stay idle although there is work that ends in time, and against work that
+// starts there and ends too late.
+Test(gangRoom, onlyWorkThatEndsInTimeStartsOnReservedRunners)
+{
+    LoadWorld world(0.5);
+    const TimePoint free = reserveFreeRunners(world);
+    const auto submit = [&world](std::uint64_t id, Milliseconds estimate) {
+        world.send(world.job(id, 2, 4, 30'000, estimate, 10, Milliseconds(30'000)));
+    };
+    submit(700'000, Milliseconds(8'000));
+    world.advance(Milliseconds(100));
+    submit(700'001, Milliseconds(1'000));
+    world.advance(Milliseconds(100));
+    cr_assert(!world.startedAt_.contains(700'000));
+    cr_assert(world.startedAt_.contains(700'001));
+    world.advance(Milliseconds(7'000));
+    cr_assert(world.startedAt_.contains(GangId));
+    const auto late = std::chrono::duration_cast<Milliseconds>(world.startedAt_.at(GangId) - free).count();
+    cr_assert(late <= 200, "started %lld ms after the runners were free", static_cast<long long>(late));
+    cr_assert(world.startedAt_.contains(700'000));
+}
+
+// Guards against urgent jobs that miss their objective because the only free processors are reserved for a gang of
+// lower priority. Less urgent jobs have to wait.
+Test(gangRoom, urgentWorkIgnoresReservationsBeforeItIsLate)
+{
+    LoadWorld world(0.5);
+    reserveFreeRunners(world);
+    world.send(world.job(700'000, 2, 1, 30'000, Milliseconds(6'000), 1.1, Milliseconds(500)));
+    world.send(world.job(700'001, 0, 1, 30'000, Milliseconds(6'000), 1.5, Milliseconds(500)));
+    world.advance(Milliseconds(50));
+    cr_assert(!world.startedAt_.contains(700'001), "an urgent job with time left does not wait");
+    world.advance(Milliseconds(2'000)); // the slack of 3,500 ms comes below 500 ms and a quarter of 6,000 ms
+    cr_assert(world.startedAt_.contains(700'001));
+    cr_assert(!world.startedAt_.contains(700'000));
+}
+
 // Guards against reservations where the setting is 0.
 Test(gangRoom, noReservationsByDefault)
 {
