Codechange: [cell] Test of reservations while runners come and go

Runners are drained, fall silent and come back, and gangs are cancelled, at random from a fixed seed; reservations stay whole, within the share, and none is left in the end.

--- a/tests/cell/test_gang_room.cpp
+++ b/tests/cell/test_gang_room.cpp
@@ -89,6 +89,16 @@
         submittedAt_[id] = now_;
     }
 
+    void cancel(std::uint64_t id)
+    {
+        CellRequest request;
+        request.call_ = CallId{++lastCall_};
+        request.verb_ = CellVerb::Cancel;
+        request.job_ = StagedJobId{id};
+        request.policy_.queue_ = "q1";
+        send(request);
+    }
+
     // Runs for the duration. Submits small work at a steady rate and ends each run after its estimate times a random
     // factor of estimateSpread_.
     void advance(Milliseconds duration)
@@ -302,12 +312,7 @@
     world.advance(Milliseconds(5'000));
     world.submitGang(GangId);
     world.awaitRoom(GangId);
-    CellRequest cancel;
-    cancel.call_ = CallId{++world.lastCall_};
-    cancel.verb_ = CellVerb::Cancel;
-    cancel.job_ = StagedJobId{GangId};
-    cancel.policy_.queue_ = "q1";
-    world.send(cancel);
+    world.cancel(GangId);
     world.advance(Milliseconds(10));
     cr_assert_null(world.roomOf(GangId));
     for (const auto &[id, runner] : world.cell_->runners_) {
@@ -391,6 +396,74 @@
     cr_assert(!world.startedAt_.contains(700'000));
 }
 
+// Checks that the runners have exactly the reservations of the leader's list, that each covers its whole gang, and that
+// they stay within the share.
+static void checkReservations(const LoadWorld &world, double share)
+{
+    std::size_t holds = 0;
+    std::int64_t capacity = 0;
+    std::int64_t reserved = 0;
+    for (const auto &[id, runner] : world.cell_->runners_) {
+        holds += runner->roomHolds_.size();
+        capacity += RunnerMilliCpus;
+        for (const RoomHold &hold : runner->roomHolds_) {
+            reserved += hold.reserved_.milliCpus_;
+        }
+    }
+    std::size_t parts = 0;
+    for (const GangRoom &room : world.cell_->gangRooms_.rooms_) {
+        parts += room.members_.size();
+        std::uint32_t members = 0;
+        for (const auto &[id, count] : room.members_) {
+            members += count;
+        }
+        cr_assert_eq(members, GangMembers);
+    }
+    cr_assert_eq(holds, parts);
+    cr_assert(static_cast<double>(reserved) <= share * static_cast<double>(capacity));
+}
+
+// Guards against reservations that outlive their gang, or that cover only a part of it, after runners were drained,
+// fell silent and came back, and gangs were cancelled.
+Test(gangRoom, reservationsStayWholeWhileRunnersComeAndGo)
+{
+    LoadWorld world(0.3);
+    world.setSteadyLoad();
+    std::mt19937 random(23);
+    std::vector<std::uint64_t> gangs;
+    for (int step = 0; step < 2'000; ++step) {
+        if (step % 200 == 0) {
+            gangs.push_back(GangId + gangs.size());
+            world.submitGang(gangs.back());
+        }
+        if (step % 40 == 0) {
+            RunnerModel &runner = world.runners_.at(RunnerId("r" + std::to_string(random() % Runners)));
+            if (random() % 2 == 0) {
+                runner.reachable_ = !runner.reachable_;
+            } else {
+                runner.record_.draining_ = !runner.record_.draining_;
+                updateRunner(*world.cell_, runner.record_, world.time(), world.actions_);
+            }
+        }
+        if (step % 500 == 499) {
+            world.cancel(gangs.back());
+        }
+        world.advance(Milliseconds(5));
+        checkReservations(world, 0.3);
+    }
+    world.smallPerSecond_ = 0;
+    world.widePerSecond_ = 0;
+    for (auto &[id, runner] : world.runners_) {
+        runner.reachable_ = true;
+        runner.record_.draining_ = false;
+        updateRunner(*world.cell_, runner.record_, world.time(), world.actions_);
+    }
+    world.advance(Milliseconds(30'000));
+    checkReservations(world, 0.3);
+    cr_assert(world.cell_->gangRooms_.rooms_.empty());
+    cr_assert(world.linesWith({"room-reserved", "runner-left"}) >= 1);
+}
+
 // Guards against reservations where the setting is 0.
 Test(gangRoom, noReservationsByDefault)
 {
