Feature: [soak] Kind evacuate: no task starts in an evacuated zone

Cause: the rule was tested without processes only.

Change: daemons and runners of the soak are in two zones by turns. The kind evacuate writes and removes the operator's key, and check_evacuated.py states each start in the zone beyond the bound, from the runners' journals. A run in which no evacuation outlasts its bound does not count as held.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -13,6 +13,7 @@
 import sys
 import time
 
+from check_evacuated import Evacuation
 from httpd import call
 from link import Link
 from store import Store
@@ -22,12 +23,13 @@
 KEY = "key-of-tenant-1"
 READY_TIMEOUT_S = 30
 STOP_TIMEOUT_S = 7  # more than grace_ms below
+ZONES = ("zone-a", "zone-b")  # daemons and runners are in them by turns
 EPOCH_KEY, LEADER_KEY = "mimosapier/cluster/epoch", "mimosapier/cluster/leader"
 
 # Bounds as deploy/settings.yaml fills them in on the users' platform.
 SETTINGS = """name: "{name}"
 region: "region-a"
-zone: "zone-a"
+zone: "{zone}"
 caller_address: "{front}"
 peer_address: "{peer}"
 metrics_address: "{metrics}"
@@ -64,8 +66,8 @@
 
 
 class Daemon:
-    def __init__(self, name, folder, port, store_address, reserve):
-        self.name, self.port_, self.store_address_ = name, port, store_address
+    def __init__(self, name, folder, port, store_address, reserve, zone):
+        self.name, self.port_, self.store_address_, self.zone_ = name, port, store_address, zone
         self.front, self.ready, self.peer, self.metrics = (reserve() for _ in range(4))
         self.log = os.path.join(folder, name + ".log")
         self.settings = os.path.join(folder, name + ".yaml")
@@ -75,7 +77,7 @@
     def write_settings(self, overrides):
         with open(self.settings, "w") as file:
             file.write(SETTINGS.format(name=self.name, front=self.front, peer=self.peer, metrics=self.metrics,
-                                       store=self.store_address_, ready=self.ready,
+                                       store=self.store_address_, ready=self.ready, zone=self.zone_,
                                        overrides="".join(f'  {name}: "{address}"\n' for name, address in overrides)))
 
     def start(self, program):
@@ -88,8 +90,8 @@
 
 
 class RunnerProcess:
-    def __init__(self, name, folder, address):
-        self.name, self.address = name, address
+    def __init__(self, name, folder, address, zone=ZONES[0]):
+        self.name, self.address, self.zone = name, address, zone
         self.journal = os.path.join(folder, name + ".journal")
         self.process = None
         self.is_restarting = False
@@ -101,6 +103,7 @@
         self.counts_ = (daemons, runners)
         self.store = Store(seed, store_answer_s)
         self.daemons, self.runners = [], []
+        self.evacuations = []  # check_evacuated.Evacuation, also ended ones
         self.links_ = {}  # (name of the daemon that dials, name of the other) -> Link
         self.reservations_ = []
         self.began_ = time.monotonic()
@@ -126,12 +129,13 @@
         self.store.write("op/config", json.dumps(configuration()).encode())
         daemons, runners = self.counts_
         for number in range(runners):
-            runner = RunnerProcess(f"server-{number}", self.folder, self.reserve())
+            runner = RunnerProcess(f"server-{number}", self.folder, self.reserve(), ZONES[number % len(ZONES)])
             self.runners.append(runner)
             self.start_runner(runner)
         for number in range(daemons):
             port, address = await self.store.open_port()
-            self.daemons.append(Daemon(f"edge-{number}", self.folder, port, address, self.reserve))
+            self.daemons.append(Daemon(f"edge-{number}", self.folder, port, address, self.reserve,
+                                       ZONES[number % len(ZONES)]))
         for daemon in self.daemons:
             overrides = []
             for other in self.daemons:
@@ -188,6 +192,20 @@
             daemon.port_.push("silent")
         return daemons, links
 
+    def begin_evacuation(self, zone):
+        """Evacuates a zone as the operator does; the store must not be down for all."""
+        self.store.write("op/evacuate/" + zone, b"{}")
+        self.evacuations.append(Evacuation(zone, time.monotonic()))
+        return self.evacuations[-1]
+
+    def end_evacuation(self, evacuation):
+        evacuation.end = time.monotonic()  # before the key goes, as starts follow at once
+        self.store.remove("op/evacuate/" + evacuation.zone)
+
+    def rejections(self):
+        """Times in which the store rejected some daemons."""
+        return [tuple(row) for port in self.store.ports_ for row in port.rejections_]
+
     def heal(self, cut):
         daemons, links = cut
         for link in links:
@@ -213,7 +231,7 @@
 
     def start_runner(self, runner, partition=None):
         command = [sys.executable, os.path.join(FOLDER, "runner.py"), "--id", runner.name, "--address", runner.address,
-                   "--store", self.internal_, "--journal", runner.journal, "--seed", str(self.seed_)]
+                   "--zone", runner.zone, "--store", self.internal_, "--journal", runner.journal, "--seed", str(self.seed_)]
         if partition:
             command += ["--partition", json.dumps(partition)]
         runner.process = subprocess.Popen(command, stdin=subprocess.DEVNULL)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,6 +11,7 @@
 import time
 
 import check_twice
+from deployment import ZONES
 from httpd import call
 
 FIRST_FAULT_S = 4.0
@@ -31,6 +32,10 @@
 RECUT_CUT_S = (11.0, 13.0)  # longer than any lease
 RECUT_TASK_S = 10.0  # a run that is still at work when a shorter lease than the longest one would be over
 RECUT_LEADER_SHARE = 0.8
+# Evacuations of the zone in which a task was started last: a leader fills one runner after the other, so that the other zone
+# may not be in use at all.
+EVACUATION_BUSY_SHARE = 0.8
+EVACUATION_LENGTHS_S = (15, 18, 22)  # more than the bound with its extension, see check_evacuated.py
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,6 +66,7 @@
         self.counts = {}
         self.has_region_ = False
         self.has_recut_ = False
+        self.has_evacuation_ = False
 
     async def run(self, fault):
         source = random.Random(fault.seed)
@@ -306,6 +312,35 @@
         await asyncio.sleep(cut_s)
         return begun > 0
 
+    # ---- zones ----
+
+    async def evacuate(self, _, source):
+        """Evacuates a zone as the operator does. There is one such fault at a time, so that tasks can start elsewhere."""
+        if self.has_evacuation_:
+            return False
+        self.has_evacuation_ = True
+        try:
+            await self.evacuate_zone(source)
+        finally:
+            self.has_evacuation_ = False
+        return True
+
+    async def evacuate_zone(self, source):
+        zone, length_s = source.choice(ZONES), source.choice(EVACUATION_LENGTHS_S)
+        if source.random() < EVACUATION_BUSY_SHARE:
+            zone = max(self.deployment_.runners, key=lambda runner: check_twice.last_start(runner.journal)).zone
+        await self.store_up()
+        self.deployment_.note(f"  {zone} is evacuated for {length_s} s")
+        evacuation = self.deployment_.begin_evacuation(zone)
+        await asyncio.sleep(length_s)
+        await self.store_up()
+        self.deployment_.end_evacuation(evacuation)
+        self.deployment_.note(f"  the evacuation of {zone} has ended")
+
+    async def store_up(self):
+        while self.deployment_.store.outages_:
+            await asyncio.sleep(0.05)
+
     async def runner_kill(self, _, source):
         runner, pause_s = source.choice(self.deployment_.runners), source.choice([0, 0.5, 1, 2, 5, 8])
         return await self.deployment_.restart_runner(runner, pause_s)
@@ -319,6 +354,7 @@
     "runner-silent": Injector.runner_fault, "runner-slow": Injector.runner_fault, "runner-lossy": Injector.runner_fault,
     "runner-late": Injector.runner_fault, "runner-drain": Injector.runner_fault, "runner-kill": Injector.runner_kill,
     "quiet-handover": Injector.quiet_and_handover, "recut": Injector.recut,
+    "evacuate": Injector.evacuate,
 }
 # Kinds that replace a leader, so that a run with one of them and without a change of leader shows nothing.
 LEADER_KINDS = {"region", "region-restart", "kill", "term", "succession", "quiet-handover", "recut"}
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -119,7 +119,7 @@
     # ---- registration ----
 
     def entry(self):
-        return {"Service": "booking", "Address": self.args_.address, "Zone": "zone-a", "Version": "1", "Slots": 8,
+        return {"Service": "booking", "Address": self.args_.address, "Zone": self.args_.zone, "Version": "1", "Slots": 8,
                 "State": "draining" if self.has_fault("drain") else "ready", "ColdRemainingMs": 0, "Sequence": self.sequence_,
                 "Capacity": {"Cpu": self.args_.cpu, "MemMb": 262_144, "Gpu": 0}, "Labels": ["a", "r1-1"],
                 "born": self.born_}
@@ -267,6 +267,7 @@
     parser = argparse.ArgumentParser()
     for name in ("id", "address", "store", "journal"):
         parser.add_argument("--" + name, required=True)
+    parser.add_argument("--zone", default="zone-a")
     parser.add_argument("--cpu", type=int, default=64_000)
     parser.add_argument("--hold-max", type=int, default=10_000)
     parser.add_argument("--seed", type=int, default=0)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,7 @@
-"""scripts/soak: daemons and runners under faults drawn from a seed; checks that no task that has run is run again.
+"""scripts/soak: daemons and runners under faults drawn from a seed; checks that no task that has run is run again,
+and that no task starts in an evacuated zone.
 
-Exit codes: 0 the rule held; 1 it was broken, or a daemon ended by itself; 2 the run could not be made, or too little
+Exit codes: 0 the rules held; 1 one was broken, or a daemon ended by itself; 2 the run could not be made, or too little
 happened for it to show anything. Files of a run are kept where it did not hold, and with --out.
 """
 
@@ -18,6 +19,7 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import check_evacuated  # noqa: E402
 import check_twice  # noqa: E402
 from deployment import HOST, KEY, CannotRun, Deployment  # noqa: E402
 from faults import KINDS, LEADER_KINDS, Injector, draw_plan  # noqa: E402
@@ -128,7 +130,7 @@
         return "no fault took effect"
     if LEADER_KINDS & set(kinds) and figures["leaders"] < 2:
         return "the leader never changed"
-    return None
+    return check_evacuated.missing_proof(figures, kinds)
 
 
 def run_seed(args, seed):
@@ -138,19 +140,26 @@
         shutil.rmtree(folder, ignore_errors=True)
         os.makedirs(folder)
     deployment = Deployment(args.daemon, folder, seed, args.daemons, args.runners, args.store_ms / 1000)
-    violations, code, text = [], 2, ""
+    violations, evacuated_starts, code, text = [], [], 2, ""
     try:
         figures = asyncio.run(play_and_clean_up(deployment, args, seed))
         events = check_twice.read_journal(deployment.journals())
         figures.update(check_twice.summarize(events))
         violations = check_twice.find_violations(events)
+        zones = {runner.name: runner.zone for runner in deployment.runners}
+        evacuated_starts, shown = check_evacuated.check(events, zones, deployment.evacuations,
+                                                        deployment.store.outage_times_, deployment.rejections())
+        figures.update(shown)
         missing = missing_proof(figures, args.kinds)
-        code = 1 if violations or figures["ended"] else 2 if missing else 0
+        code = 1 if violations or evacuated_starts or figures["ended"] else 2 if missing else 0
         text = (f"{figures['accepted']} jobs accepted, {figures['tasks']} tasks, {figures['runs']} runs, "
                 f"{figures['done']} done, {figures['acknowledged']} acknowledged, {figures['open']} open, "
                 f"{figures['leaders']} leaders; faults: "
                 + ", ".join(f"{kind} {count}" for kind, count in sorted(figures["faults"].items()))
                 + f"; violations: {len(violations)}")
+        if deployment.evacuations:
+            text += (f"; evacuations: {figures['guarded_s']:.1f} s beyond their bounds with {figures['elsewhere']} starts "
+                     f"elsewhere and {len(evacuated_starts)} in the zone")
         if missing:
             text += f"; shows nothing: {missing}"
         if figures["ended"]:
@@ -166,6 +175,8 @@
         print(f"  {count} x {description}")
     for violation in violations[:SHOWN_VIOLATIONS]:
         print(f"  {violation.describe()}")
+    for description in evacuated_starts[:SHOWN_VIOLATIONS]:
+        print(f"  {description}")
     if code == 0 and not args.out:
         shutil.rmtree(folder, ignore_errors=True)
     else:
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -30,17 +30,22 @@
     def __init__(self, store):
         self.store_ = store
         self.modes_ = []
+        self.rejections_ = []  # times of the faults of this port alone: [begin, end or None]
         self.server_ = Server(self.handle)
 
     def mode(self):
         return self.modes_[-1] if self.modes_ else "ok"
 
-    def push(self, mode):
+    def push(self, mode, for_all=False):
         self.modes_.append(mode)
+        if not for_all:
+            self.rejections_.append([time.monotonic(), None])
         self.apply()
 
-    def pop(self, mode):
+    def pop(self, mode, for_all=False):
         self.modes_.remove(mode)
+        if not for_all:  # which one of several is the same: together they cover the same time
+            next(row for row in self.rejections_ if row[1] is None)[1] = time.monotonic()
         self.apply()
 
     def apply(self):
@@ -79,6 +84,7 @@
         self.ports_ = []
         self.internal_ = Server(self.handle_internal)  # for the runners
         self.outages_ = 0  # faults that have the store down for all
+        self.outage_times_ = []  # [begin, end or None] of the times in which it is down for all
         self.registered_ = {}  # key of a runner -> time of its last heartbeat
 
     async def open_port(self):
@@ -96,20 +102,22 @@
         """Takes the store down for all. Leases and entries of runners pause meanwhile."""
         if self.outages_ == 0:
             self.down_since_ = time.monotonic()
+            self.outage_times_.append([self.down_since_, None])
         self.outages_ += 1
         for port in self.ports_:
-            port.push(mode)
+            port.push(mode, for_all=True)
 
     def end_outage(self, mode):
         self.outages_ -= 1
         if self.outages_ == 0:
             pause = time.monotonic() - self.down_since_
+            self.outage_times_[-1][1] = time.monotonic()
             for lease in self.leases_.values():
                 lease[0] += pause
             for key in self.registered_:
                 self.registered_[key] += pause
         for port in self.ports_:
-            port.pop(mode)
+            port.pop(mode, for_all=True)
 
     async def delay(self):
         await asyncio.sleep(SLOW_ANSWER_S if self.slowdowns_ else self.answer_s_)
