--- a/src/platform/client_codec.cpp
+++ b/src/platform/client_codec.cpp
@@ -16,6 +16,7 @@
 static constexpr std::uint32_t MaxTasksPerStep = 100'000;
 static constexpr std::size_t MaxSpecBytes = 4'000; // limit published to clients
 static constexpr Milliseconds DefaultWait{3'000}; // for requests without X-Deadline-Ms
+static constexpr std::int64_t MaxWaitMs = 3'600'000; // a larger number of the client would overflow the deadline
 
 // Largest integer that is accepted from other programs: doubles hold all integers up to it, and sums of some thousand
 // do not overflow.
@@ -148,7 +149,9 @@
     const std::string_view wait = headerValue(http, "X-Deadline-Ms");
     std::int64_t waitMs = 0;
     const auto [end, error] = std::from_chars(wait.data(), wait.data() + wait.size(), waitMs);
-    request.remaining_ = error == std::errc{} && end != wait.data() && waitMs > 0 ? Milliseconds(waitMs) : DefaultWait;
+    request.remaining_ = error == std::errc{} && end != wait.data() && waitMs > 0
+        ? Milliseconds(std::min(waitMs, MaxWaitMs))
+        : DefaultWait;
     return true;
 }
 
--- a/tests/platform/test_wire.cpp
+++ b/tests/platform/test_wire.cpp
@@ -27,6 +27,20 @@
     = R"({"ClockMs":482113,"born":5,"Active":[["5c0e7a21d94b36f8.0.1.17",2,"0b",41]],)"
       R"("Finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
 
+// Guards against a deadline of a client that overflows the daemon's clock.
+Test(wire, deadlineOfAClientIsBounded)
+{
+    const auto remaining = [](const std::string &deadline) {
+        ClientRequest request;
+        cr_assert(decodeClientRequest({"GET", "/q/1", {{"X-Deadline-Ms", deadline}}, ""}, request));
+        return request.remaining_;
+    };
+    cr_assert(remaining("1500") == Milliseconds(1'500));
+    cr_assert(remaining("9223372036854775807") == Milliseconds(3'600'000));
+    cr_assert(remaining("92233720368547758070") == Milliseconds(3'000));
+    cr_assert(remaining("-5") == Milliseconds(3'000));
+}
+
 // Guards against fields of a job that are lost or swapped.
 Test(wire, submittedJob)
 {
