--- a/src/core/cell/gang_room.cpp
+++ b/src/core/cell/gang_room.cpp
@@ -23,7 +23,7 @@
 static constexpr Milliseconds PlanInterval{50};
 // Shortest time between two plans after a runner was lost or an answer of the policy service has come.
 static constexpr Milliseconds EarlyPlanInterval{10};
-// A plan takes about this long for each runner and each run that it examines (measured with 350 runners).
+// A plan takes about this long for each runner and each run that it examines.
 static constexpr std::chrono::nanoseconds PlanTimePerItem{120};
 static constexpr double PlanProcessorPart = 0.05; // plans take at most this part of the daemon's processors
 static constexpr std::size_t MaxPlannedGangs = 32; // the next gangs wait for the first ones to start
