Fix: [cell] With learned run times, a gang waited for trusted runners without end

Cause: a gang left suspect runners out while trusted ones could hold it when empty, however long that took. Change: it does so for 2 s after its submission only.

--- a/src/core/cell/placement.cpp
+++ b/src/core/cell/placement.cpp
@@ -262,6 +262,10 @@
         + (isRemote ? std::log(cell.settings_.remoteFactor_) : 0);
 }
 
+// A gang waits for trusted runners only this long after its job was submitted: a job for which there is room has to
+// start within 3 s.
+static constexpr Milliseconds MaxWaitForTrusted{2'000};
+
 // Chooses runners for all members of a gang: one index into `candidates` per member. Result: empty if they do not fit,
 // or if the gang is to wait for runners with less risk. The gang is as fast as its slowest runner, so the runners are
 // chosen from those of at least one speed, for each speed in turn.
@@ -275,7 +279,7 @@
     }
     const Resources size = reservedSize(context.spec_);
     for (const RunnerRisk risk : {RunnerRisk::Low, RunnerRisk::Raised, RunnerRisk::High}) {
-        if (risk == RunnerRisk::High
+        if (risk == RunnerRisk::High && now < context.job_.submittedAt_ + MaxWaitForTrusted
             && canTrustedRunnersHoldGang(cell, context.spec_, context.step_, context.job_, now)) {
             break;
         }
