Fix: [platform] Estimates of clients could overflow the daemon's clock

Cause: EstimateMs and TargetMs took any integer; sums with points in time overflow above some centuries. Change: durations of a task are from 0 to 366 days; other values make the job malformed (400). Result: wire::malformedJobsAreRefused has the three values, which were accepted before by reading.

--- a/src/platform/client_codec.cpp
+++ b/src/platform/client_codec.cpp
@@ -14,6 +14,7 @@
 
 static constexpr std::size_t MaxStepsPerJob = 256;
 static constexpr std::uint32_t MaxTasksPerStep = 100'000;
+static constexpr std::chrono::hours MaxDuration{24 * 366}; // of a task; larger values overflow sums with points in time
 static constexpr std::size_t MaxSpecBytes = 4'000; // limit published to clients
 static constexpr Milliseconds DefaultWait{3'000}; // for requests without X-Deadline-Ms
 static constexpr std::int64_t MaxWaitMs = 3'600'000; // a larger number of the client would overflow the deadline
@@ -43,6 +44,11 @@
     return true;
 }
 
+static bool isDuration(Milliseconds duration)
+{
+    return duration >= Milliseconds(0) && duration <= MaxDuration;
+}
+
 static bool readMilliseconds(const Json &object, const char *name, Milliseconds &out)
 {
     std::int64_t count = out.count();
@@ -95,7 +101,8 @@
         && readField(json, "Image", step.image_) && readMilliseconds(json, "TargetMs", step.target_)
         && readField(json, "MissAllowed", missAllowed);
     step.missAllowed_ = missAllowed;
-    return valid && step.count_ > 0 && step.count_ <= MaxTasksPerStep;
+    return valid && step.count_ > 0 && step.count_ <= MaxTasksPerStep && isDuration(step.estimate_)
+        && isDuration(step.target_);
 }
 
 bool decodeSubmittedJob(std::string_view body, SubmittedJob &job)
--- a/tests/platform/test_wire.cpp
+++ b/tests/platform/test_wire.cpp
@@ -61,7 +61,9 @@
           R"({"Steps":[{"Count":1,"After":[0]}]})", R"({"Steps":[{"Count":1,"After":[-1]}]})",
           R"({"Steps":[{"Count":1,"Cpu":-5}]})", R"({"Steps":[{"Count":1}],"Spec":5})",
           R"({"Steps":[{"Count":1,"Gang":1}]})", R"({"Steps":{"Count":1}})", R"({"Steps":[7]})",
-          R"({"Steps":[{"Count":4000000000}]})"}) {
+          R"({"Steps":[{"Count":4000000000}]})", R"({"Steps":[{"Count":1,"EstimateMs":-1}]})",
+          R"({"Steps":[{"Count":1,"EstimateMs":9223372036854775807}]})",
+          R"({"Steps":[{"Count":1,"TargetMs":9223372036854775807}]})"}) {
         SubmittedJob job;
         cr_assert(!decodeSubmittedJob(body, job), "%s", std::string(body).c_str());
     }
