Fix: [cell, http, platform] Findings of the review of reservations and client limits

Cause and change, by finding: - A ticket renewal named a runner that was removed after the plan, through a null pointer: claims check for it. - Reservations counted processors only: the share now holds for memory and accelerators too. - A plan's memory grew with members times runners: gangs of over 256 members get no reservation. - A less urgent gang's reservation kept a more urgent one from starting: later reservations yield. - Reservations could hold up other work on an empty fleet: there are none while under half of the processors are in use, none for gangs beyond their account's share, and tasks without an estimate do not pass them. - One submission of 5 KB with 256 steps of 100,000 tasks took gigabytes at each leader: 50,000 open tasks a job (400), 150,000 at a leader (429), short names, and no step named twice in After. - Buffers kept their capacity (an assignment of {} does not free a std::string) and were counted by size. - Responses of runners, store and policy service are parsed with the limits of clients' bodies. - The readiness check used the budget of the clients, who could make the daemon look unready. Result: test_cell, test_control, test_wire and test_http pass; found by reading, only the limits of jobs have a new test.

--- a/src/core/cell/admission.cpp
+++ b/src/core/cell/admission.cpp
@@ -18,6 +18,8 @@
 // Retry-After while all runners of a service are in evacuated zones. An evacuation lasts longer, but its end is not
 // known.
 static constexpr Milliseconds EvacuatedRetryAfter{2'000};
+// Tasks of all jobs that have not ended. The leader keeps about 250 B for each, and a small instance has 120 MB.
+static constexpr std::uint64_t MaxOpenTasks = 150'000;
 // Waiting work may delay a new job by this multiple of its objective. A job has a fifth of its value up to three
 // objectives, but the estimates of work are rough, and a client that is refused early can retry after the burst.
 static constexpr double MaxWaitObjectives = 1.5;
@@ -43,6 +45,23 @@
 static constexpr std::size_t MinJobsForStartRate = 16;
 static constexpr Milliseconds MaxQueueWait{30'000}; // estimate when nothing of the queue starts
 
+std::uint64_t countOpenTasks(const Job &job)
+{
+    std::uint64_t tasks = 0;
+    for (const StepSpec &spec : job.submitted_.steps_) {
+        tasks += spec.count_;
+    }
+    return tasks * std::clamp<std::uint64_t>(job.submitted_.repeatCount_, 1, MaxUnfinishedOccurrences);
+}
+
+void countAllOpenTasks(Cell &cell)
+{
+    cell.openTasks_ = 0;
+    for (const auto &[id, job] : cell.jobs_) {
+        cell.openTasks_ += isFinal(*job) ? 0 : countOpenTasks(*job);
+    }
+}
+
 // Returns the reason why a job can never run; empty if there is none.
 static std::string_view infeasibilityReason(const Cell &cell, const Job &job)
 {
@@ -293,6 +312,10 @@
         refusal.retryAfter_ = EvacuatedRetryAfter;
         return refusal;
     }
+    if (cell.openTasks_ + countOpenTasks(job) > MaxOpenTasks) {
+        reason = "too-many-tasks";
+        return refusal;
+    }
     const Milliseconds objective = objectiveOf(job);
     // The measured wait is exact enough to tell whether the job can still start in time.
     const Milliseconds maxQueueWait = std::max(IdleWait, objective - certainWork(job));
--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -219,6 +219,7 @@
         removeEndedJobs(cell, now);
         removeCancelledUnknown(cell, now.steady_);
         removeRefusedSubmissions(cell, now.steady_);
+        countAllOpenTasks(cell);
         removeClosedRisks(cell);
         removePresumedRuns(cell, now.steady_);
         maintainRunTimes(cell, now.steady_, actions);
--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -611,6 +611,8 @@
     RunTimes runTimes_;
     std::map<std::string, double>
         serviceCapacity_; // by service: milli-CPUs of listed runners that are not draining or evacuated
+    std::uint64_t openTasks_
+        = 0; // of jobs that have not ended, counted with the last slow tick and since then accepted
     bool capacityStale_ = true; // serviceCapacity_ has to be recomputed
     std::uint64_t runnersExamined_ = 0; // by placement and policy queries; a measure of the cost of decisions
     std::uint64_t stepsExamined_ = 0; // by the passes over waiting steps; a measure of the cost of decisions
--- a/src/core/cell/cell_internal.h
+++ b/src/core/cell/cell_internal.h
@@ -373,6 +373,10 @@
 void noteRefusedSubmission(Cell &cell, const Job &job, TimePoint now);
 // Forgets the refused submissions that clients do not repeat any more.
 void removeRefusedSubmissions(Cell &cell, TimePoint now);
+// Tasks of a job in all occurrences that may be open at a time.
+std::uint64_t countOpenTasks(const Job &job);
+// Sets Cell::openTasks_.
+void countAllOpenTasks(Cell &cell);
 // Counts an accepted job that has not started.
 void addWaitingWork(Cell &cell, const Job &job, TimePoint now);
 // Counts the first start of a job of this queue for the queue's start rate.
--- a/src/core/cell/gang_room.cpp
+++ b/src/core/cell/gang_room.cpp
@@ -27,6 +27,8 @@
 static constexpr std::chrono::nanoseconds PlanTimePerItem{120};
 static constexpr double PlanProcessorPart = 0.05; // plans take at most this part of the daemon's processors
 static constexpr std::size_t MaxPlannedGangs = 32; // the next gangs wait for the first ones to start
+// Larger gangs get no reservation: the memory and time of a plan grow with the members and the runners.
+static constexpr std::uint32_t MaxReservedMembers = 256;
 // An overdue run is expected to run for this part of its run time so far, and at least for MinRemaining.
 static constexpr int OverduePart = 8;
 static constexpr Milliseconds MinRemaining{50};
@@ -75,8 +77,9 @@
 struct Plan
 {
     std::map<std::string, std::vector<PlannedRunner>> runnersByService_;
-    std::map<std::string, std::int64_t> capacity_; // milli-CPUs of the usable runners by service
-    std::map<std::string, std::int64_t> reserved_; // milli-CPUs by service
+    std::map<std::string, Resources> capacity_; // of the usable runners by service
+    std::map<std::string, Resources> used_; // of capacity_
+    std::map<std::string, Resources> reserved_; // by service
     std::vector<GangRoom> rooms_;
     std::size_t items_ = 0; // runners and runs examined; a measure of the cost
 };
@@ -127,7 +130,8 @@
         std::sort(planned.releases_.begin(), planned.releases_.end(),
                   [](const RunRelease &left, const RunRelease &right) { return left.at_ < right.at_; });
         plan.items_ += runner->tasks_.size() + 1;
-        plan.capacity_[service] += runner->record_.capacity_.milliCpus_;
+        plan.capacity_[service] += runner->record_.capacity_;
+        plan.used_[service] += runner->used_;
     }
     return entry->second;
 }
@@ -244,6 +248,15 @@
         && std::min(room.renewAt_, room.completeAt_) > now + 2 * cost;
 }
 
+// True when the resources are at most this share of the capacity in each dimension.
+static bool isWithinShare(const Resources &wanted, const Resources &capacity, double share)
+{
+    const auto fits = [&](std::int64_t Resources::*dimension) {
+        return static_cast<double>(wanted.*dimension) <= share * static_cast<double>(capacity.*dimension);
+    };
+    return fits(&Resources::milliCpus_) && fits(&Resources::memoryMb_) && fits(&Resources::accelerators_);
+}
+
 // Plans the reservation of a gang. Result: why none is possible; empty if it was added to the plan.
 static std::string_view planRoom(Cell &cell, Plan &plan, const WaitingGang &gang, TimePoint now)
 {
@@ -251,10 +264,16 @@
     std::vector<PlannedRunner> &runners = runnersOf(cell, plan, policy.service_, now);
     const Resources size = reservedSize(gang.spec_);
     const std::uint32_t count = gang.spec_.count_;
-    const std::int64_t milliCpus = size.milliCpus_ * count;
-    std::int64_t &reserved = plan.reserved_[policy.service_];
-    const double limit = cell.settings_.gangRoomShare_ * static_cast<double>(plan.capacity_[policy.service_]);
-    if (static_cast<double>(reserved + milliCpus) > limit) {
+    if (count > MaxReservedMembers) {
+        return "too-large";
+    }
+    const Resources &capacity = plan.capacity_[policy.service_];
+    if (plan.used_[policy.service_].milliCpus_ < capacity.milliCpus_ / 2) {
+        return "half-empty";
+    }
+    Resources &reserved = plan.reserved_[policy.service_];
+    const Resources wanted = reserved + multiplied(size, count);
+    if (!isWithinShare(wanted, capacity, cell.settings_.gangRoomShare_)) {
         return "share";
     }
     TimePoint ticketsAt = now;
@@ -273,6 +292,9 @@
     auto verdict = gang.step_.verdicts_.begin(); // in the order of the runners
     for (std::size_t i = 0; i < runners.size(); ++i) {
         const Runner &runner = *runners[i].runner_;
+        if (!hasRequiredLabel(gang.spec_, runner)) {
+            continue;
+        }
         if (policy.policyQueries_) {
             while (verdict != gang.step_.verdicts_.end() && verdict->first < runner.record_.id_) {
                 ++verdict;
@@ -283,9 +305,6 @@
                 continue;
             }
         }
-        if (!hasRequiredLabel(gang.spec_, runner)) {
-            continue;
-        }
         knownMembers += membersOnEmpty(runner, gang.spec_, size);
         addFits(fits, gang, runners[i], i, ticketsAt, now);
         plan.items_ += runners[i].releases_.size() + 1;
@@ -315,7 +334,7 @@
     room.reservedAt_ = gang.old_ != nullptr ? gang.old_->reservedAt_ : now;
     room.logged_ = gang.old_ != nullptr && gang.old_->logged_;
     planQueries(cell, room, gang, knownMembers, hasUnknown, renewalTime(gang, runners.size()), now);
-    reserved += milliCpus;
+    reserved = wanted;
     plan.rooms_.push_back(std::move(room));
     return {};
 }
@@ -429,7 +448,8 @@
     access.priority_ = job.policy_.priority_;
     Placement started;
     started.startedAt_ = now;
-    access.end_ = expectedEnd(cell, started, stepSpec(job, ref.step_), job);
+    const StepSpec &spec = stepSpec(job, ref.step_);
+    access.end_ = spec.estimate_ > Milliseconds(0) ? expectedEnd(cell, started, spec, job) : TimePoint::max();
     const GangRoom *room = stepSpec(job, ref.step_).gang_ ? findRoom(cell, ref) : nullptr;
     if (room != nullptr) {
         access.order_ = room->order_;
@@ -462,7 +482,8 @@
         }
         Resources spare = hold.spare_;
         for (const RoomHold &own : runner.roomHolds_) {
-            if (own.order_ == access.order_ && own.completeAt_ <= hold.completeAt_) {
+            // The reservations of less urgent gangs yield to the step.
+            if (own.order_ >= access.order_ && own.completeAt_ <= hold.completeAt_) {
                 spare += own.reserved_;
             }
         }
@@ -497,7 +518,7 @@
     return spec.gang_ && step.waiting_ > 0 && step.waiting_ == step.tasks_.size()
         && std::all_of(step.tasks_.begin(), step.tasks_.end(),
                        [now](const TaskRecord &task) { return task.notBefore_ <= now; })
-        && urgencyOf(cell, job, ref, now).class_ != UrgencyClass::BestEffort
+        && urgencyOf(cell, job, ref, now).class_ <= UrgencyClass::Late
         && tasksWithinLimit(cell, job, spec.size_) >= spec.count_;
 }
 
--- a/src/core/cell/policy.cpp
+++ b/src/core/cell/policy.cpp
@@ -106,9 +106,10 @@
             = std::min(fitting, fittingTasks(unclaimed(*runner, freeFor(*runner, access)), size));
         const bool allowed = verdict != step.verdicts_.end();
         const bool claimed = unclaimedFit == 0;
+        const std::uint32_t fittingNow = fitting;
         fitting = claimed ? fitting : unclaimedFit;
         const double expected = static_cast<double>(fitting) * (allowed ? 1 : likely);
-        total += expected;
+        total += static_cast<double>(fittingNow) * (allowed ? 1 : likely);
         if (hasTicket(step, *runner, now)) {
             ticketed += expected;
             // A gang needs all its tickets at the same time, so the tickets that are still valid are renewed with the
@@ -333,7 +334,9 @@
     query.step_ = ref.step_;
     for (const QueriedRunner &queried : runners) {
         query.runners_.push_back(queried.id_);
-        findRunner(cell, queried.id_)->queryClaims_ += queried.claim_;
+        if (Runner *runner = findRunner(cell, queried.id_)) { // a reserved one may have been removed since the plan
+            runner->queryClaims_ += queried.claim_;
+        }
     }
     query.timeout_ = costTime + AnswerMargin;
     step.answerExpectedAt_ = querier->busyUntil_;
--- a/src/core/cell/submit_cmd.cpp
+++ b/src/core/cell/submit_cmd.cpp
@@ -75,6 +75,7 @@
     cell.acceptQueue_.push_back(job->id_);
     cell.unstartedJobs_.insert(job->id_);
     addWaitingWork(cell, *job, now.steady_);
+    cell.openTasks_ += countOpenTasks(*job);
     cell.jobs_.emplace(job->id_, std::move(job));
 }
 
--- a/src/daemon/read_limits.cpp
+++ b/src/daemon/read_limits.cpp
@@ -70,6 +70,7 @@
     clients.refusals_ = result.refusals_;
 
     result.readiness_ = clients;
+    result.readiness_.budget_ = nullptr; // clients that use the budget up must not make the daemon look unready
     result.readiness_.maxConnections_ = std::min(clients.maxConnections_, MaxReadinessConnections);
     result.readiness_.maxBodyBytes_ = std::min(clients.maxBodyBytes_, MaxReadinessBodyBytes);
     return result;
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -161,18 +161,19 @@
     }
     const std::size_t consumed = size - data.size();
     if (refusal_ != HttpRefusal::Count) {
-        pending_ = {};
+        std::string().swap(pending_); // an assignment of {} would keep the capacity
         return bytes.size();
     }
     if (isDone()) {
         // The pending bytes alone were not a whole message, so it ends within `bytes`.
-        pending_ = {};
+        std::string().swap(pending_);
         return consumed - earlier;
     }
     if (data.empty()) {
-        pending_ = {}; // frees the buffer of a long header while the body arrives
+        std::string().swap(pending_); // frees the buffer of a long header while the body arrives
     } else if (earlier > 0) {
         pending_.erase(0, consumed);
+        pending_.shrink_to_fit();
     } else {
         pending_.assign(data);
     }
--- a/src/http/message_reader_internal.h
+++ b/src/http/message_reader_internal.h
@@ -75,7 +75,7 @@
     // Bytes held for the message.
     [[nodiscard]] std::size_t heldBytes() const
     {
-        return pending_.size() + parser_.messageBytes_ + parser_.message_.body_.capacity();
+        return pending_.capacity() + parser_.messageBytes_ + parser_.message_.body_.capacity();
     }
 
     // After isDone().
--- a/src/net/frame.cpp
+++ b/src/net/frame.cpp
@@ -95,7 +95,7 @@
     buffer_.erase(0, start_);
     start_ = 0;
     if (buffer_.empty() && buffer_.capacity() > MaxKeptCapacity) {
-        buffer_ = {};
+        std::string().swap(buffer_); // an assignment of {} would keep the capacity
     }
     buffer_ += bytes;
 }
--- a/src/platform/client_codec.cpp
+++ b/src/platform/client_codec.cpp
@@ -13,7 +13,10 @@
 {
 
 static constexpr std::size_t MaxStepsPerJob = 256;
-static constexpr std::uint32_t MaxTasksPerStep = 100'000;
+// Tasks of all steps and occurrences of a job that may be open at a time. The leader keeps about 250 B for each.
+static constexpr std::uint64_t MaxTasksPerJob = 50'000;
+static constexpr std::uint64_t MaxOpenOccurrences = 64; // see MaxUnfinishedOccurrences of the leader
+static constexpr std::size_t MaxNameBytes = 1'024; // of a label, a rack and an image
 static constexpr std::chrono::hours MaxDuration{24 * 366}; // of a task; larger values overflow sums with points in time
 static constexpr std::size_t MaxSpecBytes = 4'000; // limit published to clients
 static constexpr Milliseconds DefaultWait{3'000}; // for requests without X-Deadline-Ms
@@ -71,7 +74,7 @@
     if (found == object.end() || found->is_null()) {
         return true;
     }
-    if (!found->is_array()) {
+    if (!found->is_array() || found->size() > index) { // more would name a step twice
         return false;
     }
     for (const Json &entry : *found) {
@@ -101,7 +104,9 @@
         && readField(json, "Image", step.image_) && readMilliseconds(json, "TargetMs", step.target_)
         && readField(json, "MissAllowed", missAllowed);
     step.missAllowed_ = missAllowed;
-    return valid && step.count_ > 0 && step.count_ <= MaxTasksPerStep && isDuration(step.estimate_)
+    const bool areNamesShort = step.requiredLabel_.size() <= MaxNameBytes && step.affinityRack_.size() <= MaxNameBytes
+        && step.image_.size() <= MaxNameBytes;
+    return valid && areNamesShort && step.count_ > 0 && step.count_ <= MaxTasksPerJob && isDuration(step.estimate_)
         && isDuration(step.target_);
 }
 
@@ -121,11 +126,16 @@
         }
     }
     std::int64_t repeats = 0;
+    std::uint64_t tasks = 0;
+    for (const StepSpec &step : job.steps_) {
+        tasks += step.count_;
+    }
     const bool valid = readField(json, "Spec", job.spec_) && readIntegerField(json, "RepeatCount", repeats)
         && readIntegerField(json, "FirstRunMs", job.firstRunUnixMs_)
         && readIntegerField(json, "IntervalMs", job.intervalMs_);
     job.repeatCount_ = static_cast<std::uint32_t>(std::clamp<std::int64_t>(repeats, 0, UINT32_MAX));
-    return valid && job.spec_.size() <= MaxSpecBytes && repeats >= 0 && job.intervalMs_ >= 0;
+    const std::uint64_t open = tasks * std::clamp<std::uint64_t>(job.repeatCount_, 1, MaxOpenOccurrences);
+    return valid && job.spec_.size() <= MaxSpecBytes && repeats >= 0 && job.intervalMs_ >= 0 && open <= MaxTasksPerJob;
 }
 
 bool decodeClientRequest(const HttpRequest &http, ClientRequest &request)
--- a/src/platform/service_codec.cpp
+++ b/src/platform/service_codec.cpp
@@ -166,7 +166,7 @@
         return;
     }
     Json json = Json::object();
-    if (!body.empty() && (!parseJson(body, json) || !json.is_object())) {
+    if (!body.empty() && (!parseClientJson(body, json) || !json.is_object())) {
         reply.status_ = KvStatus::Unknown;
         return;
     }
@@ -372,7 +372,7 @@
 void decodeRunnerReply(const RunnerCall &call, unsigned status, std::string_view body, RunnerReply &reply)
 {
     Json json = Json::object();
-    if (!body.empty() && (!parseJson(body, json) || !json.is_object())) {
+    if (!body.empty() && (!parseClientJson(body, json) || !json.is_object())) {
         json = Json::object();
     }
     reply.status_ = runnerStatus(status, json);
@@ -408,7 +408,7 @@
 void decodePolicyAnswer(unsigned status, std::string_view body, PolicyAnswer &answer)
 {
     Json json;
-    if (status != StatusOk || !parseJson(body, json) || !json.is_object()) {
+    if (status != StatusOk || !parseClientJson(body, json) || !json.is_object()) {
         return;
     }
     const auto allowed = json.find("Allowed");
--- a/tests/platform/test_wire.cpp
+++ b/tests/platform/test_wire.cpp
@@ -56,14 +56,27 @@
 // Guards against accepting jobs that can never run.
 Test(wire, malformedJobsAreRefused)
 {
-    for (const std::string_view body :
-         {"", "[]", "{", "{}", R"({"Steps":[]})", R"({"Steps":[{}]})", R"({"Steps":[{"Count":"4"}]})",
-          R"({"Steps":[{"Count":1,"After":[0]}]})", R"({"Steps":[{"Count":1,"After":[-1]}]})",
-          R"({"Steps":[{"Count":1,"Cpu":-5}]})", R"({"Steps":[{"Count":1}],"Spec":5})",
-          R"({"Steps":[{"Count":1,"Gang":1}]})", R"({"Steps":{"Count":1}})", R"({"Steps":[7]})",
-          R"({"Steps":[{"Count":4000000000}]})", R"({"Steps":[{"Count":1,"EstimateMs":-1}]})",
-          R"({"Steps":[{"Count":1,"EstimateMs":9223372036854775807}]})",
-          R"({"Steps":[{"Count":1,"TargetMs":9223372036854775807}]})"}) {
+    for (const std::string_view body : {"",
+                                        "[]",
+                                        "{",
+                                        "{}",
+                                        R"({"Steps":[]})",
+                                        R"({"Steps":[{}]})",
+                                        R"({"Steps":[{"Count":"4"}]})",
+                                        R"({"Steps":[{"Count":1,"After":[0]}]})",
+                                        R"({"Steps":[{"Count":1,"After":[-1]}]})",
+                                        R"({"Steps":[{"Count":1,"Cpu":-5}]})",
+                                        R"({"Steps":[{"Count":1}],"Spec":5})",
+                                        R"({"Steps":[{"Count":1,"Gang":1}]})",
+                                        R"({"Steps":{"Count":1}})",
+                                        R"({"Steps":[7]})",
+                                        R"({"Steps":[{"Count":4000000000}]})",
+                                        R"({"Steps":[{"Count":40000},{"Count":40000}]})",
+                                        R"({"Steps":[{"Count":1000}],"RepeatCount":100,"FirstRunMs":1,"IntervalMs":1})",
+                                        R"({"Steps":[{"Count":1},{"Count":1,"After":[0,0]}]})",
+                                        R"({"Steps":[{"Count":1,"EstimateMs":-1}]})",
+                                        R"({"Steps":[{"Count":1,"EstimateMs":9223372036854775807}]})",
+                                        R"({"Steps":[{"Count":1,"TargetMs":9223372036854775807}]})"}) {
         SubmittedJob job;
         cr_assert(!decodeSubmittedJob(body, job), "%s", std::string(body).c_str());
     }
