--- a/src/core/cell/cell_base.h
+++ b/src/core/cell/cell_base.h
@@ -429,8 +429,8 @@
     bool hasLostRunner_ = false; // one of the runners cannot be used any more
 };
 
-// Reservations of a leader. Invariant: Runner::roomReservations_ has the same reservations by runner, as far as the runner
-// still exists.
+// Reservations of a leader. Invariant: Runner::roomReservations_ has the same reservations by runner, as far as the
+// runner still exists.
 struct GangRooms
 {
     std::vector<GangRoom> rooms_; // most urgent first
--- a/src/core/cell/gang_room.cpp
+++ b/src/core/cell/gang_room.cpp
@@ -7,9 +7,10 @@
 // before the reservation is complete, or if it fits beside the members. Urgent work of a higher priority ignores
 // reservations when it would otherwise miss its objective.
 //
-// A reservation covers all members or is not made, so gangs do not hold parts against each other. All reservations are
-// planned anew at a limited rate: estimates are rough, and a runner whose runs end early may replace one whose runs are
-// overdue. Runners where members fit already are the first choice, so a new plan keeps the room that is free already.
+// A reservation covers all members or is not made, so gangs do not hold parts against each other. All
+// reservations are planned anew at a limited rate: estimates are rough, and a runner whose runs end early may replace
+// one whose runs are overdue. Runners where members fit already are the first choice, so a new plan keeps the room that
+// is free already.
 #include "core/cell/cell_internal.h"
 
 #include <algorithm>
@@ -197,10 +198,10 @@
         const auto member = gang.old_->members_.find(runner.record_.id_);
         kept = member == gang.old_->members_.end() ? 0 : member->second;
     }
-    const bool isReservedForOther
-        = std::any_of(runner.roomReservations_.begin(), runner.roomReservations_.end(), [&gang](const RoomReservation &hold) {
-              return gang.old_ == nullptr || hold.order_ != gang.old_->order_;
-          });
+    const bool isReservedForOther = std::any_of(
+        runner.roomReservations_.begin(), runner.roomReservations_.end(), [&gang](const RoomReservation &reservation) {
+            return gang.old_ == nullptr || reservation.order_ != gang.old_->order_;
+        });
     const TimePoint ticketEnd
         = gang.job_.policy_.policyQueries_ ? ticketUntil(gang.step_, runner, now) : TimePoint::max();
     std::uint32_t count = 0;
@@ -356,16 +357,16 @@
     for (auto &[service, runners] : plan.runnersByService_) {
         for (const PlannedRunner &planned : runners) {
             Runner &runner = *planned.runner_;
-            for (RoomReservation &hold : runner.roomReservations_) {
-                hold.spare_ = runner.record_.capacity_ - runner.used_;
+            for (RoomReservation &reservation : runner.roomReservations_) {
+                reservation.spare_ = runner.record_.capacity_ - runner.used_;
                 for (const RunRelease &release : planned.releases_) {
-                    if (release.certainAt_ <= hold.completeAt_) {
-                        hold.spare_ += release.size_;
+                    if (release.certainAt_ <= reservation.completeAt_) {
+                        reservation.spare_ += release.size_;
                     }
                 }
                 for (const RoomReservation &other : runner.roomReservations_) {
-                    if (other.completeAt_ <= hold.completeAt_) {
-                        hold.spare_ -= other.reserved_;
+                    if (other.completeAt_ <= reservation.completeAt_) {
+                        reservation.spare_ -= other.reserved_;
                     }
                 }
             }
@@ -424,13 +425,14 @@
         if (runner == nullptr) {
             continue;
         }
-        const auto hold = std::find_if(runner->roomReservations_.begin(), runner->roomReservations_.end(),
-                                       [&room](const RoomReservation &entry) { return entry.order_ == room.order_; });
-        if (hold == runner->roomReservations_.end()) {
+        const auto reservation
+            = std::find_if(runner->roomReservations_.begin(), runner->roomReservations_.end(),
+                           [&room](const RoomReservation &entry) { return entry.order_ == room.order_; });
+        if (reservation == runner->roomReservations_.end()) {
             continue;
         }
-        const RoomReservation released = *hold;
-        runner->roomReservations_.erase(hold);
+        const RoomReservation released = *reservation;
+        runner->roomReservations_.erase(reservation);
         for (RoomReservation &other : runner->roomReservations_) {
             if (released.completeAt_ <= other.completeAt_) {
                 other.spare_ += released.reserved_;
@@ -466,24 +468,24 @@
 }
 
 // True when the reservation binds a step with this access.
-static bool isBinding(const RoomReservation &hold, const RoomAccess &access)
+static bool isBinding(const RoomReservation &reservation, const RoomAccess &access)
 {
-    return hold.order_ < access.order_ && access.end_ > hold.completeAt_
-        && !(access.ignoresLowerPriority_ && hold.priority_ > access.priority_);
+    return reservation.order_ < access.order_ && access.end_ > reservation.completeAt_
+        && !(access.ignoresLowerPriority_ && reservation.priority_ > access.priority_);
 }
 
 Resources freeFor(const Runner &runner, const RoomAccess &access)
 {
     Resources free = runner.record_.capacity_ - runner.used_;
     free.slots_ = 0;
-    for (const RoomReservation &hold : runner.roomReservations_) {
-        if (!isBinding(hold, access)) {
+    for (const RoomReservation &reservation : runner.roomReservations_) {
+        if (!isBinding(reservation, access)) {
             continue;
         }
-        Resources spare = hold.spare_;
+        Resources spare = reservation.spare_;
         for (const RoomReservation &own : runner.roomReservations_) {
             // The reservations of less urgent gangs yield to the step.
-            if (own.order_ >= access.order_ && own.completeAt_ <= hold.completeAt_) {
+            if (own.order_ >= access.order_ && own.completeAt_ <= reservation.completeAt_) {
                 spare += own.reserved_;
             }
         }
@@ -496,9 +498,9 @@
 
 void notePlacementInRooms(Runner &runner, const Placement &placement, const RoomAccess &access)
 {
-    for (RoomReservation &hold : runner.roomReservations_) {
-        if (access.end_ > hold.completeAt_) {
-            hold.spare_ -= placement.size_;
+    for (RoomReservation &reservation : runner.roomReservations_) {
+        if (access.end_ > reservation.completeAt_) {
+            reservation.spare_ -= placement.size_;
         }
     }
 }
