Codechange: [cell, daemon] One piece of code for repeated logic of reservations, policy queries and refusals

Both kinds of process had their own timer for the log lines of refusals. Tests of checkpoints repeated the ends of the other members.

Change: the twins call one function each: membersThatMayRun(), queryAccess() and likelyAllowedShare(), RefusalReport::start(), GangWorld::breakOthers(). Free resources are computed once for each runner of a policy query. No decision, bound or assertion changes.

--- a/src/core/cell/gang_room.cpp
+++ b/src/core/cell/gang_room.cpp
@@ -452,7 +452,7 @@
     started.startedAt_ = now;
     const StepSpec &spec = stepSpec(job, ref.step_);
     access.end_ = spec.estimate_ > Milliseconds(0) ? expectedEnd(cell, started, spec, job) : TimePoint::max();
-    const GangRoom *room = stepSpec(job, ref.step_).gang_ ? findRoom(cell, ref) : nullptr;
+    const GangRoom *room = spec.gang_ ? findRoom(cell, ref) : nullptr;
     if (room != nullptr) {
         access.order_ = room->order_;
     }
--- a/src/core/cell/policy.cpp
+++ b/src/core/cell/policy.cpp
@@ -60,6 +60,21 @@
     return free;
 }
 
+// What the reservations for gangs leave to the tasks that a query for the step is to let start.
+static RoomAccess queryAccess(const Cell &cell, const Job &job, const StepRef &ref, TimePoint now)
+{
+    RoomAccess access = roomAccessOf(cell, job, ref, now);
+    access.ignoresLowerPriority_ = mayIgnoreRooms(cell, job, ref, now);
+    return access;
+}
+
+// Fraction of the runners that the policy service will probably allow for jobs of this queue.
+static double likelyAllowedShare(const Cell &cell, const Job &job)
+{
+    const auto share = cell.allowedShare_.find(job.policy_.queue_);
+    return share == cell.allowedShare_.end() ? InitialAllowedShare : share->second;
+}
+
 // Chooses the runners to query for the waiting tasks; empty if no answer could let them start now.
 static std::vector<QueriedRunner> chooseRunners(const Cell &cell, FreeCapacityIndex &freeCapacity, const Job &job,
                                                 const StepRef &ref, const StepState &step, TimePoint now)
@@ -74,13 +89,11 @@
     };
     const StepSpec &spec = stepSpec(job, ref.step_);
     const Resources size = reservedSize(spec);
-    RoomAccess access = roomAccessOf(cell, job, ref, now);
-    access.ignoresLowerPriority_ = mayIgnoreRooms(cell, job, ref, now);
+    RoomAccess access = queryAccess(cell, job, ref, now);
     if (access.end_ != TimePoint::max()) { // the tasks start when the answer is there
         access.end_ += Milliseconds(static_cast<std::int64_t>(policyQueryMs(job.policy_, MinRunnersPerQuery)));
     }
-    const auto share = cell.allowedShare_.find(job.policy_.queue_);
-    const double likely = share == cell.allowedShare_.end() ? InitialAllowedShare : share->second;
+    const double likely = likelyAllowedShare(cell, job);
     std::vector<Entry> entries;
     bool unknown = false;
     double ticketed = 0;
@@ -95,21 +108,20 @@
         if (verdict != step.verdicts_.end() && !verdict->second.allowed_) {
             continue;
         }
-        std::uint32_t fitting = fittingTasks(freeFor(*runner, access), size);
+        const Resources free = freeFor(*runner, access);
+        std::uint32_t fitting = fittingTasks(free, size);
         if (spec.antiAffinity_ > 0) {
             fitting = std::min(fitting, spec.antiAffinity_);
         }
         if (fitting == 0) {
             continue;
         }
-        const std::uint32_t unclaimedFit
-            = std::min(fitting, fittingTasks(unclaimed(*runner, freeFor(*runner, access)), size));
+        const std::uint32_t unclaimedFit = std::min(fitting, fittingTasks(unclaimed(*runner, free), size));
         const bool allowed = verdict != step.verdicts_.end();
         const bool claimed = unclaimedFit == 0;
-        const std::uint32_t fittingNow = fitting;
-        fitting = claimed ? fitting : unclaimedFit;
-        const double expected = static_cast<double>(fitting) * (allowed ? 1 : likely);
-        total += static_cast<double>(fittingNow) * (allowed ? 1 : likely);
+        const double probability = allowed ? 1 : likely;
+        const double expected = static_cast<double>(claimed ? fitting : unclaimedFit) * probability;
+        total += static_cast<double>(fitting) * probability;
         if (hasTicket(step, *runner, now)) {
             ticketed += expected;
             // A gang needs all its tickets at the same time, so the tickets that are still valid are renewed with the
@@ -180,10 +192,8 @@
     };
     const StepSpec &spec = stepSpec(job, ref.step_);
     const Resources size = reservedSize(spec);
-    RoomAccess access = roomAccessOf(cell, job, ref, now);
-    access.ignoresLowerPriority_ = mayIgnoreRooms(cell, job, ref, now);
-    const auto share = cell.allowedShare_.find(job.policy_.queue_);
-    const double likely = share == cell.allowedShare_.end() ? InitialAllowedShare : share->second;
+    const RoomAccess access = queryAccess(cell, job, ref, now);
+    const double likely = likelyAllowedShare(cell, job);
     double expected = 0;
     std::vector<Entry> entries;
     for (const RunnerFreeCapacity &entry : freeCapacity.runnersWithFree(job.policy_.service_, INT64_MIN)) {
--- a/src/core/cell/runner_trust.cpp
+++ b/src/core/cell/runner_trust.cpp
@@ -112,17 +112,10 @@
 bool canTrustedRunnersHoldGang(const Cell &cell, const StepSpec &spec, const StepState &step, const Job &job,
                                TimePoint now)
 {
-    const Resources size = reservedSize(spec);
-    const auto fitting = [&spec, &size](const Resources &capacity) {
-        std::int64_t count = spec.antiAffinity_ > 0 ? spec.antiAffinity_ : spec.count_;
-        count = size.milliCpus_ > 0 ? std::min(count, capacity.milliCpus_ / size.milliCpus_) : count;
-        count = size.memoryMb_ > 0 ? std::min(count, capacity.memoryMb_ / size.memoryMb_) : count;
-        return size.accelerators_ > 0 ? std::min(count, capacity.accelerators_ / size.accelerators_) : count;
-    };
-    std::int64_t members = 0;
+    std::uint32_t members = 0;
     for (const auto &[id, runner] : cell.runners_) {
-        if (runner->record_.service_ != job.policy_.service_ || !hasRequiredLabel(spec, *runner)
-            || !isUsable(cell, *runner, now) || riskOf(*runner, now) == RunnerRisk::High) {
+        if (runner->record_.service_ != job.policy_.service_ || !isUsable(cell, *runner, now)
+            || riskOf(*runner, now) == RunnerRisk::High) {
             continue;
         }
         if (job.policy_.policyQueries_) {
@@ -131,7 +124,7 @@
                 continue;
             }
         }
-        members += fitting(runner->record_.capacity_);
+        members += membersThatMayRun(*runner, spec);
         if (members >= spec.count_) {
             return true;
         }
--- a/src/daemon/cell_process.cpp
+++ b/src/daemon/cell_process.cpp
@@ -61,7 +61,6 @@
     CellTime now() const;
     void checkLeave();
     [[nodiscard]] LogLine startedLine() const;
-    void reportRefusals();
     void stopThreads();
 
     Settings settings_;
@@ -390,14 +389,6 @@
     return {LogLevel::Info, line.finish()};
 }
 
-// Logs refusals once in each interval, so that refused clients cannot fill the log.
-void CellProcess::State::reportRefusals()
-{
-    const std::vector<LogLine> lines = refusalReport_.newLines(*limits_.refusals_);
-    writeStructuredLog(lines);
-    clientThread_.postAfter(RefusalReportInterval, [this] { reportRefusals(); });
-}
-
 void CellProcess::State::stopThreads()
 {
     stopping_ = true;
@@ -444,7 +435,7 @@
     detail.clear();
     const LogLine line = state.startedLine();
     writeStructuredLog(std::span(&line, 1));
-    state.clientThread_.postAfter(RefusalReportInterval, [&state] { state.reportRefusals(); });
+    state.refusalReport_.start(state.clientThread_, *state.limits_.refusals_);
     state.clientThread_.start();
     state.callThread_.start();
     state.transportThread_ = std::thread([&state] { state.transport_.run(); });
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -37,7 +37,6 @@
     void onLeaveFinished();
     void stopFrontEnd();
     void answerOpenRequestsUnknown();
-    void reportRefusals();
     void stopThreads();
 
     Settings settings_;
@@ -216,14 +215,6 @@
     stopFrontEnd();
 }
 
-// Logs refusals once in each interval, so that refused clients cannot fill the log.
-void Process::State::reportRefusals()
-{
-    const std::vector<LogLine> lines = refusalReport_.newLines(*limits_.refusals_);
-    writeStructuredLog(lines);
-    callerThread_.postAfter(RefusalReportInterval, [this] { reportRefusals(); });
-}
-
 void Process::State::stopThreads()
 {
     decisionThread_.stop();
@@ -266,7 +257,7 @@
     detail.clear();
     writeLog(LogLevel::Info,
              "[daemon] Started as " + state.self_.value_ + "; serving callers on " + callerAddress() + ".");
-    state.callerThread_.postAfter(RefusalReportInterval, [&state] { state.reportRefusals(); });
+    state.refusalReport_.start(state.callerThread_, *state.limits_.refusals_);
     state.callerThread_.start();
     state.storeThread_.start();
     state.workerThread_.start();
--- a/src/daemon/read_limits.cpp
+++ b/src/daemon/read_limits.cpp
@@ -2,6 +2,8 @@
 #include "daemon/read_limits_func.h"
 
 #include "core/common/json_func.h"
+#include "daemon/io_thread_base.h"
+#include "daemon/log_func.h"
 
 #include <sys/resource.h>
 
@@ -23,6 +25,7 @@
 // Part of the descriptors for clients. The largest instances call 350 runners on 5 connections each, and need the rest.
 static constexpr std::uint64_t ClientDescriptorShare = 3;
 static constexpr std::uint64_t MinConnections = 16;
+static constexpr Milliseconds RefusalReportInterval{10'000};
 static constexpr std::size_t MaxReadinessConnections = 64;
 static constexpr std::size_t MaxReadinessBodyBytes = 16 * 1024;
 
@@ -76,6 +79,15 @@
     return result;
 }
 
+void RefusalReport::start(IoThread &thread, const HttpRefusalCounters &counters)
+{
+    thread.postAfter(RefusalReportInterval, [this, &thread, &counters] {
+        const std::vector<LogLine> lines = newLines(counters);
+        writeStructuredLog(lines);
+        start(thread, counters);
+    });
+}
+
 std::vector<LogLine> RefusalReport::newLines(const HttpRefusalCounters &counters)
 {
     std::vector<LogLine> lines;
--- a/src/daemon/read_limits_func.h
+++ b/src/daemon/read_limits_func.h
@@ -20,12 +20,16 @@
     std::shared_ptr<HttpRefusalCounters> refusals_;
 };
 
-constexpr Milliseconds RefusalReportInterval{10'000};
+class IoThread;
 
-// Log lines about refusals: at most one for each kind in an interval.
+// Log lines about refusals: at most one for each kind in an interval, so that refused clients cannot fill the log.
 class RefusalReport
 {
 public:
+    // Logs the new lines on `thread` at the end of each interval. The report and the counters must exist until the
+    // thread has stopped.
+    void start(IoThread &thread, const HttpRefusalCounters &counters);
+
     // Lines for the kinds that have grown since the last call.
     std::vector<LogLine> newLines(const HttpRefusalCounters &counters);
 
--- a/tests/cell/test_checkpoints.cpp
+++ b/tests/cell/test_checkpoints.cpp
@@ -35,6 +35,20 @@
 
     void end(std::uint32_t index, RunEnd how) { modelOf(index).end(member(index), how); }
 
+    // Ends the runs of all members but one as broken. `checkpoint`: what they reach before; empty: no new one.
+    void breakOthers(std::uint32_t except, const std::string &checkpoint = {})
+    {
+        for (std::uint32_t index = 0; index < 4; ++index) {
+            if (index == except) {
+                continue;
+            }
+            if (!checkpoint.empty()) {
+                reach(index, checkpoint);
+            }
+            end(index, RunEnd::Broken);
+        }
+    }
+
     // Runs until all members have started again. Result: the checkpoints of their starts.
     std::set<std::string> checkpointsOfNextStarts(Milliseconds longest)
     {
@@ -64,10 +78,7 @@
     world.reach(2, "07");
     world.end(2, RunEnd::Failed);
     world.run(Milliseconds(300));
-    for (const std::uint32_t index : {0U, 1U, 3U}) {
-        world.reach(index, "05");
-        world.end(index, RunEnd::Broken);
-    }
+    world.breakOthers(2, "05");
     cr_assert(world.checkpointsOfNextStarts(Milliseconds(5'000)) == std::set<std::string>{"07"});
 }
 
@@ -82,10 +93,7 @@
     removeRunner(*world.cell_, lost, world.time(), world.actions_);
     world.runners_.at(lost).reachable_ = false;
     world.run(Milliseconds(300));
-    for (const std::uint32_t index : {0U, 2U, 3U}) {
-        world.reach(index, "05");
-        world.end(index, RunEnd::Broken);
-    }
+    world.breakOthers(1, "05");
     cr_assert(world.checkpointsOfNextStarts(Milliseconds(30'000)) == std::set<std::string>{"09"});
 }
 
@@ -99,10 +107,7 @@
     RunnerModel &runner = world.runners_.at(lost);
     runner.restart(world.time().unixMs_, world.elapsedMs());
     updateRunner(*world.cell_, runner.record_, world.time(), world.actions_);
-    for (const std::uint32_t index : {0U, 2U, 3U}) {
-        world.reach(index, "05");
-        world.end(index, RunEnd::Broken);
-    }
+    world.breakOthers(1, "05");
     cr_assert(world.checkpointsOfNextStarts(Milliseconds(30'000)) == std::set<std::string>{"09"});
 }
 
@@ -112,17 +117,13 @@
     GangWorld world;
     world.reach(0, "03");
     world.end(0, RunEnd::Failed);
-    for (const std::uint32_t index : {1U, 2U, 3U}) {
-        world.end(index, RunEnd::Broken);
-    }
+    world.breakOthers(0);
     cr_assert(world.checkpointsOfNextStarts(Milliseconds(5'000)) == std::set<std::string>{"03"});
     world.run(Milliseconds(200));
     for (auto &[id, runner] : world.runners_) {
         runner.checkpoints_.clear();
     }
     world.end(3, RunEnd::Failed);
-    for (const std::uint32_t index : {0U, 1U, 2U}) {
-        world.end(index, RunEnd::Broken);
-    }
+    world.breakOthers(3);
     cr_assert(world.checkpointsOfNextStarts(Milliseconds(5'000)) == std::set<std::string>{"03"});
 }
