Fix: [control] A leader that was lost for good held up the jobs of its successor for 8.5 s longer than needed

The new leader starts no task of a recovered job before all leases that its predecessor may have given on a runner that it cannot reach are over. They count from the time at which the predecessor certainly acts no more, and without a sign of its end this was the session and the grace time, 8.5 s.

Class: a bound in time for the worst case, where a closer one could be known.

A leader now steps down when neither the store nor a peer has confirmed for 2 s that it leads, if it has peers. A peer that knows of no later leader confirms it by its beacons: by the echo, until the time at which the leader sent the echoed one. The next leader knows that the predecessor is isolated once each other daemon has named a later epoch or was replaced, and counts on its end 2 s after that. During an outage of the store for all, the beacons of the peers keep the leader in place as before. Daemons tell their peers at once of a new epoch.

--- a/src/core/control/control.cpp
+++ b/src/core/control/control.cpp
@@ -136,6 +136,9 @@
     const auto echoed = member.beaconSendTimes_.find(beacon.echo_);
     if (echoed != member.beaconSendTimes_.end()) {
         member.echoedBeaconSentAt_ = std::max(member.echoedBeaconSentAt_, echoed->second);
+        if (control.cell_ && member.listed_ && beacon.epoch_ == control.cell_->epoch_) {
+            control.followedAt_ = std::max(control.followedAt_, echoed->second);
+        }
     }
     adoptZones(control, from, beacon, now, actions);
     if (beacon.configVersion_ > control.config_.version_) {
--- a/src/core/control/control_base.h
+++ b/src/core/control/control_base.h
@@ -56,6 +56,8 @@
 {
     DaemonId daemon_;
     TimePoint actsUntil_; // it makes no calls after this time
+    // Since when no other daemon can have confirmed to it that it leads, see noteIsolatedLeaders(); empty: not known.
+    TimePoint isolatedSince_;
 };
 
 enum class RecoveryStage : std::uint8_t { None, Reading, Done };
@@ -161,6 +163,9 @@
     TimePoint leaderDisconnectedAt_;
     TimePoint leaderHeardAt_; // arrival of the last message of leader_, or when it became known or was connected
     bool leaderSilent_ = false; // connected, but nothing was heard of the leader for LeaderSilenceLimit
+    // While leading: the latest beacon of which a peer has confirmed the arrival without knowing of a later leader was
+    // sent at this time. Empty: none in this epoch.
+    TimePoint followedAt_;
     std::map<CellEpoch, FormerLeader> formerLeaders_; // by the epoch in which they led; without this daemon
     std::set<CellEpoch> knownEpochs_; // the latest epochs whose leaders are or were known
     CellEpoch ownRetiredEpoch_; // highest epoch in which this daemon led and stepped down
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -35,6 +35,12 @@
 // A store answer to a peer counts as proof that only the leader is cut off when it came at least this long after the
 // leader's first failed call.
 static constexpr Milliseconds PeerAnswerMargin{200};
+// A leader that neither the store nor a peer has confirmed for this long steps down. A confirmation by beacons is up to
+// 800 ms old: the intervals of the beacons of both sides, and the transfer between regions.
+static constexpr Milliseconds IsolationLimit{2'000};
+// A daemon with which a leader was in contact this long before it was replaced is known to that leader as a member as
+// long as it acts, see UnlistedMemberRetention.
+static constexpr Milliseconds KnownMemberAge{10'000};
 static constexpr Milliseconds ElectionRetryDelay{120};
 static constexpr Milliseconds RecoveryRetryDelay{100};
 
@@ -140,6 +146,7 @@
     control.leader_ = isUnclaimed ? DaemonId{} : leader;
     control.leaderHeardAt_ = now.steady_;
     control.leaderSilent_ = false;
+    control.nextBeaconAt_ = now.steady_; // tells the new leader that this daemon follows no earlier one
     if (!control.leader_.empty()) {
         control.lastLeader_ = leader;
         control.lastLeaderEpoch_ = epoch;
@@ -174,6 +181,7 @@
     if (control.zonesRevision_ != 0) {
         setEvacuatedZones(*control.cell_, control.evacuatedZones_);
     }
+    control.followedAt_ = {};
     control.recoveryStage_ = RecoveryStage::Reading;
     control.recoveryReads_ = {};
     // Without the setting nothing is read or written for it.
@@ -337,10 +345,51 @@
     return member != control.members_.end() && member->second.retired_ >= epoch;
 }
 
+// True when a daemon may confirm to the leader of the epoch that it leads: it does not know of a later one.
+static bool isFollowed(const Control &control, const DaemonId &leader, CellEpoch epoch)
+{
+    return std::any_of(control.members_.begin(), control.members_.end(), [&](const auto &entry) {
+        const auto &[daemon, member] = entry;
+        return daemon != leader && member.epoch_ <= epoch && !isReplaced(control, daemon);
+    });
+}
+
+// True when the daemon has this one among its members, as leader until it ends.
+static bool knowsSelf(const Control &control, const DaemonId &daemon)
+{
+    const auto known = control.members_.find(daemon);
+    return known != control.members_.end() && known->second.echoedBeaconSentAt_ != TimePoint{}
+    && known->second.echoedBeaconSentAt_ + KnownMemberAge >= control.cell_->acquiredAt_;
+}
+
+// Shortens the time until which former leaders act that are isolated: the store confirms only this daemon, and each
+// other one knows of a later leader or has ended. Such a leader steps down by itself, see isIsolated().
+static void noteIsolatedLeaders(Control &control, TimePoint now)
+{
+    for (auto &[epoch, leader] : control.formerLeaders_) {
+        if (leader.isolatedSince_ == TimePoint{} && knowsSelf(control, leader.daemon_)
+            && !isFollowed(control, leader.daemon_, epoch)) {
+            leader.isolatedSince_ = now;
+            leader.actsUntil_ = std::min<TimePoint>(leader.actsUntil_, now + IsolationLimit);
+        }
+    }
+}
+
+// True when neither the store nor a peer has confirmed for IsolationLimit that this daemon leads. Its peers then elect
+// another leader, which counts on the end of this leadership, see noteIsolatedLeaders().
+static bool isIsolated(const Control &control, TimePoint now)
+{
+    const TimePoint confirmedAt = std::max(control.cell_->leadershipCheck_.confirmedAt_, control.followedAt_);
+    return now > confirmedAt + IsolationLimit
+        && std::any_of(control.members_.begin(), control.members_.end(),
+                       [&control](const auto &entry) { return !isReplaced(control, entry.first); });
+}
+
 // Forgets the former leaders that make no more calls: they have announced that they stepped down, their process was
 // replaced, or their time is over. Result: upper bound of the time until which the others act, `now` if there are none.
 static TimePoint formerLeadersEndBy(Control &control, TimePoint now)
 {
+    noteIsolatedLeaders(control, now);
     std::erase_if(control.formerLeaders_, [&](const auto &entry) {
         const auto &[epoch, leader] = entry;
         return now >= leader.actsUntil_ || hasRetired(control, leader.daemon_, epoch)
@@ -422,6 +471,9 @@
         && now.steady_ > control.cell_->leadershipCheck_.confirmedAt_ + sessionTtl(control) + LeaderGrace) {
         stepDown(control, "unconfirmed", now, actions);
     }
+    if (control.cell_ && isIsolated(control, now.steady_)) {
+        stepDown(control, "isolated", now, actions);
+    }
     if (control.cell_ && isCutOffFromStore(control, now.steady_)) {
         stepDown(control, "store-answers-others", now, actions);
     }
