Fix: [control] A leader that ended long ago was waited for by each daemon that read of it for the first time

Callers saw accepted jobs that did not start for 19 s after a loss of all instances, and a service that stayed away for that long: the new leader waited for a former leader whose instance had been lost for good long before, 8.5 s, and then for the leases that it may have given on runners that are out of reach, 10.5 s.

The store's list of former leaders was written with each election, without times, and was never emptied. Daemons that had been there when a leader ended knew since when; one that had just started counted the time of each name from its own start. Only a later process under the same name ended the wait, and a lost instance has none. Followers did not remove ended leaders from their own list either, so that the next election named them again.

Class: a time limit that is stored without the time from which it counts.

The leader empties the list once all former leaders have ended, on the condition that it still leads. A daemon that stands for election names only those that may still act.

--- a/src/core/control/control.cpp
+++ b/src/core/control/control.cpp
@@ -334,6 +334,9 @@
     case KvPurpose::Elect:
         handleElectionReply(control, reply, now, actions);
         break;
+    case KvPurpose::StoreFormerLeaders:
+        handleFormerLeadersReply(control, reply, now);
+        break;
     case KvPurpose::RecoverJobs:
     case KvPurpose::RecoverProgress:
     case KvPurpose::RecoverRunners:
--- a/src/core/control/control_base.h
+++ b/src/core/control/control_base.h
@@ -167,6 +167,9 @@
     // sent at this time. Empty: none in this epoch.
     TimePoint followedAt_;
     std::map<CellEpoch, FormerLeader> formerLeaders_; // by the epoch in which they led; without this daemon
+    bool storesFormerLeaders_ = false; // the stored list of former leaders may name some; used by the leader only
+    bool storingFormerLeaders_ = false; // the call that empties it is in flight
+    TimePoint storeFormerLeadersAt_; // earliest time of that call
     std::set<CellEpoch> knownEpochs_; // the latest epochs whose leaders are or were known
     CellEpoch ownRetiredEpoch_; // highest epoch in which this daemon led and stepped down
     CellEpoch highestRetiredEpoch_; // highest epoch whose leader is known to have stepped down
--- a/src/core/control/control_internal.h
+++ b/src/core/control/control_internal.h
@@ -80,6 +80,7 @@
 // Steps down when this daemon may not lead any more, and sends the election transaction when one is due.
 void pollElection(Control &control, CellTime now, ControlActions &actions);
 void handleElectionReply(Control &control, const KvReply &reply, CellTime now, ControlActions &actions);
+void handleFormerLeadersReply(Control &control, const KvReply &reply, CellTime now);
 // Ends the own leadership, if any. `cause` is used for the log.
 void stepDown(Control &control, std::string_view cause, CellTime now, ControlActions &actions);
 // Reads the stored state after this daemon has won an election, and builds the cell's state once all reads are done.
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -43,6 +43,7 @@
 static constexpr Milliseconds KnownMemberAge{10'000};
 static constexpr Milliseconds ElectionRetryDelay{120};
 static constexpr Milliseconds RecoveryRetryDelay{100};
+static constexpr Milliseconds FormerLeadersRetryDelay{500};
 
 bool isLeader(const Control &control)
 {
@@ -182,6 +183,7 @@
         setEvacuatedZones(*control.cell_, control.evacuatedZones_);
     }
     control.followedAt_ = {};
+    control.storingFormerLeaders_ = false;
     control.recoveryStage_ = RecoveryStage::Reading;
     control.recoveryReads_ = {};
     // Without the setting nothing is read or written for it.
@@ -386,15 +388,21 @@
 }
 
 // Forgets the former leaders that make no more calls: they have announced that they stepped down, their process was
-// replaced, or their time is over. Result: upper bound of the time until which the others act, `now` if there are none.
-static TimePoint formerLeadersEndBy(Control &control, TimePoint now)
+// replaced, or their time is over.
+static void removeEndedLeaders(Control &control, TimePoint now)
 {
-    noteIsolatedLeaders(control, now);
     std::erase_if(control.formerLeaders_, [&](const auto &entry) {
         const auto &[epoch, leader] = entry;
         return now >= leader.actsUntil_ || hasRetired(control, leader.daemon_, epoch)
             || isReplaced(control, leader.daemon_);
     });
+}
+
+// Upper bound of the time until which former leaders act, `now` if there are none.
+static TimePoint formerLeadersEndBy(Control &control, TimePoint now)
+{
+    noteIsolatedLeaders(control, now);
+    removeEndedLeaders(control, now);
     TimePoint endBy = now;
     for (const auto &[epoch, leader] : control.formerLeaders_) {
         endBy = std::max(endBy, leader.actsUntil_);
@@ -420,6 +428,35 @@
     appendLogLine(actions, line);
 }
 
+// Empties the stored list of former leaders once all of them have ended. It does not say since when they act no more,
+// so that a daemon which reads it for the first time waits for each of them.
+static void emptyFormerLeadersKey(Control &control, TimePoint now, ControlActions &actions)
+{
+    if (!control.storesFormerLeaders_ || control.storingFormerLeaders_ || !control.leaderKeyExists_
+        || now < std::max(control.cell_->formerLeadersEndBy_, control.storeFormerLeadersAt_)) {
+        return;
+    }
+    KvCall call;
+    call.purpose_ = KvPurpose::StoreFormerLeaders;
+    call.op_ = KvOp::Commit;
+    // No other daemon has been elected: its former leaders would be those before it.
+    call.conditions_ = {{std::string(LeaderKey), control.leaderKeyRevision_}};
+    call.writes_ = {{std::string(FormerLeadersKey), "", 0}};
+    call.lane_ = static_cast<std::uint32_t>(control.cell_->epoch_.value_);
+    control.storingFormerLeaders_ = true;
+    sendKvCall(control, std::move(call), actions);
+}
+
+void handleFormerLeadersReply(Control &control, const KvReply &reply, CellTime now)
+{
+    if (!control.cell_ || reply.lane_ != static_cast<std::uint32_t>(control.cell_->epoch_.value_)) {
+        return; // of an earlier epoch
+    }
+    control.storingFormerLeaders_ = false;
+    control.storesFormerLeaders_ = reply.status_ != KvStatus::Ok;
+    control.storeFormerLeadersAt_ = now.steady_ + FormerLeadersRetryDelay;
+}
+
 // True when this daemon and all its connected peers, at least one, have lost the leader: no connection, or silence. An
 // election then need not wait until the leader's session expires. Replacing a leader that is still alive is safe: the
 // store and the runners fence it.
@@ -458,6 +495,9 @@
     if (control.cell_ && now.steady_ < control.cell_->formerLeadersEndBy_) {
         updateFormerLeadersEnd(control, now, actions);
     }
+    if (control.cell_) {
+        emptyFormerLeadersKey(control, now.steady_, actions);
+    }
     if (control.cell_ && control.cell_->superseded_) {
         stepDown(control, "superseded", now, actions);
         control.clusterFeed_.synced_ = false; // a new read shows who leads
@@ -513,7 +553,9 @@
         for (std::size_t lane = 0; lane < LaneCount; ++lane) {
             call.writes_.push_back({laneKey(lane), epoch + ":0", 0});
         }
+        removeEndedLeaders(control, now.steady_);
         call.writes_.push_back({std::string(FormerLeadersKey), encodeFormerLeaders(control), 0});
+        control.storesFormerLeaders_ = !call.writes_.back().value_.empty();
     }
     control.electing_ = true;
     control.electionSentAt_ = now.steady_;
--- a/src/core/message/kv_type.h
+++ b/src/core/message/kv_type.h
@@ -52,6 +52,7 @@
     ReleaseLeaderKey,
     Register,
     Elect,
+    StoreFormerLeaders,
     RecoverJobs,
     RecoverProgress,
     RecoverRunners,
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -1040,6 +1040,52 @@
     cr_assert_leq(next.control_->cell_->formerLeadersEndBy_, cutOffAt + Milliseconds(3'500));
 }
 
+// Starts a daemon under the name of each daemon but `gone`, after all have ended.
+static void restartAllDaemons(ControlCluster &cluster, const ClusterDaemon &gone)
+{
+    std::vector<std::string> names;
+    for (const auto &daemon : cluster.daemons_) {
+        if (daemon.get() != &gone) {
+            names.push_back(daemon->id_.value_.substr(0, daemon->id_.value_.find('#')) + "#2");
+        }
+        daemon->alive_ = false;
+    }
+    for (const std::string &name : names) {
+        cluster.addDaemon(name);
+    }
+}
+
+// Guards against accepted jobs that wait for 19 s after a power loss of all instances: a leader whose instance was lost
+// for good long before was waited for as one that may still act, by each daemon that read of it for the first time.
+Test(control, leaderThatEndedLongAgoIsNotWaitedForAfterAPowerLoss)
+{
+    ControlCluster cluster(4);
+    cluster.run(StartupTime);
+    ClusterDaemon &gone = *cluster.leader();
+    gone.alive_ = false;
+    cluster.run(Milliseconds(12'000));
+    cr_assert_not_null(cluster.leader());
+    restartAllDaemons(cluster, gone);
+    cluster.run(Milliseconds(3'000));
+    cr_assert_not_null(cluster.leader(), "no leader after 3 s");
+    cr_assert_leq(cluster.leader()->control_->cell_->formerLeadersEndBy_, cluster.now_);
+}
+
+// The same must not shorten the wait for a leader that has just been lost.
+Test(control, leaderLostJustBeforeAPowerLossIsWaitedFor)
+{
+    ControlCluster cluster(4);
+    cluster.run(StartupTime);
+    ClusterDaemon &gone = *cluster.leader();
+    gone.alive_ = false;
+    cluster.run(Milliseconds(1'000));
+    cr_assert_not_null(cluster.leader());
+    restartAllDaemons(cluster, gone);
+    cluster.run(Milliseconds(3'000));
+    cr_assert_not_null(cluster.leader(), "no leader after 3 s");
+    cr_assert_gt(cluster.leader()->control_->cell_->formerLeadersEndBy_, cluster.now_);
+}
+
 // Guards against a task that is started again while a former leader that is cut off together with one of its peers
 // still renews the lease of the first run: that leader takes the peer's beacons for a confirmation.
 Test(control, formerLeaderWithAFollowerCountsAsActing)
