Fix: [cell, control] A leader was not confirmed by the store during its recovery

Found by the review of the time limit of isolated leaders, before a caller saw it: a daemon that is elected alone, as the last one left or the first one up after a power loss, stepped down when it read the stored state for longer than 2 s, and began anew after the next election. The reads of the leader key that confirm a leader began with the end of the recovery, and without them only the beacons of peers did.

The confirmation runs in every stage. leaderIsConfirmedDuringItsRecovery failed before.

--- a/src/core/cell/cell.cpp
+++ b/src/core/cell/cell.cpp
@@ -209,6 +209,12 @@
     cell.placementDue_ = true;
 }
 
+void keepLeadershipConfirmed(Cell &cell, CellTime now, CellActions &actions)
+{
+    requestConfirmation(cell, now.steady_ - ConfirmationInterval);
+    pollLeadershipCheck(cell, now, actions);
+}
+
 void advanceCell(Cell &cell, CellTime now, CellActions &actions)
 {
     countPastUse(cell, now.steady_);
--- a/src/core/cell/cell_func.h
+++ b/src/core/cell/cell_func.h
@@ -75,6 +75,10 @@
 // Reply of the store to a read of the leader key (purpose ConfirmLeadership). Answers the requests that waited for it.
 void handleLeadershipReply(Cell &cell, const KvReply &reply, CellTime now, CellActions &actions);
 
+// Has the store confirm from time to time that this daemon leads. advanceCell() does it too; to be called instead of it
+// until the recovery is complete.
+void keepLeadershipConfirmed(Cell &cell, CellTime now, CellActions &actions);
+
 // Runs the timers and starts what has become possible: task starts, policy queries, holds, transactions and retries.
 void advanceCell(Cell &cell, CellTime now, CellActions &actions);
 
--- a/src/core/control/control.cpp
+++ b/src/core/control/control.cpp
@@ -420,6 +420,8 @@
     pollRecovery(control, now, actions);
     if (control.cell_ && control.recoveryStage_ >= RecoveryStage::Done) {
         advanceCell(*control.cell_, now, actions.cell_);
+    } else if (control.cell_) {
+        keepLeadershipConfirmed(*control.cell_, now, actions.cell_);
     }
     pollLeaving(control, now, actions);
     relayCalls(control, now, actions);
