Fix: [control] A follower of a former leader that its successor did not know was not counted with

Found by the review, before a caller saw it. The successor takes a former leader for isolated when no other daemon may follow it, and it asked only the members that it knew at that moment. In a cluster of more than 12 daemons most are not connected; one that was cut off together with the leader was forgotten as soon as its record was gone, because its last sign of life was its registration. One that had registered while the successor's watch was interrupted was not known yet. The former leader then acted for up to 4 s longer than the successor counted with, and a task could have run twice.

A member is kept for 30 s after its record is gone, and nothing is concluded before the members are known up to the own election. forgottenFollowerOfAFormerLeaderCountsAsActing and followerThatTheNextLeaderDoesNotKnowYet failed before.

The call that empties the stored list names the leader key as the cell knows it, and the epoch key: after a renewal the other revision could be out of date, so that a call that the store carries out late might have emptied a later list (by reading, without a test).

--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -286,12 +286,12 @@
             appendLogLine(actions, line);
         }
         member.listed_ = !item.removed_;
+        member.seenAt_ = now.steady_; // kept for a while after its record is gone, see isFollowed()
         if (!item.removed_) {
             member.recordRevision_ = item.revision_;
             const std::size_t separator = item.value_.find(' ');
             member.address_ = item.value_.substr(0, separator);
             member.zone_ = separator == std::string::npos ? "" : item.value_.substr(separator + 1);
-            member.seenAt_ = now.steady_;
         }
     }
 }
@@ -308,6 +308,7 @@
         applyClusterItem(control, item, now, actions);
     }
     for (auto &[daemon, member] : control.members_) {
+        member.seenAt_ = member.listed_ ? now.steady_ : member.seenAt_;
         member.listed_ = listedDaemons.contains(daemon);
     }
     control.session_.registered_ = listedDaemons.contains(control.settings_.self_);
@@ -368,6 +369,9 @@
 // other one knows of a later leader or has ended. Such a leader steps down by itself, see isIsolated().
 static void noteIsolatedLeaders(Control &control, TimePoint now)
 {
+    if (!control.clusterFeed_.synced_ || control.clusterFeed_.revision_ < control.epochKeyRevision_) {
+        return; // a member that registered before the election may not be known
+    }
     for (auto &[epoch, leader] : control.formerLeaders_) {
         if (leader.isolatedSince_ == TimePoint{} && knowsSelf(control, leader.daemon_)
             && !isFollowed(control, leader.daemon_, epoch)) {
@@ -440,7 +444,8 @@
     call.purpose_ = KvPurpose::StoreFormerLeaders;
     call.op_ = KvOp::Commit;
     // No other daemon has been elected: its former leaders would be those before it.
-    call.conditions_ = {{std::string(LeaderKey), control.leaderKeyRevision_}};
+    call.conditions_ = {{std::string(LeaderKey), control.cell_->leaderKeyRevision_},
+                        {std::string(EpochKey), control.epochKeyRevision_}};
     call.writes_ = {{std::string(FormerLeadersKey), "", 0}};
     call.lane_ = static_cast<std::uint32_t>(control.cell_->epoch_.value_);
     control.storingFormerLeaders_ = true;
--- a/tests/control/test_control.cpp
+++ b/tests/control/test_control.cpp
@@ -1119,6 +1119,33 @@
     checkCountedAsActing(cluster, former);
 }
 
+// The same in a cluster where most daemons are not connected: the next leader has heard nothing of the follower but its
+// record, which is gone soon.
+Test(control, forgottenFollowerOfAFormerLeaderCountsAsActing)
+{
+    ControlCluster cluster(14);
+    cluster.run(Milliseconds(40'000));
+    ClusterDaemon &former = *cluster.leader();
+    cluster.cutOffWithFollower(former);
+    checkCountedAsActing(cluster, former);
+}
+
+// The same where the next leader does not know the follower yet, because its watch is interrupted.
+Test(control, followerThatTheNextLeaderDoesNotKnowYet)
+{
+    ControlCluster cluster(3);
+    cluster.run(StartupTime);
+    ClusterDaemon &former = *cluster.leader();
+    for (const auto &daemon : cluster.daemons_) {
+        daemon->interruptWatches_ = daemon.get() != &former;
+    }
+    ClusterDaemon &follower = cluster.addDaemon("d3#1");
+    cluster.run(Milliseconds(1'500));
+    cr_assert(cluster.connections_.contains({former.id_, follower.id_}));
+    cluster.cutOffTogether(former, follower);
+    checkCountedAsActing(cluster, former);
+}
+
 // Guards against a cluster without a leader: a daemon that is elected alone steps down while it reads a large state, as
 // nobody has confirmed it since its election.
 Test(control, leaderIsConfirmedDuringItsRecovery)
