--- a/src/core/control/control.cpp
+++ b/src/core/control/control.cpp
@@ -136,6 +136,9 @@
     const auto echoed = member.beaconSendTimes_.find(beacon.echo_);
     if (echoed != member.beaconSendTimes_.end()) {
         member.echoedBeaconSentAt_ = std::max(member.echoedBeaconSentAt_, echoed->second);
+        if (control.cell_ && member.listed_ && beacon.epoch_ == control.cell_->epoch_) {
+            control.followedAt_ = std::max(control.followedAt_, echoed->second);
+        }
     }
     adoptZones(control, from, beacon, now, actions);
     if (beacon.configVersion_ > control.config_.version_) {
@@ -331,6 +334,9 @@
     case KvPurpose::Elect:
         handleElectionReply(control, reply, now, actions);
         break;
+    case KvPurpose::StoreFormerLeaders:
+        handleFormerLeadersReply(control, reply, now);
+        break;
     case KvPurpose::RecoverJobs:
     case KvPurpose::RecoverProgress:
     case KvPurpose::RecoverRunners:
@@ -414,6 +420,8 @@
     pollRecovery(control, now, actions);
     if (control.cell_ && control.recoveryStage_ >= RecoveryStage::Done) {
         advanceCell(*control.cell_, now, actions.cell_);
+    } else if (control.cell_) {
+        keepLeadershipConfirmed(*control.cell_, now, actions.cell_);
     }
     pollLeaving(control, now, actions);
     relayCalls(control, now, actions);
--- a/src/core/control/leadership.cpp
+++ b/src/core/control/leadership.cpp
@@ -35,8 +35,15 @@
 // A store answer to a peer counts as proof that only the leader is cut off when it came at least this long after the
 // leader's first failed call.
 static constexpr Milliseconds PeerAnswerMargin{200};
+// A leader that neither the store nor a peer has confirmed for this long steps down. A confirmation by beacons is up to
+// 800 ms old: the intervals of the beacons of both sides, and the transfer between regions.
+static constexpr Milliseconds IsolationLimit{2'000};
+// A daemon with which a leader was in contact this long before it was replaced is known to that leader as a member as
+// long as it acts, see UnlistedMemberRetention.
+static constexpr Milliseconds KnownMemberAge{10'000};
 static constexpr Milliseconds ElectionRetryDelay{120};
 static constexpr Milliseconds RecoveryRetryDelay{100};
+static constexpr Milliseconds FormerLeadersRetryDelay{500};
 
 bool isLeader(const Control &control)
 {
@@ -140,6 +147,7 @@
     control.leader_ = isUnclaimed ? DaemonId{} : leader;
     control.leaderHeardAt_ = now.steady_;
     control.leaderSilent_ = false;
+    control.nextBeaconAt_ = now.steady_; // tells the new leader that this daemon follows no earlier one
     if (!control.leader_.empty()) {
         control.lastLeader_ = leader;
         control.lastLeaderEpoch_ = epoch;
@@ -174,6 +182,8 @@
     if (control.zonesRevision_ != 0) {
         setEvacuatedZones(*control.cell_, control.evacuatedZones_);
     }
+    control.followedAt_ = {};
+    control.storingFormerLeaders_ = false;
     control.recoveryStage_ = RecoveryStage::Reading;
     control.recoveryReads_ = {};
     // Without the setting nothing is read or written for it.
@@ -276,12 +286,12 @@
             appendLogLine(actions, line);
         }
         member.listed_ = !item.removed_;
+        member.seenAt_ = now.steady_; // kept for a while after its record is gone, see isFollowed()
         if (!item.removed_) {
             member.recordRevision_ = item.revision_;
             const std::size_t separator = item.value_.find(' ');
             member.address_ = item.value_.substr(0, separator);
             member.zone_ = separator == std::string::npos ? "" : item.value_.substr(separator + 1);
-            member.seenAt_ = now.steady_;
         }
     }
 }
@@ -298,6 +308,7 @@
         applyClusterItem(control, item, now, actions);
     }
     for (auto &[daemon, member] : control.members_) {
+        member.seenAt_ = member.listed_ ? now.steady_ : member.seenAt_;
         member.listed_ = listedDaemons.contains(daemon);
     }
     control.session_.registered_ = listedDaemons.contains(control.settings_.self_);
@@ -337,15 +348,65 @@
     return member != control.members_.end() && member->second.retired_ >= epoch;
 }
 
+// True when a daemon may confirm to the leader of the epoch that it leads: it does not know of a later one.
+static bool isFollowed(const Control &control, const DaemonId &leader, CellEpoch epoch)
+{
+    return std::any_of(control.members_.begin(), control.members_.end(), [&](const auto &entry) {
+        const auto &[daemon, member] = entry;
+        return daemon != leader && member.epoch_ <= epoch && !isReplaced(control, daemon);
+    });
+}
+
+// True when the daemon has this one among its members, as leader until it ends.
+static bool knowsSelf(const Control &control, const DaemonId &daemon)
+{
+    const auto known = control.members_.find(daemon);
+    return known != control.members_.end() && known->second.echoedBeaconSentAt_ != TimePoint{}
+    && known->second.echoedBeaconSentAt_ + KnownMemberAge >= control.cell_->acquiredAt_;
+}
+
+// Shortens the time until which former leaders act that are isolated: the store confirms only this daemon, and each
+// other one knows of a later leader or has ended. Such a leader steps down by itself, see isIsolated().
+static void noteIsolatedLeaders(Control &control, TimePoint now)
+{
+    if (!control.clusterFeed_.synced_ || control.clusterFeed_.revision_ < control.epochKeyRevision_) {
+        return; // a member that registered before the election may not be known
+    }
+    for (auto &[epoch, leader] : control.formerLeaders_) {
+        if (leader.isolatedSince_ == TimePoint{} && knowsSelf(control, leader.daemon_)
+            && !isFollowed(control, leader.daemon_, epoch)) {
+            leader.isolatedSince_ = now;
+            leader.actsUntil_ = std::min<TimePoint>(leader.actsUntil_, now + IsolationLimit);
+        }
+    }
+}
+
+// True when neither the store nor a peer has confirmed for IsolationLimit that this daemon leads. Its peers then elect
+// another leader, which counts on the end of this leadership, see noteIsolatedLeaders().
+static bool isIsolated(const Control &control, TimePoint now)
+{
+    const TimePoint confirmedAt = std::max(control.cell_->leadershipCheck_.confirmedAt_, control.followedAt_);
+    return now > confirmedAt + IsolationLimit
+        && std::any_of(control.members_.begin(), control.members_.end(),
+                       [&control](const auto &entry) { return !isReplaced(control, entry.first); });
+}
+
 // Forgets the former leaders that make no more calls: they have announced that they stepped down, their process was
-// replaced, or their time is over. Result: upper bound of the time until which the others act, `now` if there are none.
-static TimePoint formerLeadersEndBy(Control &control, TimePoint now)
+// replaced, or their time is over.
+static void removeEndedLeaders(Control &control, TimePoint now)
 {
     std::erase_if(control.formerLeaders_, [&](const auto &entry) {
         const auto &[epoch, leader] = entry;
         return now >= leader.actsUntil_ || hasRetired(control, leader.daemon_, epoch)
             || isReplaced(control, leader.daemon_);
     });
+}
+
+// Upper bound of the time until which former leaders act, `now` if there are none.
+static TimePoint formerLeadersEndBy(Control &control, TimePoint now)
+{
+    noteIsolatedLeaders(control, now);
+    removeEndedLeaders(control, now);
     TimePoint endBy = now;
     for (const auto &[epoch, leader] : control.formerLeaders_) {
         endBy = std::max(endBy, leader.actsUntil_);
@@ -371,6 +432,36 @@
     appendLogLine(actions, line);
 }
 
+// Empties the stored list of former leaders once all of them have ended. It does not say since when they act no more,
+// so that a daemon which reads it for the first time waits for each of them.
+static void emptyFormerLeadersKey(Control &control, TimePoint now, ControlActions &actions)
+{
+    if (!control.storesFormerLeaders_ || control.storingFormerLeaders_ || !control.leaderKeyExists_
+        || now < std::max(control.cell_->formerLeadersEndBy_, control.storeFormerLeadersAt_)) {
+        return;
+    }
+    KvCall call;
+    call.purpose_ = KvPurpose::StoreFormerLeaders;
+    call.op_ = KvOp::Commit;
+    // No other daemon has been elected: its former leaders would be those before it.
+    call.conditions_ = {{std::string(LeaderKey), control.cell_->leaderKeyRevision_},
+                        {std::string(EpochKey), control.epochKeyRevision_}};
+    call.writes_ = {{std::string(FormerLeadersKey), "", 0}};
+    call.lane_ = static_cast<std::uint32_t>(control.cell_->epoch_.value_);
+    control.storingFormerLeaders_ = true;
+    sendKvCall(control, std::move(call), actions);
+}
+
+void handleFormerLeadersReply(Control &control, const KvReply &reply, CellTime now)
+{
+    if (!control.cell_ || reply.lane_ != static_cast<std::uint32_t>(control.cell_->epoch_.value_)) {
+        return; // of an earlier epoch
+    }
+    control.storingFormerLeaders_ = false;
+    control.storesFormerLeaders_ = reply.status_ != KvStatus::Ok;
+    control.storeFormerLeadersAt_ = now.steady_ + FormerLeadersRetryDelay;
+}
+
 // True when this daemon and all its connected peers, at least one, have lost the leader: no connection, or silence. An
 // election then need not wait until the leader's session expires. Replacing a leader that is still alive is safe: the
 // store and the runners fence it.
@@ -409,6 +500,9 @@
     if (control.cell_ && now.steady_ < control.cell_->formerLeadersEndBy_) {
         updateFormerLeadersEnd(control, now, actions);
     }
+    if (control.cell_) {
+        emptyFormerLeadersKey(control, now.steady_, actions);
+    }
     if (control.cell_ && control.cell_->superseded_) {
         stepDown(control, "superseded", now, actions);
         control.clusterFeed_.synced_ = false; // a new read shows who leads
@@ -422,6 +516,9 @@
         && now.steady_ > control.cell_->leadershipCheck_.confirmedAt_ + sessionTtl(control) + LeaderGrace) {
         stepDown(control, "unconfirmed", now, actions);
     }
+    if (control.cell_ && isIsolated(control, now.steady_)) {
+        stepDown(control, "isolated", now, actions);
+    }
     if (control.cell_ && isCutOffFromStore(control, now.steady_)) {
         stepDown(control, "store-answers-others", now, actions);
     }
@@ -461,7 +558,9 @@
         for (std::size_t lane = 0; lane < LaneCount; ++lane) {
             call.writes_.push_back({laneKey(lane), epoch + ":0", 0});
         }
+        removeEndedLeaders(control, now.steady_);
         call.writes_.push_back({std::string(FormerLeadersKey), encodeFormerLeaders(control), 0});
+        control.storesFormerLeaders_ = !call.writes_.back().value_.empty();
     }
     control.electing_ = true;
     control.electionSentAt_ = now.steady_;
